--- /dev/null
+++ b/Makefile
@@ -0,0 +1,99 @@
+# make deps     install the declared Debian packages
+# make          build build/cowslippoint
+# make check    format, lint, build, all tests, sanitizers
+# make demo     the whole system on loopback
+# VARIANT=asan|tsan builds into build/asan or build/tsan.
+
+PACKAGES = gcc make pkg-config clang-format clang-tidy git \
+	libapr1-dev libaprutil1-dev libmicrohttpd-dev libargtable2-dev \
+	libglib2.0-dev libtirpc-dev rpcsvc-proto libjansson-dev libxxhash-dev \
+	libcurl4-openssl-dev
+LIBS = apr-1 libmicrohttpd glib-2.0 libtirpc jansson libxxhash libcurl
+
+VARIANT ?=
+OUT = build$(if $(VARIANT),/$(VARIANT))
+SANITIZE_asan = -fsanitize=address,undefined -fno-sanitize-recover=undefined
+SANITIZE_tsan = -fsanitize=thread
+CC = gcc
+CPPFLAGS = -Isrc -Itests $(shell pkg-config --cflags $(LIBS))
+CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wshadow -Wvla \
+	-Wmissing-prototypes -Wstrict-prototypes -Wno-unused-parameter \
+	-fno-omit-frame-pointer $(SANITIZE_$(VARIANT))
+# rpcgen output is committed as generated.
+CFLAGS_GENERATED = -Wno-unused-variable -Wno-missing-prototypes \
+	-Wno-cast-function-type -Wno-strict-prototypes
+LDLIBS = $(shell pkg-config --libs $(LIBS)) -largtable2 -lpthread -lm
+
+SRC = $(sort $(shell find src -name '*.c'))
+LIB_OBJ = $(patsubst %.c,$(OUT)/%.o,$(filter-out src/main.c,$(SRC)))
+# tests/test_*.c and tests/prop_*.c are one test program each; the other
+# files directly under tests/ are shared by them.
+TEST_SRC = $(sort $(wildcard tests/test_*.c tests/prop_*.c))
+TEST_SHARED = $(filter-out $(TEST_SRC),$(sort $(wildcard tests/*.c)))
+TEST_BIN = $(patsubst tests/%.c,$(OUT)/%,$(TEST_SRC))
+STANDIN_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/standin/*.c)))
+BENCH_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/bench/*.c)))
+PROGRAMS = $(OUT)/cowslippoint $(if $(STANDIN_OBJ),$(OUT)/standin) \
+	$(if $(BENCH_OBJ),$(OUT)/bench)
+FORMATTED = $(filter-out src/codec/peer%,$(shell find src tests -name '*.[ch]'))
+
+all: $(PROGRAMS)
+
+deps:
+	apt-get update -qq
+	DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(PACKAGES)
+
+$(OUT)/%.o: %.c
+	@mkdir -p $(dir $@)
+	@echo "CC $@"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) \
+		$(if $(findstring codec/peer_,$<),$(CFLAGS_GENERATED)) \
+		-MMD -c -o $@ $<
+
+$(OUT)/libcowslippoint.a: $(LIB_OBJ)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(OUT)/cowslippoint: $(OUT)/src/main.o $(OUT)/libcowslippoint.a
+	@echo "LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(OUT)/standin: $(STANDIN_OBJ) $(OUT)/libcowslippoint.a
+	@echo "LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(OUT)/bench: $(BENCH_OBJ) $(OUT)/libcowslippoint.a
+	@echo "LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(TEST_BIN): $(OUT)/%: $(OUT)/tests/%.o \
+		$(patsubst %.c,$(OUT)/%.o,$(TEST_SHARED)) \
+		$(OUT)/libcowslippoint.a
+	@echo "LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+tests: $(PROGRAMS) $(TEST_BIN)
+
+format:
+	clang-format -i $(FORMATTED)
+
+format-check:
+	clang-format --dry-run --Werror $(FORMATTED)
+
+lint:
+	@printf '%s\n' $(filter-out src/codec/peer_%,$(SRC)) \
+		$(sort $(shell find tests -name '*.c')) | \
+		xargs -P $$(nproc) -n 1 sh -c 'clang-tidy --quiet "$$@" -- \
+		$(CPPFLAGS) -std=gnu11 2>/dev/null' lint
+
+check: format-check lint
+	$(MAKE) -j$$(nproc) tests
+	$(MAKE) -j$$(nproc) tests VARIANT=asan
+	$(MAKE) -j$$(nproc) tests VARIANT=tsan
+	tests/run-checks
+
+clean:
+	rm -rf build
+
+-include $(shell find build -name '*.d' 2>/dev/null)
+.PHONY: all deps tests format format-check lint check clean
--- /dev/null
+++ b/src/base/clock.h
@@ -0,0 +1,14 @@
+/* Clock readings; only duties and tools read them, decisions get the time. */
+#ifndef CLOCK_H
+#define CLOCK_H
+
+#include <stdint.h>
+
+/* Monotonic time in us since an arbitrary start. */
+int64_t clock_now_us(void);
+/* Wall-clock time in us since 1970-01-01 UTC. */
+int64_t clock_wall_us(void);
+/* CPU time of the process in us, user and system together. */
+int64_t clock_cpu_us(void);
+
+#endif
--- /dev/null
+++ b/src/base/cutil.c
@@ -0,0 +1,108 @@
+#include "base/cutil.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+void *cu_alloc(size_t count, size_t size_bytes)
+{
+	void *p = calloc(count ? count : 1, size_bytes ? size_bytes : 1);
+
+	if (!p)
+		abort();
+	return p;
+}
+
+void *cu_grow(void *p, size_t count, size_t size_bytes)
+{
+	void *next = reallocarray(p, count ? count : 1, size_bytes);
+
+	if (!next)
+		abort();
+	return next;
+}
+
+char *cu_strdup(const char *s)
+{
+	size_t len_bytes = strlen(s) + 1;
+	char *copy = cu_alloc(len_bytes, 1);
+
+	memcpy(copy, s, len_bytes);
+	return copy;
+}
+
+int cu_copy(char *dst, size_t size_bytes, const char *src)
+{
+	size_t len_bytes = strlen(src);
+	size_t fit_bytes = len_bytes < size_bytes ? len_bytes : size_bytes - 1;
+
+	memcpy(dst, src, fit_bytes);
+	dst[fit_bytes] = '\0';
+	return fit_bytes == len_bytes;
+}
+
+static int name_char_ok(char c)
+{
+	if (c >= 'a' && c <= 'z')
+		return 1;
+	if (c >= 'A' && c <= 'Z')
+		return 1;
+	if (c >= '0' && c <= '9')
+		return 1;
+	return c == '.' || c == '_' || c == ':' || c == '-';
+}
+
+int cu_name_ok(const char *name, size_t max_bytes)
+{
+	size_t i;
+
+	if (!name || !name[0])
+		return 0;
+	for (i = 0; name[i]; i++) {
+		if (i >= max_bytes || !name_char_ok(name[i]))
+			return 0;
+	}
+	return 1;
+}
+
+static void buf_reserve(struct buf *b, size_t extra_bytes)
+{
+	size_t need_bytes = b->len_bytes + extra_bytes + 1;
+
+	if (need_bytes <= b->cap_bytes)
+		return;
+	b->cap_bytes = need_bytes < 256 ? 256 : need_bytes * 2;
+	b->data = cu_grow(b->data, b->cap_bytes, 1);
+}
+
+void buf_add(struct buf *b, const void *data, size_t len_bytes)
+{
+	buf_reserve(b, len_bytes);
+	if (len_bytes)
+		memcpy(b->data + b->len_bytes, data, len_bytes);
+	b->len_bytes += len_bytes;
+	b->data[b->len_bytes] = '\0';
+}
+
+void buf_addf(struct buf *b, const char *fmt, ...)
+{
+	va_list ap;
+	int len;
+
+	va_start(ap, fmt);
+	len = vsnprintf(NULL, 0, fmt, ap);
+	va_end(ap);
+	if (len < 0)
+		return;
+	buf_reserve(b, (size_t)len);
+	va_start(ap, fmt);
+	vsnprintf(b->data + b->len_bytes, (size_t)len + 1, fmt, ap);
+	va_end(ap);
+	b->len_bytes += (size_t)len;
+}
+
+void buf_free(struct buf *b)
+{
+	free(b->data);
+	memset(b, 0, sizeof(*b));
+}
--- /dev/null
+++ b/src/duty/duty.h
@@ -0,0 +1,52 @@
+/*
+ * A duty: one thread with one inbound ring and one timer service. Duties that
+ * wait in a library's poll call (target, store) take their ring's messages
+ * when the ring's wake callback interrupts that call.
+ */
+#ifndef DUTY_H
+#define DUTY_H
+
+#include <stdint.h>
+
+#include "base/err.h"
+#include "base/ring.h"
+#include "base/tmr.h"
+
+struct duty;
+
+/* Handles one message and frees its body. */
+typedef void duty_message_fn(void *ctx, int64_t now_us, struct msg *m);
+/* Body of a duty that runs its own poll loop; returns when duty_stopping(). */
+typedef void duty_run_fn(void *ctx, struct duty *d);
+
+/*
+ * Creates a duty without starting it. @capacity: ring size in messages.
+ * @wake may be NULL; see ring_new().
+ */
+struct duty *duty_new(const char *name, uint32_t capacity, ring_wake_fn *wake,
+		      void *wake_ctx, struct err *err);
+void duty_free(struct duty *d);
+
+struct ring *duty_ring(struct duty *d);
+struct tmr *duty_timers(struct duty *d);
+const char *duty_name(const struct duty *d);
+
+/* Starts the thread with the standard loop: messages, then due timers. */
+enum err_code duty_start(struct duty *d, duty_message_fn *fn, void *ctx,
+			 struct err *err);
+/* Starts the thread with a loop of its own. */
+enum err_code duty_start_loop(struct duty *d, duty_run_fn *fn, void *ctx,
+			      struct err *err);
+/* Closes the ring; the thread ends after the messages already pushed. */
+void duty_stop(struct duty *d);
+/* Waits for the thread. */
+void duty_join(struct duty *d);
+int duty_stopping(struct duty *d);
+
+/*
+ * For duty_start_loop(): handles what is in the ring and the due timers
+ * without waiting. Returns the time until the next timer in us, -1 for none.
+ */
+int64_t duty_poll(struct duty *d, duty_message_fn *fn, void *ctx);
+
+#endif
--- /dev/null
+++ b/src/model/layout.h
@@ -0,0 +1,56 @@
+/* Layout of one index: its snapshot, its shards and their targets. */
+#ifndef LAYOUT_H
+#define LAYOUT_H
+
+#include <stdint.h>
+
+#include "base/err.h"
+#include "model/name.h"
+
+#define LAYOUT_SHARDS_MAX 4096
+#define SHARD_REPLICAS_MAX 16
+/* Hosts that may connect to one target at once: 8 plus two in replacement. */
+#define CELL_HOSTS_MAX 10
+
+struct target {
+	char id[NAME_BYTES];
+	char address[ADDRESS_BYTES];
+	uint16_t port;
+	char data_centre[NAME_BYTES];
+	char version[NAME_BYTES];
+	/* Requests a warm target serves at once. */
+	uint32_t slots;
+	/* Connections the target accepts from all hosts together. */
+	uint32_t connections;
+	/* Requests a cold target serves at once, all hosts together. */
+	uint32_t cold_slots;
+	uint32_t connect_us;
+};
+
+struct shard {
+	char name[NAME_BYTES];
+	uint32_t replica_count;
+	/* Positions in layout.targets. */
+	uint32_t replicas[SHARD_REPLICAS_MAX];
+};
+
+struct layout {
+	char index[NAME_BYTES];
+	char snapshot[SNAPSHOT_BYTES];
+	char service[NAME_BYTES];
+	uint32_t target_count;
+	struct target *targets;
+	uint32_t shard_count;
+	struct shard *shards;
+};
+
+struct layout *layout_new(uint32_t shard_count, uint32_t target_count);
+void layout_free(struct layout *l);
+/* ERR_OK or ERR_CFG_FIELD with the field and its accepted range in @err. */
+enum err_code layout_check(const struct layout *l, struct err *err);
+/* Position of the shard that holds record @id, by hash of the ID. */
+uint32_t layout_shard_of(const struct layout *l, const char *id);
+/* This host's part of the target's connections; at least 1. */
+uint32_t target_connection_share(const struct target *t);
+
+#endif
--- /dev/null
+++ b/src/model/name.h
@@ -0,0 +1,10 @@
+/* Fixed sizes of names and addresses, with the terminating NUL. */
+#ifndef NAME_H
+#define NAME_H
+
+#define NAME_BYTES 65
+#define ADDRESS_BYTES 46
+#define REQUEST_ID_BYTES 65
+#define SNAPSHOT_BYTES 65
+
+#endif
--- /dev/null
+++ b/tests/test_base.c
@@ -0,0 +1,175 @@
+/* Scripted runs over the base modules: ring, timer service, result codes. */
+#include <apr_general.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/ring.h"
+#include "base/tmr.h"
+#include "script.h"
+
+#define TIMERS_MAX 8
+
+struct base_ctx {
+	struct ring *ring;
+	struct tmr *timers;
+	struct tmr_sub subs[TIMERS_MAX];
+	struct base_timer {
+		struct base_ctx *ctx;
+		uint32_t id;
+	} ids[TIMERS_MAX];
+	struct buf *out;
+};
+
+static void *base_new(void)
+{
+	struct base_ctx *c = cu_alloc(1, sizeof(*c));
+
+	c->timers = tmr_new();
+	return c;
+}
+
+static void base_free(void *ctx)
+{
+	struct base_ctx *c = ctx;
+
+	ring_free(c->ring);
+	tmr_free(c->timers);
+	free(c);
+}
+
+static void cmd_ring(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct base_ctx *c = ctx;
+	struct err err = { 0 };
+
+	c->ring = ring_new((uint32_t)script_int(argc, argv, "capacity", 1),
+			   NULL, NULL, &err);
+	buf_addf(out, "%s %s\n", err_name(err.code), err.detail);
+}
+
+static void cmd_push(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct base_ctx *c = ctx;
+	struct msg m = { .type = (uint32_t)script_int(argc, argv, "type", 0) };
+
+	buf_addf(out, "%s\n", err_name(ring_push(c->ring, &m)));
+}
+
+static void cmd_wait(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct base_ctx *c = ctx;
+	struct msg m[4];
+	uint32_t n = ring_wait(c->ring, m, countof(m),
+			       script_int(argc, argv, "us", 0));
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		buf_addf(out, "type %u\n", m[i].type);
+	buf_addf(out, "taken %u closed %d\n", n, ring_closed(c->ring));
+}
+
+static void cmd_close(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct base_ctx *c = ctx;
+
+	ring_close(c->ring);
+}
+
+static void timer_due(void *ctx, int64_t now_us)
+{
+	struct base_timer *id = ctx;
+
+	buf_addf(id->ctx->out, "timer %u at %" PRId64 "\n", id->id, now_us);
+}
+
+static void cmd_arm(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct base_ctx *c = ctx;
+	uint32_t id = (uint32_t)script_int(argc, argv, "id", 0) % TIMERS_MAX;
+
+	c->ids[id] = (struct base_timer){ c, id };
+	tmr_arm(c->timers, &c->subs[id], script_int(argc, argv, "at", 0),
+		timer_due, &c->ids[id]);
+}
+
+static void cmd_cancel(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct base_ctx *c = ctx;
+
+	tmr_cancel(c->timers,
+		   &c->subs[script_int(argc, argv, "id", 0) % TIMERS_MAX]);
+}
+
+static void cmd_run(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct base_ctx *c = ctx;
+
+	c->out = out;
+	tmr_run(c->timers, script_int(argc, argv, "now", 0));
+	buf_addf(out, "next %" PRId64 "\n", tmr_next_us(c->timers));
+}
+
+static const struct script_command commands[] = {
+	{ "ring", cmd_ring },	{ "push", cmd_push }, { "wait", cmd_wait },
+	{ "close", cmd_close }, { "arm", cmd_arm },   { "cancel", cmd_cancel },
+	{ "run", cmd_run },
+};
+
+static const struct script_area area = {
+	.name = "base",
+	.ctx_new = base_new,
+	.ctx_free = base_free,
+	.command_count = countof(commands),
+	.commands = commands,
+};
+
+struct errors_page {
+	const char *page;
+	const char *at;
+	uint32_t rows;
+};
+
+static void check_row(void *ctx, enum err_code code)
+{
+	struct errors_page *p = ctx;
+	g_autofree char *row = g_strdup_printf("| %d | `%s` | %u | %s |",
+					       (int)code, err_name(code),
+					       err_http_status(code),
+					       err_text(code));
+	const char *found = strstr(p->at, row);
+
+	if (!found)
+		g_error("docs/ERRORS.md lacks, or has out of order: %s", row);
+	p->at = found + strlen(row);
+	p->rows++;
+}
+
+/* Guards against a code that was added or changed without its docs row. */
+static void test_errors_page(void)
+{
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+	struct errors_page p = { 0 };
+	uint32_t rows = 0;
+	uint32_t i;
+
+	g_assert_true(g_file_get_contents("docs/ERRORS.md", &text, NULL, NULL));
+	p.page = p.at = text;
+	err_each(check_row, &p);
+	lines = g_strsplit(text, "\n", -1);
+	for (i = 0; lines[i]; i++) {
+		if (lines[i][0] == '|' && g_ascii_isdigit(lines[i][2]))
+			rows++;
+	}
+	g_assert_cmpuint(rows, ==, p.rows);
+}
+
+int main(int argc, char **argv)
+{
+	apr_initialize();
+	g_test_init(&argc, &argv, NULL);
+	script_register(&area, "tests/scripts");
+	g_test_add_func("/docs/errors", test_errors_page);
+	return g_test_run();
+}
