--- /dev/null
+++ b/src/duty/messages.h
@@ -0,0 +1,70 @@
+/*
+ * Messages between duties. The body of each type is the struct named beside
+ * it; the receiver owns it.
+ */
+#ifndef MESSAGES_H
+#define MESSAGES_H
+
+#include <stdint.h>
+
+#include "base/ring.h"
+#include "duty/admin_call.h"
+#include "model/evidence.h"
+#include "model/request.h"
+#include "model/view.h"
+#include "platform/kv.h"
+
+enum msg_type {
+	MSG_REQUEST, /* struct caller_request: caller to request */
+	MSG_CALLER_GONE, /* struct caller_gone: caller to request */
+	MSG_SUB_CALL, /* struct sub_call: request to target */
+	MSG_SUB_RESULT, /* struct sub_result: target to request */
+	MSG_VIEW, /* struct view: control to request */
+	MSG_EVIDENCE, /* struct evidence: request to control */
+	MSG_NOTICE, /* struct target_notice: control to request */
+	MSG_KV_CALL, /* struct kv_request: any duty to store */
+	MSG_KV_RESULT, /* struct kv_reply: store to the asking duty */
+	MSG_ADMIN, /* struct admin_call: admin to control */
+	MSG_HEARTBEAT_IN, /* struct heartbeat: peer_listen to control */
+	MSG_PEER_SEND, /* struct peer_datagram: control to peer_send */
+	MSG_PEER_FETCH, /* struct peer_fetch: control to peer_fetch */
+	MSG_PEER_ITEMS, /* struct peer_items: peer_fetch to control */
+	MSG_LEAVE, /* no body: begin a graceful shutdown */
+	MSG_LOG_LINE /* char: any duty to logger */
+};
+
+/* A caller's request with the way back to its connection. */
+struct caller_request {
+	struct request *request;
+	/* Called once on the request duty; takes ownership of @answer. */
+	void (*reply)(void *ctx, struct answer *answer);
+	void *reply_ctx;
+	/* Identifies the caller's connection in MSG_CALLER_GONE. */
+	uint64_t handle;
+	int64_t received_us;
+};
+
+struct caller_gone {
+	uint64_t handle;
+};
+
+/* A store call whose result comes back as MSG_KV_RESULT on @reply_to. */
+struct kv_request {
+	struct kv_call call;
+	struct ring *reply_to;
+	/* Repeated in the reply. */
+	uint64_t token;
+};
+
+struct kv_reply {
+	uint64_t token;
+	enum kv_op op;
+	char key[KV_KEY_BYTES];
+	struct kv_result result;
+};
+
+void caller_request_free(struct caller_request *c);
+void kv_request_free(struct kv_request *r);
+void kv_reply_free(struct kv_reply *r);
+
+#endif
