--- /dev/null
+++ b/src/codec/tjson.c
@@ -0,0 +1,131 @@
+#include "codec/tjson.h"
+
+#include <jansson.h>
+#include <string.h>
+
+static json_t *encode_run(const struct sub_call *c, uint32_t deadline_ms)
+{
+	json_t *body = json_pack("{s:s,s:I,s:s,s:s,s:s,s:i}", "request_id",
+				 c->request_id, "sub_id", (json_int_t)c->sub_id,
+				 "index", c->index, "shard", c->shard,
+				 "snapshot", c->snapshot, "deadline_ms",
+				 (int)deadline_ms);
+
+	if (c->op == OP_SEARCH) {
+		json_object_set_new(body, "query", json_string(c->text));
+		json_object_set_new(body, "limit", json_integer(c->limit));
+	} else {
+		json_object_set_new(body, "record", json_string(c->text));
+		json_object_set_new(body, "idempotent",
+				    json_boolean(c->idempotent));
+	}
+	return body;
+}
+
+char *tjson_encode(const struct sub_call *call, uint32_t deadline_ms)
+{
+	json_t *body;
+	char *text;
+
+	if (call->cancel)
+		body = json_pack("{s:s,s:I}", "request_id", call->request_id,
+				 "sub_id", (json_int_t)call->sub_id);
+	else
+		body = encode_run(call, deadline_ms);
+	text = json_dumps(body, JSON_COMPACT);
+	json_decref(body);
+	return text ? text : cu_strdup("{}");
+}
+
+const char *tjson_path(const struct sub_call *call)
+{
+	if (call->cancel)
+		return "/v1/cancel";
+	return call->op == OP_SEARCH ? "/v1/search" : "/v1/lookup";
+}
+
+static void copy_name(const json_t *body, const char *field, char *out)
+{
+	const char *text = json_string_value(json_object_get(body, field));
+
+	if (text)
+		cu_copy(out, NAME_BYTES, text);
+}
+
+static int decode_hit(struct hits *hits, const json_t *hit)
+{
+	const char *id = json_string_value(json_object_get(hit, "id"));
+	const json_t *score = json_object_get(hit, "score");
+	json_t *doc = json_object_get(hit, "doc");
+
+	if (!id || !id[0] || strlen(id) >= NAME_BYTES || !json_is_number(score))
+		return 0;
+	hits_add(hits, id, json_number_value(score),
+		 doc ? json_dumps(doc, JSON_COMPACT) : NULL);
+	return 1;
+}
+
+static enum err_code decode_answer(struct sub_result *r, const json_t *body)
+{
+	const json_t *hits = json_object_get(body, "hits");
+	const json_t *sub_id = json_object_get(body, "sub_id");
+	size_t i;
+
+	copy_name(body, "request_id", r->request_id);
+	copy_name(body, "shard", r->shard);
+	copy_name(body, "snapshot", r->snapshot);
+	copy_name(body, "instance", r->instance);
+	if (json_integer_value(sub_id) > 0)
+		r->answer_sub_id = (uint64_t)json_integer_value(sub_id);
+	if (!json_is_array(hits) || json_array_size(hits) > HITS_MAX)
+		return ERR_TARGET_JSON;
+	for (i = 0; i < json_array_size(hits); i++) {
+		if (!decode_hit(&r->hits, json_array_get(hits, i)))
+			return ERR_TARGET_JSON;
+	}
+	return ERR_OK;
+}
+
+static void decode_error(struct sub_result *r, uint32_t http_status,
+			 const json_t *body)
+{
+	switch (http_status) {
+	case 404:
+		r->code = ERR_TARGET_SNAPSHOT;
+		r->not_run = 1;
+		break;
+	case 409:
+		r->code = ERR_CANCELLED;
+		r->not_run = json_is_true(json_object_get(body, "not_run"));
+		break;
+	case 429:
+		r->code = ERR_TARGET_SHED;
+		r->not_run = 1;
+		break;
+	case 503:
+		r->code = ERR_TARGET_DRAINING;
+		r->not_run = 1;
+		break;
+	case 504:
+		r->code = ERR_TARGET_TIMEOUT;
+		r->not_run = json_is_true(json_object_get(body, "not_run"));
+		break;
+	default:
+		r->code = ERR_TARGET_STATUS;
+		break;
+	}
+}
+
+void tjson_decode(struct sub_result *r, uint32_t http_status, const char *body,
+		  size_t body_bytes)
+{
+	json_t *root = json_loadb(body ? body : "", body_bytes, 0, NULL);
+
+	if (http_status != 200)
+		decode_error(r, http_status, root);
+	else if (!json_is_object(root))
+		r->code = ERR_TARGET_JSON;
+	else
+		r->code = decode_answer(r, root);
+	json_decref(root);
+}
--- /dev/null
+++ b/src/decide/adm.c
@@ -0,0 +1,87 @@
+#include "decide/adm.h"
+
+#include "base/cutil.h"
+
+#define TOKEN_MICRO 1000000
+/* Callers send in bursts; 100 ms of the rate, at least one sweep of 8. */
+#define BURST_DIVISOR 10
+#define BURST_MIN 8
+#define LIMIT_START_MILLI (64 * 1000)
+#define LIMIT_MIN_MILLI (2 * 1000)
+#define LIMIT_MAX_MILLI (65536 * 1000)
+/* Answers slower than this share of the deadline lower the limit. */
+#define SLOW_PERMILLE 600
+#define DECREASE_PERMILLE 850
+
+void adm_configure(struct adm *a, const struct contract *c, int64_t now_us)
+{
+	int64_t burst = cu_max_i64(BURST_MIN, c->rate_per_s / BURST_DIVISOR);
+	int is_new = a->rate_per_s == 0;
+
+	a->rate_per_s = c->rate_per_s;
+	a->answer_us = (int64_t)c->answer_ms * US_PER_MS;
+	a->tokens_cap_micro = burst * TOKEN_MICRO;
+	if (is_new) {
+		a->tokens_micro = a->tokens_cap_micro;
+		a->refill_us = now_us;
+		a->limit_milli = LIMIT_START_MILLI;
+	}
+	a->tokens_micro = cu_min_i64(a->tokens_micro, a->tokens_cap_micro);
+}
+
+static void refill(struct adm *a, int64_t now_us)
+{
+	/* A second refills any bucket; the cut keeps the product in range. */
+	int64_t idle_us = cu_min_i64(now_us - a->refill_us, US_PER_S);
+
+	a->refill_us = now_us;
+	a->tokens_micro = cu_min_i64(a->tokens_cap_micro,
+				     a->tokens_micro + idle_us * a->rate_per_s);
+}
+
+enum err_code adm_enter(struct adm *a, int64_t now_us, struct err *err)
+{
+	refill(a, now_us);
+	if (a->tokens_micro < TOKEN_MICRO)
+		return err_set(err, ERR_RATE_LIMITED,
+			       "rate_per_s is %u on this host", a->rate_per_s);
+	if ((uint64_t)a->in_flight * 1000 >= a->limit_milli)
+		return err_set(err, ERR_OVERLOADED,
+			       "%u requests in flight, limit %u", a->in_flight,
+			       (uint32_t)(a->limit_milli / 1000));
+	a->tokens_micro -= TOKEN_MICRO;
+	a->in_flight++;
+	return ERR_OK;
+}
+
+static void decrease(struct adm *a, int64_t now_us)
+{
+	if (now_us < a->hold_until_us)
+		return;
+	/* Work admitted before the cut still finishes slowly for a while. */
+	a->hold_until_us = now_us + a->answer_us;
+	a->limit_milli = a->limit_milli * DECREASE_PERMILLE / PERMILLE;
+	if (a->limit_milli < LIMIT_MIN_MILLI)
+		a->limit_milli = LIMIT_MIN_MILLI;
+}
+
+static void increase(struct adm *a)
+{
+	/* Grow only while the limit is in use, by one per round of answers. */
+	if ((uint64_t)a->in_flight * 2000 < a->limit_milli)
+		return;
+	a->limit_milli += 1000ULL * 1000 / a->limit_milli + 1;
+	if (a->limit_milli > LIMIT_MAX_MILLI)
+		a->limit_milli = LIMIT_MAX_MILLI;
+}
+
+void adm_leave(struct adm *a, int64_t now_us, int64_t elapsed_us, int in_time)
+{
+	int64_t slow_us = a->answer_us * SLOW_PERMILLE / PERMILLE;
+
+	if (in_time && elapsed_us < slow_us)
+		increase(a);
+	else
+		decrease(a, now_us);
+	a->in_flight--;
+}
--- /dev/null
+++ b/src/decide/bal.c
@@ -0,0 +1,27 @@
+#include "decide/bal.h"
+
+uint32_t bal_pick(const struct bal_candidate *candidates, uint32_t count,
+		  int64_t now_us, struct rng *rng)
+{
+	uint32_t best = BAL_NONE;
+	int64_t best_us = 0;
+	uint32_t ties = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		const struct bal_candidate *c = &candidates[i];
+		int64_t cost_us;
+
+		if (!tgt_usable(c->tgt, now_us, c->is_owner))
+			continue;
+		cost_us = tgt_cost_us(c->tgt) + c->distance_us;
+		if (best != BAL_NONE && cost_us > best_us)
+			continue;
+		ties = best != BAL_NONE && cost_us == best_us ? ties + 1 : 1;
+		/* Each of the tied candidates is kept with equal chance. */
+		if (ties == 1 || rng_below(rng, ties) == 0)
+			best = i;
+		best_us = cost_us;
+	}
+	return best;
+}
--- /dev/null
+++ b/src/decide/bgt.c
@@ -0,0 +1,39 @@
+#include "decide/bgt.h"
+
+#include "base/cutil.h"
+
+#define TOKEN_MILLI 1000
+/* Ten tokens let a rarely used contract replace one lost target at once. */
+#define CAP_TOKENS_MIN 10
+#define CAP_RATE_DIVISOR 100
+
+void bgt_init(struct bgt *b, uint32_t extra_load_permille, uint32_t rate_per_s)
+{
+	uint64_t cap = CAP_TOKENS_MIN + rate_per_s / CAP_RATE_DIVISOR;
+
+	b->earn_milli = extra_load_permille;
+	b->cap_milli = extra_load_permille ? cap * TOKEN_MILLI : 0;
+	b->tokens_milli = b->cap_milli;
+}
+
+void bgt_earn(struct bgt *b, uint32_t count)
+{
+	b->tokens_milli += (uint64_t)b->earn_milli * count;
+	if (b->tokens_milli > b->cap_milli)
+		b->tokens_milli = b->cap_milli;
+}
+
+int bgt_spend(struct bgt *b)
+{
+	if (b->tokens_milli < TOKEN_MILLI)
+		return 0;
+	b->tokens_milli -= TOKEN_MILLI;
+	return 1;
+}
+
+uint32_t bgt_fill_permille(const struct bgt *b)
+{
+	if (!b->cap_milli)
+		return 0;
+	return (uint32_t)(b->tokens_milli * PERMILLE / b->cap_milli);
+}
--- /dev/null
+++ b/src/decide/gth.c
@@ -0,0 +1,80 @@
+#include "decide/gth.h"
+
+#include <string.h>
+
+#include "base/cutil.h"
+
+enum err_code gth_check(const struct gth_expected *e,
+			const struct sub_result *r)
+{
+	if (r->answer_sub_id != e->sub_id ||
+	    strcmp(r->request_id, e->request_id) != 0 ||
+	    strcmp(r->shard, e->shard) != 0)
+		return ERR_TARGET_ID;
+	if (strcmp(r->snapshot, e->snapshot) != 0)
+		return ERR_TARGET_SNAPSHOT;
+	return ERR_OK;
+}
+
+void gth_add(struct hits *into, struct hits *from)
+{
+	uint32_t i;
+
+	for (i = 0; i < from->count; i++) {
+		struct hit *h = &from->items[i];
+
+		hits_add(into, h->id, h->score, h->doc);
+		h->doc = NULL;
+	}
+	hits_free(from);
+}
+
+static int compare_hits(const void *a, const void *b)
+{
+	const struct hit *x = a;
+	const struct hit *y = b;
+
+	if (x->score != y->score)
+		return x->score < y->score ? 1 : -1;
+	return strcmp(x->id, y->id);
+}
+
+static int is_kept(const struct hits *h, uint32_t kept, const char *id)
+{
+	uint32_t i;
+
+	for (i = 0; i < kept; i++) {
+		if (strcmp(h->items[i].id, id) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+void gth_merge(struct hits *h, uint32_t limit)
+{
+	uint32_t kept = 0;
+	uint32_t i;
+
+	if (!h->count)
+		return;
+	qsort(h->items, h->count, sizeof(h->items[0]), compare_hits);
+	for (i = 0; i < h->count; i++) {
+		if (kept == limit || is_kept(h, kept, h->items[i].id)) {
+			free(h->items[i].doc);
+			continue;
+		}
+		h->items[kept++] = h->items[i];
+	}
+	h->count = kept;
+}
+
+enum err_code gth_decide(uint32_t shards_total, uint32_t shards_answered,
+			 uint32_t min_coverage_permille)
+{
+	uint64_t have = (uint64_t)shards_answered * PERMILLE;
+	uint64_t need = (uint64_t)shards_total * min_coverage_permille;
+
+	if (shards_answered == 0 && shards_total > 0)
+		return ERR_INCOMPLETE;
+	return have >= need ? ERR_OK : ERR_INCOMPLETE;
+}
--- /dev/null
+++ b/src/decide/hdg.c
@@ -0,0 +1,50 @@
+#include "decide/hdg.h"
+
+#include "base/cutil.h"
+
+#define MEAN_START_US 5000
+#define MEAN_SMOOTHING 64
+/* Stragglers are 20 times slower; they must not raise the delay. */
+#define MEAN_CLIP 4
+#define FACTOR_START_MILLI 3000
+#define FACTOR_MIN_MILLI 2500
+#define FACTOR_MAX_MILLI 10000
+#define FACTOR_STEP_MILLI 250
+#define ADJUST_PERIOD_US (100 * US_PER_MS)
+#define FILL_LOW_PERMILLE 500
+#define FILL_HIGH_PERMILLE 900
+/* Below this the delay would be within timer and scheduling noise. */
+#define DELAY_MIN_US 1000
+
+void hdg_init(struct hdg *h)
+{
+	h->mean_us = MEAN_START_US;
+	h->factor_milli = FACTOR_START_MILLI;
+	h->adjust_at_us = 0;
+}
+
+void hdg_sample(struct hdg *h, int64_t service_us)
+{
+	int64_t clipped_us = cu_min_i64(service_us, h->mean_us * MEAN_CLIP);
+
+	h->mean_us += (clipped_us - h->mean_us) / MEAN_SMOOTHING;
+	h->mean_us = cu_max_i64(h->mean_us, 1);
+}
+
+void hdg_adjust(struct hdg *h, int64_t now_us, uint32_t fill_permille)
+{
+	if (now_us < h->adjust_at_us)
+		return;
+	h->adjust_at_us = now_us + ADJUST_PERIOD_US;
+	if (fill_permille < FILL_LOW_PERMILLE)
+		h->factor_milli += FACTOR_STEP_MILLI;
+	else if (fill_permille > FILL_HIGH_PERMILLE)
+		h->factor_milli -= FACTOR_STEP_MILLI / 4;
+	h->factor_milli = cu_max_u32(h->factor_milli, FACTOR_MIN_MILLI);
+	h->factor_milli = cu_min_u32(h->factor_milli, FACTOR_MAX_MILLI);
+}
+
+int64_t hdg_delay_us(const struct hdg *h)
+{
+	return cu_max_i64(DELAY_MIN_US, h->mean_us * h->factor_milli / 1000);
+}
--- /dev/null
+++ b/src/decide/hdg.h
@@ -0,0 +1,26 @@
+/*
+ * Hedge delay of one index: a multiple of the smoothed answer time that
+ * follows the extra-load budget, so that the budget is spent on answers that
+ * are late rather than on answers that are merely behind others in a queue.
+ */
+#ifndef HDG_H
+#define HDG_H
+
+#include <stdint.h>
+
+struct hdg {
+	int64_t mean_us;
+	/* Multiple of the mean, in thousandths. */
+	uint32_t factor_milli;
+	int64_t adjust_at_us;
+};
+
+void hdg_init(struct hdg *h);
+/* Answer time of a first attempt. */
+void hdg_sample(struct hdg *h, int64_t service_us);
+/* Follows the budget; @fill_permille as from bgt_fill_permille(). */
+void hdg_adjust(struct hdg *h, int64_t now_us, uint32_t fill_permille);
+/* Time after sending at which a second sub-request is due, in us. */
+int64_t hdg_delay_us(const struct hdg *h);
+
+#endif
--- /dev/null
+++ b/src/decide/tgt.h
@@ -0,0 +1,75 @@
+/*
+ * What a host knows of one target from its own requests: outstanding work,
+ * smoothed latency, failures, and the cold ramp. The target's own health and
+ * load pages are not used because they lag.
+ */
+#ifndef TGT_H
+#define TGT_H
+
+#include <stdint.h>
+
+#include "model/layout.h"
+#include "model/request.h"
+
+enum tgt_phase {
+	/* Never answered this host. */
+	TGT_NEW,
+	TGT_COLD,
+	TGT_WARM
+};
+
+struct tgt {
+	uint32_t refs;
+	struct target def;
+	uint32_t outstanding;
+	/* Smoothed time from sending to the answer. */
+	int64_t latency_us;
+	uint32_t failures_in_row;
+	/* Sub-requests abandoned for a faster replica since the last answer. */
+	uint32_t abandoned_in_row;
+	/* Nothing is sent before this time, then one probe at a time. */
+	int64_t avoid_until_us;
+	int64_t avoid_us;
+	/* Last time the target's owner announced it as warm. */
+	int64_t announced_us;
+	char instance[NAME_BYTES];
+	enum tgt_phase phase;
+	/* Cold: sub-requests allowed at once, and good answers since. */
+	uint32_t cold_limit;
+	uint32_t cold_good;
+};
+
+struct tgt *tgt_new(const struct target *def);
+struct tgt *tgt_ref(struct tgt *t);
+void tgt_unref(struct tgt *t);
+/* Takes a changed definition (connections, slots, version) of the same ID. */
+void tgt_redefine(struct tgt *t, const struct target *def);
+
+void tgt_sent(struct tgt *t);
+/* A good answer that took @service_us from process @instance. */
+void tgt_good(struct tgt *t, int64_t now_us, int64_t service_us,
+	      const char *instance);
+/* A failure; @shed: the target answered that it has too much work. */
+void tgt_failed(struct tgt *t, int64_t now_us, int shed);
+/* A faster replica won after @waited_us without an answer from this one. */
+void tgt_abandoned(struct tgt *t, int64_t now_us, int64_t waited_us);
+/* An answer that says nothing about the target, such as "cancelled". */
+void tgt_neutral(struct tgt *t);
+
+/*
+ * The target's owner announced process @instance as warm (1) or cold (0).
+ * Returns 1 if that changed the phase.
+ */
+int tgt_announced(struct tgt *t, int64_t now_us, const char *instance,
+		  int warm);
+
+/*
+ * 1 if one more sub-request may be sent. @is_owner: this host ramps the target
+ * while it is cold and probes it after failures; other hosts wait for the
+ * owner's announcement, so that together they send no more than it tolerates.
+ */
+int tgt_usable(const struct tgt *t, int64_t now_us, int is_owner);
+/* Expected time until one more sub-request is answered, in us. */
+int64_t tgt_cost_us(const struct tgt *t);
+
+#endif
--- /dev/null
+++ b/src/duty/caller.c
@@ -0,0 +1,425 @@
+#include "duty/caller.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "codec/cjson.h"
+#include "duty/duty.h"
+#include "duty/messages.h"
+
+/* libmicrohttpd does not watch the socket of a suspended connection. */
+#define PEEK_PERIOD_MS 50
+#define IDLE_TIMEOUT_S 60
+#define CONNECTIONS_MAX 16384
+#define OUTCOME_PREFIX "/v1/outcome/"
+
+/* Internal to this file: the answer to one exchange. */
+#define MSG_ANSWER 0x1000
+
+struct exchange {
+	struct caller_duty *caller;
+	struct MHD_Connection *connection;
+	uint64_t handle;
+	struct buf body;
+	int too_large;
+	int suspended;
+	int gone;
+	/* Set when the answer has arrived. */
+	char *response;
+	uint32_t http_status;
+	TAILQ_ENTRY(exchange) link;
+};
+
+struct answer_message {
+	struct exchange *exchange;
+	struct answer *answer;
+};
+
+struct caller_duty {
+	struct caller_options options;
+	struct duty *duty;
+	struct MHD_Daemon *daemon;
+	int event_fd;
+	uint64_t next_handle;
+	uint32_t open;
+	_Atomic int draining;
+	TAILQ_HEAD(, exchange) suspended;
+};
+
+static void wake(void *ctx)
+{
+	struct caller_duty *c = ctx;
+	uint64_t one = 1;
+	ssize_t n = write(c->event_fd, &one, sizeof(one));
+
+	/* A full counter already wakes the reader. */
+	(void)n;
+}
+
+static enum MHD_Result respond(struct exchange *x)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		strlen(x->response), x->response, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result result;
+
+	MHD_add_response_header(response, "Content-Type", "application/json");
+	if (x->caller->draining)
+		MHD_add_response_header(response, "Connection", "close");
+	result = MHD_queue_response(x->connection, x->http_status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static enum MHD_Result refuse(struct exchange *x, const struct err *err)
+{
+	x->http_status = err_http_status(err->code);
+	x->response = cjson_encode_error(err);
+	return respond(x);
+}
+
+/* Runs on the request duty. */
+static void on_answer(void *ctx, struct answer *answer)
+{
+	struct exchange *x = ctx;
+	struct answer_message *body = cu_alloc(1, sizeof(*body));
+	struct msg m = { MSG_ANSWER, body, NULL };
+
+	body->exchange = x;
+	body->answer = answer;
+	/* One place per request in flight: open_max is the ring's capacity. */
+	if (ring_push(duty_ring(x->caller->duty), &m) != ERR_OK) {
+		answer_free(answer);
+		free(body);
+	}
+}
+
+static enum MHD_Result submit(struct exchange *x, struct request *request)
+{
+	struct caller_duty *c = x->caller;
+	struct caller_request *r = cu_alloc(1, sizeof(*r));
+	struct msg m = { MSG_REQUEST, r, NULL };
+	struct err err = { 0 };
+
+	r->request = request;
+	r->reply = on_answer;
+	r->reply_ctx = x;
+	r->handle = x->handle;
+	r->received_us = clock_now_us();
+	if (c->open < c->options.open_max &&
+	    ring_push(c->options.request, &m) == ERR_OK) {
+		c->open++;
+		x->suspended = 1;
+		TAILQ_INSERT_TAIL(&c->suspended, x, link);
+		MHD_suspend_connection(x->connection);
+		return MHD_YES;
+	}
+	caller_request_free(r);
+	err_set(&err, ERR_OVERLOADED, "too many requests in flight");
+	return refuse(x, &err);
+}
+
+static struct request *parse_outcome(const char *path, struct err *err)
+{
+	const char *slash = strchr(path, '/');
+	struct request *r = cu_alloc(1, sizeof(*r));
+
+	r->op = OP_OUTCOME;
+	if (slash && slash - path < NAME_BYTES) {
+		memcpy(r->customer, path, (size_t)(slash - path));
+		cu_copy(r->id, sizeof(r->id), slash + 1);
+	}
+	if (slash && cu_name_ok(r->customer, NAME_BYTES - 1) &&
+	    cu_name_ok(slash + 1, NAME_BYTES - 1))
+		return r;
+	request_free(r);
+	err_set(err, ERR_BAD_FIELD,
+		"path must be " OUTCOME_PREFIX "CUSTOMER/REQUEST_ID");
+	return NULL;
+}
+
+static struct request *parse_post(const struct exchange *x, const char *url,
+				  struct err *err)
+{
+	enum request_op op;
+
+	if (strcmp(url, "/v1/search") == 0) {
+		op = OP_SEARCH;
+	} else if (strcmp(url, "/v1/lookup") == 0) {
+		op = OP_LOOKUP;
+	} else {
+		err_set(err, ERR_NOT_FOUND, "no such path");
+		return NULL;
+	}
+	if (x->too_large) {
+		err_set(err, ERR_TOO_LARGE, "body over %d bytes",
+			CJSON_BODY_BYTES_MAX);
+		return NULL;
+	}
+	return cjson_decode(op, x->body.data ? x->body.data : "",
+			    x->body.len_bytes, err);
+}
+
+static struct request *parse(const struct exchange *x, const char *method,
+			     const char *url, struct err *err)
+{
+	int is_outcome = strncmp(url, OUTCOME_PREFIX, strlen(OUTCOME_PREFIX)) ==
+			 0;
+
+	if (strcmp(method, "GET") == 0 && is_outcome)
+		return parse_outcome(url + strlen(OUTCOME_PREFIX), err);
+	if (strcmp(method, "POST") == 0 && !is_outcome)
+		return parse_post(x, url, err);
+	err_set(err, ERR_METHOD, "%.16s %.64s", method, url);
+	return NULL;
+}
+
+static struct exchange *exchange_new(struct caller_duty *c,
+				     struct MHD_Connection *connection)
+{
+	struct exchange *x = cu_alloc(1, sizeof(*x));
+
+	x->caller = c;
+	x->connection = connection;
+	x->handle = ++c->next_handle;
+	return x;
+}
+
+static void collect(struct exchange *x, const char *data, size_t len_bytes)
+{
+	if (x->body.len_bytes + len_bytes > CJSON_BODY_BYTES_MAX)
+		x->too_large = 1;
+	else
+		buf_add(&x->body, data, len_bytes);
+}
+
+static enum MHD_Result on_access(void *ctx, struct MHD_Connection *connection,
+				 const char *url, const char *method,
+				 const char *version, const char *data,
+				 size_t *data_bytes, void **state)
+{
+	struct caller_duty *c = ctx;
+	struct exchange *x = *state;
+	struct request *request;
+	struct err err = { 0 };
+
+	if (!x) {
+		*state = exchange_new(c, connection);
+		return MHD_YES;
+	}
+	if (*data_bytes > 0) {
+		collect(x, data, *data_bytes);
+		*data_bytes = 0;
+		return MHD_YES;
+	}
+	if (x->response)
+		return respond(x);
+	request = parse(x, method, url, &err);
+	return request ? submit(x, request) : refuse(x, &err);
+}
+
+static void exchange_free(struct exchange *x)
+{
+	buf_free(&x->body);
+	free(x->response);
+	free(x);
+}
+
+static void on_completed(void *ctx, struct MHD_Connection *connection,
+			 void **state, enum MHD_RequestTerminationCode code)
+{
+	struct exchange *x = *state;
+
+	if (x)
+		exchange_free(x);
+	*state = NULL;
+}
+
+static enum err_code start_daemon(struct caller_duty *c, struct err *err)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET };
+
+	addr.sin_port = htons(c->options.port);
+	if (inet_pton(AF_INET, c->options.address, &addr.sin_addr) != 1)
+		return err_set(err, ERR_SETTING,
+			       "caller address %s is not an IP number",
+			       c->options.address);
+	c->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
+		c->options.port, NULL, NULL, on_access, c, MHD_OPTION_SOCK_ADDR,
+		(struct sockaddr *)&addr, MHD_OPTION_NOTIFY_COMPLETED,
+		on_completed, c, MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX,
+		MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, MHD_OPTION_END);
+	if (!c->daemon)
+		return err_set(err, ERR_IO, "cannot listen on %s:%u: %s",
+			       c->options.address, c->options.port,
+			       strerror(errno));
+	return ERR_OK;
+}
+
+struct caller_duty *caller_duty_new(const struct caller_options *o,
+				    struct err *err)
+{
+	struct caller_duty *c = cu_alloc(1, sizeof(*c));
+
+	c->options = *o;
+	TAILQ_INIT(&c->suspended);
+	c->event_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	c->duty = duty_new("caller", o->open_max, wake, c, err);
+	if (!c->duty || start_daemon(c, err) != ERR_OK) {
+		caller_duty_free(c);
+		return NULL;
+	}
+	return c;
+}
+
+uint16_t caller_duty_port(const struct caller_duty *c)
+{
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(c->daemon, MHD_DAEMON_INFO_BIND_PORT);
+
+	return info ? info->port : 0;
+}
+
+static void take_answer(struct caller_duty *c, struct answer_message *body)
+{
+	struct exchange *x = body->exchange;
+	struct answer *a = body->answer;
+
+	TAILQ_REMOVE(&c->suspended, x, link);
+	x->suspended = 0;
+	c->open--;
+	x->http_status = err_http_status(a->err.code);
+	x->response = cjson_encode(a);
+	answer_free(a);
+	free(body);
+	MHD_resume_connection(x->connection);
+}
+
+static void on_message(void *ctx, int64_t now_us, struct msg *m)
+{
+	if (m->type == MSG_ANSWER)
+		take_answer(ctx, m->body);
+}
+
+static int peer_closed(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	char byte;
+	ssize_t n;
+
+	if (!info)
+		return 0;
+	n = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+static void report_gone(struct exchange *x)
+{
+	struct caller_gone *body = cu_alloc(1, sizeof(*body));
+	struct msg m = { MSG_CALLER_GONE, body, free };
+
+	body->handle = x->handle;
+	if (ring_push(x->caller->options.request, &m) == ERR_OK)
+		x->gone = 1;
+	else
+		free(body);
+}
+
+static void peek(struct caller_duty *c)
+{
+	struct exchange *x;
+
+	TAILQ_FOREACH(x, &c->suspended, link)
+	{
+		if (!x->gone && peer_closed(x->connection))
+			report_gone(x);
+	}
+}
+
+static int poll_timeout_ms(struct caller_duty *c)
+{
+	MHD_UNSIGNED_LONG_LONG mhd_ms = 0;
+	int has = MHD_get_timeout(c->daemon, &mhd_ms) == MHD_YES;
+	int limit_ms = TAILQ_EMPTY(&c->suspended) ? -1 : PEEK_PERIOD_MS;
+
+	if (!has)
+		return limit_ms;
+	if (limit_ms < 0 || mhd_ms < (MHD_UNSIGNED_LONG_LONG)limit_ms)
+		return (int)mhd_ms;
+	return limit_ms;
+}
+
+static void run(void *ctx, struct duty *d)
+{
+	struct caller_duty *c = ctx;
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(c->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	struct pollfd fds[2] = { { info->epoll_fd, POLLIN, 0 },
+				 { c->event_fd, POLLIN, 0 } };
+	int64_t peek_at_us = 0;
+	uint64_t count;
+
+	while (!duty_stopping(d)) {
+		poll(fds, countof(fds), poll_timeout_ms(c));
+		if (fds[1].revents &&
+		    read(c->event_fd, &count, sizeof(count)) < 0 &&
+		    errno != EAGAIN)
+			log_event(LOG_LEVEL_ERROR, "wake_failed", "caller: %s",
+				  strerror(errno));
+		duty_poll(d, on_message, c);
+		MHD_run(c->daemon);
+		if (clock_now_us() >= peek_at_us) {
+			peek(c);
+			peek_at_us =
+				clock_now_us() + PEEK_PERIOD_MS * US_PER_MS;
+		}
+	}
+	MHD_run(c->daemon);
+}
+
+enum err_code caller_duty_start(struct caller_duty *c, struct err *err)
+{
+	return duty_start_loop(c->duty, run, c, err);
+}
+
+void caller_duty_drain(struct caller_duty *c)
+{
+	c->draining = 1;
+}
+
+void caller_duty_stop(struct caller_duty *c)
+{
+	duty_stop(c->duty);
+	duty_join(c->duty);
+}
+
+void caller_duty_free(struct caller_duty *c)
+{
+	struct exchange *x;
+
+	if (!c)
+		return;
+	/* libmicrohttpd refuses to stop with suspended connections. */
+	while ((x = TAILQ_FIRST(&c->suspended)) != NULL) {
+		TAILQ_REMOVE(&c->suspended, x, link);
+		MHD_resume_connection(x->connection);
+	}
+	if (c->daemon)
+		MHD_stop_daemon(c->daemon);
+	duty_free(c->duty);
+	close(c->event_fd);
+	free(c);
+}
--- /dev/null
+++ b/src/duty/claims.h
@@ -0,0 +1,37 @@
+/*
+ * Claims of request IDs in the store, for the request duty: drives
+ * decide/once.h with store calls and keeps the lease that the claims are
+ * attached to.
+ */
+#ifndef CLAIMS_H
+#define CLAIMS_H
+
+#include <stdint.h>
+
+#include "base/ring.h"
+#include "base/rng.h"
+#include "base/tmr.h"
+#include "decide/once.h"
+#include "duty/messages.h"
+
+struct claims;
+
+/* A claim was decided. Returns 0 when no request waits for it any more. */
+typedef int claims_done_fn(void *ctx, uint64_t req_no,
+			   enum claim_result result);
+
+struct claims *claims_new(const char *self, uint64_t seed, struct ring *store,
+			  struct ring *replies, struct tmr *timers,
+			  claims_done_fn *done, void *ctx);
+void claims_free(struct claims *c);
+
+void claims_start(struct claims *c, uint64_t req_no, const char *customer,
+		  const char *request_id);
+/* Records the outcome of a granted claim. */
+void claims_record(struct claims *c, const char *customer,
+		   const char *request_id, enum outcome outcome);
+/* Answers an OP_OUTCOME request; takes ownership of @request. */
+void claims_query(struct claims *c, struct caller_request *request);
+void claims_reply(struct claims *c, const struct kv_reply *reply);
+
+#endif
--- /dev/null
+++ b/src/duty/request.c
@@ -0,0 +1,208 @@
+#include "duty/request.h"
+
+#include "base/clock.h"
+#include "duty/claims.h"
+#include "duty/duty.h"
+#include "duty/messages.h"
+#include "filter/path.h"
+
+struct request_duty {
+	struct request_options options;
+	struct duty *duty;
+	struct path *path;
+	struct claims *claims;
+	struct tmr_sub evidence_timer;
+	/* Sub-requests that the target ring refused, answered in turn. */
+	struct sub_result *refused;
+	uint32_t refused_count;
+	uint32_t refused_cap;
+	_Atomic int ready;
+	_Atomic uint32_t open;
+};
+
+static void refuse_send(struct request_duty *d, struct sub_call *call)
+{
+	struct sub_result r = {
+		.sub_id = call->sub_id,
+		.code = ERR_RING_FULL,
+		.not_run = 1,
+	};
+
+	if (!call->cancel) {
+		if (d->refused_count == d->refused_cap) {
+			d->refused_cap = d->refused_cap * 2 + 16;
+			d->refused =
+				cu_grow(d->refused, d->refused_cap, sizeof(r));
+		}
+		d->refused[d->refused_count++] = r;
+	}
+	sub_call_free(call);
+}
+
+static void send_sub(void *ctx, struct sub_call *call)
+{
+	struct request_duty *d = ctx;
+	struct msg m = { MSG_SUB_CALL, call, NULL };
+
+	if (ring_push(d->options.target, &m) != ERR_OK)
+		refuse_send(d, call);
+}
+
+static void start_claim(void *ctx, uint64_t req_no, const char *customer,
+			const char *request_id)
+{
+	struct request_duty *d = ctx;
+
+	claims_start(d->claims, req_no, customer, request_id);
+}
+
+static void record_outcome(void *ctx, const char *customer,
+			   const char *request_id, enum outcome outcome)
+{
+	struct request_duty *d = ctx;
+
+	claims_record(d->claims, customer, request_id, outcome);
+}
+
+static int claim_done(void *ctx, uint64_t req_no, enum claim_result result)
+{
+	struct request_duty *d = ctx;
+
+	return path_claimed(d->path, req_no, result, clock_now_us());
+}
+
+static void send_evidence(void *ctx, int64_t now_us)
+{
+	struct request_duty *d = ctx;
+	struct evidence *e = path_evidence(d->path, now_us);
+	struct msg m = { MSG_EVIDENCE, e, NULL };
+
+	tmr_arm(duty_timers(d->duty), &d->evidence_timer,
+		now_us + EVIDENCE_PERIOD_US, send_evidence, d);
+	if (!d->options.control || ring_push(d->options.control, &m) != ERR_OK)
+		evidence_free(e);
+}
+
+struct request_duty *request_duty_new(const struct request_options *o,
+				      struct err *err)
+{
+	struct request_duty *d = cu_alloc(1, sizeof(*d));
+
+	d->options = *o;
+	d->duty = duty_new("request", o->capacity, NULL, NULL, err);
+	if (!d->duty) {
+		free(d);
+		return NULL;
+	}
+	return d;
+}
+
+struct request_options *request_duty_options(struct request_duty *d)
+{
+	return &d->options;
+}
+
+struct ring *request_duty_ring(struct request_duty *d)
+{
+	return duty_ring(d->duty);
+}
+
+static void take_request(struct request_duty *d, struct caller_request *c,
+			 int64_t now_us)
+{
+	if (c->request->op == OP_OUTCOME)
+		claims_query(d->claims, c);
+	else
+		path_request(d->path, c, now_us);
+}
+
+static void take_message(struct request_duty *d, struct msg *m, int64_t now_us)
+{
+	switch (m->type) {
+	case MSG_REQUEST:
+		take_request(d, m->body, now_us);
+		break;
+	case MSG_SUB_RESULT:
+		path_result(d->path, m->body, now_us);
+		break;
+	case MSG_CALLER_GONE:
+		path_caller_gone(d->path,
+				 ((struct caller_gone *)m->body)->handle,
+				 now_us);
+		free(m->body);
+		break;
+	case MSG_VIEW:
+		path_view(d->path, m->body, now_us);
+		d->ready = 1;
+		break;
+	case MSG_NOTICE:
+		path_notice(d->path, m->body, now_us);
+		free(m->body);
+		break;
+	case MSG_KV_RESULT:
+		claims_reply(d->claims, m->body);
+		kv_reply_free(m->body);
+		break;
+	case MSG_LEAVE:
+		path_leave(d->path);
+		d->ready = 0;
+		break;
+	default:
+		if (m->drop)
+			m->drop(m->body);
+	}
+}
+
+static void on_message(void *ctx, int64_t now_us, struct msg *m)
+{
+	struct request_duty *d = ctx;
+
+	take_message(d, m, now_us);
+	while (d->refused_count > 0) {
+		struct sub_result *r = cu_alloc(1, sizeof(*r));
+
+		*r = d->refused[--d->refused_count];
+		path_result(d->path, r, now_us);
+	}
+	d->open = path_open(d->path);
+}
+
+enum err_code request_duty_start(struct request_duty *d, struct err *err)
+{
+	struct path_ops ops = { send_sub, start_claim, record_outcome, d };
+
+	d->path = path_new(&ops, duty_timers(d->duty), d->options.self,
+			   d->options.seed);
+	d->claims = claims_new(d->options.self, d->options.seed,
+			       d->options.store, duty_ring(d->duty),
+			       duty_timers(d->duty), claim_done, d);
+	tmr_arm(duty_timers(d->duty), &d->evidence_timer, 0, send_evidence, d);
+	return duty_start(d->duty, on_message, d, err);
+}
+
+int request_duty_ready(struct request_duty *d)
+{
+	return d->ready;
+}
+
+uint32_t request_duty_open(struct request_duty *d)
+{
+	return d->open;
+}
+
+void request_duty_stop(struct request_duty *d)
+{
+	duty_stop(d->duty);
+	duty_join(d->duty);
+}
+
+void request_duty_free(struct request_duty *d)
+{
+	if (!d)
+		return;
+	path_free(d->path);
+	claims_free(d->claims);
+	duty_free(d->duty);
+	free(d->refused);
+	free(d);
+}
--- /dev/null
+++ b/src/duty/request.h
@@ -0,0 +1,37 @@
+/*
+ * The request duty: runs the request path on one thread. It takes callers'
+ * requests, target results, store replies and views from its ring.
+ */
+#ifndef DUTY_REQUEST_H
+#define DUTY_REQUEST_H
+
+#include "base/err.h"
+#include "base/ring.h"
+
+struct request_duty;
+
+struct request_options {
+	const char *self;
+	uint64_t seed;
+	/* Messages in its ring. */
+	uint32_t capacity;
+	/* Rings of the target, store and control duties; set before the start. */
+	struct ring *target;
+	struct ring *store;
+	struct ring *control;
+};
+
+struct request_duty *request_duty_new(const struct request_options *o,
+				      struct err *err);
+/* May be changed until request_duty_start(). */
+struct request_options *request_duty_options(struct request_duty *d);
+struct ring *request_duty_ring(struct request_duty *d);
+enum err_code request_duty_start(struct request_duty *d, struct err *err);
+/* 1 while the path accepts requests and has a view. Any thread. */
+int request_duty_ready(struct request_duty *d);
+/* Requests in flight. Any thread. */
+uint32_t request_duty_open(struct request_duty *d);
+void request_duty_stop(struct request_duty *d);
+void request_duty_free(struct request_duty *d);
+
+#endif
--- /dev/null
+++ b/src/duty/target.h
@@ -0,0 +1,22 @@
+/*
+ * The target duty: sends sub-requests to targets over HTTP with a libcurl
+ * multi handle and pushes exactly one MSG_SUB_RESULT for each sub_call that
+ * is not a cancellation.
+ */
+#ifndef DUTY_TARGET_H
+#define DUTY_TARGET_H
+
+#include "base/err.h"
+#include "base/ring.h"
+
+struct target_duty;
+
+/* @capacity: messages in its ring. @results: ring of the request duty. */
+struct target_duty *target_duty_new(uint32_t capacity, struct ring *results,
+				    struct err *err);
+struct ring *target_duty_ring(struct target_duty *t);
+enum err_code target_duty_start(struct target_duty *t, struct err *err);
+void target_duty_stop(struct target_duty *t);
+void target_duty_free(struct target_duty *t);
+
+#endif
--- /dev/null
+++ b/src/filter/2_contract.c
@@ -0,0 +1,66 @@
+/* Filter 2: finds the contract and sets the request's deadline from it. */
+#include "filter/req.h"
+
+static void on_deadline(void *ctx, int64_t now_us)
+{
+	gather_close(ctx, now_us);
+}
+
+static struct customer_stats *
+find_customer(struct path *p, const struct contract *c, int64_t now_us)
+{
+	struct customer_stats *s =
+		g_hash_table_lookup(p->customers, c->customer);
+
+	if (s)
+		return s;
+	s = cu_alloc(1, sizeof(*s));
+	s->contract = *c;
+	adm_configure(&s->adm, c, now_us);
+	bgt_init(&s->bgt, c->extra_load_permille, c->rate_per_s);
+	cu_copy(s->seen.customer, sizeof(s->seen.customer), c->customer);
+	g_hash_table_insert(p->customers, s->contract.customer, s);
+	return s;
+}
+
+static int64_t answer_us(const struct req *r, const struct contract *c)
+{
+	uint32_t wanted_ms = r->in->timeout_ms;
+
+	if (!wanted_ms || wanted_ms > c->answer_ms)
+		wanted_ms = c->answer_ms;
+	return (int64_t)wanted_ms * US_PER_MS;
+}
+
+static enum filter_step enter(void *ctx, struct req *r, int64_t now_us)
+{
+	struct path *p = ctx;
+	const struct contract *c;
+
+	if (!p->bound)
+		return req_refuse(r, ERR_NO_CONFIG, "waiting for the store");
+	c = view_contract(p->bound->view, r->in->customer);
+	if (!c)
+		return req_refuse(r, ERR_UNKNOWN_CUSTOMER, r->in->customer);
+	if (!contract_permits(c, r->in->index))
+		return req_refuse(r, ERR_INDEX_NOT_ALLOWED, r->in->index);
+	r->customer = find_customer(p, c, now_us);
+	r->deadline_us = r->caller->received_us + answer_us(r, c);
+	r->close_us = r->deadline_us - contract_margin_us(c);
+	if (r->close_us <= now_us)
+		return req_refuse(r, ERR_DEADLINE, "no time left on arrival");
+	tmr_arm(p->timers, &r->close_timer, r->close_us, on_deadline, r);
+	return FILTER_NEXT;
+}
+
+static void leave(void *ctx, struct req *r, int64_t now_us)
+{
+	struct path *p = ctx;
+
+	tmr_cancel(p->timers, &r->close_timer);
+}
+
+struct filter filter_contract(struct path *p)
+{
+	return (struct filter){ "contract", enter, leave, p };
+}
--- /dev/null
+++ b/src/filter/4_admit.c
@@ -0,0 +1,26 @@
+/* Filter 4: refuses early what cannot be answered in time. */
+#include "filter/req.h"
+
+static enum filter_step enter(void *ctx, struct req *r, int64_t now_us)
+{
+	struct err err = { 0 };
+	enum err_code code = adm_enter(&r->customer->adm, now_us, &err);
+
+	if (code != ERR_OK)
+		return req_refuse(r, code, err.detail);
+	r->admitted = 1;
+	return FILTER_NEXT;
+}
+
+static void leave(void *ctx, struct req *r, int64_t now_us)
+{
+	int in_time = r->err.code == ERR_OK && r->answered == r->shard_count;
+
+	adm_leave(&r->customer->adm, now_us, now_us - r->caller->received_us,
+		  in_time || r->err.code == ERR_CANCELLED);
+}
+
+struct filter filter_admit(struct path *p)
+{
+	return (struct filter){ "admit", enter, leave, p };
+}
--- /dev/null
+++ b/src/filter/5_pin.c
@@ -0,0 +1,79 @@
+/*
+ * Filter 5: pins the request to one view, and so to one snapshot and layout,
+ * and draws the version and the data centres it may use.
+ */
+#include <string.h>
+
+#include "filter/req.h"
+
+static uint32_t draw_version(struct path *p, const struct view *v,
+			     const char *service)
+{
+	uint32_t draw = rng_below(&p->rng, PERMILLE);
+	uint32_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < v->version_count; i++) {
+		if (strcmp(v->versions[i].service, service) != 0)
+			continue;
+		sum += v->versions[i].share_permille;
+		if (draw < sum)
+			return i;
+	}
+	return VERSION_ANY;
+}
+
+static void select_shards(struct req *r)
+{
+	const struct layout *l = r->index->layout;
+	uint32_t i;
+
+	r->shard_first = 0;
+	r->shard_count = l->shard_count;
+	if (r->in->op == OP_LOOKUP) {
+		r->shard_first = layout_shard_of(l, r->in->text);
+		r->shard_count = 1;
+	}
+	r->shards = cu_alloc(r->shard_count, sizeof(*r->shards));
+	for (i = 0; i < r->shard_count; i++) {
+		r->shards[i].req = r;
+		r->shards[i].pos = r->shard_first + i;
+	}
+}
+
+static enum filter_step enter(void *ctx, struct req *r, int64_t now_us)
+{
+	struct path *p = ctx;
+
+	r->bound = p->bound;
+	r->bound->refs++;
+	r->index = bound_view_index(r->bound, r->in->index);
+	if (!r->index) {
+		bound_view_unref(r->bound);
+		r->bound = NULL;
+		return req_refuse(r, ERR_UNKNOWN_INDEX, r->in->index);
+	}
+	r->dc_draw_permille = rng_below(&p->rng, PERMILLE);
+	r->version = draw_version(p, r->bound->view, r->index->layout->service);
+	select_shards(r);
+	return FILTER_NEXT;
+}
+
+void pin_release(struct req *r)
+{
+	free(r->shards);
+	r->shards = NULL;
+	if (r->bound)
+		bound_view_unref(r->bound);
+	r->bound = NULL;
+}
+
+static void leave(void *ctx, struct req *r, int64_t now_us)
+{
+	pin_release(r);
+}
+
+struct filter filter_pin(struct path *p)
+{
+	return (struct filter){ "pin", enter, leave, p };
+}
--- /dev/null
+++ b/src/filter/6_scatter.c
@@ -0,0 +1,431 @@
+/*
+ * Filter 6: one sub-request per shard, with replica choice, hedges, retries
+ * and cancellation.
+ */
+#include <string.h>
+
+#include "base/metric.h"
+#include "filter/req.h"
+
+/* Avoided targets become usable by time alone, without a result. */
+#define SWEEP_PERIOD_US (10 * US_PER_MS)
+/* A retry needs at least this much time to be of use. */
+#define RETRY_TIME_MIN_US 1000
+
+static const struct shard *shard_of(const struct shard_state *s)
+{
+	return &s->req->index->layout->shards[s->pos];
+}
+
+static int is_once(const struct req *r)
+{
+	return r->in->op == OP_LOOKUP && !r->in->idempotent;
+}
+
+static int version_allowed(const struct req *r, const struct bound_target *t)
+{
+	return t->version == VERSION_ANY || r->version == VERSION_ANY ||
+	       t->version == r->version;
+}
+
+/*
+ * @relaxed: also data centres and versions that this request did not draw, as
+ * long as they get some share; used when the drawn ones have no replica left.
+ */
+static int target_allowed(const struct req *r, const struct bound_target *t,
+			  int relaxed)
+{
+	const struct view *v = r->bound->view;
+
+	if (t->blocked || t->dc_share_permille == 0)
+		return 0;
+	if (t->version != VERSION_ANY &&
+	    v->versions[t->version].share_permille == 0)
+		return 0;
+	if (relaxed)
+		return 1;
+	return r->dc_draw_permille < t->dc_share_permille &&
+	       version_allowed(r, t);
+}
+
+static int is_open_on(const struct shard_state *s, uint32_t replica)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->open_count; i++) {
+		if (s->open[i]->replica == replica)
+			return 1;
+	}
+	return 0;
+}
+
+/* @left: number of replicas that could still be asked, usable now or not. */
+static uint32_t pick_replica(struct shard_state *s, int64_t now_us, int relaxed,
+			     uint32_t *left)
+{
+	struct req *r = s->req;
+	const struct shard *shard = shard_of(s);
+	struct bound_target *targets = r->index->targets;
+	struct bal_candidate candidates[SHARD_REPLICAS_MAX];
+	uint32_t replicas[SHARD_REPLICAS_MAX];
+	uint32_t count = 0;
+	uint32_t picked;
+	uint32_t i;
+
+	for (i = 0; i < shard->replica_count; i++) {
+		struct bound_target *t = &targets[shard->replicas[i]];
+
+		if (s->failed_mask & (1U << i) || is_open_on(s, i) ||
+		    !target_allowed(r, t, relaxed))
+			continue;
+		candidates[count] =
+			(struct bal_candidate){ t->tgt, t->is_owner, 0 };
+		replicas[count++] = i;
+	}
+	*left = count;
+	picked = bal_pick(candidates, count, now_us, &r->path->rng);
+	return picked == BAL_NONE ? BAL_NONE : replicas[picked];
+}
+
+static struct sub_call *
+make_call(const struct req *r, const struct shard *shard, const struct sub *s)
+{
+	struct sub_call *c = cu_alloc(1, sizeof(*c));
+
+	c->sub_id = s->id;
+	c->op = r->in->op;
+	cu_copy(c->request_id, sizeof(c->request_id), r->in->id);
+	cu_copy(c->index, sizeof(c->index), r->in->index);
+	cu_copy(c->shard, sizeof(c->shard), shard->name);
+	cu_copy(c->snapshot, sizeof(c->snapshot), r->index->layout->snapshot);
+	cu_copy(c->address, sizeof(c->address), s->tgt->def.address);
+	c->port = s->tgt->def.port;
+	c->text = cu_strdup(r->in->text);
+	c->limit = r->in->limit;
+	c->idempotent = r->in->op == OP_SEARCH || r->in->idempotent;
+	c->deadline_us = r->close_us;
+	c->connection_share = target_connection_share(&s->tgt->def);
+	return c;
+}
+
+static void hedge_due(void *ctx, int64_t now_us);
+
+static void send_to(struct shard_state *s, uint32_t replica, int is_hedge,
+		    int64_t now_us)
+{
+	struct req *r = s->req;
+	struct path *p = r->path;
+	const struct shard *shard = shard_of(s);
+	int64_t delay_us = hdg_delay_us(&r->index->stats->hdg);
+	struct sub *sub = cu_alloc(1, sizeof(*sub));
+
+	sub->id = p->next_sub++;
+	sub->req = r;
+	sub->path = p;
+	sub->shard = s->pos;
+	sub->replica = replica;
+	sub->tgt = tgt_ref(r->index->targets[shard->replicas[replica]].tgt);
+	sub->index = r->index->stats;
+	sub->customer = r->customer;
+	sub->queue = r->index->queues[s->pos];
+	sub->op = r->in->op;
+	sub->sent_us = now_us;
+	sub->slow_us = delay_us;
+	sub->is_hedge = is_hedge;
+	cu_copy(sub->service, sizeof(sub->service), r->index->layout->service);
+	cu_copy(sub->request_id, sizeof(sub->request_id), r->in->id);
+	g_hash_table_insert(p->subs, &sub->id, sub);
+	s->open[s->open_count++] = sub;
+	s->attempts++;
+	s->phase = SHARD_OPEN;
+	r->sent++;
+	tgt_sent(sub->tgt);
+	metric_add(M_SUBS_SENT, 1);
+	if (!is_hedge && !is_once(r))
+		tmr_arm(p->timers, &sub->hedge_timer, now_us + delay_us,
+			hedge_due, sub);
+	p->ops.send(p->ops.ctx, make_call(r, shard, sub));
+}
+
+static void sweep(void *ctx, int64_t now_us)
+{
+	struct path *p = ctx;
+	struct shard_queue *q;
+	struct shard_queue *next;
+
+	for (q = TAILQ_FIRST(&p->busy_queues); q; q = next) {
+		next = TAILQ_NEXT(q, link);
+		scatter_wake(q, now_us);
+	}
+	if (!TAILQ_EMPTY(&p->busy_queues))
+		tmr_arm(p->timers, &p->sweep_timer, now_us + SWEEP_PERIOD_US,
+			sweep, p);
+}
+
+static struct shard_queue *queue_of(const struct shard_state *s)
+{
+	return s->req->index->queues[s->pos];
+}
+
+static void dequeue(struct shard_state *s)
+{
+	struct path *p = s->req->path;
+	struct shard_queue *q;
+
+	if (!s->queued)
+		return;
+	q = queue_of(s);
+	TAILQ_REMOVE(&q->waiting, s, link);
+	s->queued = 0;
+	if (TAILQ_EMPTY(&q->waiting)) {
+		TAILQ_REMOVE(&p->busy_queues, q, link);
+		q->busy = 0;
+	}
+}
+
+static void enqueue(struct shard_state *s, int64_t now_us)
+{
+	struct path *p = s->req->path;
+	struct shard_queue *q = queue_of(s);
+
+	s->phase = SHARD_WAITING;
+	if (s->queued)
+		return;
+	TAILQ_INSERT_TAIL(&q->waiting, s, link);
+	s->queued = 1;
+	if (!q->busy)
+		TAILQ_INSERT_TAIL(&p->busy_queues, q, link);
+	q->busy = 1;
+	if (!p->sweep_timer.pos)
+		tmr_arm(p->timers, &p->sweep_timer, now_us + SWEEP_PERIOD_US,
+			sweep, p);
+}
+
+static void resolve(struct shard_state *s, enum shard_phase phase)
+{
+	dequeue(s);
+	s->phase = phase;
+	s->req->resolved++;
+}
+
+/*
+ * Sends the shard's next attempt, queues it until a replica is usable, or
+ * gives it up when no replica is left.
+ */
+static void attempt(struct shard_state *s, int64_t now_us)
+{
+	uint32_t left;
+	uint32_t replica = pick_replica(s, now_us, 0, &left);
+
+	if (replica == BAL_NONE)
+		replica = pick_replica(s, now_us, 1, &left);
+	if (replica != BAL_NONE) {
+		dequeue(s);
+		send_to(s, replica, 0, now_us);
+	} else if (left > 0) {
+		enqueue(s, now_us);
+	} else {
+		resolve(s, SHARD_FAILED);
+	}
+}
+
+static void cancel_sub(struct sub *s, int64_t now_us)
+{
+	struct path *p = s->path;
+	struct sub_call *c = cu_alloc(1, sizeof(*c));
+
+	tmr_cancel(p->timers, &s->hedge_timer);
+	s->req = NULL;
+	s->cancelled = 1;
+	tgt_abandoned(s->tgt, now_us, now_us - s->sent_us);
+	if (!s->is_hedge)
+		hdg_sample(&s->index->hdg, now_us - s->sent_us);
+	c->sub_id = s->id;
+	c->cancel = 1;
+	cu_copy(c->request_id, sizeof(c->request_id), s->request_id);
+	cu_copy(c->address, sizeof(c->address), s->tgt->def.address);
+	c->port = s->tgt->def.port;
+	c->connection_share = target_connection_share(&s->tgt->def);
+	metric_add(M_CANCELS, 1);
+	p->ops.send(p->ops.ctx, c);
+}
+
+static void cancel_open(struct shard_state *s, int64_t now_us)
+{
+	while (s->open_count > 0)
+		cancel_sub(s->open[--s->open_count], now_us);
+}
+
+void scatter_cancel(struct req *r, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; r->shards && i < r->shard_count; i++) {
+		dequeue(&r->shards[i]);
+		cancel_open(&r->shards[i], now_us);
+	}
+}
+
+static void close_sub(struct shard_state *s, const struct sub *sub)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->open_count; i++) {
+		if (s->open[i] == sub) {
+			s->open[i] = s->open[--s->open_count];
+			return;
+		}
+	}
+}
+
+/* Hedges when the budget allows; otherwise looks again one delay later. */
+static void hedge_due(void *ctx, int64_t now_us)
+{
+	struct sub *sub = ctx;
+	struct req *r = sub->req;
+	struct shard_state *s = &r->shards[sub->shard - r->shard_first];
+	int64_t delay_us = hdg_delay_us(&r->index->stats->hdg);
+	uint32_t replica;
+	uint32_t left;
+
+	if (s->open_count == SHARD_SUBS_MAX ||
+	    s->attempts >= SHARD_ATTEMPTS_MAX)
+		return;
+	replica = pick_replica(s, now_us, 0, &left);
+	if (replica != BAL_NONE && bgt_spend(&r->customer->bgt)) {
+		metric_add(M_HEDGES, 1);
+		send_to(s, replica, 1, now_us);
+		return;
+	}
+	tmr_arm(sub->path->timers, &sub->hedge_timer, now_us + delay_us,
+		hedge_due, sub);
+}
+
+static int may_retry(const struct shard_state *s, enum err_code code,
+		     int not_run, int64_t now_us)
+{
+	struct req *r = s->req;
+
+	if (s->attempts >= SHARD_ATTEMPTS_MAX)
+		return 0;
+	if (r->close_us - now_us < RETRY_TIME_MIN_US)
+		return 0;
+	if (is_once(r) && !not_run)
+		return 0;
+	/* Nothing reached the target: the retry is no extra load on it. */
+	if (code == ERR_TARGET_CONNECT)
+		return 1;
+	return bgt_spend(&r->customer->bgt);
+}
+
+static int restart_possible(const struct req *r)
+{
+	const struct layout *next;
+
+	if (r->restarted || r->path->bound == r->bound)
+		return 0;
+	next = view_layout(r->path->bound->view, r->in->index);
+	return next && strcmp(next->snapshot, r->index->layout->snapshot) != 0;
+}
+
+static void restart(struct req *r, int64_t now_us)
+{
+	scatter_cancel(r, now_us);
+	pin_release(r);
+	hits_free(&r->hits);
+	r->restarted = 1;
+	r->answered = 0;
+	r->resolved = 0;
+	chain_rewind(&r->path->chain, &r->pos, "pin");
+	req_resume(r, now_us);
+}
+
+static void shard_failed(struct shard_state *s, const struct sub *sub,
+			 const struct sub_result *result, int64_t now_us)
+{
+	struct req *r = s->req;
+
+	if (result->not_run)
+		r->not_run++;
+	if (result->code == ERR_TARGET_SNAPSHOT && result->not_run &&
+	    restart_possible(r)) {
+		restart(r, now_us);
+		return;
+	}
+	/* A replica that shed may be asked again once others were tried. */
+	if (result->code != ERR_TARGET_SHED)
+		s->failed_mask |= 1U << sub->replica;
+	if (s->open_count > 0)
+		return;
+	if (may_retry(s, result->code, (int)result->not_run, now_us)) {
+		metric_add(M_RETRIES, 1);
+		attempt(s, now_us);
+	} else {
+		resolve(s, SHARD_FAILED);
+	}
+	req_resume(r, now_us);
+}
+
+static void shard_answered(struct shard_state *s, struct sub_result *result,
+			   int64_t now_us)
+{
+	struct req *r = s->req;
+
+	gth_add(&r->hits, &result->hits);
+	cancel_open(s, now_us);
+	r->answered++;
+	resolve(s, SHARD_ANSWERED);
+	req_resume(r, now_us);
+}
+
+void scatter_result(struct sub *sub, struct sub_result *result, int64_t now_us)
+{
+	struct req *r = sub->req;
+	struct shard_state *s;
+
+	tmr_cancel(sub->path->timers, &sub->hedge_timer);
+	if (!r)
+		return;
+	s = &r->shards[sub->shard - r->shard_first];
+	close_sub(s, sub);
+	if (result->code == ERR_OK)
+		shard_answered(s, result, now_us);
+	else
+		shard_failed(s, sub, result, now_us);
+}
+
+void scatter_wake(struct shard_queue *q, int64_t now_us)
+{
+	while (!TAILQ_EMPTY(&q->waiting)) {
+		struct shard_state *s = TAILQ_FIRST(&q->waiting);
+
+		attempt(s, now_us);
+		if (s->queued)
+			return;
+		if (s->phase == SHARD_FAILED)
+			req_resume(s->req, now_us);
+	}
+}
+
+static enum filter_step enter(void *ctx, struct req *r, int64_t now_us)
+{
+	uint32_t i;
+
+	metric_add(M_SHARDS_ASKED, r->shard_count);
+	bgt_earn(&r->customer->bgt, r->shard_count);
+	hdg_adjust(&r->index->stats->hdg, now_us,
+		   bgt_fill_permille(&r->customer->bgt));
+	for (i = 0; i < r->shard_count; i++)
+		attempt(&r->shards[i], now_us);
+	return FILTER_NEXT;
+}
+
+static void leave(void *ctx, struct req *r, int64_t now_us)
+{
+	scatter_cancel(r, now_us);
+}
+
+struct filter filter_scatter(struct path *p)
+{
+	return (struct filter){ "scatter", enter, leave, p };
+}
--- /dev/null
+++ b/src/filter/7_gather.c
@@ -0,0 +1,70 @@
+/* Filter 7: waits for the shards and decides complete, partial or refused. */
+#include "filter/req.h"
+
+static enum filter_step enter(void *ctx, struct req *r, int64_t now_us)
+{
+	/* req_resume() closes the request when no shard is left to wait for. */
+	return FILTER_WAIT;
+}
+
+static void refuse_unanswered(struct req *r)
+{
+	if (r->sent == 0)
+		req_refuse(r, ERR_NO_REPLICA, "nothing could be sent");
+	else
+		req_refuse(r, ERR_INCOMPLETE, "coverage below the contract");
+}
+
+/* A lookup has one shard; part of it is none of it. */
+static uint32_t min_coverage_permille(const struct req *r)
+{
+	if (r->in->op == OP_LOOKUP)
+		return PERMILLE;
+	return r->customer->contract.min_coverage_permille;
+}
+
+void gather_close(struct req *r, int64_t now_us)
+{
+	if (r->err.code == ERR_OK && !r->shards)
+		req_refuse(r, ERR_DEADLINE, "before anything was sent");
+	if (r->err.code == ERR_OK &&
+	    gth_decide(r->shard_count, r->answered, min_coverage_permille(r)) !=
+		    ERR_OK)
+		refuse_unanswered(r);
+	req_finish(r, now_us);
+}
+
+static void name_missing(struct req *r, struct answer *a)
+{
+	uint32_t i;
+
+	a->missing = cu_alloc(r->shard_count - r->answered, NAME_BYTES);
+	for (i = 0; i < r->shard_count; i++) {
+		const struct shard_state *s = &r->shards[i];
+
+		if (s->phase == SHARD_ANSWERED)
+			continue;
+		cu_copy(a->missing[a->missing_count++], NAME_BYTES,
+			r->index->layout->shards[s->pos].name);
+	}
+}
+
+static void leave(void *ctx, struct req *r, int64_t now_us)
+{
+	struct answer *a = r->answer;
+
+	if (r->err.code != ERR_OK || !r->shards)
+		return;
+	a->shards_total = r->shard_count;
+	a->shards_answered = r->answered;
+	a->complete = r->answered == r->shard_count;
+	cu_copy(a->snapshot, sizeof(a->snapshot), r->index->layout->snapshot);
+	name_missing(r, a);
+	gth_merge(&r->hits, r->in->limit);
+	gth_add(&a->hits, &r->hits);
+}
+
+struct filter filter_gather(struct path *p)
+{
+	return (struct filter){ "gather", enter, leave, p };
+}
--- /dev/null
+++ b/src/filter/bound.c
@@ -0,0 +1,135 @@
+/* Binds a view to the statistics that this host keeps across views. */
+#include <string.h>
+
+#include "decide/hrw.h"
+#include "filter/req.h"
+
+static struct tgt *find_target(struct path *p, const struct target *def)
+{
+	struct tgt *t = g_hash_table_lookup(p->tgts, def->id);
+
+	if (t) {
+		tgt_redefine(t, def);
+		return t;
+	}
+	t = tgt_new(def);
+	g_hash_table_insert(p->tgts, t->def.id, t);
+	return t;
+}
+
+static struct index_stats *find_index(struct path *p, const char *index)
+{
+	struct index_stats *s = g_hash_table_lookup(p->indexes, index);
+
+	if (s)
+		return s;
+	s = cu_alloc(1, sizeof(*s));
+	hdg_init(&s->hdg);
+	g_hash_table_insert(p->indexes, g_strdup(index), s);
+	return s;
+}
+
+static struct shard_queue *find_queue(struct path *p, const char *index,
+				      const char *shard)
+{
+	g_autofree char *key = g_strdup_printf("%s/%s", index, shard);
+	struct shard_queue *q = g_hash_table_lookup(p->queues, key);
+
+	if (q)
+		return q;
+	q = cu_alloc(1, sizeof(*q));
+	TAILQ_INIT(&q->waiting);
+	g_hash_table_insert(p->queues, g_steal_pointer(&key), q);
+	return q;
+}
+
+static uint32_t find_version(const struct view *v, const char *service,
+			     const char *version)
+{
+	uint32_t i;
+
+	for (i = 0; i < v->version_count; i++) {
+		if (strcmp(v->versions[i].service, service) == 0 &&
+		    strcmp(v->versions[i].version, version) == 0)
+			return i;
+	}
+	return VERSION_ANY;
+}
+
+static int owns(const struct path *p, const struct view *v, const char *target)
+{
+	if (v->host_count == 0)
+		return 1;
+	return hrw_is_owner(target, p->self, v->hosts, v->host_count);
+}
+
+static void bind_index(struct path *p, struct bound_index *b,
+		       const struct view *v, const struct layout *l)
+{
+	uint32_t i;
+
+	b->layout = l;
+	b->stats = find_index(p, l->index);
+	b->targets = cu_alloc(l->target_count, sizeof(*b->targets));
+	b->queues = cu_alloc(l->shard_count, sizeof(*b->queues));
+	for (i = 0; i < l->shard_count; i++)
+		b->queues[i] = find_queue(p, l->index, l->shards[i].name);
+	for (i = 0; i < l->target_count; i++) {
+		const struct target *def = &l->targets[i];
+		struct bound_target *t = &b->targets[i];
+
+		t->tgt = tgt_ref(find_target(p, def));
+		t->is_owner = owns(p, v, def->id);
+		t->blocked = view_blocked(v, def->id);
+		t->dc_share_permille = view_dc_share(v, def->data_centre);
+		t->version = find_version(v, l->service, def->version);
+	}
+}
+
+struct bound_view *bound_view_new(struct path *p, struct view *v,
+				  int64_t now_us)
+{
+	struct bound_view *b = cu_alloc(1, sizeof(*b));
+	uint32_t i;
+
+	b->refs = 1;
+	b->view = v;
+	b->indexes = cu_alloc(v->layout_count, sizeof(*b->indexes));
+	for (i = 0; i < v->layout_count; i++)
+		bind_index(p, &b->indexes[i], v, v->layouts[i]);
+	return b;
+}
+
+static void unbind_index(struct bound_index *b)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->layout->target_count; i++)
+		tgt_unref(b->targets[i].tgt);
+	free(b->targets);
+	free(b->queues);
+}
+
+void bound_view_unref(struct bound_view *b)
+{
+	uint32_t i;
+
+	if (!b || --b->refs)
+		return;
+	for (i = 0; i < b->view->layout_count; i++)
+		unbind_index(&b->indexes[i]);
+	free(b->indexes);
+	view_unref(b->view);
+	free(b);
+}
+
+struct bound_index *bound_view_index(struct bound_view *b, const char *index)
+{
+	uint32_t i;
+
+	for (i = 0; i < b->view->layout_count; i++) {
+		if (strcmp(b->view->layouts[i]->index, index) == 0)
+			return &b->indexes[i];
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/filter/chain.h
@@ -0,0 +1,53 @@
+/*
+ * Filter chain of the request path. Filters are entered in order; when the
+ * request is finished, those that were entered are left in reverse order.
+ */
+#ifndef CHAIN_H
+#define CHAIN_H
+
+#include <stdint.h>
+
+struct req;
+
+enum filter_step {
+	/* Go on with the next filter. */
+	FILTER_NEXT,
+	/* The filter resumes the chain later with chain_run(). */
+	FILTER_WAIT,
+	/* The answer is decided. */
+	FILTER_DONE
+};
+
+struct filter {
+	const char *name;
+	enum filter_step (*enter)(void *ctx, struct req *r, int64_t now_us);
+	/* Gives back what enter took; may be NULL. */
+	void (*leave)(void *ctx, struct req *r, int64_t now_us);
+	void *ctx;
+};
+
+#define CHAIN_FILTERS_MAX 8
+
+struct chain {
+	uint32_t count;
+	struct filter filters[CHAIN_FILTERS_MAX];
+};
+
+/* Position of a request in its chain; embedded in struct req. */
+struct chain_pos {
+	uint32_t next;
+	uint32_t entered;
+};
+
+void chain_add(struct chain *c, const struct filter *f);
+/* Enters filters from @pos on; returns FILTER_WAIT or FILTER_DONE. */
+enum filter_step chain_run(const struct chain *c, struct chain_pos *pos,
+			   struct req *r, int64_t now_us);
+/* Leaves the filters that were entered, last one first. */
+void chain_finish(const struct chain *c, struct chain_pos *pos, struct req *r,
+		  int64_t now_us);
+/* Goes back to filter @name without leaving it; it is entered again. */
+void chain_rewind(const struct chain *c, struct chain_pos *pos,
+		  const char *name);
+
+#endif
--- /dev/null
+++ b/src/filter/evidence.c
@@ -0,0 +1,76 @@
+/* Collects what the controllers are told about versions and customers. */
+#include <string.h>
+
+#include "filter/req.h"
+
+/* More would not fit the heartbeats of one announcement period. */
+#define NOTICES_MAX 4096
+
+static struct version_evidence *find(struct path *p, const struct sub *s)
+{
+	const char *version = s->tgt->def.version;
+	struct version_evidence fresh = { .route = s->op };
+	uint32_t i;
+
+	for (i = 0; i < p->version_evidence->len; i++) {
+		struct version_evidence *e = &g_array_index(
+			p->version_evidence, struct version_evidence, i);
+
+		if (e->route == s->op && strcmp(e->version, version) == 0 &&
+		    strcmp(e->service, s->service) == 0)
+			return e;
+	}
+	cu_copy(fresh.service, sizeof(fresh.service), s->service);
+	cu_copy(fresh.version, sizeof(fresh.version), version);
+	g_array_append_val(p->version_evidence, fresh);
+	return &g_array_index(p->version_evidence, struct version_evidence,
+			      p->version_evidence->len - 1);
+}
+
+void evidence_sub(struct path *p, const struct sub *s,
+		  const struct sub_result *r, int failed)
+{
+	struct version_evidence *e = find(p, s);
+
+	e->requests++;
+	if (failed) {
+		e->failures++;
+		return;
+	}
+	if (r->service_us > s->slow_us)
+		e->slow++;
+	e->service_us_sum += (uint64_t)r->service_us;
+}
+
+void evidence_answer(struct req *r, const struct answer *a, int64_t now_us)
+{
+	struct customer_evidence *seen;
+
+	if (!r->customer || a->err.code == ERR_CANCELLED)
+		return;
+	seen = &r->customer->seen;
+	if (a->outcome == OUTCOME_UNKNOWN)
+		seen->lost++;
+	else if (a->outcome == OUTCOME_NOT_RUN)
+		seen->refused++;
+	else if (!a->complete)
+		seen->partial++;
+	else if (now_us > r->deadline_us)
+		seen->late++;
+	else
+		seen->good++;
+}
+
+void evidence_notice(struct path *p, const struct tgt *t,
+		     enum target_notice_kind kind)
+{
+	struct target_notice *n;
+
+	if (p->notices->len >= NOTICES_MAX)
+		return;
+	n = cu_alloc(1, sizeof(*n));
+	cu_copy(n->target, sizeof(n->target), t->def.id);
+	cu_copy(n->instance, sizeof(n->instance), t->instance);
+	n->kind = kind;
+	g_ptr_array_add(p->notices, n);
+}
--- a/src/model/request.h
+++ b/src/model/request.h
@@ -13,7 +13,12 @@
 #define QUERY_BYTES_MAX 4096
 #define HITS_MAX 1000
 
-enum request_op { OP_SEARCH, OP_LOOKUP };
+enum request_op {
+	OP_SEARCH,
+	OP_LOOKUP,
+	/* What became of a non-idempotent lookup. */
+	OP_OUTCOME
+};
 
 struct request {
 	enum request_op op;
@@ -64,6 +69,8 @@
 	uint32_t idempotent;
 	/* Monotonic time at which the answer is of no use any more. */
 	int64_t deadline_us;
+	/* Connections that this host may have open to the target. */
+	uint32_t connection_share;
 	/* 1: ask the target to cancel @sub_id instead of running it. */
 	uint32_t cancel;
 };
@@ -109,6 +116,8 @@
 	char (*missing)[NAME_BYTES];
 	uint32_t complete;
 	int64_t elapsed_us;
+	/* 1 for the answer to OP_OUTCOME, which has no shards and no hits. */
+	uint32_t outcome_only;
 	struct hits hits;
 };
 
