--- /dev/null
+++ b/tests/standin/corpus.c
@@ -0,0 +1,125 @@
+#include "corpus.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/rng.h"
+
+#define COMMON_ONE_IN 8
+/* Few distinct scores, so that ties have to be broken by ID. */
+#define SCORE_STEPS 64
+#define SCORE_STEP 0.25
+
+static uint64_t hash_add(uint64_t h, const char *text)
+{
+	return XXH64(text, strlen(text) + 1, h);
+}
+
+static char *doc_text(const char *index, const char *shard,
+		      const char *snapshot)
+{
+	struct buf b = { 0 };
+
+	buf_addf(&b, "{\"index\":\"%s\",\"shard\":\"%s\",\"snapshot\":\"%s\"}",
+		 index, shard, snapshot);
+	return b.data;
+}
+
+static int hit_compare(const void *a, const void *b)
+{
+	const struct hit *x = a;
+	const struct hit *y = b;
+
+	if (x->score != y->score)
+		return x->score > y->score ? -1 : 1;
+	return strcmp(x->id, y->id);
+}
+
+static void sort_hits(struct hits *h)
+{
+	if (h->count)
+		qsort(h->items, h->count, sizeof(*h->items), hit_compare);
+}
+
+/* Takes the first @limit hits of @from over and frees the others. */
+static void take_first(struct hits *from, uint32_t limit, struct hits *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < from->count; i++) {
+		struct hit *h = &from->items[i];
+
+		if (i >= limit)
+			continue;
+		hits_add(out, h->id, h->score, h->doc);
+		h->doc = NULL;
+	}
+	hits_free(from);
+}
+
+static void add_common(const char *index, const char *snapshot, uint64_t key,
+		       struct hits *out)
+{
+	struct rng r = { key };
+	char id[NAME_BYTES];
+
+	if (rng_below(&r, COMMON_ONE_IN) != 0)
+		return;
+	snprintf(id, sizeof(id), "c%016" PRIx64, rng_u64(&r));
+	hits_add(out, id, SCORE_STEP * rng_below(&r, SCORE_STEPS),
+		 doc_text(index, "all", snapshot));
+}
+
+void corpus_search(const char *index, const char *shard, const char *snapshot,
+		   const char *query, uint32_t limit, struct hits *out)
+{
+	uint64_t key = hash_add(hash_add(hash_add(0, index), snapshot), query);
+	struct rng r = { hash_add(key, shard) };
+	uint32_t count = rng_below(&r, CORPUS_SHARD_HITS_MAX);
+	struct hits all = { 0 };
+	char id[NAME_BYTES];
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		snprintf(id, sizeof(id), "d%016" PRIx64, rng_u64(&r));
+		hits_add(&all, id, SCORE_STEP * rng_below(&r, SCORE_STEPS),
+			 doc_text(index, shard, snapshot));
+	}
+	add_common(index, snapshot, key, &all);
+	sort_hits(&all);
+	take_first(&all, limit, out);
+}
+
+void corpus_lookup(const char *index, const char *shard, const char *snapshot,
+		   const char *record, struct hits *out)
+{
+	if (strncmp(record, "absent", strlen("absent")) == 0)
+		return;
+	hits_add(out, record, 1.0, doc_text(index, shard, snapshot));
+}
+
+void corpus_merge(const char *index, const char *const *shards, uint32_t count,
+		  const char *snapshot, const char *query, uint32_t limit,
+		  struct hits *out)
+{
+	struct hits all = { 0 };
+	struct hits unique = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		corpus_search(index, shards[i], snapshot, query, limit, &all);
+	sort_hits(&all);
+	for (i = 0; i < all.count; i++) {
+		struct hit *h = &all.items[i];
+
+		/* The same document has the same score, so it is adjacent. */
+		if (i && strcmp(h->id, all.items[i - 1].id) == 0)
+			continue;
+		hits_add(&unique, h->id, h->score, h->doc);
+		h->doc = NULL;
+	}
+	hits_free(&all);
+	take_first(&unique, limit, out);
+}
--- /dev/null
+++ b/tests/standin/fleet_answer.c
@@ -0,0 +1,166 @@
+#include "fleet_answer.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "corpus.h"
+
+/* Above the 1 MB that an answer may have. */
+#define HUGE_BYTES (1536u << 10)
+
+static void find_hits(const struct job *j, struct hits *out)
+{
+	if (j->op == OP_SEARCH)
+		corpus_search(j->index, j->shard, j->snapshot, j->text,
+			      j->limit, out);
+	else
+		corpus_lookup(j->index, j->shard, j->snapshot, j->text, out);
+}
+
+static void add_hits(struct buf *b, const struct job *j)
+{
+	struct hits hits CLEANUP(hits_free) = { 0 };
+	uint32_t i;
+
+	find_hits(j, &hits);
+	buf_addf(b, "\"hits\":[");
+	for (i = 0; i < hits.count; i++)
+		buf_addf(b, "%s{\"id\":\"%s\",\"score\":%.2f,\"doc\":%s}",
+			 i ? "," : "", hits.items[i].id, hits.items[i].score,
+			 hits.items[i].doc);
+	buf_addf(b, "]");
+}
+
+static void add_padding(struct buf *b)
+{
+	char block[1024];
+	uint32_t i;
+
+	memset(block, 'x', sizeof(block));
+	buf_addf(b, ",\"padding\":\"");
+	for (i = 0; i < HUGE_BYTES / sizeof(block); i++)
+		buf_add(b, block, sizeof(block));
+	buf_addf(b, "\"");
+}
+
+/* The answer as the target means it, with the fields that a fault changes. */
+static void write_answer(struct post *p, const struct job *j, int64_t now_us,
+			 struct buf *b)
+{
+	struct target *t = &p->target;
+	const char *route = job_route(j);
+	uint64_t sub_id = j->sub_id;
+
+	if (target_fires(t, TF_WRONG_SUB, route, now_us))
+		sub_id++;
+	buf_addf(b,
+		 "{\"request_id\":\"%s\",\"sub_id\":%" PRIu64
+		 ",\"shard\":\"%s\",\"snapshot\":\"%s\",\"instance\":\"%s\",",
+		 target_fires(t, TF_WRONG_ID, route, now_us) ? "wrong-request"
+							     : j->request_id,
+		 sub_id,
+		 target_fires(t, TF_WRONG_SHARD, route, now_us) ? "wrong-shard"
+								: j->shard,
+		 target_fires(t, TF_WRONG_SNAPSHOT, route, now_us)
+			 ? "wrong-snapshot"
+			 : j->snapshot,
+		 t->instance);
+	add_hits(b, j);
+	if (target_fires(t, TF_HUGE, route, now_us))
+		add_padding(b);
+	buf_addf(b, "}");
+}
+
+static enum http_manner manner_of(struct post *p, const char *route,
+				  int64_t now_us)
+{
+	if (target_fires(&p->target, TF_DUPLICATED, route, now_us))
+		return HTTP_TWICE;
+	if (target_fires(&p->target, TF_CLOSE_HALF, route, now_us))
+		return HTTP_HALF;
+	return HTTP_WHOLE;
+}
+
+static void send_done(struct post *p, struct http_conn *c, const struct job *j,
+		      int64_t now_us)
+{
+	struct target *t = &p->target;
+	const char *route = job_route(j);
+	struct buf b CLEANUP_BUF = { 0 };
+	const struct buf *sent = &b;
+	size_t sent_bytes;
+
+	t->counters.answered++;
+	if (target_fires(t, TF_CLOSE_AFTER, route, now_us)) {
+		http_drop(c);
+		return;
+	}
+	if (target_fires(t, TF_SILENT_ANSWER, route, now_us)) {
+		http_silence(c);
+		return;
+	}
+	write_answer(p, j, now_us, &b);
+	if (p->last.len_bytes && target_fires(t, TF_CROSSED, route, now_us))
+		sent = &p->last;
+	sent_bytes = sent->len_bytes;
+	if (target_fires(t, TF_TRUNCATED, route, now_us))
+		sent_bytes /= 2;
+	http_reply(c, 200, sent->data, sent_bytes, manner_of(p, route, now_us));
+}
+
+/* Keeps the answer that a later crossed answer repeats. */
+static void remember(struct post *p, const struct job *j)
+{
+	struct buf b = { 0 };
+
+	buf_addf(&b,
+		 "{\"request_id\":\"%s\",\"sub_id\":%" PRIu64
+		 ",\"shard\":\"%s\",\"snapshot\":\"%s\",\"instance\":\"%s\",",
+		 j->request_id, j->sub_id, j->shard, j->snapshot,
+		 p->target.instance);
+	add_hits(&b, j);
+	buf_addf(&b, "}");
+	buf_free(&p->last);
+	p->last = b;
+}
+
+void answer_send(struct post *p, struct http_conn *c, const struct job *j,
+		 enum job_end end, int64_t now_us)
+{
+	switch (end) {
+	case JOB_DONE:
+		send_done(p, c, j, now_us);
+		if (p->target.faults[TF_CROSSED].on)
+			remember(p, j);
+		break;
+	case JOB_FAILED:
+		http_replyf(c, j->status, "{\"error\":\"failed\"}");
+		break;
+	case JOB_SHED:
+		http_replyf(c, 429, "{\"error\":\"shed\"}");
+		break;
+	case JOB_DRAINING:
+		http_replyf(c, 503, "{\"error\":\"draining\"}");
+		break;
+	case JOB_SNAPSHOT_GONE:
+		http_replyf(c, 404,
+			    "{\"error\":\"snapshot_gone\",\"snapshot\":\"%s\"}",
+			    p->target.spec.snapshot);
+		break;
+	case JOB_CANCELLED_QUEUED:
+		http_replyf(c, 409,
+			    "{\"error\":\"cancelled\",\"not_run\":true}");
+		break;
+	case JOB_CANCELLED_RUNNING:
+		http_replyf(c, 409, "{\"error\":\"cancelled\"}");
+		break;
+	case JOB_EXPIRED_QUEUED:
+		http_replyf(c, 504,
+			    "{\"error\":\"deadline\",\"not_run\":true}");
+		break;
+	case JOB_EXPIRED_RUNNING:
+		http_replyf(c, 504,
+			    "{\"error\":\"deadline\",\"not_run\":false}");
+		break;
+	}
+}
--- /dev/null
+++ b/tests/standin/http_conn.c
@@ -0,0 +1,344 @@
+/* Connections of the stand-ins' HTTP server: parsing and writing. */
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "http_conn.h"
+
+#define HEAD_BYTES_MAX 16384
+#define READ_BYTES 65536
+
+static void watch_events(struct http_conn *c, uint32_t events)
+{
+	struct epoll_event ev = { .events = events, .data.ptr = c };
+
+	if (events == c->events)
+		return;
+	c->events = events;
+	epoll_ctl(http_epoll(c->listener->http), EPOLL_CTL_MOD, c->fd, &ev);
+}
+
+static uint32_t wanted_events(const struct http_conn *c)
+{
+	if (c->silent || c->start.pos)
+		return EPOLLRDHUP;
+	if (c->out_sent_bytes < c->out.len_bytes)
+		return EPOLLIN | EPOLLOUT;
+	return EPOLLIN;
+}
+
+void conn_close(struct http_conn *c, int reset)
+{
+	struct http_listener *l = c->listener;
+	struct linger abort_now = { .l_onoff = 1, .l_linger = 0 };
+
+	if (c->dead)
+		return;
+	c->dead = 1;
+	if (reset)
+		setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &abort_now,
+			   sizeof(abort_now));
+	close(c->fd);
+	tmr_cancel(http_timers(l->http), &c->start);
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		l->conns = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	l->counters.open--;
+	if (c->busy && l->service.gone)
+		l->service.gone(l->service.ctx, c);
+	http_bury(l->http, c);
+}
+
+void conn_free(struct http_conn *c)
+{
+	buf_free(&c->in);
+	buf_free(&c->out);
+	free(c);
+}
+
+static void flush_out(struct http_conn *c)
+{
+	while (c->out_sent_bytes < c->out.len_bytes) {
+		ssize_t n = send(c->fd, c->out.data + c->out_sent_bytes,
+				 c->out.len_bytes - c->out_sent_bytes,
+				 MSG_NOSIGNAL);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+			break;
+		if (n < 0) {
+			conn_close(c, 0);
+			return;
+		}
+		c->out_sent_bytes += (size_t)n;
+	}
+	if (c->out_sent_bytes == c->out.len_bytes) {
+		c->out.len_bytes = 0;
+		c->out_sent_bytes = 0;
+		if (c->close_after) {
+			conn_close(c, 0);
+			return;
+		}
+	}
+	watch_events(c, wanted_events(c));
+}
+
+/* Value of a header in @head, NULL when absent. Ends at '\r'. */
+static const char *header(const char *head, const char *name)
+{
+	size_t len = strlen(name);
+	const char *line = strstr(head, "\r\n");
+
+	while (line && line[2] != '\r') {
+		line += 2;
+		if (strncasecmp(line, name, len) == 0 && line[len] == ':') {
+			line += len + 1;
+			return line + strspn(line, " \t");
+		}
+		line = strstr(line, "\r\n");
+	}
+	return NULL;
+}
+
+static void refuse(struct http_conn *c, uint32_t status, const char *why)
+{
+	c->close_after = 1;
+	c->in.len_bytes = 0;
+	http_replyf(c, status, "{\"error\":\"%s\"}", why);
+}
+
+/* Splits "METHOD /path?query HTTP/1.1" in place; 0 when it is malformed. */
+static int split_line(char *head, struct http_request *r)
+{
+	char *path = strchr(head, ' ');
+	char *end = path ? strchr(path + 1, ' ') : NULL;
+	char *query;
+
+	if (!path || !end || path[1] != '/')
+		return 0;
+	*path++ = '\0';
+	*end = '\0';
+	query = strchr(path, '?');
+	if (query)
+		*query++ = '\0';
+	r->method = head;
+	r->path = path;
+	r->query = query ? query : "";
+	return 1;
+}
+
+static void dispatch(struct http_conn *c, size_t head_bytes, size_t body_bytes)
+{
+	struct http_listener *l = c->listener;
+	struct http_request r = { .body_bytes = body_bytes };
+	size_t used_bytes = head_bytes + body_bytes;
+	char *body = c->in.data + head_bytes;
+	/* The byte after the body may belong to the next request. */
+	char saved = c->in.data[used_bytes];
+
+	body[body_bytes] = '\0';
+	r.body = body;
+	c->busy = 1;
+	c->continued = 0;
+	if (!split_line(c->in.data, &r)) {
+		refuse(c, 400, "request line not understood");
+		return;
+	}
+	l->service.request(l->service.ctx, c, &r);
+	if (c->dead || c->in.len_bytes < used_bytes)
+		return;
+	c->in.data[used_bytes] = saved;
+	memmove(c->in.data, c->in.data + used_bytes,
+		c->in.len_bytes - used_bytes + 1);
+	c->in.len_bytes -= used_bytes;
+}
+
+/* Handles one whole request in the buffer; 0 when there is none. */
+static int parse_one(struct http_conn *c)
+{
+	char *end = c->in.len_bytes ? strstr(c->in.data, "\r\n\r\n") : NULL;
+	const char *value;
+	size_t head_bytes;
+	size_t body_bytes = 0;
+
+	if (!end) {
+		if (c->in.len_bytes > HEAD_BYTES_MAX)
+			refuse(c, 431, "head too large");
+		return 0;
+	}
+	head_bytes = (size_t)(end - c->in.data) + 4;
+	value = header(c->in.data, "Content-Length");
+	if (value)
+		body_bytes = strtoul(value, NULL, 10);
+	if (header(c->in.data, "Transfer-Encoding")) {
+		refuse(c, 411, "length required");
+		return 0;
+	}
+	if (body_bytes > HTTP_BODY_BYTES_MAX) {
+		refuse(c, 413, "body too large");
+		return 0;
+	}
+	if (c->in.len_bytes < head_bytes + body_bytes) {
+		if (!c->continued && header(c->in.data, "Expect")) {
+			c->continued = 1;
+			buf_addf(&c->out, "HTTP/1.1 100 Continue\r\n\r\n");
+			flush_out(c);
+		}
+		return 0;
+	}
+	dispatch(c, head_bytes, body_bytes);
+	return 1;
+}
+
+static void parse(struct http_conn *c)
+{
+	if (c->parsing)
+		return;
+	c->parsing = 1;
+	while (!c->dead && !c->busy && !c->silent && !c->close_after &&
+	       parse_one(c))
+		;
+	c->parsing = 0;
+}
+
+static void read_in(struct http_conn *c)
+{
+	char chunk[READ_BYTES];
+	ssize_t n = recv(c->fd, chunk, sizeof(chunk), 0);
+
+	if (n < 0 &&
+	    (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+		return;
+	if (n <= 0) {
+		conn_close(c, 0);
+		return;
+	}
+	buf_add(&c->in, chunk, (size_t)n);
+	parse(c);
+}
+
+void conn_event(struct http_conn *c, uint32_t events)
+{
+	if (c->dead)
+		return;
+	if (c->silent || c->start.pos) {
+		if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
+			conn_close(c, 0);
+		return;
+	}
+	if (events & EPOLLOUT)
+		flush_out(c);
+	if (!c->dead && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
+		read_in(c);
+}
+
+static void start_due(void *ctx, int64_t now_us)
+{
+	struct http_conn *c = ctx;
+
+	watch_events(c, wanted_events(c));
+}
+
+struct http_conn *conn_new(struct http_listener *l, int fd)
+{
+	struct http_conn *c = cu_alloc(1, sizeof(*c));
+	struct epoll_event ev = { .events = EPOLLRDHUP, .data.ptr = c };
+
+	c->kind = HTTP_KIND_CONN;
+	c->fd = fd;
+	c->listener = l;
+	c->next = l->conns;
+	if (c->next)
+		c->next->prev = c;
+	l->conns = c;
+	c->events = EPOLLRDHUP;
+	epoll_ctl(http_epoll(l->http), EPOLL_CTL_ADD, fd, &ev);
+	if (l->service.connect_us)
+		tmr_arm(http_timers(l->http), &c->start,
+			clock_now_us() + l->service.connect_us, start_due, c);
+	else
+		watch_events(c, wanted_events(c));
+	return c;
+}
+
+static void add_answer(struct http_conn *c, uint32_t status, const char *body,
+		       size_t body_bytes, size_t sent_bytes)
+{
+	buf_addf(&c->out,
+		 "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
+		 "Content-Length: %zu\r\n%s\r\n",
+		 status, status < 400 ? "OK" : "Error", body_bytes,
+		 c->close_after ? "Connection: close\r\n" : "");
+	buf_add(&c->out, body, sent_bytes);
+}
+
+void http_reply(struct http_conn *c, uint32_t status, const char *body,
+		size_t body_bytes, enum http_manner manner)
+{
+	if (c->dead)
+		return;
+	c->busy = 0;
+	c->user = NULL;
+	if (c->silent)
+		return;
+	add_answer(c, status, body, body_bytes,
+		   manner == HTTP_HALF ? body_bytes / 2 : body_bytes);
+	if (manner == HTTP_TWICE)
+		add_answer(c, status, body, body_bytes, body_bytes);
+	if (manner == HTTP_HALF)
+		c->close_after = 1;
+	flush_out(c);
+	if (!c->dead)
+		parse(c);
+}
+
+void http_replyf(struct http_conn *c, uint32_t status, const char *fmt, ...)
+{
+	char text[1024];
+	va_list ap;
+	int len;
+
+	va_start(ap, fmt);
+	len = vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	if (len < 0)
+		len = 0;
+	if ((size_t)len >= sizeof(text))
+		len = sizeof(text) - 1;
+	http_reply(c, status, text, (size_t)len, HTTP_WHOLE);
+}
+
+void http_drop(struct http_conn *c)
+{
+	c->busy = 0;
+	c->user = NULL;
+	conn_close(c, 1);
+}
+
+void http_silence(struct http_conn *c)
+{
+	if (c->dead)
+		return;
+	c->silent = 1;
+	watch_events(c, wanted_events(c));
+}
+
+void http_set_user(struct http_conn *c, void *user)
+{
+	c->user = user;
+}
+
+void *http_user(const struct http_conn *c)
+{
+	return c->user;
+}
--- /dev/null
+++ b/tests/standin/main.c
@@ -0,0 +1,31 @@
+/* Test stand-ins: targets, and the platform's store with its host list. */
+#include <stdio.h>
+#include <string.h>
+
+#include "mains.h"
+
+static void usage(void)
+{
+	fprintf(stderr, "usage: standin target|store [--option value ...]; see "
+			"docs/TESTING.md\n");
+}
+
+int main(int argc, char **argv)
+{
+	struct err err = { 0 };
+
+	if (argc > 1 && strcmp(argv[1], "target") == 0)
+		main_target(argc - 2, argv + 2, &err);
+	else if (argc > 1 && strcmp(argv[1], "store") == 0)
+		main_store(argc - 2, argv + 2, &err);
+	else {
+		usage();
+		return 2;
+	}
+	if (err.code != ERR_OK) {
+		fprintf(stderr, "standin: %d %s: %s\n", (int)err.code,
+			err_name(err.code), err.detail);
+		return 1;
+	}
+	return 0;
+}
--- /dev/null
+++ b/tests/standin/store.c
@@ -0,0 +1,502 @@
+/* Calls of the store stand-in: decoding, limits, effect and answer. */
+#include "store.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+#define WATCH_MS_DEFAULT 30000
+#define WATCH_MS_MAX 600000
+#define LEASE_MS_MIN 100
+#define LEASE_MS_MAX 600000
+/* A second's rate may come within so many parts of it at once. */
+#define BURST_PARTS 10
+#define NO_SUCH_PATH -1
+
+static const struct {
+	const char *name;
+	uint32_t write;
+} ops[] = {
+#define DEF(id, name, write) { name, write },
+	STORE_OPS(DEF)
+#undef DEF
+};
+
+const char *store_op_name(enum store_op op)
+{
+	return ops[op].name;
+}
+
+static void call_free(struct store_call *c)
+{
+	struct store *s = c->store;
+
+	tmr_cancel(http_timers(s->http), &c->timer);
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		s->calls = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	if (c->watching)
+		s->watches--;
+	buf_free(&c->body);
+	free(c->value);
+	free(c);
+}
+
+static struct store_call *call_new(struct store *s, struct http_conn *conn)
+{
+	struct store_call *c = cu_alloc(1, sizeof(*c));
+
+	c->store = s;
+	c->conn = conn;
+	c->if_version = KVS_ANY_VERSION;
+	c->timeout_ms = WATCH_MS_DEFAULT;
+	c->next = s->calls;
+	if (c->next)
+		c->next->prev = c;
+	s->calls = c;
+	http_set_user(conn, c);
+	return c;
+}
+
+static int fires(struct store_call *c, enum store_fault id, int64_t now_us)
+{
+	struct store *s = c->store;
+
+	return fault_fires(&s->faults[id], &s->rng, ops[c->op].name, s->watches,
+			   now_us);
+}
+
+static void send_now(struct store_call *c)
+{
+	struct http_conn *conn = c->conn;
+	struct buf body = c->body;
+	uint32_t status = c->status;
+
+	memset(&c->body, 0, sizeof(c->body));
+	call_free(c);
+	if (conn)
+		http_reply(conn, status, body.data, body.len_bytes, HTTP_WHOLE);
+	buf_free(&body);
+}
+
+static void held_due(void *ctx, int64_t now_us)
+{
+	send_now(ctx);
+}
+
+void store_finish(struct store_call *c, int64_t now_us)
+{
+	struct store *s = c->store;
+	struct http_conn *conn = c->conn;
+
+	tmr_cancel(http_timers(s->http), &c->timer);
+	if (fires(c, SF_LOST_ANSWER, now_us)) {
+		s->counters.answers_lost++;
+		call_free(c);
+		if (conn)
+			http_drop(conn);
+	} else if (fires(c, SF_SILENT_ANSWER, now_us)) {
+		s->counters.answers_lost++;
+		if (conn) {
+			http_set_user(conn, NULL);
+			http_silence(conn);
+		}
+		call_free(c);
+	} else if (fires(c, SF_SLOW, now_us)) {
+		tmr_arm(http_timers(s->http), &c->timer,
+			now_us + (int64_t)s->faults[SF_SLOW].delay_ms *
+					 US_PER_MS,
+			held_due, c);
+	} else {
+		send_now(c);
+	}
+}
+
+static void answer(struct store_call *c, uint32_t status, const char *text)
+{
+	c->status = status;
+	buf_addf(&c->body, "%s", text);
+}
+
+static void answer_version(struct store_call *c, uint32_t status,
+			   uint64_t version)
+{
+	c->status = status;
+	buf_addf(&c->body, "{\"version\":%" PRIu64 "}", version);
+}
+
+struct kvs *store_read_state(struct store *s)
+{
+	return s->faults[SF_STALE].on && s->stale ? s->stale : s->kvs;
+}
+
+static void run_get(struct store_call *c)
+{
+	const struct kvs_pair *pair =
+		kvs_get(store_read_state(c->store), c->key);
+	json_t *value;
+	char *text;
+
+	if (!pair) {
+		answer(c, 404, "{\"error\":\"no_such_key\"}");
+		return;
+	}
+	value = json_string(pair->value);
+	text = json_dumps(value, JSON_ENCODE_ANY);
+	c->status = 200;
+	buf_addf(&c->body,
+		 "{\"key\":\"%s\",\"version\":%" PRIu64 ",\"value\":", c->key,
+		 pair->version);
+	buf_addf(&c->body, "%s}", text);
+	free(text);
+	json_decref(value);
+}
+
+static void run_write(struct store_call *c)
+{
+	struct store *s = c->store;
+	uint64_t version = 0;
+	enum err_code code;
+
+	if (c->op == SO_PUT)
+		code = kvs_put(s->kvs, c->key, c->value, c->value_bytes,
+			       c->if_version, c->lease, &version);
+	else
+		code = kvs_delete(s->kvs, c->key, c->if_version, &version);
+	if (code == ERR_OK) {
+		answer_version(c, 200, version);
+	} else if (code == ERR_STORE_CONFLICT) {
+		s->counters.conflicts++;
+		answer_version(c, 409, version);
+	} else if (code == ERR_STORE_SIZE) {
+		answer(c, 413, "{\"error\":\"value_too_large\"}");
+	} else if (c->op == SO_PUT) {
+		answer(c, 410, "{\"error\":\"lease_expired\"}");
+	} else {
+		answer(c, 404, "{\"error\":\"no_such_key\"}");
+	}
+}
+
+static void run_lease(struct store_call *c, int64_t now_us)
+{
+	struct store *s = c->store;
+	enum err_code code;
+
+	if (c->op == SO_GRANT) {
+		c->status = 200;
+		buf_addf(&c->body, "{\"lease\":%" PRIu64 "}",
+			 kvs_grant(s->kvs, c->ttl_ms, now_us));
+		return;
+	}
+	code = c->op == SO_RENEW ? kvs_renew(s->kvs, c->lease, now_us)
+				 : kvs_revoke(s->kvs, c->lease);
+	if (code == ERR_OK)
+		answer(c, 200, "{}");
+	else
+		answer(c, 410, "{\"error\":\"lease_expired\"}");
+}
+
+static void run_call(struct store_call *c, int64_t now_us)
+{
+	struct store *s = c->store;
+
+	store_expire(s, now_us);
+	switch (c->op) {
+	case SO_GET:
+		run_get(c);
+		break;
+	case SO_PUT:
+	case SO_DELETE:
+		run_write(c);
+		break;
+	case SO_HOSTS:
+		answer(c, 200,
+		       store_hosts_text(s->hosts,
+					(int)s->faults[SF_HOSTS_FROZEN].on,
+					now_us));
+		break;
+	case SO_WATCH:
+		store_watch(c, now_us);
+		return;
+	default:
+		run_lease(c, now_us);
+		break;
+	}
+	store_finish(c, now_us);
+	store_expire(s, now_us);
+	store_wake_watches(s, now_us);
+}
+
+static void effect_due(void *ctx, int64_t now_us)
+{
+	run_call(ctx, now_us);
+}
+
+static void lease_due(void *ctx, int64_t now_us)
+{
+	struct store *s = ctx;
+
+	store_expire(s, now_us);
+	store_wake_watches(s, now_us);
+}
+
+void store_expire(struct store *s, int64_t now_us)
+{
+	int64_t next_us = kvs_expire(s->kvs, now_us);
+
+	if (next_us < 0)
+		tmr_cancel(http_timers(s->http), &s->lease_timer);
+	else
+		tmr_arm(http_timers(s->http), &s->lease_timer, next_us,
+			lease_due, s);
+}
+
+static int query_u64(const char *query, const char *name, uint64_t most,
+		     uint64_t *out)
+{
+	char text[32];
+	char *end;
+
+	if (!http_query_value(query, name, text, sizeof(text)))
+		return 1;
+	if (!g_ascii_isdigit(text[0]))
+		return 0;
+	*out = strtoull(text, &end, 10);
+	return *end == '\0' && *out <= most;
+}
+
+static int decode_key(struct store_call *c, const char *key)
+{
+	return kvs_key_ok(key) && cu_copy(c->key, sizeof(c->key), key);
+}
+
+static int decode_kv(struct store_call *c, const struct http_request *r,
+		     const char *key)
+{
+	if (!decode_key(c, key) ||
+	    !query_u64(r->query, "if_version", UINT64_MAX - 1,
+		       &c->if_version) ||
+	    !query_u64(r->query, "lease", UINT64_MAX - 1, &c->lease))
+		return 0;
+	if (c->op != SO_PUT)
+		return 1;
+	c->value = cu_alloc(r->body_bytes + 1, 1);
+	memcpy(c->value, r->body, r->body_bytes);
+	c->value_bytes = r->body_bytes;
+	return g_utf8_validate(c->value, (gssize)c->value_bytes, NULL);
+}
+
+static int decode_watch(struct store_call *c, const struct http_request *r,
+			const char *prefix)
+{
+	uint64_t timeout_ms = WATCH_MS_DEFAULT;
+
+	if (prefix[0] && !decode_key(c, prefix))
+		return 0;
+	if (!query_u64(r->query, "after", UINT64_MAX - 1, &c->after) ||
+	    !query_u64(r->query, "timeout_ms", WATCH_MS_MAX, &timeout_ms))
+		return 0;
+	c->timeout_ms = (uint32_t)timeout_ms;
+	return 1;
+}
+
+static int decode_grant(struct store_call *c, const struct http_request *r)
+{
+	json_t *body = json_loadb(r->body, r->body_bytes, 0, NULL);
+	json_int_t ttl_ms = json_integer_value(json_object_get(body, "ttl_ms"));
+
+	json_decref(body);
+	c->ttl_ms = (uint32_t)ttl_ms;
+	return ttl_ms >= LEASE_MS_MIN && ttl_ms <= LEASE_MS_MAX;
+}
+
+/* Rest of @path after @prefix, or NULL. */
+static const char *below(const char *path, const char *prefix)
+{
+	size_t len = strlen(prefix);
+
+	return strncmp(path, prefix, len) == 0 ? path + len : NULL;
+}
+
+/* Reads "ID" or "ID/renew"; @rest must follow the number. */
+static int decode_lease(struct store_call *c, const char *at, const char *rest)
+{
+	char *end;
+
+	if (!g_ascii_isdigit(at[0]))
+		return 0;
+	c->lease = strtoull(at, &end, 10);
+	return strcmp(end, rest) == 0;
+}
+
+/* 0: not understood, 1: decoded, NO_SUCH_PATH: no such path. */
+static int decode(struct store_call *c, const struct http_request *r)
+{
+	int get = strcmp(r->method, "GET") == 0;
+	int post = strcmp(r->method, "POST") == 0;
+	int del = strcmp(r->method, "DELETE") == 0;
+	int put = strcmp(r->method, "PUT") == 0;
+	const char *rest;
+
+	if ((rest = below(r->path, "/v1/kv/")) && !post) {
+		c->op = get ? SO_GET : put ? SO_PUT : SO_DELETE;
+		return (get || put || del) && decode_kv(c, r, rest);
+	}
+	if (get && (rest = below(r->path, "/v1/watch/"))) {
+		c->op = SO_WATCH;
+		return decode_watch(c, r, rest);
+	}
+	if (post && strcmp(r->path, "/v1/lease") == 0) {
+		c->op = SO_GRANT;
+		return decode_grant(c, r);
+	}
+	if ((post || del) && (rest = below(r->path, "/v1/lease/"))) {
+		c->op = post ? SO_RENEW : SO_REVOKE;
+		return decode_lease(c, rest, post ? "/renew" : "");
+	}
+	c->op = SO_HOSTS;
+	return get && strcmp(r->path, "/v1/hosts") == 0 ? 1 : NO_SUCH_PATH;
+}
+
+static void count_call(struct store *s, enum store_op op, int64_t now_us)
+{
+	s->counters.calls[op]++;
+	if (now_us - s->second_us >= US_PER_S) {
+		s->second_us = now_us;
+		s->second_calls = 0;
+	}
+	s->second_calls++;
+	if (s->second_calls > s->counters.calls_per_s_peak)
+		s->counters.calls_per_s_peak = s->second_calls;
+}
+
+/* Takes one call from the rate of @op; 0 when there is none left. */
+static int within_rate(struct store *s, enum store_op op, int64_t now_us)
+{
+	struct store_rate *r = &s->rates[ops[op].write];
+	double burst = cu_max_u32(1, r->per_s / BURST_PARTS);
+
+	if (r->per_s == 0)
+		return 1;
+	r->tokens += (double)(now_us - r->filled_us) * r->per_s / US_PER_S;
+	r->filled_us = now_us;
+	if (r->tokens > burst)
+		r->tokens = burst;
+	if (r->tokens < 1)
+		return 0;
+	r->tokens -= 1;
+	return 1;
+}
+
+/* Faults and limits that end a call before it has any effect. */
+static int refuse(struct store_call *c, int64_t now_us)
+{
+	struct store *s = c->store;
+	struct http_conn *conn = c->conn;
+
+	if (fires(c, SF_SILENT_REQUEST, now_us)) {
+		http_set_user(conn, NULL);
+		call_free(c);
+		http_silence(conn);
+	} else if (fires(c, SF_LOST_CALL, now_us)) {
+		call_free(c);
+		http_drop(conn);
+	} else if (fires(c, SF_OUTAGE, now_us)) {
+		s->counters.refused++;
+		answer(c, 503, "{\"error\":\"outage\"}");
+		send_now(c);
+	} else if (!within_rate(s, c->op, now_us)) {
+		s->counters.limited++;
+		answer(c, 429, "{\"error\":\"rate_limit\"}");
+		send_now(c);
+	} else {
+		return 0;
+	}
+	return 1;
+}
+
+static void serve(void *ctx, struct http_conn *conn,
+		  const struct http_request *r)
+{
+	struct store *s = ctx;
+	int64_t now_us = clock_now_us();
+	struct store_call *c = call_new(s, conn);
+	int decoded = decode(c, r);
+
+	if (decoded != 1) {
+		answer(c, decoded ? 404 : 400,
+		       decoded ? "{\"error\":\"no_such_path\"}"
+			       : "{\"error\":\"bad_field\"}");
+		send_now(c);
+		return;
+	}
+	count_call(s, c->op, now_us);
+	if (refuse(c, now_us))
+		return;
+	if (fires(c, SF_LATE_EFFECT, now_us))
+		tmr_arm(http_timers(s->http), &c->timer,
+			now_us + (int64_t)s->faults[SF_LATE_EFFECT].delay_ms *
+					 US_PER_MS,
+			effect_due, c);
+	else
+		run_call(c, now_us);
+}
+
+static void client_gone(void *ctx, struct http_conn *conn)
+{
+	struct store_call *c = http_user(conn);
+
+	if (!c)
+		return;
+	if (c->watching)
+		call_free(c);
+	else
+		c->conn = NULL;
+}
+
+static void free_state(gpointer state)
+{
+	kvs_free(state);
+}
+
+struct store *store_new(struct http *h, uint64_t seed)
+{
+	struct store *s = cu_alloc(1, sizeof(*s));
+
+	s->http = h;
+	s->kvs = kvs_new();
+	s->saved = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 free_state);
+	s->hosts = store_hosts_new(0);
+	s->rng.state = seed;
+	return s;
+}
+
+void store_free(struct store *s)
+{
+	if (!s)
+		return;
+	while (s->calls)
+		call_free(s->calls);
+	tmr_cancel(http_timers(s->http), &s->lease_timer);
+	kvs_free(s->kvs);
+	kvs_free(s->stale);
+	g_hash_table_destroy(s->saved);
+	store_hosts_free(s->hosts);
+	free(s);
+}
+
+enum err_code store_listen(struct store *s, const char *address, uint16_t port,
+			   struct err *err)
+{
+	struct http_service service = { .request = serve,
+					.gone = client_gone,
+					.ctx = s };
+
+	s->listener = http_listen(s->http, address, port, &service, err);
+	return s->listener ? ERR_OK : err->code;
+}
--- /dev/null
+++ b/tests/standin/store.h
@@ -0,0 +1,148 @@
+/*
+ * Store stand-in: the platform's key-value service and host list over HTTP.
+ * store.c decodes calls and runs them, store_watch.c waits for changes,
+ * store_hosts.c keeps the lagging list, store_control.c is the control port.
+ */
+#ifndef STANDIN_STORE_H
+#define STANDIN_STORE_H
+
+#include "fault.h"
+#include "http.h"
+#include "kvs.h"
+
+/* DEF(id, name) */
+#define STORE_FAULTS(DEF)                        \
+	DEF(SF_OUTAGE, "outage")                 \
+	DEF(SF_SLOW, "slow")                     \
+	DEF(SF_LATE_EFFECT, "late_effect")       \
+	DEF(SF_LOST_ANSWER, "lost_answer")       \
+	DEF(SF_LOST_CALL, "lost_call")           \
+	DEF(SF_STALE, "stale")                   \
+	DEF(SF_SILENT_REQUEST, "silent_request") \
+	DEF(SF_SILENT_ANSWER, "silent_answer")   \
+	DEF(SF_SILENT, "silent")                 \
+	DEF(SF_KILL, "kill")                     \
+	DEF(SF_SAVE, "save")                     \
+	DEF(SF_RESTORE, "restore")               \
+	DEF(SF_LEASE_JUMP, "lease_jump")         \
+	DEF(SF_HOSTS_FROZEN, "hosts_frozen")
+
+enum store_fault {
+#define DEF(id, name) id,
+	STORE_FAULTS(DEF)
+#undef DEF
+		STORE_FAULT_COUNT
+};
+
+/* DEF(id, name, write) kinds of calls; a write uses the write rate. */
+#define STORE_OPS(DEF)              \
+	DEF(SO_GET, "get", 0)       \
+	DEF(SO_PUT, "put", 1)       \
+	DEF(SO_DELETE, "delete", 1) \
+	DEF(SO_WATCH, "watch", 0)   \
+	DEF(SO_GRANT, "grant", 1)   \
+	DEF(SO_RENEW, "renew", 1)   \
+	DEF(SO_REVOKE, "revoke", 1) \
+	DEF(SO_HOSTS, "hosts", 0)
+
+enum store_op {
+#define DEF(id, name, write) id,
+	STORE_OPS(DEF)
+#undef DEF
+		STORE_OP_COUNT
+};
+
+struct store_call {
+	struct store_call *prev;
+	struct store_call *next;
+	struct store *store;
+	/* NULL when the client is gone. */
+	struct http_conn *conn;
+	enum store_op op;
+	/* Key or prefix. */
+	char key[KVS_KEY_BYTES_MAX + 1];
+	char *value;
+	size_t value_bytes;
+	uint64_t if_version;
+	uint64_t lease;
+	uint64_t after;
+	uint32_t ttl_ms;
+	uint32_t timeout_ms;
+	uint32_t watching;
+	struct tmr_sub timer;
+	/* The answer, once the call took effect. */
+	uint32_t status;
+	struct buf body;
+};
+
+struct store_hosts;
+
+/* Calls of one kind of rate in the present second. */
+struct store_rate {
+	uint32_t per_s;
+	double tokens;
+	int64_t filled_us;
+};
+
+struct store_counters {
+	uint64_t calls[STORE_OP_COUNT];
+	uint64_t limited;
+	uint64_t refused;
+	uint64_t conflicts;
+	uint64_t answers_lost;
+	uint64_t watches_peak;
+	uint64_t calls_per_s_peak;
+};
+
+struct store {
+	struct http *http;
+	struct http_listener *listener;
+	struct kvs *kvs;
+	/* name -> struct kvs, saved through the control port. */
+	GHashTable *saved;
+	/* State that the stale fault shows. */
+	struct kvs *stale;
+	struct store_hosts *hosts;
+	/* Calls that are waiting or whose answer is held back. */
+	struct store_call *calls;
+	uint32_t watches;
+	struct tmr_sub lease_timer;
+	/* Index 0: reads, 1: writes. */
+	struct store_rate rates[2];
+	int64_t second_us;
+	uint64_t second_calls;
+	struct store_counters counters;
+	struct fault faults[STORE_FAULT_COUNT];
+	struct rng rng;
+};
+
+struct store *store_new(struct http *h, uint64_t seed);
+void store_free(struct store *s);
+enum err_code store_listen(struct store *s, const char *address, uint16_t port,
+			   struct err *err);
+struct http_listener *store_control(struct store *s, const char *address,
+				    uint16_t port, struct err *err);
+const char *store_op_name(enum store_op op);
+
+/* The rest is shared by the store_*.c files. */
+
+/* State that reads see. */
+struct kvs *store_read_state(struct store *s);
+/* Sends c->status and c->body, under the faults that touch answers. */
+void store_finish(struct store_call *c, int64_t now_us);
+/* Answers the watches that have something to report. */
+void store_wake_watches(struct store *s, int64_t now_us);
+void store_watch(struct store_call *c, int64_t now_us);
+/* Ends leases that are due and arms the timer for the next. */
+void store_expire(struct store *s, int64_t now_us);
+
+struct store_hosts *store_hosts_new(uint32_t lag_ms);
+void store_hosts_free(struct store_hosts *h);
+/* Takes the "hosts" array of @body, visible after the lag. */
+enum err_code store_hosts_set(struct store_hosts *h, json_t *body,
+			      int64_t now_us, struct err *err);
+void store_hosts_lag(struct store_hosts *h, uint32_t lag_ms);
+/* JSON text that is visible now; @frozen keeps showing the last one shown. */
+const char *store_hosts_text(struct store_hosts *h, int frozen, int64_t now_us);
+
+#endif
