--- /dev/null
+++ b/src/codec/sjson_layout.c
@@ -0,0 +1,238 @@
+#include <string.h>
+
+#include "codec/sjson.h"
+
+/* All replicas of all shards may be different targets. */
+#define TARGETS_MAX (LAYOUT_SHARDS_MAX * SHARD_REPLICAS_MAX)
+
+struct target_ref {
+	const char *id;
+	uint32_t position;
+};
+
+/* The ranges of layout_check() apply after this; these fit the fields. */
+static enum err_code read_target(const json_t *obj, struct target *t,
+				 struct err *err)
+{
+	uint32_t port = 0;
+	enum err_code code =
+		sjson_text_internal(obj, "id", t->id, sizeof(t->id), err);
+
+	if (code == ERR_OK)
+		code = sjson_text_internal(obj, "address", t->address,
+					   sizeof(t->address), err);
+	if (code == ERR_OK)
+		code = sjson_u32_internal(obj, "port", 1, UINT16_MAX, -1, &port,
+					  err);
+	if (code == ERR_OK)
+		code = sjson_text_internal(obj, "data_centre", t->data_centre,
+					   sizeof(t->data_centre), err);
+	if (code == ERR_OK)
+		code = sjson_text_internal(obj, "version", t->version,
+					   sizeof(t->version), err);
+	if (code == ERR_OK)
+		code = sjson_u32_internal(obj, "slots", 1, UINT32_MAX, -1,
+					  &t->slots, err);
+	if (code == ERR_OK)
+		code = sjson_u32_internal(obj, "connections", 1, UINT32_MAX, -1,
+					  &t->connections, err);
+	if (code == ERR_OK)
+		code = sjson_u32_internal(obj, "cold_slots", 1, UINT32_MAX, 1,
+					  &t->cold_slots, err);
+	if (code == ERR_OK)
+		code = sjson_u32_internal(obj, "connect_us", 0, UINT32_MAX, 0,
+					  &t->connect_us, err);
+	t->port = (uint16_t)port;
+	if (code == ERR_OK && !cu_name_ok(t->version, NAME_BYTES - 1))
+		code = err_set(err, ERR_CFG_FIELD,
+			       "target %s: version is not valid, accepted a "
+			       "name of 1 to 64 bytes",
+			       t->id);
+	return code;
+}
+
+static int compare_refs(const void *a, const void *b)
+{
+	const struct target_ref *x = a;
+	const struct target_ref *y = b;
+
+	return strcmp(x->id, y->id);
+}
+
+static enum err_code index_targets(const struct layout *l,
+				   struct target_ref *refs, struct err *err)
+{
+	uint32_t i;
+
+	for (i = 0; i < l->target_count; i++)
+		refs[i] = (struct target_ref){ l->targets[i].id, i };
+	qsort(refs, l->target_count, sizeof(*refs), compare_refs);
+	for (i = 1; i < l->target_count; i++) {
+		if (strcmp(refs[i - 1].id, refs[i].id) == 0)
+			return err_set(err, ERR_CFG_FIELD,
+				       "targets: id %s is given twice, "
+				       "accepted once",
+				       refs[i].id);
+	}
+	return ERR_OK;
+}
+
+static enum err_code read_shard(const json_t *obj, const struct layout *l,
+				const struct target_ref *refs, struct shard *s,
+				struct err *err)
+{
+	const json_t *list = json_object_get(obj, "targets");
+	size_t n = json_array_size(list);
+	enum err_code code =
+		sjson_text_internal(obj, "name", s->name, sizeof(s->name), err);
+	size_t i;
+
+	if (code != ERR_OK)
+		return code;
+	if (n < 1 || n > SHARD_REPLICAS_MAX)
+		return err_set(err, ERR_CFG_FIELD,
+			       "shard %s: targets has %zu entries, accepted 1 "
+			       "to %u",
+			       s->name, n, SHARD_REPLICAS_MAX);
+	for (i = 0; i < n; i++) {
+		const char *id = json_string_value(json_array_get(list, i));
+		struct target_ref key = { id ? id : "", 0 };
+		const struct target_ref *found =
+			bsearch(&key, refs, l->target_count, sizeof(*refs),
+				compare_refs);
+
+		if (!found)
+			return err_set(err, ERR_CFG_FIELD,
+				       "shard %s: targets[%zu] is %s, accepted "
+				       "an id of the layout's targets",
+				       s->name, i, id ? id : "no text");
+		s->replicas[i] = found->position;
+	}
+	s->replica_count = (uint32_t)n;
+	return ERR_OK;
+}
+
+static int compare_names(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+static enum err_code check_shard_names(const struct layout *l, struct err *err)
+{
+	const char **names CLEANUP_FREE =
+		cu_alloc(l->shard_count, sizeof(*names));
+	uint32_t i;
+
+	for (i = 0; i < l->shard_count; i++)
+		names[i] = l->shards[i].name;
+	qsort(names, l->shard_count, sizeof(*names), compare_names);
+	for (i = 1; i < l->shard_count; i++) {
+		if (strcmp(names[i - 1], names[i]) == 0)
+			return err_set(err, ERR_CFG_FIELD,
+				       "shards: name %s is given twice, "
+				       "accepted once",
+				       names[i]);
+	}
+	return ERR_OK;
+}
+
+static enum err_code read_layout(const json_t *obj, struct layout *l,
+				 struct err *err)
+{
+	const json_t *targets = json_object_get(obj, "targets");
+	const json_t *shards = json_object_get(obj, "shards");
+	struct target_ref *refs CLEANUP_FREE =
+		cu_alloc(l->target_count, sizeof(*refs));
+	enum err_code code = sjson_text_internal(obj, "index", l->index,
+						 sizeof(l->index), err);
+	uint32_t i;
+
+	if (code == ERR_OK)
+		code = sjson_text_internal(obj, "snapshot", l->snapshot,
+					   sizeof(l->snapshot), err);
+	if (code == ERR_OK)
+		code = sjson_text_internal(obj, "service", l->service,
+					   sizeof(l->service), err);
+	for (i = 0; i < l->target_count && code == ERR_OK; i++)
+		code = read_target(json_array_get(targets, i), &l->targets[i],
+				   err);
+	if (code == ERR_OK)
+		code = index_targets(l, refs, err);
+	for (i = 0; i < l->shard_count && code == ERR_OK; i++)
+		code = read_shard(json_array_get(shards, i), l, refs,
+				  &l->shards[i], err);
+	if (code == ERR_OK)
+		code = check_shard_names(l, err);
+	return code == ERR_OK ? layout_check(l, err) : code;
+}
+
+static enum err_code check_sizes(size_t shards, size_t targets, struct err *err)
+{
+	if (shards < 1 || shards > LAYOUT_SHARDS_MAX)
+		return err_set(err, ERR_CFG_FIELD,
+			       "shards has %zu entries, accepted 1 to %u",
+			       shards, LAYOUT_SHARDS_MAX);
+	if (targets < 1 || targets > TARGETS_MAX)
+		return err_set(err, ERR_CFG_FIELD,
+			       "targets has %zu entries, accepted 1 to %u",
+			       targets, TARGETS_MAX);
+	return ERR_OK;
+}
+
+struct layout *sjson_layout(const char *text, struct err *err)
+{
+	json_t *obj = sjson_load_internal(text, err);
+	size_t shards = json_array_size(json_object_get(obj, "shards"));
+	size_t targets = json_array_size(json_object_get(obj, "targets"));
+	struct layout *l = NULL;
+
+	if (!obj)
+		return NULL;
+	if (check_sizes(shards, targets, err) == ERR_OK) {
+		l = layout_new((uint32_t)shards, (uint32_t)targets);
+		if (read_layout(obj, l, err) != ERR_OK) {
+			layout_free(l);
+			l = NULL;
+		}
+	}
+	json_decref(obj);
+	return l;
+}
+
+static json_t *target_json(const struct target *t)
+{
+	return json_pack("{s:s,s:s,s:i,s:s,s:s,s:I,s:I,s:I,s:I}", "id", t->id,
+			 "address", t->address, "port", (int)t->port,
+			 "data_centre", t->data_centre, "version", t->version,
+			 "slots", (json_int_t)t->slots, "connections",
+			 (json_int_t)t->connections, "cold_slots",
+			 (json_int_t)t->cold_slots, "connect_us",
+			 (json_int_t)t->connect_us);
+}
+
+static json_t *shard_json(const struct layout *l, const struct shard *s)
+{
+	json_t *ids = json_array();
+	uint32_t i;
+
+	for (i = 0; i < s->replica_count; i++)
+		json_array_append_new(
+			ids, json_string(l->targets[s->replicas[i]].id));
+	return json_pack("{s:s,s:o}", "name", s->name, "targets", ids);
+}
+
+char *sjson_layout_text(const struct layout *l)
+{
+	json_t *targets = json_array();
+	json_t *shards = json_array();
+	uint32_t i;
+
+	for (i = 0; i < l->target_count; i++)
+		json_array_append_new(targets, target_json(&l->targets[i]));
+	for (i = 0; i < l->shard_count; i++)
+		json_array_append_new(shards, shard_json(l, &l->shards[i]));
+	return sjson_dump_internal(json_pack("{s:s,s:s,s:s,s:o,s:o}", "index",
+					     l->index, "snapshot", l->snapshot,
+					     "service", l->service, "targets",
+					     targets, "shards", shards));
+}
--- /dev/null
+++ b/src/model/config.c
@@ -0,0 +1,229 @@
+#include "model/config.h"
+
+#include <string.h>
+
+#include "model/heartbeat.h"
+
+static const char *const rollout_names[] = {
+#define DEF(id, name) [id] = name,
+	ROLLOUT_STATES(DEF)
+#undef DEF
+};
+
+static const char *const host_names[] = {
+	[HOST_LIVE] = "live",
+	[HOST_SUSPECT] = "suspect",
+	[HOST_GONE] = "gone",
+	[HOST_LEAVING] = "leaving",
+};
+
+const char *host_state_name(enum host_state s)
+{
+	return host_names[s];
+}
+
+struct cfg_item *cfg_item_new(const char *name, uint64_t rev, uint64_t change,
+			      const char *who, const char *json)
+{
+	struct cfg_item *item = cu_alloc(1, sizeof(*item));
+
+	item->refs = 1;
+	cu_copy(item->name, sizeof(item->name), name);
+	item->rev = rev;
+	item->change = change;
+	cu_copy(item->who, sizeof(item->who), who);
+	item->json = json ? cu_strdup(json) : NULL;
+	return item;
+}
+
+struct cfg_item *cfg_item_ref(struct cfg_item *item)
+{
+	item->refs++;
+	return item;
+}
+
+void cfg_item_unref(struct cfg_item *item)
+{
+	if (!item || --item->refs)
+		return;
+	free(item->json);
+	free(item);
+}
+
+void cfg_delta_free(struct cfg_delta *d)
+{
+	uint32_t i;
+
+	if (!d)
+		return;
+	for (i = 0; i < d->item_count; i++)
+		cfg_item_unref(d->items[i]);
+	free(d->items);
+	free(d);
+}
+
+struct cfg_head *cfg_head_new(void)
+{
+	return cu_alloc(1, sizeof(struct cfg_head));
+}
+
+struct cfg_head *cfg_head_copy(const struct cfg_head *h)
+{
+	struct cfg_head *copy = cfg_head_new();
+
+	*copy = *h;
+	copy->entries = cu_alloc(h->entry_count, sizeof(*h->entries));
+	if (h->entry_count)
+		memcpy(copy->entries, h->entries,
+		       h->entry_count * sizeof(*h->entries));
+	return copy;
+}
+
+void cfg_head_free(struct cfg_head *h)
+{
+	if (!h)
+		return;
+	free(h->entries);
+	free(h);
+}
+
+/* Position of the first entry whose name is not below @name. */
+static uint32_t lower_bound(const struct cfg_head *h, const char *name)
+{
+	uint32_t lo = 0;
+	uint32_t hi = h->entry_count;
+
+	while (lo < hi) {
+		uint32_t mid = lo + (hi - lo) / 2;
+
+		if (strcmp(h->entries[mid].name, name) < 0)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
+}
+
+const struct head_entry *cfg_head_find(const struct cfg_head *h,
+				       const char *name)
+{
+	uint32_t at = lower_bound(h, name);
+
+	if (at < h->entry_count && strcmp(h->entries[at].name, name) == 0)
+		return &h->entries[at];
+	return NULL;
+}
+
+void cfg_head_put(struct cfg_head *h, const struct head_entry *e)
+{
+	uint32_t at = lower_bound(h, e->name);
+
+	if (at == h->entry_count || strcmp(h->entries[at].name, e->name) != 0) {
+		h->entries = cu_grow(h->entries, h->entry_count + 1,
+				     sizeof(*h->entries));
+		memmove(&h->entries[at + 1], &h->entries[at],
+			(h->entry_count - at) * sizeof(*h->entries));
+		h->entry_count++;
+	}
+	h->entries[at] = *e;
+}
+
+/* Drops deletions that every delta base in recent[] already contains. */
+static void forget_deletions(struct cfg_head *h)
+{
+	uint32_t kept = 0;
+	uint32_t i;
+
+	for (i = 0; i < h->entry_count; i++) {
+		const struct head_entry *e = &h->entries[i];
+
+		if (e->deleted && e->rev + HEAD_RECENT_MAX < h->rev)
+			continue;
+		h->entries[kept++] = *e;
+	}
+	h->entry_count = kept;
+}
+
+void cfg_head_advance(struct cfg_head *h, uint64_t change)
+{
+	if (h->recent_count < HEAD_RECENT_MAX)
+		h->recent_count++;
+	memmove(&h->recent[1], &h->recent[0],
+		(h->recent_count - 1) * sizeof(h->recent[0]));
+	h->recent[0] = change;
+	h->rev++;
+	forget_deletions(h);
+}
+
+uint64_t cfg_head_change(const struct cfg_head *h)
+{
+	return h->recent_count ? h->recent[0] : 0;
+}
+
+int cfg_compare(uint64_t a_rev, uint64_t a_change, uint64_t b_rev,
+		uint64_t b_change)
+{
+	if (a_rev != b_rev)
+		return a_rev < b_rev ? -1 : 1;
+	if (a_change == b_change)
+		return 0;
+	return a_change < b_change ? -1 : 1;
+}
+
+static enum err_code check_name(const char *field, const char *name,
+				struct err *err)
+{
+	if (cu_name_ok(name, NAME_BYTES - 1))
+		return ERR_OK;
+	return err_set(err, ERR_CFG_FIELD,
+		       "%s is not valid, accepted 1 to 64 of "
+		       "a-z A-Z 0-9 . _ : -",
+		       field);
+}
+
+enum err_code dc_item_check(const struct dc_item *d, struct err *err)
+{
+	return check_name("data_centre", d->data_centre, err);
+}
+
+enum err_code host_item_check(const struct host_item *h, struct err *err)
+{
+	return check_name("host", h->host, err);
+}
+
+enum err_code rollout_item_check(const struct rollout_item *r, struct err *err)
+{
+	enum err_code code = check_name("service", r->service, err);
+
+	if (code == ERR_OK)
+		code = check_name("from", r->from, err);
+	if (code == ERR_OK)
+		code = check_name("to", r->to, err);
+	if (code != ERR_OK)
+		return code;
+	if (strcmp(r->from, r->to) == 0)
+		return err_set(err, ERR_CFG_FIELD,
+			       "to is %s, accepted a version other than from",
+			       r->to);
+	if (r->share_permille > PERMILLE)
+		return err_set(err, ERR_CFG_FIELD,
+			       "share_permille is %u, accepted 0 to 1000",
+			       r->share_permille);
+	return ERR_OK;
+}
+
+const char *rollout_state_name(enum rollout_state s)
+{
+	return rollout_names[s];
+}
+
+enum rollout_state rollout_state_of(const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < ROLLOUT_STATE_COUNT; i++) {
+		if (strcmp(rollout_names[i], name) == 0)
+			break;
+	}
+	return (enum rollout_state)i;
+}
