--- /dev/null
+++ b/src/duty/store.c
@@ -0,0 +1,294 @@
+#include "duty/store.h"
+
+#include <stdatomic.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/metric.h"
+#include "duty/duty.h"
+#include "duty/messages.h"
+#include "platform/kv_gate.h"
+#include "platform/kv_http.h"
+
+/* Calls that a restart of all controllers makes at once, with room. */
+#define RING_CAPACITY 4096
+/* Longest wait of the poll call; the ring's wake ends it earlier. */
+#define POLL_MAX_MS 1000
+/* A reply that does not fit its ring is offered again after this. */
+#define REPLY_RETRY_US (10 * US_PER_MS)
+/* A watch without a token waits this long for one. */
+#define RATE_RETRY_US (200 * US_PER_MS)
+/* A read without an answer is sent once more, on another connection. */
+#define READ_ATTEMPTS 2
+
+struct store {
+	struct duty *duty;
+	struct kv_http *http;
+	struct kv_driver driver;
+	struct kv_gate gate;
+	_Atomic uint32_t hosts;
+	struct job *jobs;
+};
+
+/* One call from the ring until its reply was delivered. */
+struct job {
+	struct store *store;
+	struct job *next;
+	struct job **prev_next;
+	struct kv_request *request;
+	struct kv_reply *reply;
+	struct tmr_sub timer;
+	int64_t deadline_us;
+	uint32_t attempts;
+};
+
+static void job_free(struct job *j)
+{
+	tmr_cancel(duty_timers(j->store->duty), &j->timer);
+	*j->prev_next = j->next;
+	if (j->next)
+		j->next->prev_next = j->prev_next;
+	kv_request_free(j->request);
+	kv_reply_free(j->reply);
+	free(j);
+}
+
+static void drop_reply(void *body)
+{
+	kv_reply_free(body);
+}
+
+static void deliver(void *ctx, int64_t now_us)
+{
+	struct job *j = ctx;
+	struct msg m = { MSG_KV_RESULT, j->reply, drop_reply };
+	enum err_code code = ring_push(j->request->reply_to, &m);
+
+	if (code == ERR_RING_FULL) {
+		tmr_arm(duty_timers(j->store->duty), &j->timer,
+			now_us + REPLY_RETRY_US, deliver, j);
+		return;
+	}
+	if (code == ERR_OK)
+		j->reply = NULL;
+	job_free(j);
+}
+
+/* Moves the contents of @r into the reply. */
+static void reply(struct job *j, struct kv_result *r)
+{
+	j->reply = cu_alloc(1, sizeof(*j->reply));
+	j->reply->token = j->request->token;
+	j->reply->op = j->request->call.op;
+	cu_copy(j->reply->key, sizeof(j->reply->key), j->request->call.key);
+	j->reply->result = *r;
+	memset(r, 0, sizeof(*r));
+	deliver(j, clock_now_us());
+}
+
+static void attempt(void *ctx, int64_t now_us);
+
+/* Tries again at @at_us, or replies with @r when the time is over by then. */
+static void again_or_reply(struct job *j, int64_t at_us, struct kv_result *r)
+{
+	if (at_us >= j->deadline_us) {
+		reply(j, r);
+		return;
+	}
+	kv_result_clear(r);
+	tmr_arm(duty_timers(j->store->duty), &j->timer, at_us, attempt, j);
+}
+
+static int is_down(enum err_code code)
+{
+	return code == ERR_STORE_DOWN || code == ERR_STORE_RATE;
+}
+
+static void watch_result(struct job *j, int64_t now_us, struct kv_result *r)
+{
+	struct kv_call *call = &j->request->call;
+	int64_t open_us = kv_gate_open_us(&j->store->gate, now_us);
+
+	if (r->err.code == ERR_STORE_RATE)
+		open_us = cu_max_i64(open_us, now_us + RATE_RETRY_US);
+	if (is_down(r->err.code)) {
+		again_or_reply(j, open_us, r);
+		return;
+	}
+	if (r->err.code != ERR_OK || r->pair_count ||
+	    r->version < call->version) {
+		reply(j, r);
+		return;
+	}
+	call->version = r->version;
+	again_or_reply(j, now_us, r);
+}
+
+static void take_result(struct job *j, int64_t now_us, struct kv_result *r)
+{
+	enum kv_op op = j->request->call.op;
+
+	if (op == KV_WATCH)
+		watch_result(j, now_us, r);
+	else if (r->err.code == ERR_STORE_DOWN && !kv_op_writes(op) &&
+		 j->attempts < READ_ATTEMPTS)
+		again_or_reply(j, kv_gate_open_us(&j->store->gate, now_us), r);
+	else
+		reply(j, r);
+}
+
+static void done(void *ctx, const struct kv_result *result)
+{
+	struct job *j = ctx;
+	struct kv_result copy = *result;
+	int64_t now_us = clock_now_us();
+	uint32_t i;
+
+	copy.pairs = cu_alloc(copy.pair_count, sizeof(*copy.pairs));
+	for (i = 0; i < copy.pair_count; i++) {
+		struct kv_pair *p = &copy.pairs[i];
+
+		*p = result->pairs[i];
+		if (!p->value)
+			continue;
+		p->value = cu_alloc(p->value_bytes + 1, 1);
+		memcpy(p->value, result->pairs[i].value, p->value_bytes);
+	}
+	kv_gate_result(&j->store->gate, now_us, copy.err.code);
+	take_result(j, now_us, &copy);
+}
+
+static uint32_t attempt_ms(const struct job *j, int64_t now_us)
+{
+	int64_t left_ms = (j->deadline_us - now_us) / US_PER_MS;
+
+	/* The first attempt of a read leaves time for a second one. */
+	if (!kv_op_writes(j->request->call.op) &&
+	    j->request->call.op != KV_WATCH && j->attempts < READ_ATTEMPTS)
+		left_ms /= 2;
+	return (uint32_t)cu_max_i64(left_ms, 1);
+}
+
+static void attempt(void *ctx, int64_t now_us)
+{
+	struct job *j = ctx;
+	struct store *s = j->store;
+	struct kv_call call = j->request->call;
+	struct kv_result r = { 0 };
+
+	kv_gate_hosts(&s->gate, s->hosts);
+	if (kv_gate_enter(&s->gate, now_us, call.op, &r.err) != ERR_OK) {
+		/* Refused here: not an attempt, so only a watch waits. */
+		j->attempts = READ_ATTEMPTS;
+		take_result(j, now_us, &r);
+		return;
+	}
+	j->attempts++;
+	call.timeout_ms = attempt_ms(j, now_us);
+	j->request->call.value = NULL;
+	s->driver.start(s->driver.driver_ctx, &call, done, j);
+}
+
+static void on_message(void *ctx, int64_t now_us, struct msg *m)
+{
+	struct store *s = ctx;
+	struct job *j;
+
+	if (m->type != MSG_KV_CALL) {
+		if (m->drop)
+			m->drop(m->body);
+		return;
+	}
+	j = cu_alloc(1, sizeof(*j));
+	j->store = s;
+	j->request = m->body;
+	j->deadline_us =
+		now_us + (int64_t)j->request->call.timeout_ms * US_PER_MS;
+	j->next = s->jobs;
+	j->prev_next = &s->jobs;
+	if (s->jobs)
+		s->jobs->prev_next = &j->next;
+	s->jobs = j;
+	attempt(j, now_us);
+}
+
+static uint32_t poll_ms(int64_t wait_us)
+{
+	if (wait_us < 0)
+		return POLL_MAX_MS;
+	/* Rounded up, so that a timer is due when the wait ends. */
+	return (uint32_t)cu_min_i64((wait_us + US_PER_MS - 1) / US_PER_MS,
+				    POLL_MAX_MS);
+}
+
+static void run(void *ctx, struct duty *d)
+{
+	struct store *s = ctx;
+
+	while (!duty_stopping(d)) {
+		int64_t wait_us = duty_poll(d, on_message, s);
+
+		if (!duty_stopping(d))
+			kv_http_poll(s->http, poll_ms(wait_us));
+	}
+}
+
+static void wake(void *ctx)
+{
+	struct store *s = ctx;
+
+	kv_http_wake(s->http);
+}
+
+struct store *store_new(const struct store_options *o, struct err *err)
+{
+	struct store *s = cu_alloc(1, sizeof(*s));
+
+	s->hosts = 1;
+	kv_gate_init(&s->gate, o->reads_per_s, o->writes_per_s, o->seed);
+	s->http = kv_http_new(o->address, o->port, err);
+	if (s->http)
+		s->duty = duty_new("store", RING_CAPACITY, wake, s, err);
+	if (!s->duty) {
+		store_free(s);
+		return NULL;
+	}
+	s->driver = kv_http_driver(s->http);
+	return s;
+}
+
+enum err_code store_start(struct store *s, struct err *err)
+{
+	return duty_start_loop(s->duty, run, s, err);
+}
+
+struct ring *store_ring(struct store *s)
+{
+	return duty_ring(s->duty);
+}
+
+void store_set_hosts(struct store *s, uint32_t hosts)
+{
+	s->hosts = hosts;
+}
+
+void store_stop(struct store *s)
+{
+	duty_stop(s->duty);
+}
+
+void store_join(struct store *s)
+{
+	duty_join(s->duty);
+}
+
+void store_free(struct store *s)
+{
+	if (!s)
+		return;
+	kv_http_free(s->http);
+	while (s->jobs)
+		job_free(s->jobs);
+	duty_free(s->duty);
+	free(s);
+}
--- /dev/null
+++ b/src/platform/kv_http.c
@@ -0,0 +1,391 @@
+#include "platform/kv_http.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/metric.h"
+#include "platform/kv_gate.h"
+#include "platform/kv_json.h"
+
+/* A value of the largest size with the fields around it. */
+#define BODY_BYTES_MAX (KV_VALUE_BYTES_MAX + 65536)
+/* 15,000 hosts and targets of about 150 bytes each, twice. */
+#define HOSTS_BODY_BYTES_MAX (4 * 1048576)
+#define CONNECTIONS_MAX 16
+#define CONNECT_MS 1000
+/* The store answers an empty watch this much after its wait at the latest. */
+#define WATCH_MARGIN_MS 1000
+/* Idle connections may have lost their state on the way; seconds. */
+#define IDLE_S 10
+/*
+ * libcurl compares the age of a connection in whole seconds, so below this
+ * age a limit could let an older connection through.
+ */
+#define LIFETIME_MIN_US (3 * (int64_t)US_PER_S)
+
+struct kv_http {
+	CURLM *multi;
+	char base[80];
+	struct kv_http_call *calls;
+	/* Time of the last call that got no answer; 0 for none. */
+	int64_t silent_us;
+	uint32_t closing;
+};
+
+struct kv_http_call {
+	struct kv_http *http;
+	struct kv_http_call *next;
+	struct kv_http_call **prev_next;
+	struct kv_call call;
+	kv_done_fn *done;
+	void *done_ctx;
+	CURL *easy;
+	struct curl_slist *headers;
+	struct buf body;
+	uint32_t sent;
+	uint32_t too_large;
+};
+
+static size_t on_body(char *data, size_t size, size_t n, void *ctx)
+{
+	struct kv_http_call *c = ctx;
+	size_t max_bytes = c->call.op == KV_HOSTS ? HOSTS_BODY_BYTES_MAX
+						  : BODY_BYTES_MAX;
+
+	if (c->body.len_bytes + size * n > max_bytes) {
+		c->too_large = 1;
+		return 0;
+	}
+	buf_add(&c->body, data, size * n);
+	return size * n;
+}
+
+/*
+ * Called before each sending of the request. libcurl sends a request again
+ * when a reused connection ends without an answer; a write that ran already
+ * would then be refused for its version, so a second sending is not allowed.
+ */
+static int on_send(void *ctx, char *remote_ip, char *local_ip, int remote_port,
+		   int local_port)
+{
+	struct kv_http_call *c = ctx;
+
+	if (c->sent && kv_op_writes(c->call.op))
+		return CURL_PREREQFUNC_ABORT;
+	c->sent = 1;
+	return CURL_PREREQFUNC_OK;
+}
+
+static void call_free(struct kv_http_call *c)
+{
+	if (c->easy) {
+		curl_multi_remove_handle(c->http->multi, c->easy);
+		curl_easy_cleanup(c->easy);
+	}
+	*c->prev_next = c->next;
+	if (c->next)
+		c->next->prev_next = c->prev_next;
+	curl_slist_free_all(c->headers);
+	buf_free(&c->body);
+	free(c->call.value);
+	free(c);
+}
+
+/* Frees the call, then reports, so that the callback may start another. */
+static void finish(struct kv_http_call *c, struct kv_result *r)
+{
+	kv_done_fn *done = c->done;
+	void *ctx = c->done_ctx;
+
+	if (r->err.code != ERR_OK)
+		metric_add(M_STORE_ERRORS, 1);
+	call_free(c);
+	done(ctx, r);
+	kv_result_clear(r);
+}
+
+static void fail_transfer(struct kv_http_call *c, CURLcode code,
+			  struct kv_result *r)
+{
+	if (c->too_large)
+		err_set(&r->err,
+			kv_op_writes(c->call.op) ? ERR_STORE_UNKNOWN
+						 : ERR_STORE_ANSWER,
+			"answer exceeds %u bytes",
+			c->call.op == KV_HOSTS ? HOSTS_BODY_BYTES_MAX
+					       : BODY_BYTES_MAX);
+	else if (c->sent && kv_op_writes(c->call.op))
+		err_set(&r->err, ERR_STORE_UNKNOWN, "answer lost: %s",
+			curl_easy_strerror(code));
+	else
+		err_set(&r->err, ERR_STORE_DOWN, "%s",
+			curl_easy_strerror(code));
+}
+
+static void complete(struct kv_http *h, CURL *easy, CURLcode code)
+{
+	struct kv_result r = { 0 };
+	struct kv_http_call *c = NULL;
+	long status = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&c);
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	if (code == CURLE_OK) {
+		kv_json_decode(&c->call, (uint32_t)status, c->body.data,
+			       c->body.len_bytes, &r);
+	} else {
+		if (code == CURLE_OPERATION_TIMEDOUT && c->sent)
+			h->silent_us = clock_now_us();
+		fail_transfer(c, code, &r);
+	}
+	finish(c, &r);
+}
+
+static void make_url(const struct kv_http *h, const struct kv_call *c,
+		     struct buf *url)
+{
+	buf_addf(url, "%s", h->base);
+	switch (c->op) {
+	case KV_GET:
+		buf_addf(url, "/v1/kv/%s", c->key);
+		break;
+	case KV_CAS:
+	case KV_DELETE:
+		buf_addf(url, "/v1/kv/%s?if_version=%llu", c->key,
+			 (unsigned long long)c->version);
+		if (c->lease)
+			buf_addf(url, "&lease=%llu",
+				 (unsigned long long)c->lease);
+		break;
+	case KV_WATCH:
+		buf_addf(url, "/v1/watch/%s?after=%llu&timeout_ms=%u", c->key,
+			 (unsigned long long)c->version, c->ttl_ms);
+		break;
+	case KV_LEASE_GRANT:
+		buf_addf(url, "/v1/lease");
+		break;
+	case KV_LEASE_RENEW:
+		buf_addf(url, "/v1/lease/%llu/renew",
+			 (unsigned long long)c->lease);
+		break;
+	case KV_LEASE_REVOKE:
+		buf_addf(url, "/v1/lease/%llu", (unsigned long long)c->lease);
+		break;
+	case KV_HOSTS:
+		buf_addf(url, "/v1/hosts");
+		break;
+	}
+}
+
+static void set_method(struct kv_http_call *c)
+{
+	char ttl[48];
+
+	switch (c->call.op) {
+	case KV_CAS:
+		curl_easy_setopt(c->easy, CURLOPT_CUSTOMREQUEST, "PUT");
+		curl_easy_setopt(c->easy, CURLOPT_POSTFIELDSIZE,
+				 (long)c->call.value_bytes);
+		curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, c->call.value);
+		break;
+	case KV_DELETE:
+	case KV_LEASE_REVOKE:
+		curl_easy_setopt(c->easy, CURLOPT_CUSTOMREQUEST, "DELETE");
+		break;
+	case KV_LEASE_GRANT:
+		snprintf(ttl, sizeof(ttl), "{\"ttl_ms\":%u}", c->call.ttl_ms);
+		curl_easy_setopt(c->easy, CURLOPT_COPYPOSTFIELDS, ttl);
+		break;
+	case KV_LEASE_RENEW:
+		curl_easy_setopt(c->easy, CURLOPT_COPYPOSTFIELDS, "");
+		break;
+	case KV_GET:
+	case KV_WATCH:
+	case KV_HOSTS:
+		break;
+	}
+}
+
+/* Keeps calls off connections that were open when one turned silent. */
+static void avoid_silent(const struct kv_http *h, CURL *easy)
+{
+	int64_t age_us = clock_now_us() - h->silent_us;
+
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, (long)IDLE_S);
+	if (!h->silent_us)
+		return;
+	if (age_us < LIFETIME_MIN_US)
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	else if (age_us < 2 * IDLE_S * (int64_t)US_PER_S)
+		curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN,
+				 (long)(age_us / US_PER_S) - 1);
+}
+
+static void set_options(struct kv_http_call *c, const char *url)
+{
+	CURL *e = c->easy;
+	long timeout_ms = c->call.timeout_ms;
+
+	if (c->call.op == KV_WATCH)
+		timeout_ms = cu_min_i64(timeout_ms, (int64_t)c->call.ttl_ms +
+							    WATCH_MARGIN_MS);
+	/* No "Expect", which costs a round trip for large values. */
+	c->headers = curl_slist_append(NULL, "Expect:");
+	c->headers = curl_slist_append(c->headers, "Content-Type: "
+						   "application/json");
+	curl_easy_setopt(e, CURLOPT_URL, url);
+	curl_easy_setopt(e, CURLOPT_PRIVATE, c);
+	curl_easy_setopt(e, CURLOPT_HTTPHEADER, c->headers);
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, timeout_ms);
+	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)cu_min_i64(CONNECT_MS, timeout_ms));
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_send);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
+	set_method(c);
+	avoid_silent(c->http, e);
+}
+
+static int key_ok(const struct kv_call *call)
+{
+	const char *allowed = "abcdefghijklmnopqrstuvwxyz"
+			      "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/-";
+	size_t len = strlen(call->key);
+
+	if (call->op == KV_GET || call->op == KV_CAS || call->op == KV_DELETE)
+		return len > 0 && strspn(call->key, allowed) == len;
+	return strspn(call->key, allowed) == len;
+}
+
+static enum err_code check_call(const struct kv_call *call, struct err *err)
+{
+	if (!key_ok(call))
+		return err_set(err, ERR_BAD_FIELD,
+			       "store key '%.64s' is not valid, accepted 1 to "
+			       "256 of a-z A-Z 0-9 . _ : / -",
+			       call->key);
+	if (call->timeout_ms < 1)
+		return err_set(err, ERR_BAD_FIELD,
+			       "timeout_ms is 0, accepted at least 1");
+	/* The escaped form has to fit as well: the store returns that one. */
+	if (call->op == KV_CAS &&
+	    (call->value_bytes > KV_VALUE_BYTES_MAX ||
+	     kv_json_escaped_bytes(call->value, call->value_bytes) >
+		     BODY_BYTES_MAX - 1024))
+		return err_set(err, ERR_STORE_SIZE,
+			       "%s has %u bytes, accepted up to %u as a JSON "
+			       "string",
+			       call->key, call->value_bytes,
+			       KV_VALUE_BYTES_MAX);
+	return ERR_OK;
+}
+
+static void start(void *ctx, const struct kv_call *call, kv_done_fn *done,
+		  void *done_ctx)
+{
+	struct kv_http *h = ctx;
+	struct kv_http_call *c = cu_alloc(1, sizeof(*c));
+	struct buf url CLEANUP_BUF = { 0 };
+	struct kv_result r = { 0 };
+
+	*c = (struct kv_http_call){ .http = h,
+				    .next = h->calls,
+				    .prev_next = &h->calls,
+				    .call = *call,
+				    .done = done,
+				    .done_ctx = done_ctx };
+	if (h->calls)
+		h->calls->prev_next = &c->next;
+	h->calls = c;
+	metric_add(M_STORE_CALLS, 1);
+	if (h->closing)
+		err_set(&r.err, ERR_STORE_DOWN, "store client is closing");
+	if (r.err.code != ERR_OK || check_call(call, &r.err) != ERR_OK) {
+		finish(c, &r);
+		return;
+	}
+	c->easy = curl_easy_init();
+	if (!c->easy)
+		abort();
+	make_url(h, call, &url);
+	set_options(c, url.data);
+	if (curl_multi_add_handle(h->multi, c->easy) != CURLM_OK) {
+		err_set(&r.err, ERR_STORE_DOWN, "transfer cannot start");
+		finish(c, &r);
+	}
+}
+
+struct kv_http *kv_http_new(const char *address, uint16_t port, struct err *err)
+{
+	struct kv_http *h = cu_alloc(1, sizeof(*h));
+	int v6 = strchr(address, ':') != NULL;
+
+	snprintf(h->base, sizeof(h->base), "http://%s%.45s%s:%u", v6 ? "[" : "",
+		 address, v6 ? "]" : "", port);
+	h->multi = curl_multi_init();
+	if (!h->multi) {
+		err_set(err, ERR_INTERNAL, "cannot create transfer set");
+		free(h);
+		return NULL;
+	}
+	curl_multi_setopt(h->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+			  (long)CONNECTIONS_MAX);
+	return h;
+}
+
+void kv_http_free(struct kv_http *h)
+{
+	if (!h)
+		return;
+	h->closing = 1;
+	while (h->calls) {
+		struct kv_result r = { 0 };
+
+		fail_transfer(h->calls, CURLE_ABORTED_BY_CALLBACK, &r);
+		finish(h->calls, &r);
+	}
+	curl_multi_cleanup(h->multi);
+	free(h);
+}
+
+struct kv_driver kv_http_driver(struct kv_http *h)
+{
+	return (struct kv_driver){ .start = start, .driver_ctx = h };
+}
+
+static uint32_t run_transfers(struct kv_http *h)
+{
+	uint32_t completed = 0;
+	int running = 0;
+	int left = 0;
+	CURLMsg *m;
+
+	curl_multi_perform(h->multi, &running);
+	while ((m = curl_multi_info_read(h->multi, &left)) != NULL) {
+		if (m->msg != CURLMSG_DONE)
+			continue;
+		complete(h, m->easy_handle, m->data.result);
+		completed++;
+	}
+	return completed;
+}
+
+void kv_http_poll(struct kv_http *h, uint32_t wait_ms)
+{
+	/* A completed call may have changed the owner's next timer. */
+	if (run_transfers(h))
+		return;
+	curl_multi_poll(h->multi, NULL, 0, (int)wait_ms, NULL);
+	run_transfers(h);
+}
+
+void kv_http_wake(struct kv_http *h)
+{
+	curl_multi_wakeup(h->multi);
+}
--- /dev/null
+++ b/src/platform/kv_http.h
@@ -0,0 +1,26 @@
+/*
+ * kv.h driver over HTTP/1.1 (docs/INTERFACES.md, sections 3 and 4). One
+ * thread owns it and calls kv_http_poll(); callbacks run inside that call or,
+ * for a call that cannot be sent, inside start().
+ */
+#ifndef KV_HTTP_H
+#define KV_HTTP_H
+
+#include <stdint.h>
+
+#include "platform/kv.h"
+
+struct kv_http;
+
+/* @address: IP number of the store. */
+struct kv_http *kv_http_new(const char *address, uint16_t port,
+			    struct err *err);
+/* Ends calls in flight with ERR_STORE_UNKNOWN or ERR_STORE_DOWN. */
+void kv_http_free(struct kv_http *h);
+struct kv_driver kv_http_driver(struct kv_http *h);
+/* Waits up to @wait_ms for traffic or kv_http_wake(), then handles it. */
+void kv_http_poll(struct kv_http *h, uint32_t wait_ms);
+/* Ends a kv_http_poll() that waits; any thread. */
+void kv_http_wake(struct kv_http *h);
+
+#endif
