--- /dev/null
+++ b/src/controller/cfg.c
@@ -0,0 +1,446 @@
+#include "controller/cfg.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "controller/cfg_state.h"
+
+/* Keeps a start with many items within the host's read budget. */
+#define READS_MAX 16
+#define RETRY_MIN_US (100 * US_PER_MS)
+/* Leaves several attempts within the 10 s of a change. */
+#define RETRY_MAX_US (1600 * US_PER_MS)
+
+static void free_item(gpointer item)
+{
+	cfg_item_unref(item);
+}
+
+struct cfg *cfg_new(const struct cfg_actions *a, uint64_t seed)
+{
+	struct cfg *c = cu_alloc(1, sizeof(*c));
+
+	c->a = *a;
+	c->compare = cfg_compare;
+	c->rng.state = seed;
+	c->set = cfg_set_new(cfg_head_new());
+	c->good =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_item);
+	return c;
+}
+
+static void end_pull(struct cfg *c)
+{
+	cfg_delta_free(c->pulled);
+	cfg_set_unref(c->pull_base);
+	c->pulled = NULL;
+	c->pull_base = NULL;
+	c->pulling = 0;
+}
+
+static void end_work(struct cfg *c)
+{
+	cfg_set_unref(c->work);
+	cfg_head_free(c->store_head);
+	c->work = NULL;
+	c->store_head = NULL;
+}
+
+void cfg_free(struct cfg *c)
+{
+	if (!c)
+		return;
+	cfg_drop_edits_internal(c);
+	end_pull(c);
+	end_work(c);
+	cfg_set_unref(c->set);
+	g_hash_table_destroy(c->good);
+	free(c);
+}
+
+void cfg_set_compare_internal(struct cfg *c, cfg_compare_fn *fn)
+{
+	c->compare = fn;
+}
+
+uint64_t cfg_rev(const struct cfg *c)
+{
+	return c->set->head->rev;
+}
+
+uint64_t cfg_change(const struct cfg *c)
+{
+	return cfg_head_change(c->set->head);
+}
+
+struct cfg_set *cfg_current(const struct cfg *c)
+{
+	return c->set;
+}
+
+const struct cfg_item *cfg_item_in_effect(const struct cfg *c, const char *name)
+{
+	return g_hash_table_lookup(c->good, name);
+}
+
+static gint compare_keys(gconstpointer a, gconstpointer b)
+{
+	return strcmp(a, b);
+}
+
+void cfg_each_in_effect(const struct cfg *c,
+			void (*fn)(void *ctx, const struct cfg_item *item),
+			void *ctx)
+{
+	GList *keys = g_hash_table_get_keys(c->good);
+	GList *at;
+
+	keys = g_list_sort(keys, compare_keys);
+	for (at = keys; at; at = at->next)
+		fn(ctx, g_hash_table_lookup(c->good, at->data));
+	g_list_free(keys);
+}
+
+static int compare_head(const struct cfg *c, const struct cfg_head *h)
+{
+	return c->compare(h->rev, cfg_head_change(h), cfg_rev(c),
+			  cfg_change(c));
+}
+
+static void put_in_effect(struct cfg *c, struct cfg_item *item)
+{
+	struct err err = { 0 };
+
+	if (c->a.check(c->a.ctx, item->name, item->json, &err) != ERR_OK) {
+		c->a.refused(c->a.ctx, item, &err);
+		return;
+	}
+	g_hash_table_replace(c->good, item->name, cfg_item_ref(item));
+	c->a.item(c->a.ctx, item);
+}
+
+static void take_out(struct cfg *c, const char *name, uint64_t rev)
+{
+	struct cfg_item *gone;
+
+	if (!g_hash_table_contains(c->good, name))
+		return;
+	gone = cfg_item_new(name, rev, 0, "", NULL);
+	g_hash_table_remove(c->good, name);
+	c->a.item(c->a.ctx, gone);
+	cfg_item_unref(gone);
+}
+
+static int same_item(const struct cfg_item *a, const struct cfg_item *b)
+{
+	return a && b && a->rev == b->rev && a->change == b->change;
+}
+
+/* Applies the differences between @old and the set in effect. */
+static void apply_changes(struct cfg *c, const struct cfg_set *old)
+{
+	const struct cfg_head *h = c->set->head;
+	uint32_t i;
+
+	for (i = 0; i < old->head->entry_count; i++) {
+		const char *name = old->head->entries[i].name;
+
+		if (!cfg_head_find(h, name))
+			take_out(c, name, h->rev);
+	}
+	for (i = 0; i < h->entry_count; i++) {
+		struct cfg_item *item = c->set->items[i];
+
+		if (same_item(cfg_set_find(old, item->name), item))
+			continue;
+		if (item->json)
+			put_in_effect(c, item);
+		else
+			take_out(c, item->name, item->rev);
+	}
+}
+
+void cfg_adopt_internal(struct cfg *c, struct cfg_set *s)
+{
+	struct cfg_set *old = c->set;
+
+	if (compare_head(c, s->head) <= 0) {
+		cfg_set_unref(s);
+		return;
+	}
+	c->set = s;
+	c->loaded = 1;
+	apply_changes(c, old);
+	cfg_set_unref(old);
+	c->a.adopted(c->a.ctx, s);
+}
+
+void cfg_read_head_internal(struct cfg *c)
+{
+	end_work(c);
+	c->want_head = 0;
+	c->activity = CFG_READ_HEAD;
+	c->a.read_head(c->a.ctx);
+}
+
+void cfg_next_internal(struct cfg *c, int64_t now_us)
+{
+	end_work(c);
+	c->activity = CFG_IDLE;
+	c->retries = 0;
+	if (c->want_head || c->edits)
+		cfg_read_head_internal(c);
+}
+
+void cfg_retry_internal(struct cfg *c, int64_t now_us)
+{
+	int64_t wait_us = RETRY_MIN_US;
+	uint32_t i;
+
+	end_work(c);
+	for (i = 0; i < c->retries && wait_us < RETRY_MAX_US; i++)
+		wait_us *= 2;
+	c->retries++;
+	wait_us = wait_us / 2 + rng_below(&c->rng, (uint32_t)(wait_us / 2));
+	c->activity = CFG_WAIT;
+	c->retry_us = now_us + wait_us;
+}
+
+void cfg_refresh(struct cfg *c, int64_t now_us)
+{
+	c->want_head = 1;
+	if (c->activity == CFG_IDLE)
+		cfg_read_head_internal(c);
+}
+
+void cfg_allow_edits(struct cfg *c)
+{
+	c->edits_allowed = 1;
+}
+
+void cfg_tick(struct cfg *c, int64_t now_us)
+{
+	if (c->activity != CFG_WAIT)
+		return;
+	cfg_edit_expire_internal(c, now_us);
+	if (now_us >= c->retry_us)
+		cfg_read_head_internal(c);
+}
+
+static void items_complete(struct cfg *c, int64_t now_us)
+{
+	struct cfg_set *s = c->work;
+	int newer = compare_head(c, s->head) > 0;
+
+	c->work = NULL;
+	cfg_adopt_internal(c, s);
+	/* The head was read for this set; an edit can build on it. */
+	if (newer && !c->want_head && c->edits) {
+		c->retries = 0;
+		cfg_edit_step_internal(c, now_us);
+		return;
+	}
+	cfg_next_internal(c, now_us);
+}
+
+/* Asks for missing items; deleted ones are made from the head. */
+static void read_items(struct cfg *c, int64_t now_us)
+{
+	const struct cfg_head *h = c->work->head;
+
+	while (c->next_entry < h->entry_count && c->reading < READS_MAX &&
+	       !c->read_failed) {
+		uint32_t at = c->next_entry++;
+		const struct head_entry *e = &h->entries[at];
+
+		if (c->work->items[at])
+			continue;
+		if (e->deleted) {
+			c->work->items[at] = cfg_item_new(e->name, e->rev,
+							  e->change, "", NULL);
+			continue;
+		}
+		c->reading++;
+		c->a.read_item(c->a.ctx, e);
+	}
+	if (c->reading)
+		return;
+	if (c->read_failed)
+		cfg_retry_internal(c, now_us);
+	else
+		items_complete(c, now_us);
+}
+
+static void begin_reading(struct cfg *c, int64_t now_us, struct cfg_head *head,
+			  uint64_t version)
+{
+	uint32_t i;
+
+	end_work(c);
+	c->activity = CFG_READ_ITEMS;
+	c->work = cfg_set_new(head);
+	c->version = version;
+	c->next_entry = 0;
+	c->reading = 0;
+	c->read_failed = 0;
+	for (i = 0; i < c->set->head->entry_count; i++)
+		cfg_set_put(c->work, c->set->items[i]);
+	read_items(c, now_us);
+}
+
+static void take_head(struct cfg *c, int64_t now_us, struct cfg_head *head,
+		      uint64_t version)
+{
+	int order = compare_head(c, head);
+
+	c->loaded = 1;
+	if (order > 0) {
+		begin_reading(c, now_us, head, version);
+		return;
+	}
+	if (order < 0) {
+		cfg_repair_internal(c, now_us, head, version);
+		return;
+	}
+	cfg_head_free(head);
+	c->version = version;
+	c->retries = 0;
+	if (c->edits)
+		cfg_edit_step_internal(c, now_us);
+	else
+		cfg_next_internal(c, now_us);
+}
+
+void cfg_on_head(struct cfg *c, int64_t now_us, enum err_code code,
+		 struct cfg_head *head, uint64_t version)
+{
+	if (c->activity != CFG_READ_HEAD) {
+		cfg_head_free(head);
+		return;
+	}
+	if (code == ERR_STORE_NOT_FOUND) {
+		cfg_head_free(head);
+		head = cfg_head_new();
+		version = 0;
+	} else if (code != ERR_OK) {
+		cfg_head_free(head);
+		cfg_edit_failed_internal(c, now_us, code);
+		cfg_retry_internal(c, now_us);
+		return;
+	}
+	take_head(c, now_us, head, version);
+}
+
+void cfg_on_watch(struct cfg *c, int64_t now_us, struct cfg_head *head,
+		  uint64_t version)
+{
+	int order = compare_head(c, head);
+
+	if (order > 0 && c->activity == CFG_IDLE) {
+		begin_reading(c, now_us, head, version);
+		return;
+	}
+	cfg_head_free(head);
+	if (order != 0)
+		cfg_refresh(c, now_us);
+}
+
+/* Stands for a stored text that cannot be read, so it fails its check. */
+static struct cfg_item *unreadable_item(const struct cfg_set *s,
+					const char *name)
+{
+	const struct head_entry *e = cfg_head_find(s->head, name);
+
+	return e ? cfg_item_new(name, e->rev, e->change, "", "") : NULL;
+}
+
+void cfg_on_item(struct cfg *c, int64_t now_us, const char *name,
+		 enum err_code code, struct cfg_item *item)
+{
+	struct cfg_item *broken = NULL;
+
+	if (c->activity != CFG_READ_ITEMS || c->reading == 0)
+		return;
+	c->reading--;
+	if (code == ERR_CFG_FIELD || code == ERR_BAD_JSON)
+		item = broken = unreadable_item(c->work, name);
+	/* An item that is not found belongs to a head that was replaced. */
+	if (!item || !cfg_set_put(c->work, item))
+		c->read_failed = 1;
+	cfg_item_unref(broken);
+	read_items(c, now_us);
+}
+
+static void join_page(struct cfg_delta *all, const struct cfg_delta *page)
+{
+	uint32_t total = all->item_count + page->item_count;
+	uint32_t i;
+
+	all->items = cu_grow(all->items, total, sizeof(*all->items));
+	for (i = 0; i < page->item_count; i++)
+		all->items[all->item_count++] = cfg_item_ref(page->items[i]);
+	all->more = page->more;
+}
+
+static int same_revision(const struct cfg_delta *a, const struct cfg_delta *b)
+{
+	return a->rev == b->rev && a->full == b->full &&
+	       a->recent_count == b->recent_count &&
+	       a->recent[0] == b->recent[0];
+}
+
+static void pull_page(struct cfg *c, uint64_t after_rev)
+{
+	const struct cfg_head *h = c->pull_base->head;
+
+	c->a.pull(c->a.ctx, c->pull_host, h->rev, cfg_head_change(h),
+		  after_rev);
+}
+
+static void pull_complete(struct cfg *c)
+{
+	struct cfg_set *s =
+		cfg_set_apply(c->pulled->full ? NULL : c->pull_base, c->pulled);
+
+	if (s)
+		cfg_adopt_internal(c, s);
+	else
+		c->a.note(c->a.ctx, "peer_config_incomplete", c->pull_host);
+	end_pull(c);
+}
+
+void cfg_on_delta(struct cfg *c, int64_t now_us, const struct cfg_delta *d)
+{
+	if (!c->pulling)
+		return;
+	if (!d || d->rev == 0 || d->recent_count == 0 ||
+	    (c->pulled && !same_revision(c->pulled, d)) ||
+	    (d->more && !d->item_count)) {
+		end_pull(c);
+		return;
+	}
+	if (!c->pulled) {
+		c->pulled = cu_alloc(1, sizeof(*c->pulled));
+		*c->pulled = *d;
+		c->pulled->items = NULL;
+		c->pulled->item_count = 0;
+	}
+	join_page(c->pulled, d);
+	if (d->more)
+		pull_page(c, d->items[d->item_count - 1]->rev);
+	else
+		pull_complete(c);
+}
+
+void cfg_on_peer(struct cfg *c, int64_t now_us, const char *host, uint64_t rev,
+		 uint64_t change)
+{
+	if (c->pulling ||
+	    c->compare(rev, change, cfg_rev(c), cfg_change(c)) <= 0)
+		return;
+	c->pulling = 1;
+	cu_copy(c->pull_host, sizeof(c->pull_host), host);
+	c->pull_base = cfg_set_ref(c->set);
+	pull_page(c, 0);
+}
--- /dev/null
+++ b/src/controller/cfg_edit.c
@@ -0,0 +1,342 @@
+/* Edits and repair of a store that went back; see cfg.h. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "controller/cfg_state.h"
+
+/* Edits of one host that wait or are in progress. */
+#define EDITS_MAX 64
+/* An edit that has not been committed by then is reported as failed. */
+#define EDIT_US (5 * (int64_t)US_PER_S)
+
+static void edit_free(struct cfg_edit *e)
+{
+	free(e->json);
+	free(e);
+}
+
+void cfg_drop_edits_internal(struct cfg *c)
+{
+	while (c->edits) {
+		struct cfg_edit *e = c->edits;
+
+		c->edits = e->next;
+		edit_free(e);
+	}
+}
+
+/* Reports the first edit; the callback may submit another one. */
+static void finish_edit(struct cfg *c, const struct err *err, uint64_t rev)
+{
+	struct cfg_edit *e = c->edits;
+
+	c->edits = e->next;
+	c->edit_count--;
+	e->done(e->ctx, err, rev);
+	edit_free(e);
+}
+
+/* 0 for an item that does not exist, so that deletions may be forgotten. */
+static uint64_t entry_rev(const struct head_entry *e)
+{
+	return e && !e->deleted ? e->rev : 0;
+}
+
+static uint64_t entry_change(const struct head_entry *e)
+{
+	return e && !e->deleted ? e->change : 0;
+}
+
+static enum err_code race(const struct cfg_set *s, const char *name,
+			  struct err *err)
+{
+	const struct cfg_item *item = cfg_set_find(s, name);
+
+	if (!item)
+		return err_set(err, ERR_CFG_RACE, "%s does not exist", name);
+	return err_set(err, ERR_CFG_RACE,
+		       "%s was %s at revision %" PRIu64 "%s%s", name,
+		       item->json ? "changed" : "deleted", item->rev,
+		       item->who[0] ? " by " : "", item->who);
+}
+
+enum err_code cfg_edit(struct cfg *c, int64_t now_us, const char *name,
+		       const char *json, const char *who, uint64_t if_rev,
+		       cfg_edit_done_fn *done, void *ctx, struct err *err)
+{
+	const struct head_entry *entry = cfg_head_find(c->set->head, name);
+	enum err_code code = c->a.check(c->a.ctx, name, json, err);
+	struct cfg_edit **tail = &c->edits;
+	struct cfg_edit *e;
+
+	if (code != ERR_OK)
+		return code;
+	if (!c->loaded || !c->edits_allowed)
+		return err_set(err, ERR_NO_CONFIG,
+			       "this host has not compared its configuration "
+			       "with the store and a peer yet");
+	if (if_rev && entry_rev(entry) != if_rev)
+		return race(c->set, name, err);
+	if (c->edit_count == EDITS_MAX)
+		return err_set(err, ERR_OVERLOADED,
+			       "%u edits wait, accepted up to %u", EDITS_MAX,
+			       EDITS_MAX);
+	e = cu_alloc(1, sizeof(*e));
+	cu_copy(e->name, sizeof(e->name), name);
+	cu_copy(e->who, sizeof(e->who), who);
+	e->json = json ? cu_strdup(json) : NULL;
+	e->base_rev = entry_rev(entry);
+	e->base_change = entry_change(entry);
+	e->change = rng_u64(&c->rng);
+	e->deadline_us = now_us + EDIT_US;
+	e->done = done;
+	e->ctx = ctx;
+	while (*tail)
+		tail = &(*tail)->next;
+	*tail = e;
+	c->edit_count++;
+	if (c->activity == CFG_IDLE)
+		cfg_next_internal(c, now_us);
+	return ERR_OK;
+}
+
+/* Revision that @change made, or 0 when it is not in the history. */
+static uint64_t rev_of_change(const struct cfg_head *h, uint64_t change)
+{
+	uint32_t i;
+
+	for (i = 0; i < h->recent_count; i++) {
+		if (h->recent[i] == change)
+			return h->rev - i;
+	}
+	return 0;
+}
+
+void cfg_edit_expire_internal(struct cfg *c, int64_t now_us)
+{
+	struct cfg_edit *e = c->edits;
+
+	if (!e || now_us < e->deadline_us)
+		return;
+	if (e->last.code == ERR_OK)
+		err_set(&e->last, ERR_STORE_DOWN, "the store was not reached");
+	if (e->unknown)
+		err_set(&e->last, ERR_STORE_UNKNOWN,
+			"%s may still change; read it again", e->name);
+	finish_edit(c, &e->last, 0);
+}
+
+void cfg_edit_failed_internal(struct cfg *c, int64_t now_us, enum err_code code)
+{
+	if (!c->edits)
+		return;
+	err_set(&c->edits->last, code, "%s", err_text(code));
+	cfg_edit_expire_internal(c, now_us);
+}
+
+static void write_head(struct cfg *c)
+{
+	c->activity = CFG_EDIT_HEAD;
+	c->a.write_head(c->a.ctx, c->work->head, c->version);
+}
+
+/* Set that the edit makes of the one in effect. */
+static struct cfg_set *edited_set(const struct cfg *c, const struct cfg_edit *e)
+{
+	struct cfg_head *head = cfg_head_copy(c->set->head);
+	struct head_entry entry = { .rev = head->rev + 1,
+				    .change = e->change,
+				    .deleted = !e->json };
+	struct cfg_item *item =
+		cfg_item_new(e->name, entry.rev, e->change, e->who, e->json);
+	struct cfg_set *s;
+	uint32_t i;
+
+	cu_copy(entry.name, sizeof(entry.name), e->name);
+	cfg_head_put(head, &entry);
+	cfg_head_advance(head, e->change);
+	s = cfg_set_new(head);
+	for (i = 0; i < c->set->head->entry_count; i++)
+		cfg_set_put(s, c->set->items[i]);
+	cfg_set_put(s, item);
+	cfg_item_unref(item);
+	return s;
+}
+
+/* 1 when the first edit was settled by what the head in effect says. */
+static int settle_edit(struct cfg *c)
+{
+	struct cfg_edit *e = c->edits;
+	const struct cfg_head *h = c->set->head;
+	const struct head_entry *entry = cfg_head_find(h, e->name);
+	uint64_t rev = rev_of_change(h, e->change);
+	struct err err = { 0 };
+
+	if (rev) {
+		finish_edit(c, &err, rev);
+		return 1;
+	}
+	if (entry_rev(entry) != e->base_rev ||
+	    entry_change(entry) != e->base_change)
+		race(c->set, e->name, &err);
+	else if (!e->json && !entry_rev(entry))
+		err_set(&err, ERR_NOT_FOUND, "%s does not exist", e->name);
+	else
+		return 0;
+	finish_edit(c, &err, 0);
+	return 1;
+}
+
+void cfg_edit_step_internal(struct cfg *c, int64_t now_us)
+{
+	struct cfg_edit *e = c->edits;
+
+	if (settle_edit(c)) {
+		cfg_next_internal(c, now_us);
+		return;
+	}
+	cfg_set_unref(c->work);
+	c->work = edited_set(c, e);
+	if (!e->json) {
+		write_head(c);
+		return;
+	}
+	c->activity = CFG_EDIT_ITEM;
+	c->a.write_item(c->a.ctx, cfg_set_find(c->work, e->name));
+}
+
+/* Next item that the store's head lacks, or NULL. */
+static struct cfg_item *next_repair(struct cfg *c)
+{
+	const struct cfg_head *h = c->work->head;
+
+	while (c->next_entry < h->entry_count) {
+		uint32_t at = c->next_entry++;
+		const struct head_entry *e = &h->entries[at];
+		const struct head_entry *old =
+			cfg_head_find(c->store_head, e->name);
+
+		if (!e->deleted &&
+		    (!old || old->deleted || old->rev != e->rev ||
+		     old->change != e->change))
+			return c->work->items[at];
+	}
+	return NULL;
+}
+
+static void repair_step(struct cfg *c)
+{
+	struct cfg_item *item = next_repair(c);
+
+	if (item) {
+		c->activity = CFG_REPAIR_ITEM;
+		c->a.write_item(c->a.ctx, item);
+		return;
+	}
+	c->activity = CFG_REPAIR_HEAD;
+	c->a.write_head(c->a.ctx, c->work->head, c->version);
+}
+
+void cfg_repair_internal(struct cfg *c, int64_t now_us,
+			 struct cfg_head *store_head, uint64_t version)
+{
+	char text[96];
+
+	snprintf(text, sizeof(text),
+		 "store has revision %" PRIu64 ", in effect is %" PRIu64,
+		 store_head->rev, c->set->head->rev);
+	c->a.note(c->a.ctx, "store_revision_older", text);
+	cfg_set_unref(c->work);
+	cfg_head_free(c->store_head);
+	c->work = cfg_set_ref(c->set);
+	c->store_head = store_head;
+	c->version = version;
+	c->next_entry = 0;
+	repair_step(c);
+}
+
+/* An item key is written once; a conflict means that it is there already. */
+static int is_written(enum err_code code)
+{
+	return code == ERR_OK || code == ERR_STORE_CONFLICT;
+}
+
+void cfg_on_item_written(struct cfg *c, int64_t now_us, enum err_code code)
+{
+	if (c->activity == CFG_REPAIR_ITEM) {
+		if (is_written(code))
+			repair_step(c);
+		else
+			cfg_retry_internal(c, now_us);
+		return;
+	}
+	if (c->activity != CFG_EDIT_ITEM)
+		return;
+	if (is_written(code)) {
+		write_head(c);
+		return;
+	}
+	if (code == ERR_STORE_SIZE) {
+		struct err err = { 0 };
+
+		err_set(&err, code, "%s", c->edits->name);
+		finish_edit(c, &err, 0);
+		cfg_next_internal(c, now_us);
+		return;
+	}
+	cfg_edit_failed_internal(c, now_us, code);
+	cfg_retry_internal(c, now_us);
+}
+
+/* The head that names the edit was accepted. */
+static void commit_edit(struct cfg *c, int64_t now_us)
+{
+	struct cfg_edit *e = c->edits;
+	uint64_t rev = c->work->head->rev;
+	struct err ok = { 0 };
+	struct head_entry old = { 0 };
+	const struct head_entry *entry = cfg_head_find(c->set->head, e->name);
+	struct cfg_set *s = c->work;
+
+	if (entry && entry->rev < rev)
+		old = *entry;
+	c->work = NULL;
+	cfg_adopt_internal(c, s);
+	if (old.rev && !old.deleted)
+		c->a.delete_item(c->a.ctx, &old);
+	finish_edit(c, &ok, rev);
+	cfg_next_internal(c, now_us);
+}
+
+void cfg_on_head_written(struct cfg *c, int64_t now_us, enum err_code code)
+{
+	int editing = c->activity == CFG_EDIT_HEAD;
+
+	if (!editing && c->activity != CFG_REPAIR_HEAD)
+		return;
+	if (editing && code == ERR_OK) {
+		commit_edit(c, now_us);
+		return;
+	}
+	if (editing && code == ERR_STORE_UNKNOWN)
+		c->edits->unknown = 1;
+	if (editing && code == ERR_STORE_SIZE) {
+		struct err err = { 0 };
+
+		err_set(&err, code, "head with %u items",
+			c->work->head->entry_count);
+		finish_edit(c, &err, 0);
+		cfg_next_internal(c, now_us);
+		return;
+	}
+	if (code != ERR_OK && editing)
+		cfg_edit_failed_internal(c, now_us, code);
+	/* After a lost race the newer head is there to read at once. */
+	if (code == ERR_OK || (code == ERR_STORE_CONFLICT && c->retries == 0)) {
+		c->retries += code != ERR_OK;
+		cfg_read_head_internal(c);
+	} else {
+		cfg_retry_internal(c, now_us);
+	}
+}
--- /dev/null
+++ b/src/decide/hrw.h
@@ -0,0 +1,20 @@
+/*
+ * Rendezvous (highest random weight) hashing: every host computes the same
+ * choice from the same names, and a change of one candidate moves only the
+ * choices that involve it.
+ */
+#ifndef HRW_H
+#define HRW_H
+
+#include <stdint.h>
+
+/* Weight of @candidate for @key; the highest one is chosen. */
+uint64_t hrw_weight(const char *key, const char *candidate);
+/*
+ * Positions of the @want candidates with the highest weights, best first.
+ * Returns how many were written to @out, at most @count.
+ */
+uint32_t hrw_pick(const char *key, const char *const *candidates,
+		  uint32_t count, uint32_t want, uint32_t *out);
+
+#endif
--- a/src/model/config.c
+++ b/src/model/config.c
@@ -128,8 +128,7 @@
 	h->entries[at] = *e;
 }
 
-/* Drops deletions that every delta base in recent[] already contains. */
-static void forget_deletions(struct cfg_head *h)
+void cfg_head_forget_deletions(struct cfg_head *h)
 {
 	uint32_t kept = 0;
 	uint32_t i;
@@ -152,7 +151,7 @@
 		(h->recent_count - 1) * sizeof(h->recent[0]));
 	h->recent[0] = change;
 	h->rev++;
-	forget_deletions(h);
+	cfg_head_forget_deletions(h);
 }
 
 uint64_t cfg_head_change(const struct cfg_head *h)
--- a/src/model/config.h
+++ b/src/model/config.h
@@ -120,6 +120,8 @@
 void cfg_head_put(struct cfg_head *h, const struct head_entry *e);
 /* Starts revision rev + 1 made by @change. */
 void cfg_head_advance(struct cfg_head *h, uint64_t change);
+/* Drops deletions that every revision in recent[] already contains. */
+void cfg_head_forget_deletions(struct cfg_head *h);
 /* Change that made the head's revision; 0 for revision 0. */
 uint64_t cfg_head_change(const struct cfg_head *h);
 /*
