--- a/src/decide/hrw.h
+++ b/src/decide/hrw.h
@@ -1,4 +1,8 @@
-/* Rendezvous (highest random weight) hashing over host names. */
+/*
+ * Rendezvous (highest random weight) hashing: every host computes the same
+ * choice from the same names, and a change of one candidate moves only the
+ * choices that involve it.
+ */
 #ifndef HRW_H
 #define HRW_H
 
@@ -6,8 +10,14 @@
 
 #include "model/name.h"
 
-/* Weight of @node for @key; the node with the highest weight owns the key. */
-uint64_t hrw_weight(const char *key, const char *node);
+/* Weight of @candidate for @key; the highest one is chosen. */
+uint64_t hrw_weight(const char *key, const char *candidate);
+/*
+ * Positions of the @want candidates with the highest weights, best first.
+ * Returns how many were written to @out, at most @count.
+ */
+uint32_t hrw_pick(const char *key, const char *const *candidates,
+		  uint32_t count, uint32_t want, uint32_t *out);
 /* 1 if @self has the highest weight for @key among @hosts and itself. */
 int hrw_is_owner(const char *key, const char *self, char (*hosts)[NAME_BYTES],
 		 uint32_t host_count);
--- /dev/null
+++ b/tests/client.h
@@ -0,0 +1,24 @@
+/* Blocking HTTP client of tests and of the demonstration. */
+#ifndef CLIENT_H
+#define CLIENT_H
+
+#include <jansson.h>
+#include <stdint.h>
+
+struct client_answer {
+	/* 0 when no answer came. */
+	uint32_t status;
+	/* Decoded body or NULL; owned. */
+	json_t *json;
+	int64_t elapsed_us;
+};
+
+/* One exchange on a connection of its own; @body NULL sends none. */
+void client_call(struct client_answer *a, const char *method, uint16_t port,
+		 const char *path, const char *body, uint32_t timeout_ms);
+void client_clear(struct client_answer *a);
+/* Text or integer member of the answer's object; "" or -1 when absent. */
+const char *client_text(const struct client_answer *a, const char *field);
+int64_t client_int(const struct client_answer *a, const char *field);
+
+#endif
