--- a/tests/standin/fleet.c
+++ b/tests/standin/fleet.c
@@ -15,13 +15,13 @@
 struct late {
 	struct late *next;
 	struct late **at;
-	struct post *post;
+	struct endpoint *post;
 	struct job *job;
 	enum job_end end;
 	struct tmr_sub timer;
 };
 
-static void deliver(struct post *p, struct job *j, enum job_end end,
+static void deliver(struct endpoint *p, struct job *j, enum job_end end,
 		    int64_t now_us)
 {
 	struct http_conn *c = j->conn;
@@ -46,7 +46,7 @@
 static void late_due(void *ctx, int64_t now_us)
 {
 	struct late *l = ctx;
-	struct post *p = l->post;
+	struct endpoint *p = l->post;
 	struct job *j = l->job;
 	enum job_end end = l->end;
 
@@ -54,7 +54,7 @@
 	deliver(p, j, end, now_us);
 }
 
-static void hold_back(struct post *p, struct job *j, enum job_end end,
+static void hold_back(struct endpoint *p, struct job *j, enum job_end end,
 		      int64_t now_us)
 {
 	struct fleet *f = p->fleet;
@@ -74,7 +74,7 @@
 
 static void job_done(void *ctx, struct job *j, enum job_end end, int64_t now_us)
 {
-	struct post *p = ctx;
+	struct endpoint *p = ctx;
 
 	if (end == JOB_DONE &&
 	    target_fires(&p->target, TF_LATE, job_route(j), now_us))
@@ -153,7 +153,7 @@
 	return decode_op(body, j);
 }
 
-static void serve_job(struct post *p, struct http_conn *c,
+static void serve_job(struct endpoint *p, struct http_conn *c,
 		      const struct http_request *r, enum request_op op)
 {
 	struct target *t = &p->target;
@@ -186,7 +186,7 @@
 	target_submit(t, j, now_us);
 }
 
-static void serve_cancel(struct post *p, struct http_conn *c,
+static void serve_cancel(struct endpoint *p, struct http_conn *c,
 			 const struct http_request *r)
 {
 	json_t *body = json_loadb(r->body, r->body_bytes, 0, NULL);
@@ -209,7 +209,7 @@
 }
 
 /* Takes a new sample unless the last one is younger than the lag fault says. */
-static void sample(struct post *p)
+static void sample(struct endpoint *p)
 {
 	struct target *t = &p->target;
 	struct fault *lag = &t->faults[TF_LAG];
@@ -225,7 +225,7 @@
 	cu_copy(p->sample_instance, sizeof(p->sample_instance), t->instance);
 }
 
-static void serve_health(struct post *p, struct http_conn *c)
+static void serve_health(struct endpoint *p, struct http_conn *c)
 {
 	struct fault *f = &p->target.faults[TF_HEALTH];
 
@@ -236,7 +236,7 @@
 		    f->on ? f->value : p->sample_state);
 }
 
-static void serve_load(struct post *p, struct http_conn *c)
+static void serve_load(struct endpoint *p, struct http_conn *c)
 {
 	struct fault *f = &p->target.faults[TF_LOAD];
 
@@ -248,7 +248,7 @@
 
 static void serve(void *ctx, struct http_conn *c, const struct http_request *r)
 {
-	struct post *p = ctx;
+	struct endpoint *p = ctx;
 	int post = strcmp(r->method, "POST") == 0;
 	int get = strcmp(r->method, "GET") == 0;
 
@@ -282,28 +282,39 @@
 	f->once = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
+static void free_late_list(struct fleet *f)
+{
+	struct late *l = f->late;
+
+	while (l) {
+		struct late *next = l->next;
+
+		tmr_cancel(http_timers(f->http), &l->timer);
+		job_free(l->job);
+		free(l);
+		l = next;
+	}
+}
+
 void fleet_clear(struct fleet *f)
 {
 	uint32_t i;
 
-	while (f->late) {
-		tmr_cancel(http_timers(f->http), &f->late->timer);
-		job_free(f->late->job);
-		late_free(f->late);
-	}
+	waiters_free(f->waiters);
+	free_late_list(f);
 	for (i = 0; i < f->count; i++) {
-		target_clear(&f->posts[i]->target);
-		buf_free(&f->posts[i]->last);
-		free(f->posts[i]);
+		target_clear(&f->endpoints[i]->target);
+		buf_free(&f->endpoints[i]->last);
+		free(f->endpoints[i]);
 	}
-	free(f->posts);
+	free(f->endpoints);
 	g_hash_table_destroy(f->once);
 }
 
 enum err_code fleet_add(struct fleet *f, const struct target_spec *spec,
 			const char *run, struct err *err)
 {
-	struct post *p = cu_alloc(1, sizeof(*p));
+	struct endpoint *p = cu_alloc(1, sizeof(*p));
 	struct http_service s = { .request = serve,
 				  .gone = client_gone,
 				  .ctx = p,
@@ -319,7 +330,8 @@
 	}
 	target_init(&p->target, spec, run, http_timers(f->http), f->once,
 		    job_done, p);
-	f->posts = cu_grow(f->posts, f->count + 1, sizeof(struct post *));
-	f->posts[f->count++] = p;
+	f->endpoints =
+		cu_grow(f->endpoints, f->count + 1, sizeof(struct endpoint *));
+	f->endpoints[f->count++] = p;
 	return ERR_OK;
 }
--- a/tests/standin/fleet.h
+++ b/tests/standin/fleet.h
@@ -7,9 +7,10 @@
 
 #include "http.h"
 #include "target.h"
+#include "waiters.h"
 
 /* One target with its listener. */
-struct post {
+struct endpoint {
 	struct target target;
 	struct http_listener *listener;
 	struct fleet *fleet;
@@ -28,9 +29,10 @@
 	GHashTable *once;
 	uint32_t count;
 	/* Each allocated apart: connections and timers point to it. */
-	struct post **posts;
+	struct endpoint **endpoints;
 	/* Answers that are being delayed. */
 	struct late *late;
+	struct waiters *waiters;
 };
 
 void fleet_init(struct fleet *f, struct http *h);
--- a/tests/standin/fleet_answer.c
+++ b/tests/standin/fleet_answer.c
@@ -44,8 +44,8 @@
 }
 
 /* The answer as the target means it, with the fields that a fault changes. */
-static void write_answer(struct post *p, const struct job *j, int64_t now_us,
-			 struct buf *b)
+static void write_answer(struct endpoint *p, const struct job *j,
+			 int64_t now_us, struct buf *b)
 {
 	struct target *t = &p->target;
 	const char *route = job_route(j);
@@ -71,7 +71,7 @@
 	buf_addf(b, "}");
 }
 
-static enum http_manner manner_of(struct post *p, const char *route,
+static enum http_manner manner_of(struct endpoint *p, const char *route,
 				  int64_t now_us)
 {
 	if (target_fires(&p->target, TF_DUPLICATED, route, now_us))
@@ -81,8 +81,8 @@
 	return HTTP_WHOLE;
 }
 
-static void send_done(struct post *p, struct http_conn *c, const struct job *j,
-		      int64_t now_us)
+static void send_done(struct endpoint *p, struct http_conn *c,
+		      const struct job *j, int64_t now_us)
 {
 	struct target *t = &p->target;
 	const char *route = job_route(j);
@@ -109,7 +109,7 @@
 }
 
 /* Keeps the answer that a later crossed answer repeats. */
-static void remember(struct post *p, const struct job *j)
+static void remember(struct endpoint *p, const struct job *j)
 {
 	struct buf b = { 0 };
 
@@ -124,7 +124,7 @@
 	p->last = b;
 }
 
-void answer_send(struct post *p, struct http_conn *c, const struct job *j,
+void answer_send(struct endpoint *p, struct http_conn *c, const struct job *j,
 		 enum job_end end, int64_t now_us)
 {
 	switch (end) {
--- a/tests/standin/fleet_answer.h
+++ b/tests/standin/fleet_answer.h
@@ -5,7 +5,7 @@
 #include "fleet.h"
 
 /* Sends the answer for @j, which ended as @end, on @c. */
-void answer_send(struct post *p, struct http_conn *c, const struct job *j,
+void answer_send(struct endpoint *p, struct http_conn *c, const struct job *j,
 		 enum job_end end, int64_t now_us);
 
 #endif
--- a/tests/standin/fleet_control.c
+++ b/tests/standin/fleet_control.c
@@ -27,7 +27,7 @@
 	return !version || strcmp(version, t->spec.version) == 0;
 }
 
-static enum err_code switch_kill(struct post *p, int on, struct err *err)
+static enum err_code switch_kill(struct endpoint *p, int on, struct err *err)
 {
 	if (on) {
 		http_shut(p->listener);
@@ -50,8 +50,9 @@
 	target_renew(t, 1);
 }
 
-static enum err_code switch_fault(struct post *p, int id, const struct fault *f,
-				  int64_t now_us, struct err *err)
+static enum err_code switch_fault(struct endpoint *p, int id,
+				  const struct fault *f, int64_t now_us,
+				  struct err *err)
 {
 	struct target *t = &p->target;
 
@@ -94,10 +95,10 @@
 	if (id < 0 || fault_decode(body, now_us, &fault, err) != ERR_OK)
 		return err->code;
 	for (i = 0; i < f->count; i++) {
-		if (!selected(body, &f->posts[i]->target))
+		if (!selected(body, &f->endpoints[i]->target))
 			continue;
 		(*count)++;
-		if (switch_fault(f->posts[i], id, &fault, now_us, err) !=
+		if (switch_fault(f->endpoints[i], id, &fault, now_us, err) !=
 		    ERR_OK)
 			return err->code;
 	}
@@ -126,7 +127,7 @@
 		return err_set(err, ERR_BAD_FIELD, "service_us is 1 to %d",
 			       60 * US_PER_S);
 	for (i = 0; i < f->count; i++) {
-		struct target *t = &f->posts[i]->target;
+		struct target *t = &f->endpoints[i]->target;
 
 		if (!selected(body, t))
 			continue;
@@ -164,25 +165,71 @@
 		    (int)err.code, err_name(err.code), err.detail, count);
 }
 
-static void add_target_stats(struct buf *b, struct post *p)
+/* Numbers of one target, in the order in which they are shown. */
+struct stat_row {
+	const char *name;
+	uint64_t value;
+};
+
+#define STAT_ROWS_MAX 32
+
+static uint32_t read_stats(const struct endpoint *p, struct stat_row *rows)
 {
 	const struct target *t = &p->target;
 	const struct http_counters *n = http_counters(p->listener);
+	uint32_t i = 0;
 
-	buf_addf(b,
-		 "{\"id\":\"%s\",\"port\":%u,\"instance\":\"%s\","
-		 "\"cold\":%s,\"active\":%u,\"queued\":%u",
-		 t->spec.id, http_port(p->listener), t->instance,
-		 t->is_cold ? "true" : "false", t->running.count,
-		 t->queued.count);
-#define DEF(field) buf_addf(b, ",\"" #field "\":%" PRIu64, t->counters.field);
+	rows[i++] = (struct stat_row){ "active", t->running.count };
+	rows[i++] = (struct stat_row){ "queued", t->queued.count };
+#define DEF(field) rows[i++] = (struct stat_row){ #field, t->counters.field };
 	TARGET_COUNTERS(DEF)
 #undef DEF
+	rows[i++] = (struct stat_row){ "connections", n->open };
+	rows[i++] = (struct stat_row){ "peak_connections", n->open_peak };
+	rows[i++] = (struct stat_row){ "accepted", n->accepted };
+	rows[i++] = (struct stat_row){ "refused_connections", n->refused };
+	return i;
+}
+
+static void add_target_stats(struct buf *b, const struct endpoint *p)
+{
+	struct stat_row rows[STAT_ROWS_MAX];
+	const struct target *t = &p->target;
+	uint32_t count = read_stats(p, rows);
+	uint32_t i;
+
 	buf_addf(b,
-		 ",\"connections\":%u,\"peak_connections\":%u,"
-		 "\"accepted\":%" PRIu64 ",\"refused_connections\":%" PRIu64
-		 "}",
-		 n->open, n->open_peak, n->accepted, n->refused);
+		 "{\"id\":\"%s\",\"port\":%u,\"instance\":\"%s\","
+		 "\"cold\":%s",
+		 t->spec.id, http_port(p->listener), t->instance,
+		 t->is_cold ? "true" : "false");
+	for (i = 0; i < count; i++)
+		buf_addf(b, ",\"%s\":%" PRIu64, rows[i].name, rows[i].value);
+	buf_addf(b, "}");
+}
+
+static int read_stat(void *ctx, const char *target, const char *field,
+		     uint64_t *value)
+{
+	struct stat_row rows[STAT_ROWS_MAX];
+	const struct fleet *f = ctx;
+	uint32_t count;
+	uint32_t i;
+
+	for (i = 0; i < f->count; i++) {
+		if (strcmp(f->endpoints[i]->target.spec.id, target) == 0)
+			break;
+	}
+	if (i == f->count)
+		return 0;
+	count = read_stats(f->endpoints[i], rows);
+	for (i = 0; i < count; i++) {
+		if (strcmp(rows[i].name, field) == 0) {
+			*value = rows[i].value;
+			return 1;
+		}
+	}
+	return 0;
 }
 
 static void add_repeated(struct buf *b, GHashTable *once)
@@ -214,10 +261,10 @@
 	http_query_value(query, "target", id, sizeof(id));
 	buf_addf(&b, "{\"targets\":[");
 	for (i = 0; i < f->count; i++) {
-		if (id[0] && strcmp(id, f->posts[i]->target.spec.id) != 0)
+		if (id[0] && strcmp(id, f->endpoints[i]->target.spec.id) != 0)
 			continue;
 		buf_addf(&b, "%s", separator);
-		add_target_stats(&b, f->posts[i]);
+		add_target_stats(&b, f->endpoints[i]);
 		separator = ",";
 	}
 	buf_addf(&b, "],\"once\":");
@@ -241,9 +288,9 @@
 	uint32_t i;
 
 	for (i = 0; i < f->count; i++) {
-		memset(&f->posts[i]->target.counters, 0,
+		memset(&f->endpoints[i]->target.counters, 0,
 		       sizeof(struct target_counters));
-		http_reset_counters(f->posts[i]->listener);
+		http_reset_counters(f->endpoints[i]->listener);
 	}
 	g_hash_table_remove_all(f->once);
 	http_replyf(c, 200, "{}");
@@ -262,16 +309,26 @@
 		serve_reset(f, c);
 	else if (!post && strcmp(r->path, "/control/stats") == 0)
 		serve_stats(f, c, r->query);
+	else if (!post && strcmp(r->path, "/control/wait") == 0)
+		waiters_serve(f->waiters, c, r->query);
 	else if (!post && strcmp(r->path, "/control/once") == 0)
 		serve_once(f, c, r->query);
 	else
 		http_replyf(c, 404, "{\"error\":\"no_such_path\"}");
 }
 
+static void client_gone(void *ctx, struct http_conn *c)
+{
+	waiters_gone(((struct fleet *)ctx)->waiters, c);
+}
+
 struct http_listener *fleet_control(struct fleet *f, const char *address,
 				    uint16_t port, struct err *err)
 {
-	struct http_service s = { .request = serve, .ctx = f };
+	struct http_service s = { .request = serve,
+				  .gone = client_gone,
+				  .ctx = f };
 
+	f->waiters = waiters_new(f->http, read_stat, f);
 	return http_listen(f->http, address, port, &s, err);
 }
--- a/tests/standin/http.c
+++ b/tests/standin/http.c
@@ -30,6 +30,8 @@
 	/* Closed in this round; events for them may still be pending. */
 	struct http_conn *buried;
 	int stopping;
+	void (*after)(void *ctx);
+	void *after_ctx;
 };
 
 static volatile sig_atomic_t signalled;
@@ -313,6 +315,8 @@
 		for (i = 0; i < n; i++)
 			handle_event(h, &events[i]);
 		tmr_run(h->timers, clock_now_us());
+		if (h->after)
+			h->after(h->after_ctx);
 		reap(h);
 	}
 	tmr_cancel(h->timers, &end);
@@ -323,6 +327,12 @@
 	h->stopping = 1;
 }
 
+void http_after_round(struct http *h, void (*fn)(void *ctx), void *ctx)
+{
+	h->after = fn;
+	h->after_ctx = ctx;
+}
+
 int http_query_value(const char *query, const char *name, char *out,
 		     size_t size_bytes)
 {
--- a/tests/standin/http.h
+++ b/tests/standin/http.h
@@ -64,6 +64,8 @@
 /* Serves until http_stop(), SIGTERM, SIGINT or @run_s seconds passed. */
 void http_run(struct http *h, uint32_t run_s);
 void http_stop(struct http *h);
+/* @fn, if not NULL, runs after each round of events and timers. */
+void http_after_round(struct http *h, void (*fn)(void *ctx), void *ctx);
 
 /* @port 0 picks a free one. NULL with ERR_IO when the port is taken. */
 struct http_listener *http_listen(struct http *h, const char *address,
--- a/tests/standin/main_target.c
+++ b/tests/standin/main_target.c
@@ -101,7 +101,7 @@
 	return fleet_add(f, &s->spec, s->run, err);
 }
 
-/* The number at the end of @id, after its other characters. */
+/* Numbers the targets upwards from the digits at the end of --id. */
 static enum err_code add_counted(struct fleet *f, const struct settings *s,
 				 struct err *err)
 {
@@ -156,11 +156,12 @@
 	uint32_t i;
 
 	for (i = 0; i < f->count; i++)
-		printf("target %s %u\n", f->posts[i]->target.spec.id,
-		       http_port(f->posts[i]->listener));
+		printf("target %s %u\n", f->endpoints[i]->target.spec.id,
+		       http_port(f->endpoints[i]->listener));
 	if (control)
 		printf("admin %u\n", http_port(control));
-	printf("ready %u\n", f->count ? http_port(f->posts[0]->listener) : 0);
+	printf("ready %u\n",
+	       f->count ? http_port(f->endpoints[0]->listener) : 0);
 	fflush(stdout);
 }
 
--- a/tests/standin/mains.h
+++ b/tests/standin/mains.h
@@ -10,6 +10,8 @@
 #define MAINS_RUN_S 3600
 
 enum err_code main_target(int argc, char **argv, struct err *err);
+/* "standin merge": prints the answer that a host must give. */
+enum err_code main_merge(int argc, char **argv, struct err *err);
 enum err_code main_store(int argc, char **argv, struct err *err);
 
 #endif
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -6,13 +6,8 @@
 
 #include "base/clock.h"
 
-#define WATCH_MS_DEFAULT 30000
-#define WATCH_MS_MAX 600000
-#define LEASE_MS_MIN 100
-#define LEASE_MS_MAX 600000
 /* A second's rate may come within so many parts of it at once. */
 #define BURST_PARTS 10
-#define NO_SUCH_PATH -1
 
 static const struct {
 	const char *name;
@@ -53,7 +48,6 @@
 	c->store = s;
 	c->conn = conn;
 	c->if_version = KVS_ANY_VERSION;
-	c->timeout_ms = WATCH_MS_DEFAULT;
 	c->next = s->calls;
 	if (c->next)
 		c->next->prev = c;
@@ -255,113 +249,6 @@
 			lease_due, s);
 }
 
-static int query_u64(const char *query, const char *name, uint64_t most,
-		     uint64_t *out)
-{
-	char text[32];
-	char *end;
-
-	if (!http_query_value(query, name, text, sizeof(text)))
-		return 1;
-	if (!g_ascii_isdigit(text[0]))
-		return 0;
-	*out = strtoull(text, &end, 10);
-	return *end == '\0' && *out <= most;
-}
-
-static int decode_key(struct store_call *c, const char *key)
-{
-	return kvs_key_ok(key) && cu_copy(c->key, sizeof(c->key), key);
-}
-
-static int decode_kv(struct store_call *c, const struct http_request *r,
-		     const char *key)
-{
-	if (!decode_key(c, key) ||
-	    !query_u64(r->query, "if_version", UINT64_MAX - 1,
-		       &c->if_version) ||
-	    !query_u64(r->query, "lease", UINT64_MAX - 1, &c->lease))
-		return 0;
-	if (c->op != SO_PUT)
-		return 1;
-	c->value = cu_alloc(r->body_bytes + 1, 1);
-	memcpy(c->value, r->body, r->body_bytes);
-	c->value_bytes = r->body_bytes;
-	return g_utf8_validate(c->value, (gssize)c->value_bytes, NULL);
-}
-
-static int decode_watch(struct store_call *c, const struct http_request *r,
-			const char *prefix)
-{
-	uint64_t timeout_ms = WATCH_MS_DEFAULT;
-
-	if (prefix[0] && !decode_key(c, prefix))
-		return 0;
-	if (!query_u64(r->query, "after", UINT64_MAX - 1, &c->after) ||
-	    !query_u64(r->query, "timeout_ms", WATCH_MS_MAX, &timeout_ms))
-		return 0;
-	c->timeout_ms = (uint32_t)timeout_ms;
-	return 1;
-}
-
-static int decode_grant(struct store_call *c, const struct http_request *r)
-{
-	json_t *body = json_loadb(r->body, r->body_bytes, 0, NULL);
-	json_int_t ttl_ms = json_integer_value(json_object_get(body, "ttl_ms"));
-
-	json_decref(body);
-	c->ttl_ms = (uint32_t)ttl_ms;
-	return ttl_ms >= LEASE_MS_MIN && ttl_ms <= LEASE_MS_MAX;
-}
-
-/* Rest of @path after @prefix, or NULL. */
-static const char *below(const char *path, const char *prefix)
-{
-	size_t len = strlen(prefix);
-
-	return strncmp(path, prefix, len) == 0 ? path + len : NULL;
-}
-
-/* Reads "ID" or "ID/renew"; @rest must follow the number. */
-static int decode_lease(struct store_call *c, const char *at, const char *rest)
-{
-	char *end;
-
-	if (!g_ascii_isdigit(at[0]))
-		return 0;
-	c->lease = strtoull(at, &end, 10);
-	return strcmp(end, rest) == 0;
-}
-
-/* 0: not understood, 1: decoded, NO_SUCH_PATH: no such path. */
-static int decode(struct store_call *c, const struct http_request *r)
-{
-	int get = strcmp(r->method, "GET") == 0;
-	int post = strcmp(r->method, "POST") == 0;
-	int del = strcmp(r->method, "DELETE") == 0;
-	int put = strcmp(r->method, "PUT") == 0;
-	const char *rest;
-
-	if ((rest = below(r->path, "/v1/kv/")) && !post) {
-		c->op = get ? SO_GET : put ? SO_PUT : SO_DELETE;
-		return (get || put || del) && decode_kv(c, r, rest);
-	}
-	if (get && (rest = below(r->path, "/v1/watch/"))) {
-		c->op = SO_WATCH;
-		return decode_watch(c, r, rest);
-	}
-	if (post && strcmp(r->path, "/v1/lease") == 0) {
-		c->op = SO_GRANT;
-		return decode_grant(c, r);
-	}
-	if ((post || del) && (rest = below(r->path, "/v1/lease/"))) {
-		c->op = post ? SO_RENEW : SO_REVOKE;
-		return decode_lease(c, rest, post ? "/renew" : "");
-	}
-	c->op = SO_HOSTS;
-	return get && strcmp(r->path, "/v1/hosts") == 0 ? 1 : NO_SUCH_PATH;
-}
-
 static void count_call(struct store *s, enum store_op op, int64_t now_us)
 {
 	s->counters.calls[op]++;
@@ -425,7 +312,7 @@
 	struct store *s = ctx;
 	int64_t now_us = clock_now_us();
 	struct store_call *c = call_new(s, conn);
-	int decoded = decode(c, r);
+	int decoded = store_decode(c, r);
 
 	if (decoded != 1) {
 		answer(c, decoded ? 404 : 400,
@@ -476,12 +363,27 @@
 	return s;
 }
 
+static void free_calls(struct store *s)
+{
+	struct store_call *c = s->calls;
+
+	while (c) {
+		struct store_call *next = c->next;
+
+		tmr_cancel(http_timers(s->http), &c->timer);
+		buf_free(&c->body);
+		free(c->value);
+		free(c);
+		c = next;
+	}
+}
+
 void store_free(struct store *s)
 {
 	if (!s)
 		return;
-	while (s->calls)
-		call_free(s->calls);
+	waiters_free(s->waiters);
+	free_calls(s);
 	tmr_cancel(http_timers(s->http), &s->lease_timer);
 	kvs_free(s->kvs);
 	kvs_free(s->stale);
--- a/tests/standin/store.h
+++ b/tests/standin/store.h
@@ -9,6 +9,7 @@
 #include "fault.h"
 #include "http.h"
 #include "kvs.h"
+#include "waiters.h"
 
 /* DEF(id, name) */
 #define STORE_FAULTS(DEF)                        \
@@ -84,14 +85,20 @@
 	int64_t filled_us;
 };
 
+/* DEF(field) counters besides the calls of each kind. */
+#define STORE_COUNTERS(DEF) \
+	DEF(limited)        \
+	DEF(refused)        \
+	DEF(conflicts)      \
+	DEF(answers_lost)   \
+	DEF(watches_peak)   \
+	DEF(calls_per_s_peak)
+
 struct store_counters {
 	uint64_t calls[STORE_OP_COUNT];
-	uint64_t limited;
-	uint64_t refused;
-	uint64_t conflicts;
-	uint64_t answers_lost;
-	uint64_t watches_peak;
-	uint64_t calls_per_s_peak;
+#define DEF(field) uint64_t field;
+	STORE_COUNTERS(DEF)
+#undef DEF
 };
 
 struct store {
@@ -103,6 +110,7 @@
 	/* State that the stale fault shows. */
 	struct kvs *stale;
 	struct store_hosts *hosts;
+	struct waiters *waiters;
 	/* Calls that are waiting or whose answer is held back. */
 	struct store_call *calls;
 	uint32_t watches;
@@ -126,6 +134,9 @@
 
 /* The rest is shared by the store_*.c files. */
 
+#define STORE_NO_PATH (-1)
+/* 1: decoded, 0: a field is missing or out of range, STORE_NO_PATH. */
+int store_decode(struct store_call *c, const struct http_request *r);
 /* State that reads see. */
 struct kvs *store_read_state(struct store *s);
 /* Sends c->status and c->body, under the faults that touch answers. */
--- a/tests/standin/store_control.c
+++ b/tests/standin/store_control.c
@@ -141,28 +141,60 @@
 		    (int)err.code, err_name(err.code), err.detail);
 }
 
+/* Numbers of the store, in the order in which they are shown. */
+struct stat_row {
+	const char *name;
+	uint64_t value;
+};
+
+#define STAT_ROWS_MAX 32
+
+static uint32_t read_stats(const struct store *s, struct stat_row *rows)
+{
+	const struct http_counters *n = http_counters(s->listener);
+	uint32_t i = 0;
+	uint32_t op;
+
+	rows[i++] = (struct stat_row){ "revision", s->kvs->revision };
+	rows[i++] = (struct stat_row){ "watches", s->watches };
+	for (op = 0; op < STORE_OP_COUNT; op++)
+		rows[i++] = (struct stat_row){ store_op_name(op),
+					       s->counters.calls[op] };
+#define DEF(field) rows[i++] = (struct stat_row){ #field, s->counters.field };
+	STORE_COUNTERS(DEF)
+#undef DEF
+	rows[i++] = (struct stat_row){ "connections", n->open };
+	rows[i++] = (struct stat_row){ "peak_connections", n->open_peak };
+	return i;
+}
+
+static int read_stat(void *ctx, const char *target, const char *field,
+		     uint64_t *value)
+{
+	struct stat_row rows[STAT_ROWS_MAX];
+	uint32_t count = read_stats(ctx, rows);
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (strcmp(rows[i].name, field) == 0) {
+			*value = rows[i].value;
+			return 1;
+		}
+	}
+	return 0;
+}
+
 static void serve_stats(struct store *s, struct http_conn *c)
 {
-	const struct store_counters *n = &s->counters;
-	const struct http_counters *conns = http_counters(s->listener);
+	struct stat_row rows[STAT_ROWS_MAX];
 	struct buf b CLEANUP_BUF = { 0 };
+	uint32_t count = read_stats(s, rows);
 	uint32_t i;
 
-	buf_addf(&b, "{\"revision\":%" PRIu64 ",\"calls\":{", s->kvs->revision);
-	for (i = 0; i < STORE_OP_COUNT; i++)
-		buf_addf(&b, "%s\"%s\":%" PRIu64, i ? "," : "",
-			 store_op_name(i), n->calls[i]);
-	buf_addf(&b,
-		 "},\"limited\":%" PRIu64 ",\"refused\":%" PRIu64 ",\"conflicts"
-								  "\":%" PRIu64
-		 ",\"answers_lost\":%" PRIu64 ",\"watches\":%u,\"watches_"
-					      "peak\":%" PRIu64 ",\"calls_per_"
-								"s_peak\":"
-								"%" PRIu64,
-		 n->limited, n->refused, n->conflicts, n->answers_lost,
-		 s->watches, n->watches_peak, n->calls_per_s_peak);
-	buf_addf(&b, ",\"connections\":%u,\"peak_connections\":%u}",
-		 conns->open, conns->open_peak);
+	for (i = 0; i < count; i++)
+		buf_addf(&b, "%s\"%s\":%" PRIu64, i ? "," : "{", rows[i].name,
+			 rows[i].value);
+	buf_addf(&b, "}");
 	http_reply(c, 200, b.data, b.len_bytes, HTTP_WHOLE);
 }
 
@@ -181,14 +213,24 @@
 		serve_change(s, c, r, reset);
 	else if (!post && strcmp(r->path, "/control/stats") == 0)
 		serve_stats(s, c);
+	else if (!post && strcmp(r->path, "/control/wait") == 0)
+		waiters_serve(s->waiters, c, r->query);
 	else
 		http_replyf(c, 404, "{\"error\":\"no_such_path\"}");
 }
 
+static void client_gone(void *ctx, struct http_conn *c)
+{
+	waiters_gone(((struct store *)ctx)->waiters, c);
+}
+
 struct http_listener *store_control(struct store *s, const char *address,
 				    uint16_t port, struct err *err)
 {
-	struct http_service service = { .request = serve, .ctx = s };
+	struct http_service service = { .request = serve,
+					.gone = client_gone,
+					.ctx = s };
 
+	s->waiters = waiters_new(s->http, read_stat, s);
 	return http_listen(s->http, address, port, &service, err);
 }
--- a/tests/standin/target.c
+++ b/tests/standin/target.c
@@ -252,13 +252,16 @@
 
 static void forget_jobs(struct target *t, struct job_list *l)
 {
-	while (l->first) {
-		struct job *j = l->first;
+	struct job *j = l->first;
+
+	while (j) {
+		struct job *next = j->next;
 
-		list_remove(l, j);
 		tmr_cancel(t->timers, &j->timer);
 		job_free(j);
+		j = next;
 	}
+	*l = (struct job_list){ 0 };
 }
 
 void target_renew(struct target *t, int cold)
