--- a/tests/proc.c
+++ b/tests/proc.c
@@ -56,6 +56,7 @@
 	       uint32_t timeout_ms)
 {
 	int64_t until_us = clock_now_us() + (int64_t)timeout_ms * US_PER_MS;
+	char line[256];
 	int fds[2];
 
 	memset(p, 0, sizeof(*p));
@@ -66,8 +67,11 @@
 		run_child(argv, log_path, fds[1]);
 	close(fds[1]);
 	p->out_fd = fds[0];
-	while (read_line(p->out_fd, p->ready, sizeof(p->ready), until_us)) {
-		if (strncmp(p->ready, "ready", 5) == 0)
+	while (read_line(p->out_fd, line, sizeof(line), until_us)) {
+		size_t used = strlen(p->text);
+
+		snprintf(p->text + used, sizeof(p->text) - used, "%s\n", line);
+		if (strncmp(line, "ready", strlen("ready")) == 0)
 			return 0;
 	}
 	proc_kill(p);
@@ -79,10 +83,14 @@
 	char key[64];
 	const char *at;
 
-	if (!name)
-		return (uint32_t)strtoul(p->ready + strlen("ready"), NULL, 10);
 	snprintf(key, sizeof(key), " %s=", name);
-	at = strstr(p->ready, key);
+	at = strstr(p->text, key);
+	if (at)
+		return (uint32_t)strtoul(at + strlen(key), NULL, 10);
+	snprintf(key, sizeof(key), "%s ", name);
+	at = strstr(p->text, key);
+	while (at && at != p->text && at[-1] != '\n')
+		at = strstr(at + 1, key);
 	return at ? (uint32_t)strtoul(at + strlen(key), NULL, 10) : 0;
 }
 
--- a/tests/proc.h
+++ b/tests/proc.h
@@ -11,8 +11,8 @@
 	pid_t pid;
 	/* Read end of the child's standard output. */
 	int out_fd;
-	/* Line that ended proc_start(), such as "ready 40001". */
-	char ready[256];
+	/* Lines up to and with the one that begins with "ready". */
+	char text[8192];
 };
 
 /*
@@ -23,7 +23,7 @@
  */
 int proc_start(struct proc *p, const char *const *argv, const char *log_path,
 	       uint32_t timeout_ms);
-/* Value of "name=NUMBER" or of the word after "ready" (@name NULL); 0: none. */
+/* Number in "name=NUMBER", or in a line "name NUMBER"; 0: none. */
 uint32_t proc_number(const struct proc *p, const char *name);
 void proc_signal(const struct proc *p, int signal_number);
 /* Waits for the end; returns the exit status, or -1 after a signal. */
