--- /dev/null
+++ b/src/codec/hjson.c
@@ -0,0 +1,69 @@
+#include "codec/hjson.h"
+
+#include <string.h>
+
+#include "codec/sjson.h"
+
+/* Twice the planned number of hosts and targets. */
+#define HOSTS_MAX 32768
+
+static int read_choice(const json_t *obj, const char *field, const char *no,
+		       const char *yes, uint32_t *out)
+{
+	const char *s = json_string_value(json_object_get(obj, field));
+
+	*out = s && strcmp(s, yes) == 0;
+	return s && (*out || strcmp(s, no) == 0);
+}
+
+static int read_host(const json_t *obj, struct listed_host *h)
+{
+	uint32_t port = 0;
+
+	if (sjson_text_internal(obj, "id", h->id, sizeof(h->id), NULL) ||
+	    sjson_text_internal(obj, "address", h->address, sizeof(h->address),
+				NULL) ||
+	    sjson_u32_internal(obj, "port", 1, UINT16_MAX, -1, &port, NULL) ||
+	    sjson_text_internal(obj, "data_centre", h->data_centre,
+				sizeof(h->data_centre), NULL))
+		return 0;
+	h->port = (uint16_t)port;
+	return cu_name_ok(h->id, NAME_BYTES - 1) &&
+	       cu_name_ok(h->data_centre, NAME_BYTES - 1) &&
+	       read_choice(obj, "role", "target", "entry", &h->entry) &&
+	       read_choice(obj, "state", "live", "leaving", &h->leaving);
+}
+
+struct host_list *hjson_list(const char *text, uint32_t *refused,
+			     struct err *err)
+{
+	json_t *obj = sjson_load_internal(text, err);
+	const json_t *hosts = json_object_get(obj, "hosts");
+	size_t n = json_array_size(hosts);
+	struct host_list *l = NULL;
+	size_t i;
+
+	if (refused)
+		*refused = 0;
+	if (obj && (!json_is_array(hosts) || n > HOSTS_MAX)) {
+		err_set(err, ERR_CFG_FIELD,
+			"hosts has %zu entries or is missing, accepted 0 to %u",
+			n, HOSTS_MAX);
+	} else if (obj) {
+		l = cu_alloc(1, sizeof(*l));
+		sjson_u64_internal(obj, "revision", 0, INT64_MAX, 0,
+				   &l->revision, NULL);
+		l->hosts = cu_alloc(n, sizeof(*l->hosts));
+		for (i = 0; i < n; i++) {
+			struct listed_host *h = &l->hosts[l->count];
+
+			memset(h, 0, sizeof(*h));
+			if (read_host(json_array_get(hosts, i), h))
+				l->count++;
+			else if (refused)
+				(*refused)++;
+		}
+	}
+	json_decref(obj);
+	return l;
+}
--- /dev/null
+++ b/src/codec/hjson.h
@@ -0,0 +1,16 @@
+/* JSON of the platform's host list (docs/INTERFACES.md, section 4). */
+#ifndef HJSON_H
+#define HJSON_H
+
+#include "base/err.h"
+#include "model/hostlist.h"
+
+/*
+ * NULL with ERR_BAD_JSON or ERR_CFG_FIELD in @err when the text is no host
+ * list. Entries with a missing or bad field are left out and counted in
+ * @refused (may be NULL), so that one bad entry does not hide the others.
+ */
+struct host_list *hjson_list(const char *text, uint32_t *refused,
+			     struct err *err);
+
+#endif
--- /dev/null
+++ b/src/codec/peer.x
@@ -0,0 +1,73 @@
+/*
+ * Messages between hosts (ONC RPC). HEARTBEAT is one-way over UDP: the server
+ * sends no reply. FETCH_CONFIG is a call over TCP.
+ */
+const PEER_NAME_MAX = 64;
+const PEER_ITEM_NAME_MAX = 80;
+const PEER_ADDRESS_MAX = 45;
+const PEER_WHO_MAX = 127;
+const PEER_NOTICES_MAX = 16;
+const PEER_ROLLOUTS_MAX = 4;
+const PEER_RECENT_MAX = 64;
+const PEER_ITEMS_MAX = 8192;
+const PEER_JSON_MAX = 1048576;
+
+struct peer_notice {
+	string target<PEER_NAME_MAX>;
+	string instance<PEER_NAME_MAX>;
+	unsigned int kind;
+};
+
+struct peer_rollout {
+	string service<PEER_NAME_MAX>;
+	string release<PEER_NAME_MAX>;
+	unsigned int bad;
+	unsigned int requests;
+	unsigned int failures;
+	unsigned int slow;
+};
+
+struct peer_heartbeat {
+	string host<PEER_NAME_MAX>;
+	string data_centre<PEER_NAME_MAX>;
+	string address<PEER_ADDRESS_MAX>;
+	unsigned int port;
+	unsigned hyper incarnation;
+	unsigned hyper sequence;
+	unsigned int state;
+	unsigned hyper config_rev;
+	unsigned hyper config_change;
+	unsigned hyper out_rev;
+	peer_notice notices<PEER_NOTICES_MAX>;
+	peer_rollout rollouts<PEER_ROLLOUTS_MAX>;
+};
+
+struct peer_fetch_args {
+	unsigned hyper rev;
+	unsigned hyper change;
+	unsigned hyper after_rev;
+};
+
+struct peer_item {
+	string name<PEER_ITEM_NAME_MAX>;
+	unsigned hyper rev;
+	unsigned hyper change;
+	string who<PEER_WHO_MAX>;
+	unsigned int deleted;
+	string json<PEER_JSON_MAX>;
+};
+
+struct peer_config {
+	unsigned hyper rev;
+	unsigned hyper recent<PEER_RECENT_MAX>;
+	unsigned int full;
+	unsigned int more;
+	peer_item items<PEER_ITEMS_MAX>;
+};
+
+program COWSLIPPOINT_PEER {
+	version PEER_V1 {
+		void HEARTBEAT(peer_heartbeat) = 1;
+		peer_config FETCH_CONFIG(peer_fetch_args) = 2;
+	} = 1;
+} = 0x20c05711;
--- a/src/decide/hrw.c
+++ b/src/decide/hrw.c
@@ -10,34 +10,10 @@
 	return XXH64(candidate, strlen(candidate), seed);
 }
 
-/* 1 if candidate @a goes before @b; names break ties of weights. */
-static int before(const char *key, const char *a, const char *b)
+int hrw_before(const char *key, const char *a, const char *b)
 {
 	uint64_t x = hrw_weight(key, a);
 	uint64_t y = hrw_weight(key, b);
 
 	return x != y ? x > y : strcmp(a, b) < 0;
 }
-
-uint32_t hrw_pick(const char *key, const char *const *candidates,
-		  uint32_t count, uint32_t want, uint32_t *out)
-{
-	uint32_t picked = 0;
-	uint32_t i;
-
-	for (i = 0; i < count && want; i++) {
-		uint32_t at = picked;
-
-		while (at > 0 &&
-		       before(key, candidates[i], candidates[out[at - 1]]))
-			at--;
-		if (at == want)
-			continue;
-		if (picked < want)
-			picked++;
-		memmove(&out[at + 1], &out[at],
-			(picked - at - 1) * sizeof(*out));
-		out[at] = i;
-	}
-	return picked;
-}
--- a/src/decide/hrw.h
+++ b/src/decide/hrw.h
@@ -10,11 +10,7 @@
 
 /* Weight of @candidate for @key; the highest one is chosen. */
 uint64_t hrw_weight(const char *key, const char *candidate);
-/*
- * Positions of the @want candidates with the highest weights, best first.
- * Returns how many were written to @out, at most @count.
- */
-uint32_t hrw_pick(const char *key, const char *const *candidates,
-		  uint32_t count, uint32_t want, uint32_t *out);
+/* 1 if candidate @a is chosen before @b; names break ties of weights. */
+int hrw_before(const char *key, const char *a, const char *b);
 
 #endif
--- a/src/duty/control.h
+++ b/src/duty/control.h
@@ -15,6 +15,7 @@
 #include "model/config.h"
 #include "model/evidence.h"
 #include "model/heartbeat.h"
+#include "model/member.h"
 #include "model/view.h"
 #include "platform/kv.h"
 
@@ -110,23 +111,6 @@
 /* 1 while the last store call reached the store. */
 int control_store_up(const struct control *c);
 
-/* A host as membership sees it. */
-struct member_info {
-	char host[NAME_BYTES];
-	char data_centre[NAME_BYTES];
-	char address[ADDRESS_BYTES];
-	uint16_t port;
-	enum host_state state;
-	uint64_t incarnation;
-	/* Configuration revision that the host has put into effect. */
-	uint64_t config_rev;
-	uint64_t out_rev;
-	/* Monotonic time of its last heartbeat; 0 for none. */
-	int64_t heard_us;
-	/* 1 when the platform's host list names it. */
-	uint32_t listed;
-};
-
 /* Calls @fn for each known entry host, this one included. */
 void control_each_member(const struct control *c,
 			 void (*fn)(void *ctx, const struct member_info *m),
--- /dev/null
+++ b/src/model/hostlist.h
@@ -0,0 +1,28 @@
+/* The platform's host list, which lags behind the truth. */
+#ifndef HOSTLIST_H
+#define HOSTLIST_H
+
+#include <stdint.h>
+
+#include "model/name.h"
+
+struct listed_host {
+	char id[NAME_BYTES];
+	char address[ADDRESS_BYTES];
+	/* Entry host: its peer port. */
+	uint16_t port;
+	char data_centre[NAME_BYTES];
+	/* 1: entry host, 0: target. */
+	uint32_t entry;
+	uint32_t leaving;
+};
+
+struct host_list {
+	uint64_t revision;
+	uint32_t count;
+	struct listed_host *hosts;
+};
+
+void host_list_free(struct host_list *l);
+
+#endif
