--- a/src/duty/messages.h
+++ b/src/duty/messages.h
@@ -14,7 +14,7 @@
 #include "model/view.h"
 #include "platform/kv.h"
 
-enum msg_type {
+enum message_type {
 	MSG_REQUEST, /* struct caller_request: caller to request */
 	MSG_CALLER_GONE, /* struct caller_gone: caller to request */
 	MSG_SUB_CALL, /* struct sub_call: request to target */
@@ -29,6 +29,7 @@
 	MSG_PEER_SEND, /* struct peer_datagram: control to peer_send */
 	MSG_PEER_FETCH, /* struct peer_fetch: control to peer_fetch */
 	MSG_PEER_ITEMS, /* struct peer_items: peer_fetch to control */
+	MSG_CONFIG, /* struct cfg_set: control to peer_listen */
 	MSG_LEAVE, /* no body: begin a graceful shutdown */
 	MSG_LOG_LINE /* char: any duty to logger */
 };
--- /dev/null
+++ b/src/duty/peer_fetch.c
@@ -0,0 +1,176 @@
+#include "duty/peer_fetch.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/addr.h"
+#include "base/metric.h"
+#include "codec/pxdr.h"
+#include "duty/duty.h"
+#include "duty/messages.h"
+#include "duty/peer.h"
+
+/* One pull is in progress at a time; the others are left over. */
+#define RING_CAPACITY 16
+
+struct peer_fetcher {
+	struct duty *duty;
+};
+
+static int wait_connected(int fd)
+{
+	struct pollfd p = { .fd = fd, .events = POLLOUT };
+	socklen_t len = sizeof(int);
+	int error = 0;
+
+	if (poll(&p, 1, PEER_FETCH_CONNECT_MS) != 1 ||
+	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0)
+		return 0;
+	return error == 0;
+}
+
+/* Connected, blocking socket or -1. */
+static int connect_to(const struct peer_address *to)
+{
+	struct sockaddr_storage at;
+	socklen_t len = addr_fill(to->address, to->port, &at);
+	int fd;
+
+	if (!len)
+		return -1;
+	fd = socket(at.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+		    0);
+	if (fd < 0)
+		return -1;
+	if ((connect(fd, (struct sockaddr *)&at, len) != 0 &&
+	     errno != EINPROGRESS) ||
+	    !wait_connected(fd) ||
+	    fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK) != 0) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+static struct cfg_delta *call(CLIENT *c, const struct peer_fetch *f,
+			      struct err *err)
+{
+	peer_fetch_args args = { f->rev, f->change, f->after_rev };
+	struct timeval wait = { PEER_FETCH_ANSWER_MS / MS_PER_S,
+				PEER_FETCH_ANSWER_MS % MS_PER_S * US_PER_MS };
+	peer_config config = { 0 };
+	struct cfg_delta *d = NULL;
+	enum clnt_stat status =
+		clnt_call(c, FETCH_CONFIG, (xdrproc_t)xdr_peer_fetch_args,
+			  &args, (xdrproc_t)pxdr_config_bounded, &config, wait);
+
+	metric_add(M_PEER_SENT, 1);
+	metric_add(M_PEER_SENT_BYTES, PXDR_CALL_BYTES + sizeof(args));
+	if (status == RPC_SUCCESS) {
+		metric_add(M_PEER_RECEIVED, 1);
+		metric_add(M_PEER_RECEIVED_BYTES,
+			   xdr_sizeof((xdrproc_t)xdr_peer_config, &config));
+		d = pxdr_to_delta(&config, err);
+	} else {
+		err_set(err, ERR_PEER_RPC, "%s: %s", f->host,
+			clnt_sperrno(status));
+	}
+	xdr_free((xdrproc_t)xdr_peer_config, (char *)&config);
+	return d;
+}
+
+static struct cfg_delta *fetch(const struct peer_fetch *f, struct err *err)
+{
+	struct sockaddr_storage at;
+	struct netbuf to = { sizeof(at), 0, &at };
+	int fd = connect_to(&f->from);
+	struct cfg_delta *d;
+	CLIENT *c;
+
+	to.len = addr_fill(f->from.address, f->from.port, &at);
+	if (fd < 0) {
+		err_set(err, ERR_PEER_RPC, "%s: no connection", f->host);
+		return NULL;
+	}
+	c = clnt_vc_create(fd, &to, COWSLIPPOINT_PEER, PEER_V1, 0, 0);
+	if (!c) {
+		close(fd);
+		err_set(err, ERR_PEER_RPC, "%s: no client handle", f->host);
+		return NULL;
+	}
+	clnt_control(c, CLSET_FD_CLOSE, NULL);
+	d = call(c, f, err);
+	clnt_destroy(c);
+	return d;
+}
+
+static void drop_items(void *body)
+{
+	peer_items_free(body);
+}
+
+static void on_message(void *ctx, int64_t now_us, struct msg *m)
+{
+	struct peer_fetch *f = m->body;
+	struct peer_items *p;
+	struct msg answer = { MSG_PEER_ITEMS, NULL, drop_items };
+
+	if (m->type != MSG_PEER_FETCH) {
+		if (m->drop)
+			m->drop(m->body);
+		return;
+	}
+	p = cu_alloc(1, sizeof(*p));
+	cu_copy(p->host, sizeof(p->host), f->host);
+	p->delta = fetch(f, &p->err);
+	if (!p->delta)
+		metric_add(M_PEER_ERRORS, 1);
+	answer.body = p;
+	/* Without an answer the control duty gives the pull up by itself. */
+	if (ring_push(f->reply_to, &answer) != ERR_OK)
+		peer_items_free(p);
+	free(f);
+}
+
+struct peer_fetcher *peer_fetch_new(struct err *err)
+{
+	struct peer_fetcher *p = cu_alloc(1, sizeof(*p));
+
+	p->duty = duty_new("peer_fetch", RING_CAPACITY, NULL, NULL, err);
+	if (!p->duty) {
+		free(p);
+		return NULL;
+	}
+	return p;
+}
+
+enum err_code peer_fetch_start(struct peer_fetcher *p, struct err *err)
+{
+	return duty_start(p->duty, on_message, p, err);
+}
+
+struct ring *peer_fetch_ring(struct peer_fetcher *p)
+{
+	return duty_ring(p->duty);
+}
+
+void peer_fetch_stop(struct peer_fetcher *p)
+{
+	duty_stop(p->duty);
+}
+
+void peer_fetch_join(struct peer_fetcher *p)
+{
+	duty_join(p->duty);
+}
+
+void peer_fetch_free(struct peer_fetcher *p)
+{
+	if (!p)
+		return;
+	duty_free(p->duty);
+	free(p);
+}
--- /dev/null
+++ b/src/duty/peer_fetch.h
@@ -0,0 +1,25 @@
+/*
+ * The peer_fetch duty: pulls configuration from other hosts over TCP
+ * (MSG_PEER_FETCH, answered by MSG_PEER_ITEMS). Each pull uses a connection
+ * of its own and ends after a bounded time.
+ */
+#ifndef PEER_FETCH_H
+#define PEER_FETCH_H
+
+#include "base/err.h"
+#include "base/ring.h"
+
+/* Longest wait for the connection, and for each part of the answer. */
+#define PEER_FETCH_CONNECT_MS 1000
+#define PEER_FETCH_ANSWER_MS 2000
+
+struct peer_fetcher;
+
+struct peer_fetcher *peer_fetch_new(struct err *err);
+enum err_code peer_fetch_start(struct peer_fetcher *p, struct err *err);
+struct ring *peer_fetch_ring(struct peer_fetcher *p);
+void peer_fetch_stop(struct peer_fetcher *p);
+void peer_fetch_join(struct peer_fetcher *p);
+void peer_fetch_free(struct peer_fetcher *p);
+
+#endif
