--- a/src/controller/cfg.h
+++ b/src/controller/cfg.h
@@ -52,7 +52,7 @@
 
 /* @seed makes change IDs; must differ between hosts and restarts. */
 struct cfg *cfg_new(const struct cfg_actions *a, uint64_t seed);
-/* Edits that wait are dropped without calling their done callback. */
+/* Edits that wait end with ERR_STOPPING or ERR_STORE_UNKNOWN. */
 void cfg_free(struct cfg *c);
 
 /* Reads the store's head soon. */
--- a/src/controller/cfg_edit.c
+++ b/src/controller/cfg_edit.c
@@ -16,16 +16,6 @@
 	free(e);
 }
 
-void cfg_drop_edits_internal(struct cfg *c)
-{
-	while (c->edits) {
-		struct cfg_edit *e = c->edits;
-
-		c->edits = e->next;
-		edit_free(e);
-	}
-}
-
 /* Reports the first edit; the callback may submit another one. */
 static void finish_edit(struct cfg *c, const struct err *err, uint64_t rev)
 {
@@ -37,6 +27,18 @@
 	edit_free(e);
 }
 
+void cfg_drop_edits_internal(struct cfg *c)
+{
+	while (c->edits) {
+		struct err err = { 0 };
+
+		err_set(&err,
+			c->edits->unknown ? ERR_STORE_UNKNOWN : ERR_STOPPING,
+			"%s: host is shutting down", c->edits->name);
+		finish_edit(c, &err, 0);
+	}
+}
+
 /* 0 for an item that does not exist, so that deletions may be forgotten. */
 static uint64_t entry_rev(const struct head_entry *e)
 {
--- /dev/null
+++ b/src/duty/control.c
@@ -0,0 +1,332 @@
+#include "duty/control.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metric.h"
+#include "codec/sjson.h"
+#include "duty/control_state.h"
+
+/* Heartbeats of a second from every partner, store answers, evidence. */
+#define RING_CAPACITY 8192
+/*
+ * A host that hears no peer for this long may edit all the same; the peers'
+ * heartbeats come once per second.
+ */
+#define COMPARE_US (3 * (int64_t)US_PER_S)
+
+static enum err_code check_item(void *ctx, const char *name, const char *json,
+				struct err *err)
+{
+	return sjson_check_item(name, json, err);
+}
+
+static void on_item(void *ctx, const struct cfg_item *item)
+{
+	struct control *c = ctx;
+	int64_t now_us = clock_now_us();
+	uint32_t i;
+
+	control_view_item(c, item);
+	for (i = 0; i < c->hook_count; i++) {
+		if (c->hooks[i].item)
+			c->hooks[i].item(c->hooks[i].ctx, now_us, item);
+	}
+}
+
+static void on_refused(void *ctx, const struct cfg_item *item,
+		       const struct err *err)
+{
+	metric_add(M_CONFIG_REFUSED, 1);
+	log_event(LOG_LEVEL_ERROR, "config_item_refused",
+		  "%s revision %llu: %s", item->name,
+		  (unsigned long long)item->rev, err->detail);
+}
+
+static void on_adopted(void *ctx, struct cfg_set *set)
+{
+	struct control *c = ctx;
+
+	c->view_dirty = 1;
+	c->config_dirty = 1;
+	metric_set(M_CONFIG_REV, set->head->rev);
+	log_event(LOG_LEVEL_INFO, "config_adopted", "revision %llu",
+		  (unsigned long long)set->head->rev);
+	control_heartbeat_soon(c, clock_now_us());
+}
+
+static void on_note(void *ctx, const char *event, const char *text)
+{
+	log_event(LOG_LEVEL_WARNING, event, "%s", text);
+}
+
+static void on_member(void *ctx, const struct member_info *m)
+{
+	struct control *c = ctx;
+
+	c->view_dirty = 1;
+	log_event(LOG_LEVEL_INFO, "host_state", "%s in %s is %s", m->host,
+		  m->data_centre, host_state_name(m->state));
+}
+
+static void on_tick(void *ctx, int64_t now_us)
+{
+	struct control *c = ctx;
+	uint32_t i;
+
+	if (now_us - c->start_us >= COMPARE_US)
+		cfg_allow_edits(c->cfg);
+	mbr_tick(c->mbr, now_us);
+	cfg_tick(c->cfg, now_us);
+	control_store_tick(c, now_us);
+	for (i = 0; i < c->hook_count; i++) {
+		const struct control_hooks *k = &c->hooks[i];
+
+		if (k->tick && k->tick(k->ctx, now_us))
+			c->view_dirty = 1;
+	}
+	control_publish(c, now_us);
+	tmr_arm(duty_timers(c->duty), &c->tick, now_us + CONTROL_TICK_US,
+		on_tick, c);
+}
+
+static void take_evidence(struct control *c, int64_t now_us, struct evidence *e)
+{
+	uint32_t i;
+
+	control_add_notices(c, e);
+	for (i = 0; i < c->hook_count; i++) {
+		const struct control_hooks *k = &c->hooks[i];
+
+		if (k->evidence && k->evidence(k->ctx, now_us, e))
+			c->view_dirty = 1;
+	}
+	evidence_free(e);
+}
+
+static void on_message(void *ctx, int64_t now_us, struct msg *m)
+{
+	struct control *c = ctx;
+
+	switch (m->type) {
+	case MSG_KV_RESULT:
+		control_store_reply(c, m->body);
+		break;
+	case MSG_HEARTBEAT_IN:
+		control_heartbeat_in(c, now_us, m->body);
+		break;
+	case MSG_PEER_ITEMS:
+		control_peer_items(c, now_us, m->body);
+		break;
+	case MSG_EVIDENCE:
+		take_evidence(c, now_us, m->body);
+		break;
+	case MSG_ADMIN:
+		c->o.admin(c, m->body);
+		break;
+	case MSG_LEAVE:
+		control_leave(c);
+		break;
+	default:
+		if (m->drop)
+			m->drop(m->body);
+	}
+	control_publish(c, now_us);
+}
+
+static struct cfg *new_cfg(struct control *c)
+{
+	struct cfg_actions a = {
+		.read_head = control_read_head,
+		.read_item = control_read_item,
+		.write_item = control_write_item,
+		.write_head = control_write_head,
+		.delete_item = control_delete_item,
+		.pull = control_pull,
+		.check = check_item,
+		.item = on_item,
+		.refused = on_refused,
+		.adopted = on_adopted,
+		.note = on_note,
+		.ctx = c,
+	};
+
+	return cfg_new(&a, rng_u64(&c->rng) ^ c->o.incarnation);
+}
+
+static struct mbr *new_mbr(struct control *c, int64_t now_us)
+{
+	struct mbr_actions a = { .changed = on_member, .ctx = c };
+	struct member_info self = { .port = c->o.port,
+				    .incarnation = c->o.incarnation };
+
+	cu_copy(self.host, sizeof(self.host), c->o.host);
+	cu_copy(self.data_centre, sizeof(self.data_centre), c->o.data_centre);
+	cu_copy(self.address, sizeof(self.address), c->o.address);
+	return mbr_new(&self, &a, rng_u64(&c->rng), now_us);
+}
+
+struct control *control_new(const struct control_options *o, struct err *err)
+{
+	struct control *c;
+
+	if (!cu_name_ok(o->host, NAME_BYTES - 1) ||
+	    !cu_name_ok(o->data_centre, NAME_BYTES - 1)) {
+		err_set(err, ERR_SETTING,
+			"host '%s' or data centre '%s' is not valid, accepted "
+			"1 to 64 of a-z A-Z 0-9 . _ : -",
+			o->host, o->data_centre);
+		return NULL;
+	}
+	if (!o->admin) {
+		err_set(err, ERR_INTERNAL, "no handler of operator calls");
+		return NULL;
+	}
+	c = cu_alloc(1, sizeof(*c));
+	c->o = *o;
+	c->rng.state = o->seed;
+	c->duty = duty_new("control", RING_CAPACITY, NULL, NULL, err);
+	if (!c->duty) {
+		free(c);
+		return NULL;
+	}
+	control_view_new(c);
+	return c;
+}
+
+struct control_options *control_options(struct control *c)
+{
+	return &c->o;
+}
+
+void control_add_hooks(struct control *c, const struct control_hooks *h)
+{
+	if (c->hook_count < CONTROL_HOOKS_MAX)
+		c->hooks[c->hook_count++] = *h;
+}
+
+enum err_code control_start(struct control *c, struct err *err)
+{
+	c->start_us = clock_now_us();
+	c->cfg = new_cfg(c);
+	c->mbr = new_mbr(c, c->start_us);
+	c->view_dirty = 1;
+	control_store_start(c, c->start_us);
+	control_peer_start(c, c->start_us);
+	tmr_arm(duty_timers(c->duty), &c->tick, c->start_us, on_tick, c);
+	return duty_start(c->duty, on_message, c, err);
+}
+
+struct ring *control_ring(struct control *c)
+{
+	return duty_ring(c->duty);
+}
+
+void control_stop(struct control *c)
+{
+	duty_stop(c->duty);
+}
+
+void control_join(struct control *c)
+{
+	duty_join(c->duty);
+}
+
+void control_free(struct control *c)
+{
+	if (!c)
+		return;
+	control_store_free(c);
+	cfg_free(c->cfg);
+	mbr_free(c->mbr);
+	control_view_free(c);
+	duty_free(c->duty);
+	free(c);
+}
+
+void control_view_changed(struct control *c)
+{
+	c->view_dirty = 1;
+}
+
+enum err_code control_edit(struct control *c, const char *item,
+			   const char *json_or_null_to_delete, const char *who,
+			   uint64_t if_rev, control_edit_done_fn *done,
+			   void *ctx, struct err *err)
+{
+	return cfg_edit(c->cfg, clock_now_us(), item, json_or_null_to_delete,
+			who, if_rev, done, ctx, err);
+}
+
+uint64_t control_rev(const struct control *c)
+{
+	return cfg_rev(c->cfg);
+}
+
+const struct cfg_item *control_item(const struct control *c, const char *name)
+{
+	return cfg_item_in_effect(c->cfg, name);
+}
+
+struct prefix_walk {
+	const char *prefix;
+	void (*fn)(void *ctx, const struct cfg_item *item);
+	void *ctx;
+};
+
+static void walk_item(void *ctx, const struct cfg_item *item)
+{
+	struct prefix_walk *w = ctx;
+
+	if (strncmp(item->name, w->prefix, strlen(w->prefix)) == 0)
+		w->fn(w->ctx, item);
+}
+
+void control_each_item(const struct control *c, const char *prefix,
+		       void (*fn)(void *ctx, const struct cfg_item *item),
+		       void *ctx)
+{
+	struct prefix_walk w = { prefix, fn, ctx };
+
+	cfg_each_in_effect(c->cfg, walk_item, &w);
+}
+
+int control_store_up(const struct control *c)
+{
+	return (int)c->store_up;
+}
+
+struct member_walk {
+	const struct control *control;
+	void (*fn)(void *ctx, const struct member_info *m);
+	void *ctx;
+};
+
+/* This host's own revision is not in its membership entry. */
+static void walk_member(void *ctx, const struct member_info *m)
+{
+	struct member_walk *w = ctx;
+	struct member_info info = *m;
+
+	if (strcmp(m->host, w->control->o.host) == 0) {
+		info.config_rev = cfg_rev(w->control->cfg);
+		info.config_change = cfg_change(w->control->cfg);
+	}
+	w->fn(w->ctx, &info);
+}
+
+void control_each_member(const struct control *c,
+			 void (*fn)(void *ctx, const struct member_info *m),
+			 void *ctx)
+{
+	struct member_walk w = { c, fn, ctx };
+
+	mbr_each(c->mbr, walk_member, &w);
+}
+
+void control_leave(struct control *c)
+{
+	mbr_leave(c->mbr);
+	control_heartbeat_soon(c, clock_now_us());
+}
--- a/src/duty/control.h
+++ b/src/duty/control.h
@@ -12,6 +12,7 @@
 #include "base/err.h"
 #include "base/ring.h"
 #include "duty/admin_call.h"
+#include "duty/peer.h"
 #include "model/config.h"
 #include "model/evidence.h"
 #include "model/heartbeat.h"
@@ -19,6 +20,8 @@
 #include "model/view.h"
 #include "platform/kv.h"
 
+#define CONTROL_SEEDS_MAX 8
+
 struct control;
 
 struct control_options {
@@ -36,6 +39,12 @@
 	struct ring *peer_send;
 	struct ring *peer_fetch;
 	struct ring *peer_listen;
+	/* Hosts to contact while the host list cannot be read. */
+	uint32_t seed_count;
+	struct peer_address seeds[CONTROL_SEEDS_MAX];
+	/* Told when the number of hosts that share the store changes. */
+	void (*hosts)(void *ctx, uint32_t count);
+	void *hosts_ctx;
 	/* Handler of MSG_ADMIN, control_admin(); owns the call. */
 	void (*admin)(struct control *c, struct admin_call *call);
 };
@@ -83,7 +92,8 @@
 /*
  * Result of an edit. ERR_OK: @rev is the revision that made it. ERR_CFG_RACE:
  * the detail names the change that was accepted first. ERR_STORE_UNKNOWN: the
- * edit may still take effect; read the item again.
+ * edit may still take effect; read the item again. ERR_STOPPING: this host
+ * stops.
  */
 typedef void control_edit_done_fn(void *ctx, const struct err *err,
 				  uint64_t rev);
@@ -93,7 +103,8 @@
  * @if_rev: item revision that the edit is based on, 0 for the one in force.
  * Returns ERR_OK when @done will be called once, later on this thread, or the
  * reason for refusing it at once in @err (ERR_CFG_FIELD, ERR_BAD_JSON,
- * ERR_CFG_RACE, ERR_OVERLOADED), without calling @done.
+ * ERR_CFG_RACE, ERR_OVERLOADED, ERR_NO_CONFIG before this host has compared
+ * its configuration with the store and a peer), without calling @done.
  */
 enum err_code control_edit(struct control *c, const char *item,
 			   const char *json_or_null_to_delete, const char *who,
@@ -119,9 +130,11 @@
 /* Announces that this host leaves; the same as MSG_LEAVE. */
 void control_leave(struct control *c);
 
-/* Sends @call to the store; the result comes to @done on this thread. */
-typedef void control_kv_fn(void *ctx, const struct kv_result *result);
-enum err_code control_kv(struct control *c, struct kv_call *call,
-			 control_kv_fn *done, void *ctx);
+/*
+ * Sends @call to the store and takes ownership of its value; the result comes
+ * to @done on this thread, never during this call.
+ */
+void control_kv(struct control *c, const struct kv_call *call, kv_done_fn *done,
+		void *ctx);
 
 #endif
--- /dev/null
+++ b/src/duty/control_peer.c
@@ -0,0 +1,247 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "duty/control_state.h"
+
+#define HEARTBEAT_US (1 * (int64_t)US_PER_S)
+/* Spreads a new revision early without a burst for each of many edits. */
+#define HEARTBEAT_SOON_US (200 * US_PER_MS)
+/* Above the bounds of the peer_fetch duty for one pull. */
+#define PULL_US (8 * (int64_t)US_PER_S)
+
+static void drop_datagram(void *body)
+{
+	peer_datagram_free(body);
+}
+
+static void add_receiver(void *ctx, const char *address, uint16_t port)
+{
+	struct peer_datagram *d = ctx;
+	struct peer_address *to;
+
+	d->to = cu_grow(d->to, d->to_count + 1, sizeof(*d->to));
+	to = &d->to[d->to_count++];
+	cu_copy(to->address, sizeof(to->address), address);
+	to->port = port;
+}
+
+/* Copies the notices that have sendings left, as far as there is room. */
+static void fill_notices(struct control *c, struct heartbeat *h)
+{
+	uint32_t kept = 0;
+	uint32_t i;
+
+	for (i = 0; i < c->notice_count; i++) {
+		struct outgoing_notice *n = &c->notices[i];
+
+		if (h->notice_count < HEARTBEAT_NOTICES_MAX) {
+			h->notices[h->notice_count++] = n->notice;
+			n->sends_left--;
+		}
+		if (n->sends_left)
+			c->notices[kept++] = *n;
+	}
+	c->notice_count = kept;
+}
+
+static struct peer_datagram *new_heartbeat(struct control *c, int64_t now_us)
+{
+	struct peer_datagram *d = cu_alloc(1, sizeof(*d));
+	struct heartbeat *h = &d->heartbeat;
+	uint32_t i;
+
+	mbr_fill(c->mbr, h);
+	h->config_rev = cfg_rev(c->cfg);
+	h->config_change = cfg_change(c->cfg);
+	for (i = 0; i < c->hook_count; i++) {
+		if (c->hooks[i].heartbeat_out)
+			c->hooks[i].heartbeat_out(c->hooks[i].ctx, now_us, h);
+	}
+	return d;
+}
+
+/* A heartbeat that does not fit is made up for by the next one. */
+static void send_datagram(struct control *c, struct peer_datagram *d)
+{
+	struct msg m = { MSG_PEER_SEND, d, drop_datagram };
+
+	if (!d->to_count || ring_push(c->o.peer_send, &m) != ERR_OK)
+		peer_datagram_free(d);
+}
+
+static void heartbeat_due(void *ctx, int64_t now_us)
+{
+	struct control *c = ctx;
+	struct peer_datagram *d = new_heartbeat(c, now_us);
+
+	fill_notices(c, &d->heartbeat);
+	mbr_each_receiver(c->mbr, add_receiver, d);
+	send_datagram(c, d);
+	c->heartbeat_us = now_us;
+	tmr_arm(duty_timers(c->duty), &c->heartbeat_timer,
+		now_us + HEARTBEAT_US, heartbeat_due, c);
+}
+
+void control_heartbeat_soon(struct control *c, int64_t now_us)
+{
+	int64_t at_us = cu_max_i64(c->heartbeat_us + HEARTBEAT_SOON_US, now_us);
+
+	if (c->heartbeat_timer.pos && c->heartbeat_timer.at_us <= at_us)
+		return;
+	tmr_arm(duty_timers(c->duty), &c->heartbeat_timer, at_us, heartbeat_due,
+		c);
+}
+
+void control_peer_start(struct control *c, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->o.seed_count; i++)
+		mbr_add_seed(c->mbr, c->o.seeds[i].address, c->o.seeds[i].port);
+	heartbeat_due(c, now_us);
+}
+
+static void greet(struct control *c, int64_t now_us, const struct heartbeat *h)
+{
+	struct peer_datagram *d = new_heartbeat(c, now_us);
+
+	add_receiver(d, h->address, h->port);
+	send_datagram(c, d);
+}
+
+static void drop_notice(void *body)
+{
+	free(body);
+}
+
+/* Hands notices of other hosts to the request duty. */
+static void pass_notices(struct control *c, const struct heartbeat *h)
+{
+	uint32_t i;
+
+	for (i = 0; i < h->notice_count; i++) {
+		struct target_notice *n = cu_alloc(1, sizeof(*n));
+		struct msg m = { MSG_NOTICE, n, drop_notice };
+
+		*n = h->notices[i];
+		if (ring_push(c->o.request, &m) != ERR_OK)
+			free(n);
+	}
+}
+
+static void call_heartbeat_hooks(struct control *c, int64_t now_us,
+				 const struct heartbeat *h)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->hook_count; i++) {
+		const struct control_hooks *k = &c->hooks[i];
+
+		if (k->heartbeat_in && k->heartbeat_in(k->ctx, now_us, h))
+			c->view_dirty = 1;
+	}
+}
+
+void control_heartbeat_in(struct control *c, int64_t now_us,
+			  struct heartbeat *h)
+{
+	enum mbr_heard heard = mbr_on_heartbeat(c->mbr, now_us, h);
+
+	if (heard != MBR_IGNORED) {
+		pass_notices(c, h);
+		call_heartbeat_hooks(c, now_us, h);
+		cfg_allow_edits(c->cfg);
+		cfg_on_peer(c->cfg, now_us, h->host, h->config_rev,
+			    h->config_change);
+	}
+	if (heard == MBR_NEW)
+		greet(c, now_us, h);
+	free(h);
+}
+
+static void end_pull(struct control *c, int64_t now_us,
+		     const struct cfg_delta *d)
+{
+	c->pull_open = 0;
+	tmr_cancel(duty_timers(c->duty), &c->pull_timer);
+	cfg_on_delta(c->cfg, now_us, d);
+}
+
+static void pull_overdue(void *ctx, int64_t now_us)
+{
+	end_pull(ctx, now_us, NULL);
+}
+
+void control_peer_items(struct control *c, int64_t now_us, struct peer_items *p)
+{
+	/* The answer to a pull that was given up is of no use. */
+	if (c->pull_open && p->token == c->pull_token)
+		end_pull(c, now_us, p->delta);
+	if (!p->delta)
+		log_event(LOG_LEVEL_WARNING, "peer_pull_failed", "%s",
+			  p->err.detail);
+	peer_items_free(p);
+}
+
+static void drop_fetch(void *body)
+{
+	free(body);
+}
+
+void control_pull(void *ctx, const char *host, uint64_t rev, uint64_t change,
+		  uint64_t after_rev)
+{
+	struct control *c = ctx;
+	const struct member_info *info = mbr_find(c->mbr, host);
+	struct peer_fetch *f = cu_alloc(1, sizeof(*f));
+	struct msg m = { MSG_PEER_FETCH, f, drop_fetch };
+	int64_t give_up_us = clock_now_us() + PULL_US;
+
+	cu_copy(f->host, sizeof(f->host), host);
+	f->rev = rev;
+	f->change = change;
+	f->after_rev = after_rev;
+	f->token = ++c->pull_token;
+	f->reply_to = duty_ring(c->duty);
+	c->pull_open = 1;
+	if (info) {
+		cu_copy(f->from.address, sizeof(f->from.address),
+			info->address);
+		f->from.port = info->port;
+	}
+	if (!info || ring_push(c->o.peer_fetch, &m) != ERR_OK) {
+		free(f);
+		give_up_us = 0;
+	}
+	tmr_arm(duty_timers(c->duty), &c->pull_timer, give_up_us, pull_overdue,
+		c);
+}
+
+static struct outgoing_notice *notice_slot(struct control *c,
+					   const struct target_notice *n)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->notice_count; i++) {
+		if (strcmp(c->notices[i].notice.target, n->target) == 0)
+			return &c->notices[i];
+	}
+	if (c->notice_count == HEARTBEAT_NOTICES_MAX)
+		return NULL;
+	return &c->notices[c->notice_count++];
+}
+
+void control_add_notices(struct control *c, const struct evidence *e)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->notice_count; i++) {
+		struct outgoing_notice *slot = notice_slot(c, &e->notices[i]);
+
+		if (!slot)
+			break;
+		slot->notice = e->notices[i];
+		slot->sends_left = CONTROL_NOTICE_SENDS;
+	}
+}
--- /dev/null
+++ b/src/duty/control_store.c
@@ -0,0 +1,387 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "codec/hjson.h"
+#include "codec/sjson.h"
+#include "duty/control_state.h"
+
+#define HEAD_KEY "cfg/head"
+/* The store answers in milliseconds; leaves room for a second attempt. */
+#define CALL_MS 1000
+/* Below the 10 s of a change, so that a restored store is noticed in time. */
+#define WATCH_WAIT_MS 4000
+#define WATCH_MS 20000
+#define WATCH_RETRY_US (500 * US_PER_MS)
+/* Hosts that do not watch read the head this often, in case news got lost. */
+#define REFRESH_US (30 * (int64_t)US_PER_S)
+#define LIST_MS 3000
+#define LIST_MIN_US (5 * (int64_t)US_PER_S)
+#define LIST_MAX_US (1800 * (int64_t)US_PER_S)
+/* Part of the 11 KB/s of control traffic that the host list may take. */
+#define LIST_BYTES_PER_S 2000
+
+struct call {
+	struct control *control;
+	uint64_t token;
+	kv_done_fn *done;
+	void *ctx;
+	/* Frees @ctx when the call is dropped without its callback; or NULL. */
+	void (*ctx_free)(void *ctx);
+	/* Ends a call that could not be handed to the store duty. */
+	struct tmr_sub failed;
+};
+
+static void call_free(gpointer p)
+{
+	struct call *call = p;
+
+	tmr_cancel(duty_timers(call->control->duty), &call->failed);
+	if (call->ctx_free)
+		call->ctx_free(call->ctx);
+	free(call);
+}
+
+static void drop_request(void *body)
+{
+	kv_request_free(body);
+}
+
+/* Removes the call before its callback, which may start another one. */
+static void finish(struct call *call, const struct kv_result *r)
+{
+	kv_done_fn *done = call->done;
+	void *ctx = call->ctx;
+
+	call->ctx_free = NULL;
+	g_hash_table_remove(call->control->calls, &call->token);
+	done(ctx, r);
+}
+
+static void call_failed(void *ctx, int64_t now_us)
+{
+	struct kv_result r = { 0 };
+
+	err_set(&r.err, ERR_STORE_DOWN, "store duty takes no calls");
+	finish(ctx, &r);
+}
+
+void control_kv(struct control *c, const struct kv_call *call, kv_done_fn *done,
+		void *ctx)
+{
+	struct call *entry = cu_alloc(1, sizeof(*entry));
+	struct kv_request *r = cu_alloc(1, sizeof(*r));
+	struct msg m = { MSG_KV_CALL, r, drop_request };
+
+	*entry = (struct call){
+		.control = c, .token = ++c->next_token, .done = done, .ctx = ctx
+	};
+	g_hash_table_insert(c->calls, &entry->token, entry);
+	r->call = *call;
+	r->reply_to = duty_ring(c->duty);
+	r->token = entry->token;
+	if (ring_push(c->o.store, &m) == ERR_OK)
+		return;
+	kv_request_free(r);
+	tmr_arm(duty_timers(c->duty), &entry->failed, 0, call_failed, entry);
+}
+
+void control_kv(struct control *c, const struct kv_call *call, kv_done_fn *done,
+		void *ctx)
+{
+	start_call(c, call, done, ctx, NULL);
+}
+
+void control_store_reply(struct control *c, struct kv_reply *r)
+{
+	struct call *call = g_hash_table_lookup(c->calls, &r->token);
+	enum err_code code = r->result.err.code;
+
+	/* A refusal by this host's own budget says nothing of the store. */
+	if (code != ERR_STORE_RATE)
+		c->store_up = code != ERR_STORE_DOWN &&
+			      code != ERR_STORE_UNKNOWN;
+	if (call)
+		finish(call, &r->result);
+	kv_reply_free(r);
+}
+
+static struct kv_call new_call(enum kv_op op, const char *key)
+{
+	struct kv_call call = { .op = op, .timeout_ms = CALL_MS };
+
+	cu_copy(call.key, sizeof(call.key), key);
+	return call;
+}
+
+static void item_key(const char *name, uint64_t rev, uint64_t change, char *out)
+{
+	snprintf(out, KV_KEY_BYTES, "cfg/item/%s/%" PRIu64 "-%016" PRIx64, name,
+		 rev, change);
+}
+
+/*
+ * Head in @r or NULL. An unreadable head counts as empty once this host has a
+ * configuration, so that it is written back.
+ */
+static struct cfg_head *decode_head(struct control *c, const struct kv_pair *p)
+{
+	struct err err = { 0 };
+	struct cfg_head *head = sjson_head(p->value, &err);
+
+	if (head)
+		return head;
+	log_event(LOG_LEVEL_ERROR, "store_head_refused", "%s", err.detail);
+	return cfg_rev(c->cfg) ? cfg_head_new() : NULL;
+}
+
+static void head_read(void *ctx, const struct kv_result *r)
+{
+	struct control *c = ctx;
+	enum err_code code = r->err.code;
+	struct cfg_head *head = NULL;
+
+	if (code == ERR_OK) {
+		head = decode_head(c, &r->pairs[0]);
+		code = head ? ERR_OK : ERR_STORE_ANSWER;
+	}
+	cfg_on_head(c->cfg, clock_now_us(), code, head, r->version);
+}
+
+void control_read_head(void *ctx)
+{
+	struct kv_call call = new_call(KV_GET, HEAD_KEY);
+
+	control_kv(ctx, &call, head_read, ctx);
+}
+
+struct item_read {
+	struct control *control;
+	char name[ITEM_NAME_BYTES];
+};
+
+static void item_read(void *ctx, const struct kv_result *r)
+{
+	struct item_read *read CLEANUP_FREE = ctx;
+	struct cfg_item *item = NULL;
+	struct err err = r->err;
+
+	if (err.code == ERR_OK)
+		item = sjson_item(r->pairs[0].value, &err);
+	cfg_on_item(read->control->cfg, clock_now_us(), read->name, err.code,
+		    item);
+	cfg_item_unref(item);
+}
+
+void control_read_item(void *ctx, const struct head_entry *e)
+{
+	struct item_read *read = cu_alloc(1, sizeof(*read));
+	struct kv_call call = new_call(KV_GET, "");
+
+	read->control = ctx;
+	cu_copy(read->name, sizeof(read->name), e->name);
+	item_key(e->name, e->rev, e->change, call.key);
+	start_call(ctx, &call, item_read, read, free);
+}
+
+static void item_written(void *ctx, const struct kv_result *r)
+{
+	struct control *c = ctx;
+
+	cfg_on_item_written(c->cfg, clock_now_us(), r->err.code);
+}
+
+void control_write_item(void *ctx, const struct cfg_item *item)
+{
+	struct kv_call call = new_call(KV_CAS, "");
+
+	item_key(item->name, item->rev, item->change, call.key);
+	call.value = sjson_item_text(item);
+	call.value_bytes = (uint32_t)strlen(call.value);
+	control_kv(ctx, &call, item_written, ctx);
+}
+
+static void head_written(void *ctx, const struct kv_result *r)
+{
+	struct control *c = ctx;
+
+	cfg_on_head_written(c->cfg, clock_now_us(), r->err.code);
+}
+
+void control_write_head(void *ctx, const struct cfg_head *h,
+			uint64_t if_version)
+{
+	struct kv_call call = new_call(KV_CAS, HEAD_KEY);
+
+	call.version = if_version;
+	call.value = sjson_head_text(h);
+	call.value_bytes = (uint32_t)strlen(call.value);
+	control_kv(ctx, &call, head_written, ctx);
+}
+
+static void ignore_result(void *ctx, const struct kv_result *r)
+{
+}
+
+/* A revision that stays behind costs space only, so nothing is retried. */
+static void version_read(void *ctx, const struct kv_result *r)
+{
+	struct kv_call call;
+
+	if (r->err.code != ERR_OK)
+		return;
+	call = new_call(KV_DELETE, r->pairs[0].key);
+	call.version = r->version;
+	control_kv(ctx, &call, ignore_result, NULL);
+}
+
+void control_delete_item(void *ctx, const struct head_entry *e)
+{
+	struct kv_call call = new_call(KV_GET, "");
+
+	item_key(e->name, e->rev, e->change, call.key);
+	control_kv(ctx, &call, version_read, ctx);
+}
+
+static void watch(struct control *c);
+
+static void watch_due(void *ctx, int64_t now_us)
+{
+	watch(ctx);
+}
+
+static void take_watch(struct control *c, int64_t now_us,
+		       const struct kv_result *r)
+{
+	uint32_t i;
+
+	if (r->version < c->watch_version)
+		cfg_refresh(c->cfg, now_us);
+	for (i = 0; i < r->pair_count; i++) {
+		const struct kv_pair *p = &r->pairs[i];
+		struct cfg_head *head = NULL;
+
+		if (strcmp(p->key, HEAD_KEY) != 0)
+			continue;
+		if (p->value)
+			head = decode_head(c, p);
+		if (head)
+			cfg_on_watch(c->cfg, now_us, head, p->version);
+		else
+			cfg_refresh(c->cfg, now_us);
+	}
+	c->watch_version = r->version;
+}
+
+static void watch_done(void *ctx, const struct kv_result *r)
+{
+	struct control *c = ctx;
+	int64_t now_us = clock_now_us();
+
+	c->watching = 0;
+	if (r->err.code == ERR_OK) {
+		take_watch(c, now_us, r);
+		watch(c);
+		return;
+	}
+	tmr_arm(duty_timers(c->duty), &c->watch_timer, now_us + WATCH_RETRY_US,
+		watch_due, c);
+}
+
+static void watch(struct control *c)
+{
+	struct kv_call call = new_call(KV_WATCH, HEAD_KEY);
+
+	if (c->watching || !mbr_watches_store(c->mbr))
+		return;
+	c->watching = 1;
+	call.version = c->watch_version;
+	call.ttl_ms = WATCH_WAIT_MS;
+	call.timeout_ms = WATCH_MS;
+	control_kv(c, &call, watch_done, c);
+}
+
+static void refresh_due(void *ctx, int64_t now_us)
+{
+	struct control *c = ctx;
+	int64_t jitter_us = rng_below(&c->rng, REFRESH_US / 4);
+
+	cfg_refresh(c->cfg, now_us);
+	tmr_arm(duty_timers(c->duty), &c->refresh_timer,
+		now_us + REFRESH_US - jitter_us, refresh_due, c);
+}
+
+static int64_t list_period_us(uint32_t bytes)
+{
+	int64_t period_us = (int64_t)bytes * US_PER_S / LIST_BYTES_PER_S;
+
+	return cu_min_i64(cu_max_i64(period_us, LIST_MIN_US), LIST_MAX_US);
+}
+
+static void take_list(struct control *c, int64_t now_us, const char *text)
+{
+	struct err err = { 0 };
+	uint32_t refused;
+	struct host_list *l = hjson_list(text, &refused, &err);
+
+	if (!l || refused)
+		log_event(LOG_LEVEL_WARNING, "host_list_refused",
+			  "%u entries refused; %s", refused, err.detail);
+	if (!l)
+		return;
+	host_list_free(c->list);
+	c->list = l;
+	mbr_on_list(c->mbr, now_us, l);
+	if (mbr_is_alone(c->mbr))
+		cfg_allow_edits(c->cfg);
+	c->view_dirty = 1;
+}
+
+static void list_due(void *ctx, int64_t now_us);
+
+static void list_done(void *ctx, const struct kv_result *r)
+{
+	struct control *c = ctx;
+	int64_t now_us = clock_now_us();
+	int64_t period_us = LIST_MIN_US;
+
+	if (r->err.code == ERR_OK) {
+		take_list(c, now_us, r->pairs[0].value);
+		period_us = list_period_us(r->pairs[0].value_bytes);
+	}
+	period_us -= rng_below(&c->rng, (uint32_t)(period_us / 8));
+	tmr_arm(duty_timers(c->duty), &c->list_timer, now_us + period_us,
+		list_due, c);
+}
+
+static void list_due(void *ctx, int64_t now_us)
+{
+	struct kv_call call = new_call(KV_HOSTS, "");
+
+	call.timeout_ms = LIST_MS;
+	control_kv(ctx, &call, list_done, ctx);
+}
+
+void control_store_start(struct control *c, int64_t now_us)
+{
+	c->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					 call_free);
+	list_due(c, now_us);
+	refresh_due(c, now_us);
+	watch(c);
+}
+
+void control_store_free(struct control *c)
+{
+	if (c->calls)
+		g_hash_table_destroy(c->calls);
+	host_list_free(c->list);
+}
+
+void control_store_tick(struct control *c, int64_t now_us)
+{
+	if (!c->watching && !c->watch_timer.pos)
+		watch(c);
+}
--- /dev/null
+++ b/src/duty/control_view.c
@@ -0,0 +1,182 @@
+#include <string.h>
+
+#include "base/metric.h"
+#include "codec/sjson.h"
+#include "duty/control_state.h"
+
+#define CONTRACT_PREFIX "contract/"
+#define LAYOUT_PREFIX "layout/"
+
+static void free_layout(gpointer l)
+{
+	layout_free(l);
+}
+
+void control_view_new(struct control *c)
+{
+	c->contracts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
+	c->layouts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   free_layout);
+}
+
+void control_view_free(struct control *c)
+{
+	g_hash_table_destroy(c->contracts);
+	g_hash_table_destroy(c->layouts);
+}
+
+static void take_contract(struct control *c, const struct cfg_item *item)
+{
+	struct contract *contract = cu_alloc(1, sizeof(*contract));
+
+	/* Checked before by the configuration controller. */
+	if (sjson_contract(item->json, contract, NULL) != ERR_OK) {
+		free(contract);
+		return;
+	}
+	g_hash_table_replace(c->contracts, g_strdup(item->name), contract);
+}
+
+static void take_layout(struct control *c, const struct cfg_item *item)
+{
+	struct layout *l = sjson_layout(item->json, NULL);
+
+	if (l)
+		g_hash_table_replace(c->layouts, g_strdup(item->name), l);
+}
+
+void control_view_item(struct control *c, const struct cfg_item *item)
+{
+	int is_contract = g_str_has_prefix(item->name, CONTRACT_PREFIX);
+	int is_layout = g_str_has_prefix(item->name, LAYOUT_PREFIX);
+
+	if (is_contract && item->json)
+		take_contract(c, item);
+	else if (is_contract)
+		g_hash_table_remove(c->contracts, item->name);
+	else if (is_layout && item->json)
+		take_layout(c, item);
+	else if (is_layout)
+		g_hash_table_remove(c->layouts, item->name);
+	c->view_dirty = 1;
+}
+
+static struct layout *copy_layout(const struct layout *l)
+{
+	struct layout *copy = layout_new(l->shard_count, l->target_count);
+
+	cu_copy(copy->index, sizeof(copy->index), l->index);
+	cu_copy(copy->snapshot, sizeof(copy->snapshot), l->snapshot);
+	cu_copy(copy->service, sizeof(copy->service), l->service);
+	memcpy(copy->shards, l->shards, l->shard_count * sizeof(*l->shards));
+	memcpy(copy->targets, l->targets,
+	       l->target_count * sizeof(*l->targets));
+	return copy;
+}
+
+static void add_items(const struct control *c, struct view *v)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	v->contracts = cu_alloc(g_hash_table_size(c->contracts),
+				sizeof(*v->contracts));
+	g_hash_table_iter_init(&it, c->contracts);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		v->contracts[v->contract_count++] = *(struct contract *)value;
+	v->layouts = cu_alloc(g_hash_table_size(c->layouts),
+			      sizeof(struct layout *));
+	g_hash_table_iter_init(&it, c->layouts);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		v->layouts[v->layout_count++] = copy_layout(value);
+}
+
+static void add_host(void *ctx, const struct member_info *m)
+{
+	struct view *v = ctx;
+
+	if (m->state != HOST_LIVE && m->state != HOST_SUSPECT)
+		return;
+	v->hosts = cu_grow(v->hosts, v->host_count + 1, sizeof(*v->hosts));
+	cu_copy(v->hosts[v->host_count++], NAME_BYTES, m->host);
+}
+
+/* Targets that the platform's list shows as leaving get no new work. */
+static void add_leaving(const struct control *c, struct view *v)
+{
+	uint32_t i;
+
+	for (i = 0; c->list && i < c->list->count; i++) {
+		const struct listed_host *h = &c->list->hosts[i];
+
+		if (h->entry || !h->leaving)
+			continue;
+		v->blocks = cu_grow(v->blocks, v->block_count + 1,
+				    sizeof(*v->blocks));
+		cu_copy(v->blocks[v->block_count++].id, NAME_BYTES, h->id);
+	}
+}
+
+static struct view *build(struct control *c, int64_t now_us)
+{
+	struct view *v = view_new();
+	uint32_t i;
+
+	v->config_rev = cfg_rev(c->cfg);
+	cu_copy(v->self, sizeof(v->self), c->o.host);
+	add_items(c, v);
+	mbr_each(c->mbr, add_host, v);
+	add_leaving(c, v);
+	for (i = 0; i < c->hook_count; i++) {
+		if (c->hooks[i].view)
+			c->hooks[i].view(c->hooks[i].ctx, now_us, v);
+	}
+	return v;
+}
+
+static void drop_view(void *body)
+{
+	view_unref(body);
+}
+
+static void publish_view(struct control *c, int64_t now_us)
+{
+	struct view *v = build(c, now_us);
+	struct msg m = { MSG_VIEW, v, drop_view };
+
+	metric_set(M_HOSTS_LIVE, v->host_count);
+	if (ring_push(c->o.request, &m) == ERR_OK)
+		c->view_dirty = 0;
+	else
+		view_unref(v);
+}
+
+static void drop_set(void *body)
+{
+	cfg_set_unref(body);
+}
+
+static void publish_config(struct control *c)
+{
+	struct cfg_set *s = cfg_set_ref(cfg_current(c->cfg));
+	struct msg m = { MSG_CONFIG, s, drop_set };
+
+	if (ring_push(c->o.peer_listen, &m) == ERR_OK)
+		c->config_dirty = 0;
+	else
+		cfg_set_unref(s);
+}
+
+void control_publish(struct control *c, int64_t now_us)
+{
+	uint32_t active = mbr_active_count(c->mbr);
+
+	if (c->config_dirty)
+		publish_config(c);
+	if (c->view_dirty)
+		publish_view(c, now_us);
+	if (active != c->active_hosts && c->o.hosts)
+		c->o.hosts(c->o.hosts_ctx, active);
+	c->active_hosts = active;
+}
--- a/src/duty/peer.h
+++ b/src/duty/peer.h
@@ -28,11 +28,14 @@
 	uint64_t rev;
 	uint64_t change;
 	uint64_t after_rev;
+	/* Repeated in the answer. */
+	uint64_t token;
 	struct ring *reply_to;
 };
 
 /* MSG_PEER_ITEMS: answer to a peer_fetch; @delta NULL with @err set. */
 struct peer_items {
+	uint64_t token;
 	char host[NAME_BYTES];
 	struct err err;
 	struct cfg_delta *delta;
--- a/src/duty/peer_fetch.c
+++ b/src/duty/peer_fetch.c
@@ -124,6 +124,7 @@
 		return;
 	}
 	p = cu_alloc(1, sizeof(*p));
+	p->token = f->token;
 	cu_copy(p->host, sizeof(p->host), f->host);
 	p->delta = fetch(f, &p->err);
 	if (!p->delta)
