--- a/src/duty/control_store.c
+++ b/src/duty/control_store.c
@@ -68,8 +68,8 @@
 	finish(ctx, &r);
 }
 
-void control_kv(struct control *c, const struct kv_call *call, kv_done_fn *done,
-		void *ctx)
+static void start_call(struct control *c, const struct kv_call *call,
+		       kv_done_fn *done, void *ctx, void (*ctx_free)(void *ctx))
 {
 	struct call *entry = cu_alloc(1, sizeof(*entry));
 	struct kv_request *r = cu_alloc(1, sizeof(*r));
