--- a/src/decide/hrw.h
+++ b/src/decide/hrw.h
@@ -12,12 +12,8 @@
 
 /* Weight of @candidate for @key; the highest one is chosen. */
 uint64_t hrw_weight(const char *key, const char *candidate);
-/*
- * Positions of the @want candidates with the highest weights, best first.
- * Returns how many were written to @out, at most @count.
- */
-uint32_t hrw_pick(const char *key, const char *const *candidates,
-		  uint32_t count, uint32_t want, uint32_t *out);
+/* 1 if candidate @a is chosen before @b; names break ties of weights. */
+int hrw_before(const char *key, const char *a, const char *b);
 /* 1 if @self has the highest weight for @key among @hosts and itself. */
 int hrw_is_owner(const char *key, const char *self, char (*hosts)[NAME_BYTES],
 		 uint32_t host_count);
