--- a/src/decide/adm.c
+++ b/src/decide/adm.c
@@ -6,6 +6,8 @@
 /* Callers send in bursts; 100 ms of the rate, at least one sweep of 8. */
 #define BURST_DIVISOR 10
 #define BURST_MIN 8
+/* Callers are spread over the hosts within a quarter of the mean. */
+#define SPREAD_PERMILLE 1250
 #define LIMIT_START_MILLI (64 * 1000)
 #define LIMIT_MIN_MILLI (2 * 1000)
 #define LIMIT_MAX_MILLI (65536 * 1000)
@@ -13,12 +15,23 @@
 #define SLOW_PERMILLE 600
 #define DECREASE_PERMILLE 850
 
-void adm_configure(struct adm *a, const struct contract *c, int64_t now_us)
+static uint32_t host_rate_per_s(const struct contract *c, uint32_t host_count)
 {
-	int64_t burst = cu_max_i64(BURST_MIN, c->rate_per_s / BURST_DIVISOR);
+	uint64_t spread = (uint64_t)c->rate_per_s * SPREAD_PERMILLE / PERMILLE;
+
+	if (host_count <= 1)
+		return c->rate_per_s;
+	return cu_max_u32(1, (uint32_t)(spread / host_count));
+}
+
+void adm_configure(struct adm *a, const struct contract *c, uint32_t host_count,
+		   int64_t now_us)
+{
+	uint32_t rate_per_s = host_rate_per_s(c, host_count);
+	int64_t burst = cu_max_i64(BURST_MIN, rate_per_s / BURST_DIVISOR);
 	int is_new = a->rate_per_s == 0;
 
-	a->rate_per_s = c->rate_per_s;
+	a->rate_per_s = rate_per_s;
 	a->answer_us = (int64_t)c->answer_ms * US_PER_MS;
 	a->tokens_cap_micro = burst * TOKEN_MICRO;
 	if (is_new) {
@@ -75,13 +88,14 @@
 		a->limit_milli = LIMIT_MAX_MILLI;
 }
 
-void adm_leave(struct adm *a, int64_t now_us, int64_t elapsed_us, int in_time)
+void adm_leave(struct adm *a, int64_t now_us, int64_t elapsed_us,
+	       enum adm_result result)
 {
 	int64_t slow_us = a->answer_us * SLOW_PERMILLE / PERMILLE;
 
-	if (in_time && elapsed_us < slow_us)
+	if (result == ADM_GOOD && elapsed_us < slow_us)
 		increase(a);
-	else
+	else if (result != ADM_NEUTRAL)
 		decrease(a, now_us);
 	a->in_flight--;
 }
--- a/src/decide/adm.h
+++ b/src/decide/adm.h
@@ -23,11 +23,25 @@
 	int64_t hold_until_us;
 };
 
-/* Also called when the contract changes; keeps the learned limit then. */
-void adm_configure(struct adm *a, const struct contract *c, int64_t now_us);
+enum adm_result {
+	/* Complete; counts as loaded when it took most of the deadline. */
+	ADM_GOOD,
+	/* Shed, or shards were missing because their targets were busy. */
+	ADM_LOADED,
+	/* Says nothing about the load, such as a shard without a target. */
+	ADM_NEUTRAL
+};
+
+/*
+ * Also called when the contract or the number of live hosts changes; keeps the
+ * learned limit then. Each host admits its part of the rate and a quarter
+ * more, because callers are not spread evenly.
+ */
+void adm_configure(struct adm *a, const struct contract *c, uint32_t host_count,
+		   int64_t now_us);
 /* ERR_OK (counts as in flight), ERR_RATE_LIMITED or ERR_OVERLOADED. */
 enum err_code adm_enter(struct adm *a, int64_t now_us, struct err *err);
-/* @in_time: 0 when the answer was late, partial or refused for load. */
-void adm_leave(struct adm *a, int64_t now_us, int64_t elapsed_us, int in_time);
+void adm_leave(struct adm *a, int64_t now_us, int64_t elapsed_us,
+	       enum adm_result result);
 
 #endif
--- a/src/decide/bal.c
+++ b/src/decide/bal.c
@@ -1,5 +1,9 @@
 #include "decide/bal.h"
 
+#include "base/cutil.h"
+
+#define PROBE_PERIOD_US (1 * US_PER_S)
+
 uint32_t bal_pick(const struct bal_candidate *candidates, uint32_t count,
 		  int64_t now_us, struct rng *rng)
 {
@@ -15,6 +19,9 @@
 		if (!tgt_usable(c->tgt, now_us, c->is_owner))
 			continue;
 		cost_us = tgt_cost_us(c->tgt) + c->distance_us;
+		/* An old estimate would keep a replica unused for ever. */
+		if (now_us - c->tgt->sent_us > PROBE_PERIOD_US)
+			cost_us = 0;
 		if (best != BAL_NONE && cost_us > best_us)
 			continue;
 		ties = best != BAL_NONE && cost_us == best_us ? ties + 1 : 1;
--- a/src/decide/hdg.c
+++ b/src/decide/hdg.c
@@ -19,6 +19,7 @@
 void hdg_init(struct hdg *h)
 {
 	h->mean_us = MEAN_START_US;
+	h->samples = 0;
 	h->factor_milli = FACTOR_START_MILLI;
 	h->adjust_at_us = 0;
 }
@@ -27,7 +28,10 @@
 {
 	int64_t clipped_us = cu_min_i64(service_us, h->mean_us * MEAN_CLIP);
 
-	h->mean_us += (clipped_us - h->mean_us) / MEAN_SMOOTHING;
+	/* The first answers replace the start value quickly. */
+	if (h->samples < MEAN_SMOOTHING)
+		h->samples++;
+	h->mean_us += (clipped_us - h->mean_us) / (int64_t)h->samples;
 	h->mean_us = cu_max_i64(h->mean_us, 1);
 }
 
--- a/src/decide/hdg.h
+++ b/src/decide/hdg.h
@@ -10,6 +10,8 @@
 
 struct hdg {
 	int64_t mean_us;
+	/* Answer times seen, up to the smoothing. */
+	uint32_t samples;
 	/* Multiple of the mean, in thousandths. */
 	uint32_t factor_milli;
 	int64_t adjust_at_us;
--- a/src/decide/tgt.c
+++ b/src/decide/tgt.c
@@ -14,6 +14,14 @@
 #define ABANDONED_MAX 4
 #define AVOID_START_US (100 * US_PER_MS)
 #define AVOID_MAX_US (4 * US_PER_S)
+/* Cold caches make answers several times slower; queues rarely do at once. */
+#define COLD_FACTOR 4
+/* Slow enough that a run of slow answers does not become the new base. */
+#define BASE_SMOOTHING 256
+/* Twice the arrivals explain slower answers by queueing. */
+#define GAP_FACTOR 2
+/* Two heartbeats: a notice sent before this host's own observation. */
+#define STALE_NOTICE_US (3 * US_PER_S)
 /* Good answers that double the cold limit. */
 #define COLD_GOOD_RUN 10
 
@@ -46,14 +54,24 @@
 	t->def = *def;
 }
 
-void tgt_sent(struct tgt *t)
+void tgt_sent(struct tgt *t, int64_t now_us)
 {
+	int64_t gap_us = cu_min_i64(now_us - t->sent_us, US_PER_S);
+
+	if (!t->gap_base_us && t->sent_us)
+		t->gap_us = t->gap_base_us = gap_us;
+	if (t->gap_base_us) {
+		t->gap_us += (gap_us - t->gap_us) / LATENCY_SMOOTHING;
+		t->gap_base_us += (gap_us - t->gap_base_us) / BASE_SMOOTHING;
+	}
+	t->sent_us = cu_max_i64(now_us, 1);
 	t->outstanding++;
 }
 
-static void become_cold(struct tgt *t)
+static void become_cold(struct tgt *t, int64_t now_us)
 {
 	t->phase = TGT_COLD;
+	t->cold_us = now_us;
 	t->cold_limit = cu_max_u32(1, t->def.cold_slots);
 	t->cold_good = 0;
 }
@@ -66,35 +84,56 @@
 		return;
 	t->cold_good = 0;
 	t->cold_limit *= 2;
-	if (t->cold_limit >= t->def.slots)
-		t->phase = TGT_WARM;
+	if (t->cold_limit < t->def.slots)
+		return;
+	t->phase = TGT_WARM;
+	t->base_us = t->latency_us;
+}
+
+/* Slower than before and than its peers, and not for more arrivals. */
+static int suddenly_slow(const struct tgt *t, int64_t peers_us)
+{
+	return t->phase == TGT_WARM && peers_us > 0 &&
+	       t->latency_us >= t->base_us * COLD_FACTOR &&
+	       t->latency_us >= peers_us * (COLD_FACTOR / 2) &&
+	       t->gap_us * GAP_FACTOR >= t->gap_base_us;
 }
 
 static void smooth(struct tgt *t, int64_t sample_us)
 {
 	int64_t clipped_us = sample_us;
 
+	if (!t->base_us)
+		t->latency_us = t->base_us = cu_max_i64(sample_us, 1);
 	if (t->phase == TGT_WARM)
 		clipped_us =
 			cu_min_i64(sample_us, t->latency_us * LATENCY_CLIP);
 	t->latency_us += (clipped_us - t->latency_us) / LATENCY_SMOOTHING;
 	t->latency_us = cu_max_i64(t->latency_us, 1);
+	t->base_us += (cu_min_i64(sample_us, t->base_us * LATENCY_CLIP) -
+		       t->base_us) /
+		      BASE_SMOOTHING;
+	t->base_us = cu_max_i64(t->base_us, 1);
 }
 
 void tgt_good(struct tgt *t, int64_t now_us, int64_t service_us,
-	      const char *instance)
+	      const char *instance, int64_t peers_us)
 {
 	t->outstanding--;
-	if (strcmp(t->instance, instance) != 0) {
+	if (instance[0] && strcmp(t->instance, instance) != 0) {
 		cu_copy(t->instance, sizeof(t->instance), instance);
-		become_cold(t);
+		t->instance_us = now_us;
+		become_cold(t, now_us);
 	}
 	t->failures_in_row = 0;
 	t->abandoned_in_row = 0;
 	t->avoid_until_us = 0;
 	t->avoid_us = AVOID_START_US;
 	smooth(t, service_us);
-	ramp(t);
+	if (suddenly_slow(t, peers_us))
+		become_cold(t, now_us);
+	if (now_us - service_us >= t->cold_us)
+		ramp(t);
 }
 
 static void avoid(struct tgt *t, int64_t now_us)
@@ -136,13 +175,21 @@
 int tgt_announced(struct tgt *t, int64_t now_us, const char *instance, int warm)
 {
 	enum tgt_phase before = t->phase;
+	int same = strcmp(t->instance, instance) == 0;
+	int seen = t->instance_us && now_us - t->instance_us < STALE_NOTICE_US;
 
+	/* The process that this host has just seen is the newer one. */
+	if (!same && seen)
+		return 0;
+	/* Another host found what this one knows: the ramp goes on. */
+	if (same && !warm && before != TGT_NEW)
+		return 0;
 	cu_copy(t->instance, sizeof(t->instance), instance);
 	if (warm) {
 		t->phase = TGT_WARM;
 		t->announced_us = now_us;
 	} else {
-		become_cold(t);
+		become_cold(t, now_us);
 	}
 	return t->phase != before;
 }
@@ -174,6 +221,19 @@
 	return t->outstanding < limit(t, now_us, is_owner);
 }
 
+int tgt_live(const struct tgt *t, int64_t now_us, int is_owner)
+{
+	return limit(t, now_us, is_owner) > 0;
+}
+
+int tgt_expected(const struct tgt *t, int64_t until_us, int is_owner)
+{
+	/* A cold target may be announced as warm at any time. */
+	if (!t->avoid_until_us)
+		return 1;
+	return is_owner && t->avoid_until_us < until_us;
+}
+
 int64_t tgt_cost_us(const struct tgt *t)
 {
 	return (int64_t)(t->outstanding + 1) * t->latency_us / t->def.slots;
--- a/src/decide/tgt.h
+++ b/src/decide/tgt.h
@@ -22,8 +22,13 @@
 	uint32_t refs;
 	struct target def;
 	uint32_t outstanding;
-	/* Smoothed time from sending to the answer. */
+	int64_t sent_us;
+	/* Smoothed time from sending to the answer; base follows slowly. */
 	int64_t latency_us;
+	int64_t base_us;
+	/* Smoothed time between sub-requests, fast and slow. */
+	int64_t gap_us;
+	int64_t gap_base_us;
 	uint32_t failures_in_row;
 	/* Sub-requests abandoned for a faster replica since the last answer. */
 	uint32_t abandoned_in_row;
@@ -33,7 +38,11 @@
 	/* Last time the target's owner announced it as warm. */
 	int64_t announced_us;
 	char instance[NAME_BYTES];
+	/* Time at which an answer first named this instance. */
+	int64_t instance_us;
 	enum tgt_phase phase;
+	/* Answers to sub-requests sent before this time are no part of a ramp. */
+	int64_t cold_us;
 	/* Cold: sub-requests allowed at once, and good answers since. */
 	uint32_t cold_limit;
 	uint32_t cold_good;
@@ -45,10 +54,14 @@
 /* Takes a changed definition (connections, slots, version) of the same ID. */
 void tgt_redefine(struct tgt *t, const struct target *def);
 
-void tgt_sent(struct tgt *t);
-/* A good answer that took @service_us from process @instance. */
+void tgt_sent(struct tgt *t, int64_t now_us);
+/*
+ * A good answer that took @service_us from process @instance (may be empty).
+ * @peers_us: smoothed answer time of the index, or 0 for none; a target that
+ * turns slow while its peers and its load stay as they were is cold again.
+ */
 void tgt_good(struct tgt *t, int64_t now_us, int64_t service_us,
-	      const char *instance);
+	      const char *instance, int64_t peers_us);
 /* A failure; @shed: the target answered that it has too much work. */
 void tgt_failed(struct tgt *t, int64_t now_us, int shed);
 /* A faster replica won after @waited_us without an answer from this one. */
@@ -69,6 +82,10 @@
  * owner's announcement, so that together they send no more than it tolerates.
  */
 int tgt_usable(const struct tgt *t, int64_t now_us, int is_owner);
+/* 1 if sub-requests are sent at all, now or once others are answered. */
+int tgt_live(const struct tgt *t, int64_t now_us, int is_owner);
+/* 1 if the target may become usable until @until_us without an answer. */
+int tgt_expected(const struct tgt *t, int64_t until_us, int is_owner);
 /* Expected time until one more sub-request is answered, in us. */
 int64_t tgt_cost_us(const struct tgt *t);
 
--- a/src/duty/claims.c
+++ b/src/duty/claims.c
@@ -173,6 +173,12 @@
 		lease_due, c);
 }
 
+static void lease_lost(struct claims *c)
+{
+	c->lease = 0;
+	tmr_arm(c->timers, &c->lease_timer, 0, lease_due, c);
+}
+
 static void record_entry(struct claims *c, struct entry *e,
 			 const struct once *held)
 {
@@ -184,20 +190,20 @@
 
 static void claim_end(struct claims *c, struct entry *e)
 {
-	int wanted = c->done(c->ctx, e->req_no, e->once.result);
+	int granted = e->once.result == CLAIM_GRANTED;
 
-	if (e->once.result != CLAIM_GRANTED) {
-		free_entry(e);
-		return;
-	}
-	if (wanted) {
+	/* The request can end, and record its outcome, during the call. */
+	if (granted) {
 		struct once *held = cu_alloc(1, sizeof(*held));
 
 		*held = e->once;
 		g_hash_table_insert(c->held, g_strdup(e->key), held);
+	}
+	if (c->done(c->ctx, e->req_no, e->once.result) || !granted) {
 		free_entry(e);
 		return;
 	}
+	g_hash_table_remove(c->held, e->key);
 	/* The request ended first: let the caller use the ID again. */
 	e->kind = ENTRY_RECORD;
 	e->outcome = OUTCOME_NOT_RUN;
@@ -320,6 +326,9 @@
 	const struct kv_result *r = &reply->result;
 	struct once_claim claim;
 
+	/* The lease is gone, such as after a restore of the store. */
+	if (reply->op == KV_CAS && r->err.code == ERR_STORE_NOT_FOUND)
+		lease_lost(c);
 	if (reply->op == KV_CAS)
 		claim_step(c, e,
 			   once_written(&e->once, r->err.code, r->version));
--- a/src/filter/4_admit.c
+++ b/src/filter/4_admit.c
@@ -12,12 +12,19 @@
 	return FILTER_NEXT;
 }
 
-static void leave(void *ctx, struct req *r, int64_t now_us)
+static enum adm_result result_of(const struct req *r)
 {
-	int in_time = r->err.code == ERR_OK && r->answered == r->shard_count;
+	if (r->err.code == ERR_CANCELLED)
+		return ADM_NEUTRAL;
+	if (r->err.code == ERR_OK && r->answered == r->shard_count)
+		return ADM_GOOD;
+	return r->loaded ? ADM_LOADED : ADM_NEUTRAL;
+}
 
+static void leave(void *ctx, struct req *r, int64_t now_us)
+{
 	adm_leave(&r->customer->adm, now_us, now_us - r->caller->received_us,
-		  in_time || r->err.code == ERR_CANCELLED);
+		  result_of(r));
 }
 
 struct filter filter_admit(struct path *p)
--- a/src/filter/5_pin.c
+++ b/src/filter/5_pin.c
@@ -10,6 +10,7 @@
 			     const char *service)
 {
 	uint32_t draw = rng_below(&p->rng, PERMILLE);
+	uint32_t version = VERSION_ANY;
 	uint32_t sum = 0;
 	uint32_t i;
 
@@ -19,8 +20,9 @@
 		sum += v->versions[i].share_permille;
 		if (draw < sum)
 			return i;
+		version = VERSION_UNLISTED;
 	}
-	return VERSION_ANY;
+	return version;
 }
 
 static void select_shards(struct req *r)
@@ -56,6 +58,7 @@
 	r->dc_draw_permille = rng_below(&p->rng, PERMILLE);
 	r->version = draw_version(p, r->bound->view, r->index->layout->service);
 	select_shards(r);
+	warm_learn(p, r, now_us);
 	return FILTER_NEXT;
 }
 
--- a/src/filter/6_scatter.c
+++ b/src/filter/6_scatter.c
@@ -9,6 +9,8 @@
 
 /* Avoided targets become usable by time alone, without a result. */
 #define SWEEP_PERIOD_US (10 * US_PER_MS)
+/* Bounds the work per answer; the sweep comes back to the others. */
+#define WAKE_MISSES_MAX 16
 /* A retry needs at least this much time to be of use. */
 #define RETRY_TIME_MIN_US 1000
 
@@ -24,8 +26,9 @@
 
 static int version_allowed(const struct req *r, const struct bound_target *t)
 {
-	return t->version == VERSION_ANY || r->version == VERSION_ANY ||
-	       t->version == r->version;
+	if (t->version == VERSION_ANY)
+		return 1;
+	return r->version == VERSION_ANY || t->version == r->version;
 }
 
 /*
@@ -59,9 +62,26 @@
 	return 0;
 }
 
-/* @left: number of replicas that could still be asked, usable now or not. */
+/* What the replicas of a shard that were not tried yet are good for. */
+struct outlook {
+	/* Get work now or as soon as others are answered. */
+	uint32_t live;
+	/* May become usable before the request closes. */
+	uint32_t expected;
+};
+
+/* Sub-requests that one customer may have open at @t from this host. */
+static uint32_t customer_limit(const struct req *r, const struct tgt *t)
+{
+	uint32_t share = target_connection_share(&t->def);
+
+	return cu_max_u32(1,
+			  share * r->customer->contract.target_share_permille /
+				  PERMILLE);
+}
+
 static uint32_t pick_replica(struct shard_state *s, int64_t now_us, int relaxed,
-			     uint32_t *left)
+			     struct outlook *o)
 {
 	struct req *r = s->req;
 	const struct shard *shard = shard_of(s);
@@ -78,11 +98,16 @@
 		if (s->failed_mask & (1U << i) || is_open_on(s, i) ||
 		    !target_allowed(r, t, relaxed))
 			continue;
+		o->live += (uint32_t)tgt_live(t->tgt, now_us, t->is_owner);
+		o->expected += (uint32_t)tgt_expected(t->tgt, r->close_us,
+						      t->is_owner);
+		if (customer_open(r->customer, t->tgt, 0) >=
+		    customer_limit(r, t->tgt))
+			continue;
 		candidates[count] =
 			(struct bal_candidate){ t->tgt, t->is_owner, 0 };
 		replicas[count++] = i;
 	}
-	*left = count;
 	picked = bal_pick(candidates, count, now_us, &r->path->rng);
 	return picked == BAL_NONE ? BAL_NONE : replicas[picked];
 }
@@ -139,7 +164,8 @@
 	s->attempts++;
 	s->phase = SHARD_OPEN;
 	r->sent++;
-	tgt_sent(sub->tgt);
+	tgt_sent(sub->tgt, now_us);
+	customer_open(sub->customer, sub->tgt, 1);
 	metric_add(M_SUBS_SENT, 1);
 	if (!is_hedge && !is_once(r))
 		tmr_arm(p->timers, &sub->hedge_timer, now_us + delay_us,
@@ -210,19 +236,23 @@
 
 /*
  * Sends the shard's next attempt, queues it until a replica is usable, or
- * gives it up when no replica is left.
+ * gives it up when none can become usable in time. Replicas that the request
+ * did not draw are asked only when none of the drawn ones is live, so that
+ * shares also hold while the drawn ones are busy.
  */
 static void attempt(struct shard_state *s, int64_t now_us)
 {
-	uint32_t left;
-	uint32_t replica = pick_replica(s, now_us, 0, &left);
+	struct outlook drawn = { 0 };
+	struct outlook all = { 0 };
+	uint32_t replica = pick_replica(s, now_us, 0, &drawn);
 
-	if (replica == BAL_NONE)
-		replica = pick_replica(s, now_us, 1, &left);
+	if (replica == BAL_NONE && !drawn.live)
+		replica = pick_replica(s, now_us, 1, &all);
+	s->is_live = drawn.live + all.live > 0;
 	if (replica != BAL_NONE) {
 		dequeue(s);
 		send_to(s, replica, 0, now_us);
-	} else if (left > 0) {
+	} else if (drawn.expected + all.expected > 0) {
 		enqueue(s, now_us);
 	} else {
 		resolve(s, SHARD_FAILED);
@@ -285,13 +315,13 @@
 	struct req *r = sub->req;
 	struct shard_state *s = &r->shards[sub->shard - r->shard_first];
 	int64_t delay_us = hdg_delay_us(&r->index->stats->hdg);
+	struct outlook o = { 0 };
 	uint32_t replica;
-	uint32_t left;
 
 	if (s->open_count == SHARD_SUBS_MAX ||
 	    s->attempts >= SHARD_ATTEMPTS_MAX)
 		return;
-	replica = pick_replica(s, now_us, 0, &left);
+	replica = pick_replica(s, now_us, 0, &o);
 	if (replica != BAL_NONE && bgt_spend(&r->customer->bgt)) {
 		metric_add(M_HEDGES, 1);
 		send_to(s, replica, 1, now_us);
@@ -301,6 +331,17 @@
 		hedge_due, sub);
 }
 
+/* The first sub-request failed: its hedge can itself be slow. */
+static void hedge_again(struct sub *sub, int64_t now_us)
+{
+	int64_t delay_us = hdg_delay_us(&sub->req->index->stats->hdg);
+
+	if (!sub->hedge_timer.pos)
+		tmr_arm(sub->path->timers, &sub->hedge_timer,
+			cu_max_i64(now_us, sub->sent_us + delay_us), hedge_due,
+			sub);
+}
+
 static int may_retry(const struct shard_state *s, enum err_code code,
 		     int not_run, int64_t now_us)
 {
@@ -310,11 +351,12 @@
 		return 0;
 	if (r->close_us - now_us < RETRY_TIME_MIN_US)
 		return 0;
-	if (is_once(r) && !not_run)
-		return 0;
 	/* Nothing reached the target: the retry is no extra load on it. */
-	if (code == ERR_TARGET_CONNECT)
+	if (not_run && (code == ERR_TARGET_CONNECT || code == ERR_RING_FULL))
 		return 1;
+	/* A byte may have reached it, and its word cannot be matched. */
+	if (is_once(r))
+		return 0;
 	return bgt_spend(&r->customer->bgt);
 }
 
@@ -347,16 +389,20 @@
 
 	if (result->not_run)
 		r->not_run++;
+	if (result->code == ERR_TARGET_SHED)
+		r->loaded = 1;
 	if (result->code == ERR_TARGET_SNAPSHOT && result->not_run &&
-	    restart_possible(r)) {
+	    !is_once(r) && restart_possible(r)) {
 		restart(r, now_us);
 		return;
 	}
 	/* A replica that shed may be asked again once others were tried. */
 	if (result->code != ERR_TARGET_SHED)
 		s->failed_mask |= 1U << sub->replica;
-	if (s->open_count > 0)
+	if (s->open_count > 0) {
+		hedge_again(s->open[0], now_us);
 		return;
+	}
 	if (may_retry(s, result->code, (int)result->not_run, now_us)) {
 		metric_add(M_RETRIES, 1);
 		attempt(s, now_us);
@@ -396,23 +442,46 @@
 
 void scatter_wake(struct shard_queue *q, int64_t now_us)
 {
-	while (!TAILQ_EMPTY(&q->waiting)) {
-		struct shard_state *s = TAILQ_FIRST(&q->waiting);
+	struct shard_state *s;
+	struct shard_state *next;
+	uint32_t misses = 0;
 
+	/* The oldest may wait for a replica that those behind do not need. */
+	for (s = TAILQ_FIRST(&q->waiting); s && misses < WAKE_MISSES_MAX;
+	     s = next) {
+		next = TAILQ_NEXT(s, link);
 		attempt(s, now_us);
 		if (s->queued)
-			return;
-		if (s->phase == SHARD_FAILED)
+			misses++;
+		else if (s->phase == SHARD_FAILED)
 			req_resume(s->req, now_us);
 	}
 }
 
+/* Shards that wait for busy targets at the deadline are a sign of load. */
+void scatter_note_load(struct req *r, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; r->shards && i < r->shard_count; i++) {
+		const struct shard_state *s = &r->shards[i];
+
+		if (s->phase == SHARD_WAITING && s->is_live)
+			r->loaded = 1;
+		if (s->phase == SHARD_OPEN && s->open_count > 0 &&
+		    !s->open[0]->tgt->avoid_until_us)
+			r->loaded = 1;
+	}
+}
+
 static enum filter_step enter(void *ctx, struct req *r, int64_t now_us)
 {
 	uint32_t i;
 
 	metric_add(M_SHARDS_ASKED, r->shard_count);
-	bgt_earn(&r->customer->bgt, r->shard_count);
+	/* A restart asks again what was already counted as offered. */
+	if (!r->restarted)
+		bgt_earn(&r->customer->bgt, r->shard_count);
 	hdg_adjust(&r->index->stats->hdg, now_us,
 		   bgt_fill_permille(&r->customer->bgt));
 	for (i = 0; i < r->shard_count; i++)
--- a/src/filter/7_gather.c
+++ b/src/filter/7_gather.c
@@ -9,7 +9,9 @@
 
 static void refuse_unanswered(struct req *r)
 {
-	if (r->sent == 0)
+	if (r->sent == 0 && r->loaded)
+		req_refuse(r, ERR_OVERLOADED, "all replicas are busy");
+	else if (r->sent == 0)
 		req_refuse(r, ERR_NO_REPLICA, "nothing could be sent");
 	else
 		req_refuse(r, ERR_INCOMPLETE, "coverage below the contract");
@@ -25,6 +27,7 @@
 
 void gather_close(struct req *r, int64_t now_us)
 {
+	scatter_note_load(r, now_us);
 	if (r->err.code == ERR_OK && !r->shards)
 		req_refuse(r, ERR_DEADLINE, "before anything was sent");
 	if (r->err.code == ERR_OK &&
--- a/src/filter/bound.c
+++ b/src/filter/bound.c
@@ -25,6 +25,7 @@
 		return s;
 	s = cu_alloc(1, sizeof(*s));
 	hdg_init(&s->hdg);
+	s->warm_limit = 1;
 	g_hash_table_insert(p->indexes, g_strdup(index), s);
 	return s;
 }
@@ -67,13 +68,17 @@
 		       const struct view *v, const struct layout *l)
 {
 	uint32_t i;
+	uint32_t j;
 
 	b->layout = l;
 	b->stats = find_index(p, l->index);
 	b->targets = cu_alloc(l->target_count, sizeof(*b->targets));
 	b->queues = cu_alloc(l->shard_count, sizeof(*b->queues));
-	for (i = 0; i < l->shard_count; i++)
+	for (i = 0; i < l->shard_count; i++) {
+		for (j = l->shards[i].replica_count; j > 0; j--)
+			b->targets[l->shards[i].replicas[j - 1]].shard = i;
 		b->queues[i] = find_queue(p, l->index, l->shards[i].name);
+	}
 	for (i = 0; i < l->target_count; i++) {
 		const struct target *def = &l->targets[i];
 		struct bound_target *t = &b->targets[i];
--- a/src/filter/path.c
+++ b/src/filter/path.c
@@ -10,7 +10,18 @@
 
 static void free_customer(gpointer data)
 {
-	free(data);
+	struct customer_stats *s = data;
+
+	g_hash_table_destroy(s->open);
+	free(s);
+}
+
+static void free_index(gpointer data)
+{
+	struct index_stats *s = data;
+
+	free(s->warm_text);
+	free(s);
 }
 
 static void free_sub(gpointer data)
@@ -55,8 +66,8 @@
 					free_sub);
 	p->tgts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unref_tgt);
-	p->indexes =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
+	p->indexes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   free_index);
 	p->customers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     free_customer);
 	p->queues =
@@ -79,7 +90,8 @@
 
 	for (i = open; i; i = i->next) {
 		req_refuse(i->data, ERR_STOPPING, "host stopped");
-		req_finish(i->data, 0);
+		req_finish(i->data,
+			   ((struct req *)i->data)->caller->received_us);
 	}
 }
 
@@ -89,6 +101,7 @@
 		return;
 	abort_requests(p);
 	tmr_cancel(p->timers, &p->sweep_timer);
+	tmr_cancel(p->timers, &p->warm_timer);
 	g_hash_table_destroy(p->subs);
 	bound_view_unref(p->bound);
 	g_hash_table_destroy(p->reqs);
@@ -108,10 +121,12 @@
 {
 	const struct contract *c = view_contract(v, s->contract.customer);
 
-	if (!c || memcmp(c, &s->contract, sizeof(*c)) == 0)
+	if (!c)
+		return;
+	adm_configure(&s->adm, c, v->host_count, now_us);
+	if (memcmp(c, &s->contract, sizeof(*c)) == 0)
 		return;
 	s->contract = *c;
-	adm_configure(&s->adm, c, now_us);
 	bgt_init(&s->bgt, c->extra_load_permille, c->rate_per_s);
 }
 
@@ -123,6 +138,25 @@
 	return t->refs == 1;
 }
 
+static int same_hosts(const struct view *a, const struct view *b)
+{
+	return a->host_count == b->host_count &&
+	       (!a->host_count ||
+		memcmp(a->hosts, b->hosts, a->host_count * NAME_BYTES) == 0);
+}
+
+uint32_t customer_open(struct customer_stats *c, struct tgt *t, int32_t by)
+{
+	gpointer held = g_hash_table_lookup(c->open, t);
+	uint32_t count = GPOINTER_TO_UINT(held) + (uint32_t)by;
+
+	if (by && count)
+		g_hash_table_insert(c->open, t, GUINT_TO_POINTER(count));
+	else if (by)
+		g_hash_table_remove(c->open, t);
+	return count;
+}
+
 void path_view(struct path *p, struct view *v, int64_t now_us)
 {
 	struct bound_view *next = bound_view_new(p, v, now_us);
@@ -132,9 +166,13 @@
 	g_hash_table_iter_init(&iter, p->customers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		refresh_customer(p, v, value, now_us);
+	/* A host that joined knows no target yet. */
+	if (!p->bound || !same_hosts(p->bound->view, v))
+		p->announce_at_us = now_us;
 	bound_view_unref(p->bound);
 	p->bound = next;
 	g_hash_table_foreach_remove(p->tgts, is_unused, NULL);
+	warm_start(p, now_us);
 }
 
 enum filter_step req_refuse(struct req *r, enum err_code code,
@@ -220,16 +258,19 @@
 	req_resume(r, now_us);
 }
 
-/* Replaces the code of an answer that does not match what was asked. */
+/*
+ * Replaces the code of an answer that does not match what was asked. Of an
+ * answer that nobody waits for only the IDs can be checked; it still counts
+ * for the target's statistics.
+ */
 static void check_answer(const struct sub *s, struct sub_result *result)
 {
-	const struct req *r = s->req;
-	const struct layout *l = r->index->layout;
+	const struct layout *l = s->req ? s->req->index->layout : NULL;
 	struct gth_expected expected = {
 		.request_id = s->request_id,
 		.sub_id = s->id,
-		.shard = l->shards[s->shard].name,
-		.snapshot = l->snapshot,
+		.shard = l ? l->shards[s->shard].name : result->shard,
+		.snapshot = l ? l->snapshot : result->snapshot,
 	};
 
 	result->code = gth_check(&expected, result);
@@ -244,6 +285,10 @@
 	case ERR_CANCELLED:
 		tgt_neutral(s->tgt);
 		return;
+	case ERR_RING_FULL:
+		/* Not sent; says nothing about the target. */
+		tgt_neutral(s->tgt);
+		return;
 	case ERR_TARGET_SNAPSHOT:
 		tgt_neutral(s->tgt);
 		break;
@@ -268,14 +313,19 @@
 
 	cu_copy(instance, sizeof(instance), s->tgt->instance);
 	if (result->code == ERR_OK) {
-		tgt_good(s->tgt, now_us, now_us - s->sent_us, result->instance);
-		if (!s->cancelled && !s->is_hedge)
+		tgt_good(s->tgt, now_us, now_us - s->sent_us, result->instance,
+			 s->index->hdg.mean_us);
+		if (!s->cancelled && !s->is_hedge && !s->is_warm_up)
 			hdg_sample(&s->index->hdg, now_us - s->sent_us);
 	} else {
 		account_failure(p, s, result, now_us);
 	}
-	if (!s->cancelled)
+	if (s->customer)
+		customer_open(s->customer, s->tgt, -1);
+	if (!s->cancelled && !s->is_warm_up)
 		evidence_sub(p, s, result, result->code != ERR_OK);
+	if (before == TGT_WARM && s->tgt->phase == TGT_COLD)
+		warm_start(p, now_us);
 	if (strcmp(instance, s->tgt->instance) != 0)
 		evidence_notice(p, s->tgt, NOTICE_COLD);
 	else if (before != TGT_WARM && s->tgt->phase == TGT_WARM)
@@ -292,12 +342,14 @@
 		sub_result_free(result);
 		return;
 	}
-	if (result->code == ERR_OK && s->req)
+	if (result->code == ERR_OK)
 		check_answer(s, result);
 	account(p, s, result, now_us);
 	queue = s->queue;
 	g_hash_table_steal(p->subs, &result->sub_id);
 	scatter_result(s, result, now_us);
+	if (s->is_warm_up && result->code == ERR_OK)
+		warm_result(p, s, now_us);
 	free_sub(s);
 	sub_result_free(result);
 	scatter_wake(queue, now_us);
@@ -349,6 +401,7 @@
 	if (!t || n->kind == NOTICE_LEAVING)
 		return;
 	tgt_announced(t, now_us, n->instance, n->kind == NOTICE_WARM);
+	warm_start(p, now_us);
 }
 
 void path_leave(struct path *p)
--- a/src/filter/req.h
+++ b/src/filter/req.h
@@ -35,7 +35,10 @@
 	int busy;
 };
 
+/* The service has no rollout. */
 #define VERSION_ANY UINT32_MAX
+/* The draw left the listed versions out. */
+#define VERSION_UNLISTED (UINT32_MAX - 1)
 
 /* A target of the view in force. */
 struct bound_target {
@@ -47,6 +50,8 @@
 	uint32_t dc_share_permille;
 	/* Position in view->versions, or VERSION_ANY without a rollout. */
 	uint32_t version;
+	/* First shard that the target serves, for warm-up. */
+	uint32_t shard;
 };
 
 /* One index of the view in force, with this host's statistics bound to it. */
@@ -69,6 +74,9 @@
 /* Kept across views. */
 struct index_stats {
 	struct hdg hdg;
+	/* First search of any caller, repeated to warm up cold targets. */
+	char *warm_text;
+	uint32_t warm_limit;
 };
 
 /* Kept across views. */
@@ -76,6 +84,8 @@
 	struct contract contract;
 	struct adm adm;
 	struct bgt bgt;
+	/* struct tgt to the number of this customer's open sub-requests. */
+	GHashTable *open;
 	struct customer_evidence seen;
 };
 
@@ -83,6 +93,8 @@
 	uint64_t id;
 	/* NULL once the request or the shard no longer wants the answer. */
 	struct req *req;
+	/* Sent by the target's owner without a request. */
+	int is_warm_up;
 	uint32_t shard;
 	/* Position among the shard's replicas. */
 	uint32_t replica;
@@ -111,6 +123,8 @@
 	uint32_t attempts;
 	uint32_t open_count;
 	struct sub *open[SHARD_SUBS_MAX];
+	/* A replica is in use by others while this one waits. */
+	int is_live;
 	/* 1 while waiting in its shard_queue. */
 	int queued;
 	/* Bit per replica that failed this request. */
@@ -132,12 +146,14 @@
 	int claimed;
 	int admitted;
 	int restarted;
+	/* Shards were missing because their targets were busy. */
+	int loaded;
 	/* Sub-requests sent, and those of them that certainly did not run. */
 	uint32_t sent;
 	uint32_t not_run;
 	/* Decides the data centres of this request: those with a larger share. */
 	uint32_t dc_draw_permille;
-	/* Position in view->versions, or VERSION_ANY. */
+	/* Position in view->versions, VERSION_ANY or VERSION_UNLISTED. */
 	uint32_t version;
 	uint32_t shard_count;
 	uint32_t shard_first;
@@ -170,6 +186,7 @@
 	GHashTable *queues;
 	TAILQ_HEAD(, shard_queue) busy_queues;
 	struct tmr_sub sweep_timer;
+	struct tmr_sub warm_timer;
 	GPtrArray *notices;
 	GArray *version_evidence;
 	uint64_t next_req;
@@ -201,11 +218,23 @@
 void scatter_cancel(struct req *r, int64_t now_us);
 /* Scatter: sends shards that wait in @q, as far as replicas are usable. */
 void scatter_wake(struct shard_queue *q, int64_t now_us);
+/* Scatter: sets r->loaded from what is unanswered at the deadline. */
+void scatter_note_load(struct req *r, int64_t now_us);
 /* Pin: gives back the view so that the request can be pinned anew. */
 void pin_release(struct req *r);
 /* Gather: closes the request at its deadline or when all is resolved. */
 void gather_close(struct req *r, int64_t now_us);
 
+/* Number of open sub-requests of @c at @t, changed by @by. */
+uint32_t customer_open(struct customer_stats *c, struct tgt *t, int32_t by);
+
+/* Warm-up: looks for cold targets that this host owns, soon. */
+void warm_start(struct path *p, int64_t now_us);
+/* Warm-up: remembers the search to repeat. */
+void warm_learn(struct path *p, const struct req *r, int64_t now_us);
+/* Warm-up: sends the next search after one was answered. */
+void warm_result(struct path *p, const struct sub *s, int64_t now_us);
+
 void bound_view_unref(struct bound_view *b);
 struct bound_view *bound_view_new(struct path *p, struct view *v,
 				  int64_t now_us);
--- /dev/null
+++ b/tests/test_path.c
@@ -0,0 +1,670 @@
+/*
+ * Scripted runs over the request path with a virtual clock: callers, targets,
+ * the store's claims and views are played by the script.
+ */
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "filter/req.h"
+#include "script.h"
+
+#define SUBS_MAX 512
+#define SEED 7
+#define SELF "h1"
+#define TARGET_PORT 9000
+
+/* A sub-request as the target would see it; printed by its position. */
+struct sent {
+	struct sub_call *call;
+	char target[NAME_BYTES];
+};
+
+struct claim {
+	char request_id[REQUEST_ID_BYTES];
+	uint64_t req_no;
+};
+
+struct path_ctx {
+	struct path *path;
+	struct tmr *timers;
+	int64_t now_us;
+	/* What the next view is made of. */
+	struct view *next;
+	uint32_t sent_count;
+	struct sent sent[SUBS_MAX];
+	uint32_t claim_count;
+	struct claim claims[SUBS_MAX];
+	uint64_t next_handle;
+	struct buf *out;
+	/* Callers in flight, by handle. */
+	GHashTable *callers;
+};
+
+struct caller {
+	struct path_ctx *ctx;
+	uint64_t handle;
+	char id[REQUEST_ID_BYTES];
+};
+
+static uint32_t sent_position(const struct path_ctx *c, uint64_t sub_id)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->sent_count; i++) {
+		if (c->sent[i].call->sub_id == sub_id)
+			break;
+	}
+	return i;
+}
+
+/* Targets have the address of their position in the layout. */
+static void target_name(const struct path_ctx *c, const struct sub_call *call,
+			char *out)
+{
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < c->next->layout_count; i++) {
+		const struct layout *l = c->next->layouts[i];
+
+		for (j = 0; j < l->target_count; j++) {
+			if (l->targets[j].port == call->port)
+				cu_copy(out, NAME_BYTES, l->targets[j].id);
+		}
+	}
+}
+
+static void on_send(void *ctx, struct sub_call *call)
+{
+	struct path_ctx *c = ctx;
+	struct sent *s;
+
+	if (call->cancel) {
+		buf_addf(c->out, "cancel %u\n",
+			 sent_position(c, call->sub_id) + 1);
+		sub_call_free(call);
+		return;
+	}
+	g_assert_cmpuint(c->sent_count, <, SUBS_MAX);
+	s = &c->sent[c->sent_count++];
+	s->call = call;
+	target_name(c, call, s->target);
+	buf_addf(c->out, "send %u %s to %s left_us=%" PRId64 "\n",
+		 c->sent_count, call->shard, s->target,
+		 call->deadline_us - c->now_us);
+}
+
+static void on_claim(void *ctx, uint64_t req_no, const char *customer,
+		     const char *request_id)
+{
+	struct path_ctx *c = ctx;
+	struct claim *claim = &c->claims[c->claim_count++];
+
+	claim->req_no = req_no;
+	cu_copy(claim->request_id, sizeof(claim->request_id), request_id);
+	buf_addf(c->out, "claim %s/%s\n", customer, request_id);
+}
+
+static void on_record(void *ctx, const char *customer, const char *request_id,
+		      enum outcome outcome)
+{
+	struct path_ctx *c = ctx;
+
+	buf_addf(c->out, "record %s/%s %s\n", customer, request_id,
+		 outcome_name(outcome));
+}
+
+static void on_reply(void *ctx, struct answer *a)
+{
+	struct caller *caller = ctx;
+	struct path_ctx *c = caller->ctx;
+	uint32_t i;
+
+	buf_addf(c->out, "answer %s %s %s", caller->id, err_name(a->err.code),
+		 outcome_name(a->outcome));
+	if (a->err.code == ERR_OK) {
+		buf_addf(c->out, " %s %u/%u complete=%u", a->snapshot,
+			 a->shards_answered, a->shards_total, a->complete);
+		for (i = 0; i < a->missing_count; i++)
+			buf_addf(c->out, " missing=%s", a->missing[i]);
+		for (i = 0; i < a->hits.count; i++)
+			buf_addf(c->out, " %s:%g", a->hits.items[i].id,
+				 a->hits.items[i].score);
+	}
+	buf_addf(c->out, "\n");
+	answer_free(a);
+	g_hash_table_remove(c->callers, &caller->handle);
+}
+
+static void *path_ctx_new(void)
+{
+	struct path_ctx *c = cu_alloc(1, sizeof(*c));
+	struct path_ops ops = { on_send, on_claim, on_record, c };
+
+	c->timers = tmr_new();
+	c->path = path_new(&ops, c->timers, SELF, SEED);
+	c->next = view_new();
+	c->callers =
+		g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
+	return c;
+}
+
+static void path_ctx_free(void *ctx)
+{
+	struct path_ctx *c = ctx;
+	struct buf rest CLEANUP_BUF = { 0 };
+	uint32_t i;
+
+	c->out = &rest;
+	path_free(c->path);
+	tmr_free(c->timers);
+	view_unref(c->next);
+	for (i = 0; i < c->sent_count; i++)
+		sub_call_free(c->sent[i].call);
+	g_hash_table_destroy(c->callers);
+	free(c);
+}
+
+static uint32_t arg_u32(uint32_t argc, char **argv, const char *name,
+			uint32_t fallback)
+{
+	return (uint32_t)script_int(argc, argv, name, fallback);
+}
+
+static void cmd_contract(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+	const char *name = script_arg(argc, argv, "customer", "c");
+	struct contract *k = NULL;
+	uint32_t i;
+
+	for (i = 0; i < c->next->contract_count; i++) {
+		if (strcmp(c->next->contracts[i].customer, name) == 0)
+			k = &c->next->contracts[i];
+	}
+	if (!k) {
+		c->next->contracts = cu_grow(c->next->contracts,
+					     c->next->contract_count + 1,
+					     sizeof(*k));
+		k = &c->next->contracts[c->next->contract_count++];
+	}
+	memset(k, 0, sizeof(*k));
+	cu_copy(k->customer, NAME_BYTES, name);
+	k->index_count = 1;
+	cu_copy(k->indexes[0], NAME_BYTES,
+		script_arg(argc, argv, "index", "i"));
+	k->answer_ms = arg_u32(argc, argv, "answer_ms", 100);
+	k->min_coverage_permille = arg_u32(argc, argv, "coverage", 1000);
+	k->rate_per_s = arg_u32(argc, argv, "rate", 1000);
+	k->target_share_permille = arg_u32(argc, argv, "share", 1000);
+	k->extra_load_permille = arg_u32(argc, argv, "extra", 50);
+}
+
+/* Target ID: shard position and a letter for the replica, such as "s0b". */
+static void set_target(struct target *t, uint32_t shard, uint32_t replica,
+		       uint32_t port, uint32_t argc, char **argv)
+{
+	g_auto(GStrv) versions =
+		g_strsplit(script_arg(argc, argv, "versions", ""), ",", -1);
+	char letter = (char)('a' + replica);
+
+	snprintf(t->id, sizeof(t->id), "s%u%c", shard, letter);
+	snprintf(t->data_centre, sizeof(t->data_centre), "%c", letter);
+	cu_copy(t->address, sizeof(t->address), "127.0.0.1");
+	cu_copy(t->version, sizeof(t->version),
+		replica < g_strv_length(versions) ? versions[replica] : "v1");
+	t->port = (uint16_t)port;
+	t->slots = arg_u32(argc, argv, "slots", 2);
+	t->connections = arg_u32(argc, argv, "connections", 40);
+	t->cold_slots = arg_u32(argc, argv, "cold_slots", 1);
+}
+
+static void cmd_layout(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+	uint32_t shards = arg_u32(argc, argv, "shards", 1);
+	uint32_t replicas = arg_u32(argc, argv, "replicas", 3);
+	struct layout *l = layout_new(shards, shards * replicas);
+	uint32_t i;
+
+	cu_copy(l->index, NAME_BYTES, script_arg(argc, argv, "index", "i"));
+	cu_copy(l->snapshot, NAME_BYTES,
+		script_arg(argc, argv, "snapshot", "n1"));
+	cu_copy(l->service, NAME_BYTES, "svc");
+	for (i = 0; i < shards * replicas; i++) {
+		struct shard *s = &l->shards[i / replicas];
+
+		snprintf(s->name, sizeof(s->name), "s%u", i / replicas);
+		s->replicas[s->replica_count++] = i;
+		set_target(&l->targets[i], i / replicas, i % replicas,
+			   TARGET_PORT + i, argc, argv);
+	}
+	if (c->next->layout_count)
+		layout_free(c->next->layouts[0]);
+	c->next->layouts = cu_grow(c->next->layouts, 1, sizeof(l));
+	c->next->layouts[0] = l;
+	c->next->layout_count = 1;
+}
+
+static void cmd_dc(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct view *v = ((struct path_ctx *)ctx)->next;
+
+	v->dcs = cu_grow(v->dcs, v->dc_count + 1, sizeof(*v->dcs));
+	cu_copy(v->dcs[v->dc_count].data_centre, NAME_BYTES,
+		script_arg(argc, argv, "name", "a"));
+	v->dcs[v->dc_count++].share_permille =
+		arg_u32(argc, argv, "share", 1000);
+}
+
+static void cmd_version(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct view *v = ((struct path_ctx *)ctx)->next;
+	struct version_weight *w;
+
+	v->versions = cu_grow(v->versions, v->version_count + 1, sizeof(*w));
+	w = &v->versions[v->version_count++];
+	cu_copy(w->service, NAME_BYTES, "svc");
+	cu_copy(w->version, NAME_BYTES, script_arg(argc, argv, "name", "v1"));
+	w->share_permille = arg_u32(argc, argv, "share", 1000);
+}
+
+static void cmd_block(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct view *v = ((struct path_ctx *)ctx)->next;
+
+	v->blocks = cu_grow(v->blocks, v->block_count + 1, sizeof(*v->blocks));
+	cu_copy(v->blocks[v->block_count++].id, NAME_BYTES,
+		script_arg(argc, argv, "target", ""));
+}
+
+static void cmd_hosts(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct view *v = ((struct path_ctx *)ctx)->next;
+	uint32_t i;
+
+	v->hosts = cu_grow(v->hosts, argc, NAME_BYTES);
+	v->host_count = argc;
+	for (i = 0; i < argc; i++)
+		cu_copy(v->hosts[i], NAME_BYTES, argv[i]);
+}
+
+static void *copy_of(const void *data, uint32_t count, size_t size_bytes)
+{
+	void *copy = cu_alloc(count, size_bytes);
+
+	if (count)
+		memcpy(copy, data, count * size_bytes);
+	return copy;
+}
+
+static struct layout *copy_layout(const struct layout *l)
+{
+	struct layout *copy = layout_new(l->shard_count, l->target_count);
+
+	cu_copy(copy->index, NAME_BYTES, l->index);
+	cu_copy(copy->snapshot, NAME_BYTES, l->snapshot);
+	cu_copy(copy->service, NAME_BYTES, l->service);
+	memcpy(copy->shards, l->shards, l->shard_count * sizeof(*l->shards));
+	memcpy(copy->targets, l->targets,
+	       l->target_count * sizeof(*l->targets));
+	return copy;
+}
+
+static void cmd_view(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+	const struct view *from = c->next;
+	struct view *v = view_new();
+	uint32_t i;
+
+	v->host_count = from->host_count;
+	v->hosts = copy_of(from->hosts, from->host_count, NAME_BYTES);
+	v->contract_count = from->contract_count;
+	v->contracts = copy_of(from->contracts, from->contract_count,
+			       sizeof(*v->contracts));
+	v->dc_count = from->dc_count;
+	v->dcs = copy_of(from->dcs, from->dc_count, sizeof(*v->dcs));
+	v->version_count = from->version_count;
+	v->versions = copy_of(from->versions, from->version_count,
+			      sizeof(*v->versions));
+	v->block_count = from->block_count;
+	v->blocks =
+		copy_of(from->blocks, from->block_count, sizeof(*v->blocks));
+	v->layout_count = from->layout_count;
+	v->layouts = cu_alloc(from->layout_count, sizeof(*v->layouts));
+	for (i = 0; i < from->layout_count; i++)
+		v->layouts[i] = copy_layout(from->layouts[i]);
+	c->out = out;
+	path_view(c->path, v, c->now_us);
+}
+
+static void notice(struct path_ctx *c, const char *target, const char *instance,
+		   enum target_notice_kind kind)
+{
+	struct target_notice n = { .kind = kind };
+
+	cu_copy(n.target, sizeof(n.target), target);
+	cu_copy(n.instance, sizeof(n.instance), instance);
+	path_notice(c->path, &n, c->now_us);
+}
+
+static void cmd_notice(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	const char *kind = script_arg(argc, argv, "kind", "warm");
+
+	((struct path_ctx *)ctx)->out = out;
+	notice(ctx, script_arg(argc, argv, "target", ""),
+	       script_arg(argc, argv, "instance", "i1"),
+	       strcmp(kind, "cold") == 0 ? NOTICE_COLD : NOTICE_WARM);
+}
+
+/* Every target is announced as warm. */
+static void cmd_warm(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+	const struct layout *l = c->next->layouts[0];
+	uint32_t i;
+
+	c->out = out;
+	for (i = 0; i < l->target_count; i++)
+		notice(c, l->targets[i].id, "i1", NOTICE_WARM);
+}
+
+static void submit(struct path_ctx *c, struct request *r, uint32_t argc,
+		   char **argv)
+{
+	struct caller *caller = cu_alloc(1, sizeof(*caller));
+	struct caller_request *cr = cu_alloc(1, sizeof(*cr));
+
+	cu_copy(r->id, sizeof(r->id), script_arg(argc, argv, "id", ""));
+	cu_copy(r->customer, sizeof(r->customer),
+		script_arg(argc, argv, "customer", "c"));
+	cu_copy(r->index, sizeof(r->index),
+		script_arg(argc, argv, "index", "i"));
+	r->timeout_ms = arg_u32(argc, argv, "timeout_ms", 0);
+	caller->ctx = c;
+	caller->handle = ++c->next_handle;
+	cu_copy(caller->id, sizeof(caller->id), r->id);
+	g_hash_table_insert(c->callers, &caller->handle, caller);
+	cr->request = r;
+	cr->reply = on_reply;
+	cr->reply_ctx = caller;
+	cr->handle = caller->handle;
+	cr->received_us = c->now_us - script_int(argc, argv, "age_us", 0);
+	path_request(c->path, cr, c->now_us);
+}
+
+static void cmd_search(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+	struct request *r = cu_alloc(1, sizeof(*r));
+
+	c->out = out;
+	r->op = OP_SEARCH;
+	r->idempotent = 1;
+	r->text = cu_strdup("q");
+	r->limit = arg_u32(argc, argv, "limit", 10);
+	submit(c, r, argc, argv);
+}
+
+static void cmd_lookup(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+	struct request *r = cu_alloc(1, sizeof(*r));
+
+	c->out = out;
+	r->op = OP_LOOKUP;
+	r->idempotent = arg_u32(argc, argv, "idempotent", 0);
+	r->text = cu_strdup(script_arg(argc, argv, "record", "w"));
+	r->limit = 1;
+	submit(c, r, argc, argv);
+}
+
+/* The way back of sub-request sub=N; fields of the answer can be replaced. */
+static struct sub_result *result_of(struct path_ctx *c, uint32_t argc,
+				    char **argv)
+{
+	uint32_t n = arg_u32(argc, argv, "sub", 1);
+	const struct sub_call *call;
+	struct sub_result *r = cu_alloc(1, sizeof(*r));
+
+	g_assert_cmpuint(n, >=, 1);
+	g_assert_cmpuint(n, <=, c->sent_count);
+	call = c->sent[n - 1].call;
+	r->sub_id = call->sub_id;
+	r->answer_sub_id = call->sub_id;
+	if (script_arg(argc, argv, "as", NULL))
+		r->answer_sub_id =
+			c->sent[arg_u32(argc, argv, "as", 1) - 1].call->sub_id;
+	cu_copy(r->request_id, sizeof(r->request_id),
+		script_arg(argc, argv, "id", call->request_id));
+	cu_copy(r->shard, sizeof(r->shard),
+		script_arg(argc, argv, "shard", call->shard));
+	cu_copy(r->snapshot, sizeof(r->snapshot),
+		script_arg(argc, argv, "snapshot", call->snapshot));
+	cu_copy(r->instance, sizeof(r->instance),
+		script_arg(argc, argv, "instance", "i1"));
+	return r;
+}
+
+static void take_hits(struct sub_result *r, const char *text)
+{
+	g_auto(GStrv) hits = g_strsplit(text, ",", -1);
+	uint32_t i;
+
+	for (i = 0; hits[i]; i++) {
+		g_auto(GStrv) hit = g_strsplit(hits[i], ":", 2);
+
+		hits_add(&r->hits, hit[0],
+			 hit[1] ? g_ascii_strtod(hit[1], NULL) : 1, NULL);
+	}
+}
+
+static void cmd_reply(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+	struct sub_result *r = result_of(c, argc, argv);
+
+	c->out = out;
+	take_hits(r, script_arg(argc, argv, "hits", ""));
+	path_result(c->path, r, c->now_us);
+}
+
+struct code_search {
+	const char *name;
+	enum err_code code;
+};
+
+static void match_code(void *ctx, enum err_code code)
+{
+	struct code_search *s = ctx;
+
+	if (strcmp(err_name(code), s->name) == 0)
+		s->code = code;
+}
+
+static void cmd_fail(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+	struct sub_result *r = result_of(c, argc, argv);
+	struct code_search s = {
+		.name = script_arg(argc, argv, "code", "TARGET_STATUS"),
+		.code = ERR_OK,
+	};
+
+	err_each(match_code, &s);
+	g_assert_cmpint(s.code, !=, ERR_OK);
+	r->code = s.code;
+	r->not_run = arg_u32(argc, argv, "not_run", 0);
+	c->out = out;
+	path_result(c->path, r, c->now_us);
+}
+
+static void cmd_claimed(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	static const char *const names[] = { "granted", "taken", "unavailable",
+					     "unknown" };
+	struct path_ctx *c = ctx;
+	const char *result = script_arg(argc, argv, "result", "granted");
+	const char *id = script_arg(argc, argv, "id", "");
+	uint32_t i;
+	uint32_t j;
+
+	c->out = out;
+	for (i = 0; i < c->claim_count; i++) {
+		if (strcmp(c->claims[i].request_id, id) == 0)
+			break;
+	}
+	g_assert_cmpuint(i, <, c->claim_count);
+	for (j = 0; j < countof(names); j++) {
+		if (strcmp(names[j], result) == 0)
+			buf_addf(out, "wanted %d\n",
+				 path_claimed(c->path, c->claims[i].req_no,
+					      (enum claim_result)j, c->now_us));
+	}
+}
+
+static void cmd_gone(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+
+	c->out = out;
+	path_caller_gone(c->path, (uint64_t)script_int(argc, argv, "handle", 1),
+			 c->now_us);
+}
+
+static void cmd_run(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+	int64_t end_us = c->now_us + script_int(argc, argv, "us", 0) +
+			 script_int(argc, argv, "ms", 0) * US_PER_MS;
+	int64_t next_us;
+
+	c->out = out;
+	while ((next_us = tmr_next_us(c->timers)) >= 0 && next_us <= end_us) {
+		c->now_us = cu_max_i64(next_us, c->now_us);
+		tmr_run(c->timers, c->now_us);
+	}
+	c->now_us = end_us;
+}
+
+static void cmd_leave(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	path_leave(((struct path_ctx *)ctx)->path);
+}
+
+static void cmd_state(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	static const char *const phases[] = { "new", "cold", "warm" };
+	struct path_ctx *c = ctx;
+	const char *id = script_arg(argc, argv, "target", NULL);
+	const struct tgt *t = id ? g_hash_table_lookup(c->path->tgts, id)
+				 : NULL;
+
+	buf_addf(out, "open %u queued %d", path_open(c->path),
+		 !TAILQ_EMPTY(&c->path->busy_queues));
+	if (t)
+		buf_addf(out, " %s %s outstanding=%u avoided=%d", t->def.id,
+			 phases[t->phase], t->outstanding,
+			 t->avoid_until_us > c->now_us);
+	buf_addf(out, "\n");
+}
+
+/* Requests without a fixed target, as many as asked; prints the spread. */
+static void cmd_spread(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+	uint32_t count = arg_u32(argc, argv, "count", 100);
+	struct buf silent CLEANUP_BUF = { 0 };
+	uint32_t by_replica[SHARD_REPLICAS_MAX] = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		struct request *r = cu_alloc(1, sizeof(*r));
+		uint32_t first = c->sent_count;
+		struct sub_result *result;
+		char sub[32];
+		char *words[] = { sub };
+
+		c->out = &silent;
+		r->op = OP_SEARCH;
+		r->idempotent = 1;
+		r->text = cu_strdup("q");
+		r->limit = 1;
+		submit(c, r, argc, argv);
+		if (c->sent_count == first)
+			continue;
+		by_replica[c->sent[first].target[2] - 'a']++;
+		snprintf(sub, sizeof(sub), "sub=%u", first + 1);
+		c->now_us += script_int(argc, argv, "gap_us", 1000);
+		result = result_of(c, 1, words);
+		path_result(c->path, result, c->now_us);
+	}
+	buf_addf(out, "a=%u b=%u c=%u\n", by_replica[0], by_replica[1],
+		 by_replica[2]);
+}
+
+static void cmd_evidence(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	static const char *const kinds[] = { "cold", "warm", "leaving" };
+	struct path_ctx *c = ctx;
+	struct evidence *e = path_evidence(c->path, c->now_us);
+	uint32_t i;
+
+	for (i = 0; i < e->version_count; i++)
+		buf_addf(out, "version %s requests=%u failures=%u slow=%u\n",
+			 e->versions[i].version, e->versions[i].requests,
+			 e->versions[i].failures, e->versions[i].slow);
+	for (i = 0; i < e->customer_count; i++)
+		buf_addf(out,
+			 "customer %s good=%u late=%u partial=%u refused=%u "
+			 "lost=%u\n",
+			 e->customers[i].customer, e->customers[i].good,
+			 e->customers[i].late, e->customers[i].partial,
+			 e->customers[i].refused, e->customers[i].lost);
+	for (i = 0; i < e->notice_count; i++)
+		buf_addf(out, "notice %s %s %s\n", e->notices[i].target,
+			 e->notices[i].instance, kinds[e->notices[i].kind]);
+	evidence_free(e);
+}
+
+static const struct script_command commands[] = {
+	{ "contract", cmd_contract },
+	{ "layout", cmd_layout },
+	{ "dc", cmd_dc },
+	{ "version", cmd_version },
+	{ "block", cmd_block },
+	{ "hosts", cmd_hosts },
+	{ "view", cmd_view },
+	{ "notice", cmd_notice },
+	{ "warm", cmd_warm },
+	{ "search", cmd_search },
+	{ "lookup", cmd_lookup },
+	{ "reply", cmd_reply },
+	{ "fail", cmd_fail },
+	{ "claimed", cmd_claimed },
+	{ "gone", cmd_gone },
+	{ "run", cmd_run },
+	{ "leave", cmd_leave },
+	{ "state", cmd_state },
+	{ "spread", cmd_spread },
+	{ "evidence", cmd_evidence },
+};
+
+static const struct script_area area = {
+	.name = "path",
+	.ctx_new = path_ctx_new,
+	.ctx_free = path_ctx_free,
+	.command_count = countof(commands),
+	.commands = commands,
+};
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	script_register(&area, "tests/scripts");
+	return g_test_run();
+}
