--- a/tests/standin/fault.h
+++ b/tests/standin/fault.h
@@ -18,7 +18,7 @@
 	uint32_t permille;
 	/* Requests it still shows on; UINT32_MAX is no limit. */
 	uint32_t times;
-	/* Only while at least so many requests are active or queued. */
+	/* Only while at least so many other requests are active or queued. */
 	uint32_t above;
 	/* Monotonic time from which it shows. */
 	int64_t from_us;
--- a/tests/standin/fleet.c
+++ b/tests/standin/fleet.c
@@ -173,6 +173,7 @@
 	}
 	if (target_fires(t, TF_SILENT_REQUEST, job_route(j), now_us)) {
 		job_free(j);
+		t->counters.silenced++;
 		http_silence(c);
 		return;
 	}
--- a/tests/standin/fleet_answer.c
+++ b/tests/standin/fleet_answer.c
@@ -96,6 +96,7 @@
 		return;
 	}
 	if (target_fires(t, TF_SILENT_ANSWER, route, now_us)) {
+		t->counters.silenced++;
 		http_silence(c);
 		return;
 	}
--- a/tests/standin/fleet_control.c
+++ b/tests/standin/fleet_control.c
@@ -67,6 +67,9 @@
 		if (f->on)
 			http_silence_all(p->listener);
 		break;
+	case TF_BLACKHOLE:
+		http_blackhole(p->listener, (int)f->on);
+		break;
 	case TF_LIMIT:
 		http_service(p->listener)->connections_max =
 			f->on ? f->connections : t->spec.connections;
--- a/tests/standin/http.c
+++ b/tests/standin/http.c
@@ -213,6 +213,13 @@
 		http_silence(c);
 }
 
+void http_blackhole(struct http_listener *l, int on)
+{
+	l->blackhole = on;
+	if (on)
+		http_silence_all(l);
+}
+
 static void reset_socket(int fd)
 {
 	struct linger abort_now = { .l_onoff = 1, .l_linger = 0 };
@@ -240,7 +247,7 @@
 		n->accepted++;
 		n->open++;
 		n->open_peak = cu_max_u32(n->open_peak, n->open);
-		conn_new(l, fd);
+		conn_new(l, fd, l->blackhole);
 	}
 }
 
--- a/tests/standin/http.h
+++ b/tests/standin/http.h
@@ -81,6 +81,8 @@
 enum err_code http_reopen(struct http_listener *l, struct err *err);
 /* Open connections neither answer nor close any more; new ones work. */
 void http_silence_all(struct http_listener *l);
+/* Silences open connections and, while @on, all that are opened. */
+void http_blackhole(struct http_listener *l, int on);
 
 void http_reply(struct http_conn *c, uint32_t status, const char *body,
 		size_t body_bytes, enum http_manner manner);
--- a/tests/standin/http_conn.c
+++ b/tests/standin/http_conn.c
@@ -85,7 +85,10 @@
 	if (c->out_sent_bytes == c->out.len_bytes) {
 		c->out.len_bytes = 0;
 		c->out_sent_bytes = 0;
-		if (c->close_after) {
+		if (c->discard) {
+			/* Closing with unread data would reset the answer. */
+			shutdown(c->fd, SHUT_WR);
+		} else if (c->close_after) {
 			conn_close(c, 0);
 			return;
 		}
@@ -113,6 +116,7 @@
 static void refuse(struct http_conn *c, uint32_t status, const char *why)
 {
 	c->close_after = 1;
+	c->discard = 1;
 	c->in.len_bytes = 0;
 	http_replyf(c, status, "{\"error\":\"%s\"}", why);
 }
@@ -151,7 +155,7 @@
 	c->busy = 1;
 	c->continued = 0;
 	if (!split_line(c->in.data, &r)) {
-		refuse(c, 400, "request line not understood");
+		refuse(c, 400, "bad_request_line");
 		return;
 	}
 	l->service.request(l->service.ctx, c, &r);
@@ -173,7 +177,7 @@
 
 	if (!end) {
 		if (c->in.len_bytes > HEAD_BYTES_MAX)
-			refuse(c, 431, "head too large");
+			refuse(c, 431, "head_too_large");
 		return 0;
 	}
 	head_bytes = (size_t)(end - c->in.data) + 4;
@@ -181,11 +185,11 @@
 	if (value)
 		body_bytes = strtoul(value, NULL, 10);
 	if (header(c->in.data, "Transfer-Encoding")) {
-		refuse(c, 411, "length required");
+		refuse(c, 411, "length_required");
 		return 0;
 	}
 	if (body_bytes > HTTP_BODY_BYTES_MAX) {
-		refuse(c, 413, "body too large");
+		refuse(c, 413, "body_too_large");
 		return 0;
 	}
 	if (c->in.len_bytes < head_bytes + body_bytes) {
@@ -223,6 +227,8 @@
 		conn_close(c, 0);
 		return;
 	}
+	if (c->discard)
+		return;
 	buf_add(&c->in, chunk, (size_t)n);
 	parse(c);
 }
@@ -249,7 +255,7 @@
 	watch_events(c, wanted_events(c));
 }
 
-struct http_conn *conn_new(struct http_listener *l, int fd)
+struct http_conn *conn_new(struct http_listener *l, int fd, int silent)
 {
 	struct http_conn *c = cu_alloc(1, sizeof(*c));
 	struct epoll_event ev = { .events = EPOLLRDHUP, .data.ptr = c };
@@ -263,6 +269,7 @@
 	l->conns = c;
 	c->events = EPOLLRDHUP;
 	epoll_ctl(http_epoll(l->http), EPOLL_CTL_ADD, fd, &ev);
+	c->silent = silent != 0;
 	if (l->service.connect_us)
 		tmr_arm(http_timers(l->http), &c->start,
 			clock_now_us() + l->service.connect_us, start_due, c);
--- a/tests/standin/http_conn.h
+++ b/tests/standin/http_conn.h
@@ -14,6 +14,8 @@
 	struct http_service service;
 	struct http_counters counters;
 	char address[48];
+	/* 1: new connections are silent. */
+	int blackhole;
 	uint16_t port;
 	struct http_conn *conns;
 	struct http_listener *next;
@@ -38,10 +40,12 @@
 	uint8_t continued;
 	uint8_t close_after;
 	uint8_t silent;
+	/* What the client still sends is read and dropped. */
+	uint8_t discard;
 	uint8_t dead;
 };
 
-struct http_conn *conn_new(struct http_listener *l, int fd);
+struct http_conn *conn_new(struct http_listener *l, int fd, int silent);
 /* Handles what epoll reported. */
 void conn_event(struct http_conn *c, uint32_t events);
 /* Closes; with a reset when @reset. The memory lives until conn_reap(). */
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -288,8 +288,10 @@
 	if (fires(c, SF_SILENT_REQUEST, now_us)) {
 		http_set_user(conn, NULL);
 		call_free(c);
+		s->counters.calls_lost++;
 		http_silence(conn);
 	} else if (fires(c, SF_LOST_CALL, now_us)) {
+		s->counters.calls_lost++;
 		call_free(c);
 		http_drop(conn);
 	} else if (fires(c, SF_OUTAGE, now_us)) {
--- a/tests/standin/store.h
+++ b/tests/standin/store.h
@@ -22,6 +22,7 @@
 	DEF(SF_SILENT_REQUEST, "silent_request") \
 	DEF(SF_SILENT_ANSWER, "silent_answer")   \
 	DEF(SF_SILENT, "silent")                 \
+	DEF(SF_BLACKHOLE, "blackhole")           \
 	DEF(SF_KILL, "kill")                     \
 	DEF(SF_SAVE, "save")                     \
 	DEF(SF_RESTORE, "restore")               \
@@ -90,6 +91,7 @@
 	DEF(limited)        \
 	DEF(refused)        \
 	DEF(conflicts)      \
+	DEF(calls_lost)     \
 	DEF(answers_lost)   \
 	DEF(watches_peak)   \
 	DEF(calls_per_s_peak)
--- a/tests/standin/store_control.c
+++ b/tests/standin/store_control.c
@@ -49,6 +49,9 @@
 		if (f->on)
 			http_silence_all(s->listener);
 		break;
+	case SF_BLACKHOLE:
+		http_blackhole(s->listener, (int)f->on);
+		break;
 	case SF_KILL:
 		if (!f->on)
 			return http_reopen(s->listener, err);
--- a/tests/standin/store_hosts.c
+++ b/tests/standin/store_hosts.c
@@ -73,14 +73,26 @@
 	return ERR_OK;
 }
 
-const char *store_hosts_text(struct store_hosts *h, int frozen, int64_t now_us)
+/* Position of the newest list whose lag is over; 0 at least. */
+static guint newest_visible(struct store_hosts *h, int64_t now_us)
 {
-	while (!frozen && g_queue_get_length(&h->versions) > 1) {
-		struct list_version *next = g_queue_peek_nth(&h->versions, 1);
+	guint at = g_queue_get_length(&h->versions) - 1;
+
+	while (at > 0) {
+		struct list_version *v = g_queue_peek_nth(&h->versions, at);
 
-		if (next->visible_us > now_us)
+		if (v->visible_us <= now_us)
 			break;
-		version_free(g_queue_pop_head(&h->versions));
+		at--;
 	}
+	return at;
+}
+
+const char *store_hosts_text(struct store_hosts *h, int frozen, int64_t now_us)
+{
+	guint drop = frozen ? 0 : newest_visible(h, now_us);
+
+	while (drop-- > 0)
+		version_free(g_queue_pop_head(&h->versions));
 	return ((struct list_version *)g_queue_peek_head(&h->versions))->text;
 }
--- a/tests/standin/target.c
+++ b/tests/standin/target.c
@@ -104,24 +104,37 @@
 {
 	struct target_counters *n = &t->counters;
 
-	j->state = JOB_RUNNING;
-	list_add(&t->running, j);
 	n->executed++;
 	count_once(t, j);
+	/* Before it is listed: the load in a fault is that of the others. */
 	j->status = 0;
 	if (target_fires(t, TF_FAIL, job_route(j), now_us))
 		j->status = t->faults[TF_FAIL].status;
 	j->finish_us = now_us + service_time_us(t, j, now_us);
+	j->state = JOB_RUNNING;
+	list_add(&t->running, j);
 	arm_running(j);
 }
 
+/* A request that was overdue when its turn came must not start. */
+static void expire_queued(struct target *t, struct job *j, int64_t now_us)
+{
+	tmr_cancel(t->timers, &j->timer);
+	j->state = JOB_ENDED;
+	t->counters.expired++;
+	t->done(t->done_ctx, j, JOB_EXPIRED_QUEUED, now_us);
+}
+
 static void fill_slots(struct target *t, int64_t now_us)
 {
 	while (t->queued.first && t->running.count < slots_now(t)) {
 		struct job *j = t->queued.first;
 
 		list_remove(&t->queued, j);
-		start_job(t, j, now_us);
+		if (now_us >= j->deadline_us)
+			expire_queued(t, j, now_us);
+		else
+			start_job(t, j, now_us);
 	}
 }
 
--- a/tests/standin/target.h
+++ b/tests/standin/target.h
@@ -43,6 +43,7 @@
 	DEF(TF_LAG, "lag")                       \
 	DEF(TF_COLD, "cold")                     \
 	DEF(TF_SILENT, "silent")                 \
+	DEF(TF_BLACKHOLE, "blackhole")           \
 	DEF(TF_LIMIT, "limit")                   \
 	DEF(TF_KILL, "kill")
 
@@ -90,6 +91,7 @@
 	DEF(failed)          \
 	DEF(abandoned)       \
 	DEF(snapshot_gone)   \
+	DEF(silenced)        \
 	DEF(peak_concurrent) \
 	DEF(cold_received)   \
 	DEF(cold_peak)       \
@@ -192,6 +194,7 @@
 void target_release(struct target *t, int64_t now_us);
 int target_fires(struct target *t, enum target_fault id, const char *route,
 		 int64_t now_us);
+/* Requests active and queued. */
 uint32_t target_load(const struct target *t);
 
 #endif
