--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 # make          build build/cowslippoint
 # make check    format, lint, build, all tests, sanitizers
 # make demo     the whole system on loopback
+# make bench    load bench (SCENARIO=name: one scenario)
+# make capacity slopes of cost for docs/CAPACITY.md
 # VARIANT=asan|tsan builds into build/asan or build/tsan.
 
 PACKAGES = gcc make pkg-config clang-format clang-tidy git \
@@ -32,6 +34,7 @@
 TEST_SHARED = $(filter-out $(TEST_SRC),$(sort $(wildcard tests/*.c)))
 TEST_BIN = $(patsubst tests/%.c,$(OUT)/%,$(TEST_SRC))
 STANDIN_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/standin/*.c)))
+CAPACITY_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/capacity/*.c)))
 BENCH_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/bench/*.c)))
 PROGRAMS = $(OUT)/cowslippoint $(if $(STANDIN_OBJ),$(OUT)/standin) \
 	$(if $(BENCH_OBJ),$(OUT)/bench)
@@ -66,6 +69,10 @@
 	@echo "LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
+$(OUT)/capacity: $(CAPACITY_OBJ) $(OUT)/libcowslippoint.a
+	@echo "LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
 $(TEST_BIN): $(OUT)/%: $(OUT)/tests/%.o \
 		$(patsubst %.c,$(OUT)/%.o,$(TEST_SHARED)) \
 		$(OUT)/libcowslippoint.a
@@ -74,6 +81,14 @@
 
 tests: $(PROGRAMS) $(TEST_BIN)
 
+# Load on the whole system; SCENARIO=name runs one scenario.
+bench: $(PROGRAMS)
+	$(OUT)/bench $(if $(SCENARIO),--scenario $(SCENARIO))
+
+# Slopes for docs/CAPACITY.md.
+capacity: $(PROGRAMS) $(OUT)/capacity
+	$(OUT)/capacity
+
 format:
 	clang-format -i $(FORMATTED)
 
@@ -96,4 +111,4 @@
 	rm -rf build
 
 -include $(shell find build -name '*.d' 2>/dev/null)
-.PHONY: all deps tests format format-check lint check clean
+.PHONY: all deps tests bench capacity format format-check lint check clean
--- /dev/null
+++ b/tests/bench/host.c
@@ -0,0 +1,128 @@
+/*
+ * A host without control, peer and admin duties: the request path with a view
+ * read from two files. It owns all targets for itself, so cold limits hold
+ * for each host and not for all together.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "bench.h"
+#include "codec/sjson.h"
+#include "duty/caller.h"
+#include "duty/messages.h"
+#include "duty/request.h"
+#include "duty/store.h"
+#include "duty/target.h"
+
+#define RING_MESSAGES 65536
+#define OPEN_MAX 4096
+#define STORE_READS_PER_S 2000
+#define STORE_WRITES_PER_S 400
+
+enum host_arg {
+	ARG_NAME,
+	ARG_CALLER_PORT,
+	ARG_STORE_PORT,
+	ARG_SEED,
+	ARG_CONTRACT,
+	ARG_LAYOUT,
+	ARG_COUNT
+};
+
+static struct view *load_view(char **argv, struct err *err)
+{
+	g_autofree char *contract_text = NULL;
+	g_autofree char *layout_text = NULL;
+	struct view *v = view_new();
+
+	v->contracts = cu_alloc(1, sizeof(*v->contracts));
+	v->layouts = cu_alloc(1, sizeof(*v->layouts));
+	cu_copy(v->self, sizeof(v->self), argv[ARG_NAME]);
+	if (!g_file_get_contents(argv[ARG_CONTRACT], &contract_text, NULL,
+				 NULL) ||
+	    !g_file_get_contents(argv[ARG_LAYOUT], &layout_text, NULL, NULL)) {
+		err_set(err, ERR_IO, "cannot read contract or layout");
+		return v;
+	}
+	sjson_contract(contract_text, v->contracts, err);
+	v->contract_count = 1;
+	v->layouts[0] = sjson_layout(layout_text, err);
+	v->layout_count = v->layouts[0] ? 1 : 0;
+	return v;
+}
+
+static void wait_signal(void)
+{
+	sigset_t set;
+	int number;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigwait(&set, &number);
+}
+
+/* Before the first thread starts, so that all threads inherit it. */
+static void block_signals(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+}
+
+enum err_code bench_host(int argc, char **argv, struct err *err)
+{
+	struct request_options ro = { .capacity = RING_MESSAGES };
+	struct caller_options co = { .address = "127.0.0.1",
+				     .open_max = OPEN_MAX };
+	struct store_options so = { .address = "127.0.0.1",
+				    .reads_per_s = STORE_READS_PER_S,
+				    .writes_per_s = STORE_WRITES_PER_S };
+	struct request_duty *request;
+	struct target_duty *target;
+	struct caller_duty *caller;
+	struct store *store;
+	struct msg view = { .type = MSG_VIEW };
+
+	if (argc != ARG_COUNT)
+		return err_set(err, ERR_USAGE, "host takes %d arguments",
+			       ARG_COUNT);
+	block_signals();
+	log_init(argv[ARG_NAME], NULL, NULL);
+	view.body = load_view(argv, err);
+	if (err->code != ERR_OK)
+		return err->code;
+	ro.self = argv[ARG_NAME];
+	ro.seed = strtoull(argv[ARG_SEED], NULL, 10);
+	co.port = (uint16_t)strtoul(argv[ARG_CALLER_PORT], NULL, 10);
+	so.port = (uint16_t)strtoul(argv[ARG_STORE_PORT], NULL, 10);
+	so.seed = ro.seed;
+	request = request_duty_new(&ro, err);
+	if (!request)
+		return err->code;
+	target =
+		target_duty_new(RING_MESSAGES, request_duty_ring(request), err);
+	store = store_new(&so, err);
+	co.request = request_duty_ring(request);
+	caller = caller_duty_new(&co, err);
+	if (!target || !store || !caller)
+		return err->code;
+	store_set_hosts(store, HOSTS_DEFAULT);
+	request_duty_options(request)->target = target_duty_ring(target);
+	request_duty_options(request)->store = store_ring(store);
+	if (store_start(store, err) != ERR_OK ||
+	    target_duty_start(target, err) != ERR_OK ||
+	    request_duty_start(request, err) != ERR_OK ||
+	    ring_push(request_duty_ring(request), &view) != ERR_OK ||
+	    caller_duty_start(caller, err) != ERR_OK)
+		return err->code;
+	wait_signal();
+	/* The load has ended; the process ends with what it holds. */
+	return ERR_OK;
+}
--- /dev/null
+++ b/tests/bench/naive.c
@@ -0,0 +1,152 @@
+/*
+ * The naive policy: one random replica of every shard, straight at the
+ * targets, waiting until the deadline; no limits, hedges or retries.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "base/clock.h"
+#include "bench.h"
+#include "hc.h"
+#include "stage.h"
+
+struct naive {
+	struct rng rng;
+	uint64_t next_sub;
+	uint64_t next_request;
+	struct query *open;
+};
+
+struct part {
+	struct query *query;
+	struct hc_call *call;
+};
+
+struct query {
+	struct query *next;
+	struct query **at;
+	struct naive *naive;
+	struct run *run;
+	struct sample *sample;
+	struct tmr_sub deadline;
+	uint32_t open;
+	uint32_t part_count;
+	struct part parts[];
+};
+
+void *naive_new(uint64_t seed)
+{
+	struct naive *n = cu_alloc(1, sizeof(*n));
+
+	n->rng.state = seed;
+	return n;
+}
+
+static void query_free(struct query *q)
+{
+	*q->at = q->next;
+	if (q->next)
+		q->next->at = q->at;
+	free(q);
+}
+
+void naive_free(void *naive)
+{
+	struct naive *n = naive;
+
+	while (n->open) {
+		tmr_cancel(hc_timers(n->open->run->client), &n->open->deadline);
+		query_free(n->open);
+	}
+	free(n);
+}
+
+static void end(struct query *q, int64_t now_us)
+{
+	struct sample *s = q->sample;
+
+	tmr_cancel(hc_timers(q->run->client), &q->deadline);
+	/* Without any answer the caller has nothing. */
+	s->replied = s->shards_answered > 0;
+	run_ended(q->run, s, now_us);
+	query_free(q);
+}
+
+static void on_answer(void *ctx, uint32_t status, const char *body,
+		      size_t body_bytes, int64_t now_us)
+{
+	struct part *p = ctx;
+	struct query *q = p->query;
+
+	p->call = NULL;
+	if (status == 200)
+		q->sample->shards_answered++;
+	if (--q->open == 0)
+		end(q, now_us);
+}
+
+static void on_deadline(void *ctx, int64_t now_us)
+{
+	struct query *q = ctx;
+	uint32_t i;
+
+	for (i = 0; i < q->part_count; i++) {
+		if (q->parts[i].call)
+			hc_abort(q->parts[i].call);
+	}
+	end(q, now_us);
+}
+
+static void send_part(struct query *q, uint32_t part, uint32_t shard)
+{
+	struct naive *n = q->naive;
+	const struct layout *l = q->run->stage->layout;
+	const struct shard *sh = &l->shards[shard];
+	const struct target *t =
+		&l->targets[sh->replicas[rng_below(&n->rng, sh->replica_count)]];
+	const char *what = q->sample->is_lookup ? "\"record\":\"r1\","
+						  "\"idempotent\":false"
+						: "\"query\":\"heron\","
+						  "\"limit\":10";
+	struct buf b CLEANUP_BUF = { 0 };
+
+	buf_addf(&b,
+		 "{\"request_id\":\"n%" PRIu64 "\",\"sub_id\":%" PRIu64
+		 ",\"index\":\"%s\",\"shard\":\"%s\",\"snapshot\":\"%s\",%s,"
+		 "\"deadline_ms\":%d}",
+		 n->next_request, ++n->next_sub, l->index, sh->name,
+		 l->snapshot, what, ANSWER_MS);
+	q->parts[part].query = q;
+	q->parts[part].call =
+		hc_send(q->run->client, t->port, "POST",
+			q->sample->is_lookup ? "/v1/lookup" : "/v1/search",
+			b.data, on_answer, &q->parts[part]);
+}
+
+void naive_submit(void *ctx, struct run *r, struct sample *s)
+{
+	struct naive *n = ctx;
+	uint32_t count = s->is_lookup ? 1 : r->scenario->shards;
+	struct query *q = cu_alloc(1, sizeof(*q) + count * sizeof(struct part));
+	uint32_t i;
+
+	q->naive = n;
+	q->run = r;
+	q->sample = s;
+	q->part_count = count;
+	q->open = count;
+	q->next = n->open;
+	q->at = &n->open;
+	if (q->next)
+		q->next->at = &q->next;
+	n->open = q;
+	n->next_request++;
+	s->shards_total = count;
+	for (i = 0; i < count; i++)
+		send_part(q, i,
+			  s->is_lookup ? rng_below(&n->rng, r->scenario->shards)
+				       : i);
+	tmr_arm(hc_timers(r->client), &q->deadline,
+		r->start_us + s->at_us + (int64_t)ANSWER_MS * US_PER_MS,
+		on_deadline, q);
+}
--- /dev/null
+++ b/tests/bench/stage.c
@@ -0,0 +1,455 @@
+#include "stage.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "codec/sjson.h"
+#include "proc.h"
+
+#define START_WAIT_US (5 * US_PER_S)
+/* Hosts read the store and meet each other first. */
+#define READY_WAIT_US (15 * US_PER_S)
+#define READY_STEP_US (50 * US_PER_MS)
+#define CONTROL_WAIT_US (2 * US_PER_S)
+#define COLD_FACTOR 5
+#define COLD_REQUESTS 50
+#define SERVE "build/cowslippoint"
+#define STANDIN "build/standin"
+#define BENCH "build/bench"
+/* Longer than any run; the stand-ins then end by themselves. */
+#define RUN_S "120"
+#define TARGETS_MAX 128
+
+static const char *number(char *out, size_t size_bytes, uint64_t n)
+{
+	snprintf(out, size_bytes, "%" PRIu64, n);
+	return out;
+}
+
+int stage_has_serve(void)
+{
+	const char *args[] = { SERVE, "serve", "--help", NULL };
+	struct err err = { 0 };
+	struct proc *p = proc_start(args, &err);
+	int64_t found;
+
+	if (!p)
+		return 0;
+	found = proc_number(p, "  --seed", US_PER_S);
+	proc_stop(p);
+	return found >= 0;
+}
+
+static enum err_code write_targets(const struct scenario *s, const char *path,
+				   uint64_t seed, struct err *err)
+{
+	FILE *f = fopen(path, "we");
+	uint32_t i;
+
+	if (!f)
+		return err_set(err, ERR_IO, "cannot write %s", path);
+	for (i = 0; i < s->shards * s->replicas; i++)
+		fprintf(f,
+			"id=t%u port=0 data-centre=%c slots=%u connections=%u "
+			"connect-us=%u service-us=%u spread-permille=%u "
+			"seed=%" PRIu64 "\n",
+			i + 1, 'a' + (int)(i % s->replicas), s->slots,
+			s->connections, s->connect_us, SERVICE_MEAN_US,
+			SERVICE_SPREAD_PERMILLE, seed % 1000000 + i);
+	fclose(f);
+	return ERR_OK;
+}
+
+static enum err_code start_targets(struct stage *st, uint64_t seed,
+				   uint16_t *ports, struct err *err)
+{
+	const char *path = "build/bench-targets.txt";
+	const char *args[] = { STANDIN,	 "target",    "--targets",
+			       path,	 "--run-s",   RUN_S,
+			       "--seed", "1",	      "--admin-port",
+			       "0",	 "--address", "127.0.0.1",
+			       NULL };
+	uint32_t count = st->scenario->shards * st->scenario->replicas;
+	int64_t port = 0;
+	uint32_t i;
+
+	if (write_targets(st->scenario, path, seed, err) != ERR_OK)
+		return err->code;
+	st->targets = proc_start(args, err);
+	if (!st->targets)
+		return err->code;
+	for (i = 0; i < count && port >= 0; i++) {
+		port = proc_number(st->targets, "target", START_WAIT_US);
+		ports[i] = (uint16_t)port;
+	}
+	if (port >= 0)
+		port = proc_number(st->targets, "admin", START_WAIT_US);
+	if (port < 0)
+		return err_set(err, ERR_IO, "target stand-ins did not start");
+	st->target_control = (uint16_t)port;
+	return ERR_OK;
+}
+
+static enum err_code start_store(struct stage *st, struct err *err)
+{
+	const char *args[] = { STANDIN,	       "store", "--run-s", RUN_S,
+			       "--admin-port", "0",	NULL };
+	int64_t port;
+
+	st->store = proc_start(args, err);
+	if (!st->store)
+		return err->code;
+	port = proc_number(st->store, "admin", START_WAIT_US);
+	st->store_control = (uint16_t)port;
+	if (port >= 0)
+		port = proc_number(st->store, "ready", START_WAIT_US);
+	st->store_port = (uint16_t)port;
+	if (port < 0)
+		return err_set(err, ERR_IO, "store stand-in did not start");
+	return ERR_OK;
+}
+
+static enum err_code put(struct stage *st, const char *key, const char *value,
+			 struct err *err)
+{
+	g_autofree char *path = g_strdup_printf("/v1/kv/%s", key);
+	uint32_t status = hc_wait(st->client, st->store_port, "PUT", path,
+				  value, CONTROL_WAIT_US, NULL);
+
+	if (status != 200)
+		return err_set(err, ERR_IO, "PUT %s answered %u", key, status);
+	return ERR_OK;
+}
+
+/* Writes one item as revision h->rev + 1 and enters it in @h. */
+static enum err_code put_item(struct stage *st, struct cfg_head *h,
+			      const char *name, const char *json,
+			      struct err *err)
+{
+	uint64_t rev = h->rev + 1;
+	struct head_entry e = { .rev = rev, .change = rev };
+	g_autofree char *key =
+		g_strdup_printf("cfg/item/%s/%" PRIu64, name, rev);
+	struct cfg_item *item = cfg_item_new(name, rev, rev, "bench", json);
+	char *text CLEANUP_FREE = sjson_item_text(item);
+
+	cu_copy(e.name, sizeof(e.name), name);
+	cfg_head_advance(h, rev);
+	cfg_head_put(h, &e);
+	cfg_item_unref(item);
+	return put(st, key, text, err);
+}
+
+static enum err_code put_config(struct stage *st, struct err *err)
+{
+	const struct scenario *s = st->scenario;
+	struct cfg_head *h = cfg_head_new();
+	g_autofree char *contract_name =
+		g_strdup_printf("contract/%s", s->customer);
+	g_autofree char *layout_name = g_strdup_printf("layout/%s", s->index);
+	char *contract_json CLEANUP_FREE = NULL;
+	char *layout_json CLEANUP_FREE = sjson_layout_text(st->layout);
+	char *head CLEANUP_FREE = NULL;
+	struct contract c;
+
+	scenario_contract(s, &c);
+	contract_json = sjson_contract_text(&c);
+	if (put_item(st, h, contract_name, contract_json, err) == ERR_OK &&
+	    put_item(st, h, layout_name, layout_json, err) == ERR_OK) {
+		head = sjson_head_text(h);
+		put(st, "cfg/head", head, err);
+	}
+	cfg_head_free(h);
+	return err->code;
+}
+
+static enum err_code put_hosts(struct stage *st, struct err *err)
+{
+	struct buf b CLEANUP_BUF = { 0 };
+	uint32_t i;
+
+	buf_addf(&b, "{\"hosts\":[");
+	for (i = 0; i < st->host_count; i++)
+		buf_addf(&b,
+			 "%s{\"id\":\"h%u\",\"address\":\"127.0.0.1\","
+			 "\"port\":%u,\"data_centre\":\"%c\","
+			 "\"role\":\"entry\",\"state\":\"live\"}",
+			 i ? "," : "", i + 1, st->peer_ports[i],
+			 'a' + (int)(i % 3));
+	for (i = 0; i < st->layout->target_count; i++)
+		buf_addf(&b,
+			 ",{\"id\":\"%s\",\"address\":\"127.0.0.1\","
+			 "\"port\":%u,\"data_centre\":\"%s\","
+			 "\"role\":\"target\",\"state\":\"live\"}",
+			 st->layout->targets[i].id, st->layout->targets[i].port,
+			 st->layout->targets[i].data_centre);
+	buf_addf(&b, "]}");
+	if (hc_wait(st->client, st->store_control, "POST", "/control/hosts",
+		    b.data, CONTROL_WAIT_US, NULL) != 200)
+		return err_set(err, ERR_IO, "host list refused");
+	return ERR_OK;
+}
+
+static enum err_code start_serve(struct stage *st, uint32_t i, uint64_t seed,
+				 struct err *err)
+{
+	char host[16];
+	char dc[2] = { (char)('a' + i % 3), '\0' };
+	char caller[8];
+	char admin[8];
+	char peer[8];
+	char store[8];
+	char seed_text[24];
+	const char *args[] = {
+		SERVE,
+		"serve",
+		"--host",
+		host,
+		"--data-centre",
+		dc,
+		"--caller-port",
+		number(caller, sizeof(caller), st->host_ports[i]),
+		"--admin-port",
+		number(admin, sizeof(admin), proc_free_port(err)),
+		"--peer-port",
+		number(peer, sizeof(peer), st->peer_ports[i]),
+		"--store-port",
+		number(store, sizeof(store), st->store_port),
+		"--drain-ms",
+		"0",
+		"--seed",
+		number(seed_text, sizeof(seed_text), seed + i),
+		NULL
+	};
+
+	snprintf(host, sizeof(host), "h%u", i + 1);
+	st->hosts[i] = proc_start(args, err);
+	return err->code;
+}
+
+static enum err_code start_path_host(struct stage *st, uint32_t i,
+				     uint64_t seed, struct err *err)
+{
+	char host[16];
+	char caller[8];
+	char store[8];
+	char seed_text[24];
+	const char *args[] = { BENCH,
+			       "host",
+			       host,
+			       number(caller, sizeof(caller),
+				      st->host_ports[i]),
+			       number(store, sizeof(store), st->store_port),
+			       number(seed_text, sizeof(seed_text), seed + i),
+			       "build/bench-contract.json",
+			       "build/bench-layout.json",
+			       NULL };
+
+	snprintf(host, sizeof(host), "h%u", i + 1);
+	st->hosts[i] = proc_start(args, err);
+	return err->code;
+}
+
+static enum err_code write_text(const char *path, const char *text,
+				struct err *err)
+{
+	FILE *f = fopen(path, "we");
+
+	if (!f)
+		return err_set(err, ERR_IO, "cannot write %s", path);
+	fputs(text, f);
+	fclose(f);
+	return ERR_OK;
+}
+
+static enum err_code write_documents(struct stage *st, struct err *err)
+{
+	char *layout_json CLEANUP_FREE = sjson_layout_text(st->layout);
+	char *contract_json CLEANUP_FREE = NULL;
+	struct contract c;
+
+	scenario_contract(st->scenario, &c);
+	contract_json = sjson_contract_text(&c);
+	if (write_text("build/bench-contract.json", contract_json, err) ==
+	    ERR_OK)
+		write_text("build/bench-layout.json", layout_json, err);
+	return err->code;
+}
+
+/* Searches until @port answers with all shards. */
+static enum err_code wait_ready(struct stage *st, uint16_t port,
+				struct err *err)
+{
+	int64_t until_us = clock_now_us() + READY_WAIT_US;
+	int never = 1;
+	g_autofree char *body =
+		g_strdup_printf("{\"customer\":\"%s\",\"index\":\"%s\","
+				"\"query\":\"ready\"}",
+				st->scenario->customer, st->scenario->index);
+
+	while (clock_now_us() < until_us && !proc_interrupted()) {
+		struct buf b CLEANUP_BUF = { 0 };
+		uint32_t status = hc_wait(st->client, port, "POST",
+					  "/v1/search", body, CONTROL_WAIT_US,
+					  &b);
+
+		if (status == 200)
+			return ERR_OK;
+		hc_run(st->client, &never, clock_now_us() + READY_STEP_US);
+	}
+	return err_set(err, ERR_IO, "host on port %u does not answer", port);
+}
+
+static enum err_code start_hosts(struct stage *st,
+				 const struct stage_options *o, struct err *err)
+{
+	uint32_t i;
+
+	if (start_store(st, err) != ERR_OK)
+		return err->code;
+	st->host_count = o->hosts;
+	for (i = 0; i < o->hosts; i++) {
+		st->host_ports[i] = proc_free_port(err);
+		st->peer_ports[i] = proc_free_port(err);
+	}
+	if (err->code != ERR_OK || put_config(st, err) != ERR_OK ||
+	    put_hosts(st, err) != ERR_OK || write_documents(st, err) != ERR_OK)
+		return err->code;
+	for (i = 0; i < o->hosts && err->code == ERR_OK; i++) {
+		if (o->whole_host)
+			start_serve(st, i, o->seed, err);
+		else
+			start_path_host(st, i, o->seed, err);
+	}
+	for (i = 0; i < o->hosts && err->code == ERR_OK; i++)
+		wait_ready(st, st->host_ports[i], err);
+	return err->code;
+}
+
+static enum err_code control(struct stage *st, const char *path,
+			     const char *body, struct err *err)
+{
+	uint32_t status = hc_wait(st->client, st->target_control, "POST", path,
+				  body, CONTROL_WAIT_US, NULL);
+
+	if (status != 200)
+		return err_set(err, ERR_IO, "%s answered %u", path, status);
+	return ERR_OK;
+}
+
+static enum err_code start_faults(struct stage *st, struct err *err)
+{
+	const struct scenario *s = st->scenario;
+	g_autofree char *body =
+		g_strdup_printf("{\"fault\":\"straggle\",\"permille\":%u,"
+				"\"factor\":%u}",
+				s->straggle_permille, s->straggle_factor);
+
+	if (s->straggle_permille &&
+	    control(st, "/control", body, err) != ERR_OK)
+		return err->code;
+	return control(st, "/control/reset", "{}", err);
+}
+
+struct stage *stage_new(const struct scenario *s, const struct stage_options *o,
+			struct hc *client, struct err *err)
+{
+	struct stage *st = cu_alloc(1, sizeof(*st));
+	uint16_t ports[TARGETS_MAX];
+	int64_t cpu_us = 0;
+
+	st->scenario = s;
+	st->client = client;
+	if (start_targets(st, o->seed, ports, err) == ERR_OK) {
+		st->layout = scenario_layout(s, ports);
+		if (o->hosts == 0 || start_hosts(st, o, err) == ERR_OK)
+			start_faults(st, err);
+	}
+	if (err->code != ERR_OK) {
+		stage_free(st, &cpu_us);
+		return NULL;
+	}
+	return st;
+}
+
+void stage_free(struct stage *st, int64_t *host_cpu_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < st->host_count; i++)
+		*host_cpu_us += proc_stop(st->hosts[i]);
+	proc_stop(st->store);
+	proc_stop(st->targets);
+	if (st->layout)
+		layout_free(st->layout);
+	free(st);
+}
+
+static void ignore(void *ctx, uint32_t status, const char *body,
+		   size_t body_bytes, int64_t now_us)
+{
+	if (status != 200)
+		fprintf(stderr, "bench: a fault was not switched on: %u\n",
+			status);
+}
+
+/* One replica of each shard is in data centre a. */
+void stage_event(struct stage *st, enum bench_event event)
+{
+	g_autofree char *body = NULL;
+
+	switch (event) {
+	case EVENT_KILL:
+		body = g_strdup("{\"fault\":\"kill\",\"data_centre\":\"a\"}");
+		break;
+	case EVENT_COLD:
+		body = g_strdup_printf("{\"fault\":\"cold\",\"data_centre\":"
+				       "\"a\","
+				       "\"slots\":1,\"factor\":%d,\"requests\":"
+				       "%d}",
+				       COLD_FACTOR, COLD_REQUESTS);
+		break;
+	case EVENT_SILENT:
+		body = g_strdup("{\"fault\":\"silent\"}");
+		break;
+	default:
+		return;
+	}
+	hc_send(st->client, st->target_control, "POST", "/control", body,
+		ignore, NULL);
+}
+
+enum err_code stage_counts(struct stage *st, struct stage_counts *out,
+			   struct err *err)
+{
+	struct buf b CLEANUP_BUF = { 0 };
+	json_t *all;
+	json_t *one;
+	json_t *targets;
+	size_t i;
+
+	memset(out, 0, sizeof(*out));
+	hc_wait(st->client, st->target_control, "GET", "/control/stats", NULL,
+		CONTROL_WAIT_US, &b);
+	all = json_loadb(b.data ? b.data : "", b.len_bytes, 0, NULL);
+	targets = json_object_get(all, "targets");
+	if (!targets)
+		return err_set(err, ERR_IO, "no counters from the targets");
+	json_array_foreach(targets, i, one)
+	{
+#define COUNT(name) ((uint64_t)json_integer_value(json_object_get(one, name)))
+		out->received += COUNT("received");
+		out->repeated += COUNT("once_repeated");
+		out->cold_exceeded += COUNT("cold_peak") > 1;
+		out->refused_connections += (uint32_t)COUNT("refused_"
+							    "connections");
+#undef COUNT
+	}
+	json_decref(all);
+	return ERR_OK;
+}
--- /dev/null
+++ b/tests/bench/stage.h
@@ -0,0 +1,50 @@
+/* The processes of one run: store and target stand-ins, and hosts. */
+#ifndef BENCH_STAGE_H
+#define BENCH_STAGE_H
+
+#include "bench.h"
+#include "hc.h"
+
+struct stage_options {
+	/* 0: targets only. */
+	uint32_t hosts;
+	/* 1: "cowslippoint serve", 0: "bench host". */
+	int whole_host;
+	uint64_t seed;
+};
+
+struct stage {
+	const struct scenario *scenario;
+	struct hc *client;
+	struct proc *targets;
+	struct proc *store;
+	uint16_t target_control;
+	uint16_t store_port;
+	uint16_t store_control;
+	struct layout *layout;
+	uint32_t host_count;
+	struct proc *hosts[HOSTS_MAX];
+	uint16_t host_ports[HOSTS_MAX];
+	uint16_t peer_ports[HOSTS_MAX];
+};
+
+/* Counters of the target stand-ins. */
+struct stage_counts {
+	uint64_t received;
+	uint64_t repeated;
+	uint32_t cold_exceeded;
+	uint32_t refused_connections;
+};
+
+/* Starts all and waits until each host answers. */
+struct stage *stage_new(const struct scenario *s, const struct stage_options *o,
+			struct hc *client, struct err *err);
+/* Ends the processes; adds the hosts' CPU time in us. */
+void stage_free(struct stage *st, int64_t *host_cpu_us);
+void stage_event(struct stage *st, enum bench_event event);
+enum err_code stage_counts(struct stage *st, struct stage_counts *out,
+			   struct err *err);
+/* 1 if "cowslippoint serve" exists. */
+int stage_has_serve(void);
+
+#endif
