--- a/tests/bench/host.c
+++ b/tests/bench/host.c
@@ -3,6 +3,8 @@
  * read from two files. It owns all targets for itself, so cold limits hold
  * for each host and not for all together.
  */
+#include <apr_general.h>
+#include <curl/curl.h>
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
@@ -94,6 +96,9 @@
 		return err_set(err, ERR_USAGE, "host takes %d arguments",
 			       ARG_COUNT);
 	block_signals();
+	if (apr_initialize() != APR_SUCCESS ||
+	    curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK)
+		return err_set(err, ERR_INTERNAL, "cannot set up libraries");
 	log_init(argv[ARG_NAME], NULL, NULL);
 	view.body = load_view(argv, err);
 	if (err->code != ERR_OK)
