--- a/src/controller/slo.c
+++ b/src/controller/slo.c
@@ -54,8 +54,8 @@
 
 	cu_copy(c->name, sizeof(c->name), name);
 	c->newest = now_us / BUCKET_US;
-	s->customers = cu_grow(s->customers, s->count + 1,
-			       sizeof(*s->customers));
+	s->customers =
+		cu_grow(s->customers, s->count + 1, sizeof(*s->customers));
 	s->customers[s->count++] = c;
 	return c;
 }
--- /dev/null
+++ b/src/controller/sqt.c
@@ -0,0 +1,87 @@
+#include "controller/sqt.h"
+
+#include <math.h>
+
+static const double ratios[SQT_RATIOS] = { 2.0, 8.0, 50.0 };
+
+/*
+ * One window adds at most this much, so a burst in a single window, as when
+ * one target dies, does not condemn a version.
+ */
+#define WINDOW_NATS_MAX 7.0
+/*
+ * Each good request of the new version takes this much away, so a few bad
+ * ones early do not hold a rollout for ever. A version that fails in less
+ * than about one request in 500 is therefore not found.
+ */
+#define GOOD_NATS 0.002
+/* Alternative of the comparison at full share, as a multiple of the limit. */
+#define FULL_RATIO 4.0
+#define FULL_LIMIT_MULTIPLE 3.0
+#define FULL_SHARE_MAX 0.9
+/* Fewer old requests than this part of the new ones count as none. */
+#define OLD_PART_MIN 100
+
+static double step(double score, double gain)
+{
+	return fmax(0.0, score + fmin(gain, WINDOW_NATS_MAX));
+}
+
+static void add_compared(struct sqt *s, const struct sqt_window *w)
+{
+	double total = (double)(w->new_requests + w->old_requests);
+	double q0 = (double)w->new_requests / total;
+	double good = (double)(w->new_requests - w->new_bad);
+	uint32_t i;
+
+	for (i = 0; i < SQT_RATIOS; i++) {
+		double q1 = ratios[i] * q0 / (1.0 - q0 + ratios[i] * q0);
+		double gain = (double)w->new_bad * log(q1 / q0) +
+			      (double)w->old_bad * log((1.0 - q1) / (1.0 - q0));
+
+		s->score[i] = step(s->score[i], gain - GOOD_NATS * good);
+	}
+}
+
+static void add_full(struct sqt *s, const struct sqt_window *w, double floor)
+{
+	double past =
+		((double)s->old_bad + 1.0) / ((double)s->old_requests + 100.0);
+	double p0 = fmax(FULL_LIMIT_MULTIPLE * past, floor);
+	double p1 = fmin(FULL_RATIO * p0, FULL_SHARE_MAX);
+	double good = (double)(w->new_requests - w->new_bad);
+
+	/* The old version was so bad that nothing can be compared with it. */
+	if (p0 >= p1)
+		return;
+	s->full_score = step(s->full_score,
+			     (double)w->new_bad * log(p1 / p0) +
+				     good * log((1.0 - p1) / (1.0 - p0)));
+}
+
+void sqt_add(struct sqt *s, const struct sqt_window *w, double floor)
+{
+	s->old_requests += w->old_requests;
+	s->old_bad += w->old_bad;
+	if (w->new_requests == 0)
+		return;
+	if (w->old_requests > 0)
+		add_compared(s, w);
+	if (w->old_requests * OLD_PART_MIN < w->new_requests)
+		add_full(s, w, floor);
+}
+
+double sqt_score(const struct sqt *s)
+{
+	double most = s->full_score;
+	uint32_t i;
+
+	for (i = 0; i < SQT_RATIOS; i++)
+		most = fmax(most, s->score[i]);
+	return most;
+}
+
+double sqt_threshold(double tests, double windows, double alpha)
+{
+	return log(fmax(1.0, tests) * fmax(1.0, windows) / alpha);
+}
--- /dev/null
+++ b/src/controller/sqt.h
@@ -0,0 +1,52 @@
+/*
+ * Sequential comparison of two versions that serve the same load.
+ *
+ * Each window gives, for the old and the new version, the number of
+ * sub-requests and of bad ones (failed, or slow). Given the bad ones of a
+ * window, and with equal versions, each belongs to the new version with
+ * probability q0 = new / (new + old), whatever the load and the bad share of
+ * that moment are. The statistic is a CUSUM of the likelihood ratio against
+ * versions that are 2, 8 and 50 times as likely to be bad. For equal versions
+ * the ratio of a window has mean at most 1 (Hoeffding 1963: sampling without
+ * replacement), so from each starting window the statistic passes h with
+ * probability at most exp(-h), and over n windows with at most n exp(-h).
+ *
+ * At full share no old version runs. Then the comparison is with three times
+ * the old version's share of bad requests so far, and at least a fixed share.
+ */
+#ifndef SQT_H
+#define SQT_H
+
+#include <stdint.h>
+
+#define SQT_RATIOS 3
+
+/* Sub-requests of one window. */
+struct sqt_window {
+	uint64_t new_requests;
+	uint64_t new_bad;
+	uint64_t old_requests;
+	uint64_t old_bad;
+};
+
+struct sqt {
+	/* Statistic of each ratio, in nats. */
+	double score[SQT_RATIOS];
+	/* Statistic of the comparison with past requests, in nats. */
+	double full_score;
+	/* Old version's requests so far. */
+	uint64_t old_requests;
+	uint64_t old_bad;
+};
+
+/* @floor: share of bad requests that is accepted in any case, 0 to 1. */
+void sqt_add(struct sqt *s, const struct sqt_window *w, double floor);
+/* Largest statistic in nats; compare it with sqt_threshold(). */
+double sqt_score(const struct sqt *s);
+/*
+ * Threshold in nats that keeps the false alarms of @tests tests over @windows
+ * windows each below @alpha.
+ */
+double sqt_threshold(double tests, double windows, double alpha);
+
+#endif
