--- /dev/null
+++ b/tests/sim_rollout.c
@@ -0,0 +1,519 @@
+#include "sim_rollout.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "controller/rol.h"
+
+#define HOSTS 4
+#define TICK_US (200LL * US_PER_MS)
+#define EVENTS_MAX 512
+#define WALL_START_MS 1000000LL
+/* A version that is bad from the last step on is watched for this long. */
+#define AFTER_US (60LL * US_PER_S)
+#define HEARTBEAT_US (1LL * US_PER_S)
+
+enum sim_event_kind { EV_GRANT, EV_CLAIM, EV_RENEW, EV_WRITE, EV_DONE, EV_ITEM };
+
+struct sim_event {
+	int64_t at_us;
+	enum sim_event_kind kind;
+	uint32_t host;
+	uint32_t call;
+	uint64_t value;
+	enum err_code code;
+	/* Step 0: reaches the store; 1: the answer reaches the host. */
+	uint32_t answer;
+	enum sim_event_kind of;
+	struct rollout_item item;
+};
+
+struct sim_host {
+	struct sim *sim;
+	uint32_t index;
+	struct rol *rol;
+	/* No ticks, traffic or messages until then. */
+	int64_t paused_until_us;
+};
+
+struct sim_store {
+	uint64_t revision;
+	uint64_t lease_next;
+	uint64_t key_lease;
+	uint64_t key_version;
+	int64_t lease_end_us[4096];
+	struct rollout_item item;
+	uint64_t item_rev;
+	int64_t down_from_us;
+	int64_t down_until_us;
+};
+
+struct sim {
+	struct rng rng;
+	int64_t now_us;
+	int64_t finish_us;
+	enum sim_fault fault;
+	struct sim_host hosts[HOSTS];
+	struct sim_store store;
+	uint32_t event_count;
+	struct sim_event events[EVENTS_MAX];
+	/* Traffic of all hosts together. */
+	double rate_per_s;
+	double lookup_part;
+	double base_failures;
+	double base_slow;
+	/* Of the bad version. */
+	double fault_part;
+	int64_t fault_from_us;
+	int64_t first_bad_us;
+	int64_t marked_us;
+	struct sim_result *out;
+};
+
+static double between(struct sim *s, double lowest, double highest)
+{
+	return lowest + (highest - lowest) * rng_unit(&s->rng);
+}
+
+static struct sim_event *post(struct sim *s, enum sim_event_kind kind,
+			      uint32_t host, double delay_s)
+{
+	struct sim_event *e;
+
+	g_assert_cmpuint(s->event_count, <, EVENTS_MAX);
+	e = &s->events[s->event_count++];
+	memset(e, 0, sizeof(*e));
+	e->kind = kind;
+	e->host = host;
+	e->at_us = s->now_us + (int64_t)(delay_s * US_PER_S);
+	return e;
+}
+
+static void call_store(struct sim_host *h, enum sim_event_kind kind,
+		       uint32_t call, uint64_t value)
+{
+	struct sim_event *e =
+		post(h->sim, kind, h->index, between(h->sim, 0.001, 0.3));
+
+	e->call = call;
+	e->value = value;
+}
+
+static void op_grant(void *ctx, uint32_t call, uint32_t ttl_ms)
+{
+	call_store(ctx, EV_GRANT, call, ttl_ms);
+}
+
+static void op_claim(void *ctx, uint32_t call, uint64_t lease)
+{
+	call_store(ctx, EV_CLAIM, call, lease);
+}
+
+static void op_renew(void *ctx, uint32_t call, uint64_t lease)
+{
+	call_store(ctx, EV_RENEW, call, lease);
+}
+
+static void op_revoke(void *ctx, uint64_t lease)
+{
+	struct sim_host *h = ctx;
+
+	h->sim->store.lease_end_us[lease] = 0;
+}
+
+static int op_write(void *ctx, const struct rollout_item *item, uint64_t if_rev)
+{
+	struct sim_host *h = ctx;
+	struct sim_event *e =
+		post(h->sim, EV_WRITE, h->index, between(h->sim, 0.001, 0.3));
+
+	e->item = *item;
+	e->value = if_rev;
+	return 1;
+}
+
+static void op_changed(void *ctx)
+{
+	struct sim_host *h = ctx;
+	struct sim *s = h->sim;
+
+	if (s->marked_us < 0 && rol_bad_reason(h->rol, "svc", "v2"))
+		s->marked_us = s->now_us;
+}
+
+static void op_note(void *ctx, const char *service, const char *text)
+{
+}
+
+static const struct rol_ops ops = {
+	.lead = { op_grant, op_claim, op_renew, op_revoke },
+	.write = op_write,
+	.changed = op_changed,
+	.note = op_note,
+};
+
+static int lease_live(const struct sim *s, uint64_t lease)
+{
+	return s->store.lease_end_us[lease] > s->now_us;
+}
+
+static void store_claim(struct sim *s, struct sim_event *e)
+{
+	struct sim_store *st = &s->store;
+
+	if (!lease_live(s, e->value)) {
+		e->code = ERR_STORE_NOT_FOUND;
+	} else if (st->key_lease && lease_live(s, st->key_lease)) {
+		e->code = ERR_STORE_CONFLICT;
+	} else {
+		st->key_lease = e->value;
+		st->key_version = ++st->revision;
+		e->value = st->key_version;
+	}
+}
+
+static void spread_item(struct sim *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < HOSTS; i++) {
+		struct sim_event *e =
+			post(s, EV_ITEM, i, between(s, 0.05, 1.5));
+
+		e->item = s->store.item;
+		e->value = s->store.item_rev;
+	}
+}
+
+static void store_write(struct sim *s, struct sim_event *e)
+{
+	if (e->value != s->store.item_rev) {
+		e->code = ERR_CFG_RACE;
+		return;
+	}
+	s->store.item = e->item;
+	s->store.item_rev = ++s->store.revision;
+	spread_item(s);
+}
+
+static void store_apply(struct sim *s, struct sim_event *e)
+{
+	struct sim_store *st = &s->store;
+
+	if (s->now_us >= st->down_from_us && s->now_us < st->down_until_us) {
+		e->code = ERR_STORE_DOWN;
+	} else if (e->kind == EV_GRANT) {
+		int64_t ttl_us = (int64_t)e->value * US_PER_MS;
+
+		e->value = ++st->lease_next;
+		g_assert_cmpuint(e->value, <, countof(st->lease_end_us));
+		st->lease_end_us[e->value] = s->now_us + ttl_us;
+	} else if (e->kind == EV_CLAIM) {
+		store_claim(s, e);
+	} else if (e->kind == EV_RENEW) {
+		if (!lease_live(s, e->value))
+			e->code = ERR_STORE_NOT_FOUND;
+		else
+			st->lease_end_us[e->value] =
+				s->now_us +
+				(int64_t)ROL_LEAD_TTL_MS * US_PER_MS;
+	} else {
+		store_write(s, e);
+	}
+}
+
+/* The answer of the store, which is sometimes lost after the effect. */
+static void answer(struct sim *s, const struct sim_event *call)
+{
+	int lost = rng_below(&s->rng, 100) < 2;
+	struct sim_event *e = post(s, EV_DONE, call->host,
+				   lost ? 2.0 : between(s, 0.001, 0.3));
+
+	e->of = call->kind;
+	e->call = call->call;
+	e->value = call->value;
+	e->code = lost ? ERR_STORE_UNKNOWN : call->code;
+}
+
+static void deliver(struct sim *s, struct sim_host *h,
+		    const struct sim_event *e)
+{
+	struct rol_lead *l = rol_lead(h->rol);
+
+	if (e->of == EV_GRANT)
+		rol_lead_grant_done(l, s->now_us, e->call, e->code, e->value,
+				    &ops.lead, h);
+	else if (e->of == EV_CLAIM)
+		rol_lead_claim_done(l, s->now_us, e->call, e->code, e->value,
+				    rol_fence(h->rol), &ops.lead, h);
+	else if (e->of == EV_RENEW)
+		rol_lead_renew_done(l, s->now_us, e->call, e->code);
+	else
+		rol_write_done(h->rol, s->now_us, "svc", e->code);
+}
+
+static void run_event(struct sim *s, struct sim_event e)
+{
+	struct sim_host *h = &s->hosts[e.host];
+	struct err err;
+
+	if (e.kind == EV_DONE) {
+		deliver(s, h, &e);
+	} else if (e.kind == EV_ITEM) {
+		rol_item(h->rol, s->now_us,
+			 WALL_START_MS + s->now_us / US_PER_MS, &e.item,
+			 e.value, &err);
+	} else {
+		store_apply(s, &e);
+		answer(s, &e);
+	}
+}
+
+/* A paused host gets its messages after the pause. */
+static int due(const struct sim *s, const struct sim_event *e)
+{
+	int to_host = e->kind == EV_DONE || e->kind == EV_ITEM;
+
+	return e->at_us <= s->now_us &&
+	       (!to_host || s->hosts[e->host].paused_until_us <= s->now_us);
+}
+
+static void run_events(struct sim *s)
+{
+	uint32_t i = 0;
+
+	while (i < s->event_count) {
+		struct sim_event e = s->events[i];
+
+		if (!due(s, &e)) {
+			i++;
+			continue;
+		}
+		s->events[i] = s->events[--s->event_count];
+		run_event(s, e);
+		i = 0;
+	}
+}
+
+/* Successes of @n trials, by skipping over failures. */
+static uint32_t binomial(struct sim *s, uint32_t n, double p)
+{
+	uint32_t hits = 0;
+	double at = 0.0;
+	double scale;
+
+	if (p <= 0.0)
+		return 0;
+	if (p >= 1.0)
+		return n;
+	scale = 1.0 / log1p(-p);
+	for (;;) {
+		at += 1.0 + floor(log(1.0 - rng_unit(&s->rng)) * scale);
+		if (at > n)
+			return hits;
+		hits++;
+	}
+}
+
+static double fault_part(const struct sim *s, uint32_t share, int lookup)
+{
+	switch (s->fault) {
+	case SIM_LATER:
+		return s->now_us >= s->fault_from_us ? s->fault_part : 0.0;
+	case SIM_LOAD:
+		return share >= 500 ? s->fault_part : 0.0;
+	case SIM_ROUTE:
+		return lookup ? s->fault_part : 0.0;
+	case SIM_GOOD:
+		return 0.0;
+	default:
+		return s->fault_part;
+	}
+}
+
+static void count_hurt(struct sim *s, uint32_t hurt)
+{
+	s->out->hurt += hurt;
+	if (hurt && s->first_bad_us < 0)
+		s->first_bad_us = s->now_us;
+}
+
+static void version_traffic(struct sim *s, uint32_t n, double fault,
+			    struct version_evidence *e)
+{
+	double wave = 1.0 + 0.8 * sin((double)s->now_us / 7e6);
+	uint32_t hurt = binomial(s, n, fault);
+	uint32_t rest = n - hurt;
+
+	e->requests = n;
+	e->failures = binomial(s, rest, s->base_failures * wave);
+	e->slow = binomial(s, rest, s->base_slow * wave);
+	if (s->fault == SIM_SLOW)
+		e->slow += hurt;
+	else
+		e->failures += hurt;
+	/* A target dies: a burst of failures on one version at one host. */
+	if (n > 6 && rng_below(&s->rng, 5 * 60 * HOSTS * 4) == 0)
+		e->failures = cu_min_u32(n, e->failures + 6);
+	count_hurt(s, hurt);
+}
+
+/* A host that was paused cannot learn of the mark before it runs again. */
+static void count_after_mark(struct sim *s, const struct sim_host *h)
+{
+	int64_t from_us = cu_max_i64(s->marked_us, h->paused_until_us);
+
+	s->out->stopped_after_us =
+		cu_max_i64(s->out->stopped_after_us, s->now_us - from_us);
+}
+
+static void host_traffic(struct sim *s, struct sim_host *h)
+{
+	struct version_evidence e[4] = { 0 };
+	uint32_t share = rol_share_permille(h->rol, "svc", "v2");
+	double mean = s->rate_per_s * TICK_US / US_PER_S / HOSTS;
+	uint32_t n = binomial(s, (uint32_t)(mean * 2), 0.5);
+	uint32_t lookups = binomial(s, n, s->lookup_part);
+	uint32_t i;
+
+	for (i = 0; i < 4; i++) {
+		uint32_t all = i < 2 ? n - lookups : lookups;
+		uint32_t fresh = i % 2 ? all - e[i - 1].requests :
+					 binomial(s, all, share / 1000.0);
+
+		cu_copy(e[i].service, NAME_BYTES, "svc");
+		cu_copy(e[i].version, NAME_BYTES, i % 2 ? "v1" : "v2");
+		e[i].route = i < 2 ? OP_SEARCH : OP_LOOKUP;
+		version_traffic(s, fresh,
+				i % 2 ? 0.0 : fault_part(s, share, i >= 2),
+				&e[i]);
+	}
+	s->out->requests += n;
+	rol_evidence(h->rol, s->now_us, e, countof(e));
+	if (s->marked_us >= 0 && e[0].requests + e[2].requests > 0)
+		count_after_mark(s, h);
+}
+
+static void heartbeats(struct sim *s, struct sim_host *h)
+{
+	struct rollout_evidence e[HEARTBEAT_ROLLOUTS_MAX];
+	uint32_t count = rol_report(h->rol, e, countof(e));
+	char name[NAME_BYTES];
+	uint32_t i;
+
+	g_snprintf(name, sizeof(name), "h%u", h->index);
+	for (i = 0; i < HOSTS; i++) {
+		if (i == h->index || s->hosts[i].paused_until_us > s->now_us ||
+		    rng_below(&s->rng, 100) < 5)
+			continue;
+		rol_peer(s->hosts[i].rol, s->now_us, name, e, count);
+	}
+}
+
+static void run_tick(struct sim *s)
+{
+	uint32_t i;
+
+	run_events(s);
+	for (i = 0; i < HOSTS; i++) {
+		struct sim_host *h = &s->hosts[i];
+
+		if (h->paused_until_us > s->now_us)
+			continue;
+		host_traffic(s, h);
+		if (s->now_us % HEARTBEAT_US == 0)
+			heartbeats(s, h);
+		rol_tick(h->rol, s->now_us,
+			 WALL_START_MS + s->now_us / US_PER_MS);
+	}
+}
+
+/* One store outage and one pause of the leader in a part of the runs. */
+static void plan_outages(struct sim *s)
+{
+	s->store.down_from_us = INT64_MAX;
+	if (rng_below(&s->rng, 100) < 30) {
+		s->store.down_from_us =
+			(int64_t)(between(s, 0.0, 0.8) * s->finish_us);
+		s->store.down_until_us = s->store.down_from_us +
+					 (int64_t)between(s, 1e6, 10e6);
+	}
+}
+
+static void pause_leader(struct sim *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < HOSTS; i++) {
+		if (rol_lead_may_act(rol_lead(s->hosts[i].rol), s->now_us))
+			s->hosts[i].paused_until_us =
+				s->now_us + (int64_t)between(s, 1e6, 12e6);
+	}
+}
+
+static void start(struct sim *s, uint64_t seed)
+{
+	uint32_t i;
+	char name[NAME_BYTES];
+
+	s->rng.state = seed;
+	s->finish_us = (int64_t)between(s, 60, 180) * US_PER_S;
+	s->rate_per_s = between(s, 200, 2000);
+	s->lookup_part = between(s, 0.05, 0.3);
+	s->base_failures = between(s, 0.0, 0.01);
+	s->base_slow = between(s, 0.002, 0.03);
+	s->fault_part = between(s, 0.3, 1.0);
+	s->fault_from_us = (int64_t)(between(s, 0.1, 0.9) * s->finish_us);
+	s->first_bad_us = s->marked_us = -1;
+	plan_outages(s);
+	for (i = 0; i < HOSTS; i++) {
+		g_snprintf(name, sizeof(name), "h%u", i);
+		s->hosts[i].sim = s;
+		s->hosts[i].index = i;
+		s->hosts[i].rol =
+			rol_new(name, rng_u64(&s->rng), &ops, &s->hosts[i]);
+		rol_set_hosts(s->hosts[i].rol, HOSTS);
+		rol_set_candidate(s->hosts[i].rol, i < 2);
+	}
+	cu_copy(s->store.item.service, NAME_BYTES, "svc");
+	cu_copy(s->store.item.from, NAME_BYTES, "v1");
+	cu_copy(s->store.item.to, NAME_BYTES, "v2");
+	s->store.item.finish_by_ms =
+		(uint64_t)(WALL_START_MS + s->finish_us / US_PER_MS);
+	s->store.item.share_permille = 10;
+	s->store.item_rev = s->store.revision = 1;
+	spread_item(s);
+}
+
+void sim_rollout(uint64_t seed, enum sim_fault fault, struct sim_result *out)
+{
+	struct sim *s = g_new0(struct sim, 1);
+	int64_t pause_us;
+	uint32_t i;
+
+	memset(out, 0, sizeof(*out));
+	s->out = out;
+	s->fault = fault;
+	start(s, seed);
+	pause_us = rng_below(&s->rng, 100) < 30 ?
+			   (int64_t)(between(s, 0.1, 0.8) * s->finish_us) :
+			   INT64_MAX;
+	for (; s->now_us < s->finish_us + AFTER_US; s->now_us += TICK_US) {
+		if (s->now_us >= pause_us) {
+			pause_leader(s);
+			pause_us = INT64_MAX;
+		}
+		run_tick(s);
+		if (s->now_us < s->finish_us)
+			out->state_at_finish = s->store.item.state;
+	}
+	out->state = s->store.item.state;
+	out->detected_after_us =
+		s->marked_us < 0 ? -1 : s->marked_us - s->first_bad_us;
+	cu_copy(out->reason, sizeof(out->reason), s->store.item.reason);
+	for (i = 0; i < HOSTS; i++)
+		rol_free(s->hosts[i].rol);
+	g_free(s);
+}
