--- a/src/controller/rol.c
+++ b/src/controller/rol.c
@@ -12,7 +12,7 @@
  * each divided by the number of steps left. The difference leaves time for a
  * change of leader and a store outage.
  */
-#define PLANNED_PERCENT 75
+#define PLANNED_PERCENT 65
 #define LONGEST_PERCENT 90
 #define WRITE_RETRY_US (1LL * US_PER_S)
 
@@ -25,7 +25,7 @@
 	r->rng.state = seed;
 	r->ops = ops;
 	r->ctx = ctx;
-	r->host_count = 1;
+	r->threshold = rol_threshold_internal(1);
 	return r;
 }
 
@@ -44,7 +44,7 @@
 
 void rol_set_hosts(struct rol *r, uint32_t host_count)
 {
-	r->host_count = cu_max_u32(1, host_count);
+	r->threshold = rol_threshold_internal(host_count);
 }
 
 void rol_set_candidate(struct rol *r, uint32_t candidate)
@@ -267,7 +267,7 @@
 	const struct rol_entry *e = rol_entry_internal(r, service);
 
 	*score_milli = e ? (uint64_t)(rol_score_internal(e) * 1000.0) : 0;
-	*threshold_milli = (uint64_t)(rol_threshold_internal(r) * 1000.0);
+	*threshold_milli = (uint64_t)(r->threshold * 1000.0);
 }
 
 static void report_version(struct rol *r, const struct rol_entry *e,
--- a/src/controller/rol_internal.h
+++ b/src/controller/rol_internal.h
@@ -50,7 +50,8 @@
 	void *ctx;
 	struct rng rng;
 	struct rol_lead lead;
-	uint32_t host_count;
+	/* Statistic at which a version counts as bad, in nats. */
+	double threshold;
 	uint32_t candidate;
 	uint64_t fence;
 	uint32_t entry_count;
@@ -67,8 +68,8 @@
 			   const char *version, const char *reason);
 /* Clears the statistics; for a new rollout of the service. */
 void rol_reset_internal(struct rol_entry *e);
-/* Statistic at which a version counts as bad, in nats. */
-double rol_threshold_internal(const struct rol *r);
+/* Threshold for a number of entry hosts, in nats. */
+double rol_threshold_internal(uint32_t host_count);
 double rol_score_internal(const struct rol_entry *e);
 /* 1 when the evidence of the step allows the next one. */
 int rol_may_grow_internal(const struct rol *r, const struct rol_entry *e,
--- a/src/controller/sqt.c
+++ b/src/controller/sqt.c
@@ -27,6 +27,17 @@
 	return fmax(0.0, score + fmin(gain, WINDOW_NATS_MAX));
 }
 
+/* Log of the likelihood ratio of the window's bad requests. */
+static double bad_gain(const struct sqt_window *w, double q0, double ratio)
+{
+	double q1 = ratio * q0 / (1.0 - q0 + ratio * q0);
+
+	if (w->new_bad + w->old_bad == 0)
+		return 0.0;
+	return (double)w->new_bad * log(q1 / q0) +
+	       (double)w->old_bad * log((1.0 - q1) / (1.0 - q0));
+}
+
 static void add_compared(struct sqt *s, const struct sqt_window *w)
 {
 	double total = (double)(w->new_requests + w->old_requests);
@@ -35,9 +46,7 @@
 	uint32_t i;
 
 	for (i = 0; i < SQT_RATIOS; i++) {
-		double q1 = ratios[i] * q0 / (1.0 - q0 + ratios[i] * q0);
-		double gain = (double)w->new_bad * log(q1 / q0) +
-			      (double)w->old_bad * log((1.0 - q1) / (1.0 - q0));
+		double gain = bad_gain(w, q0, ratios[i]);
 
 		s->score[i] = step(s->score[i], gain - GOOD_NATS * good);
 	}
