Join the duties into cowslippoint serve

One process now runs the caller, request, target, store, peer and control duties: configuration from the store stand-in, a search over two shards through the caller port, graceful shutdown on SIGTERM.

--- a/src/duty/caller.c
+++ b/src/duty/caller.c
@@ -52,7 +52,7 @@
 	struct MHD_Daemon *daemon;
 	int event_fd;
 	uint64_t next_handle;
-	uint32_t open;
+	_Atomic uint32_t open;
 	_Atomic int draining;
 	TAILQ_HEAD(, exchange) suspended;
 };
@@ -292,6 +292,11 @@
 	return info ? info->port : 0;
 }
 
+uint32_t caller_duty_open(const struct caller_duty *c)
+{
+	return c->open;
+}
+
 static void take_answer(struct caller_duty *c, struct answer_message *body)
 {
 	struct exchange *x = body->exchange;
--- a/src/duty/caller.h
+++ b/src/duty/caller.h
@@ -26,6 +26,8 @@
 enum err_code caller_duty_start(struct caller_duty *c, struct err *err);
 /* Port it listens on. */
 uint16_t caller_duty_port(const struct caller_duty *c);
+/* Requests that are not answered yet. Any thread. */
+uint32_t caller_duty_open(const struct caller_duty *c);
 /* From now on each response asks its client to close the connection. */
 void caller_duty_drain(struct caller_duty *c);
 /* Stops listening and ends the thread; call when nothing is in flight. */
--- /dev/null
+++ b/src/duty/serve.c
@@ -0,0 +1,325 @@
+#include "duty/serve.h"
+
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "duty/caller.h"
+#include "duty/control.h"
+#include "duty/logger.h"
+#include "duty/messages.h"
+#include "duty/peer_fetch.h"
+#include "duty/peer_listen.h"
+#include "duty/peer_send.h"
+#include "duty/request.h"
+#include "duty/settings.h"
+#include "duty/store.h"
+#include "duty/target.h"
+
+/* Sub-requests in flight per request: every shard of a large index. */
+#define SUBS_PER_REQUEST 64
+#define RING_MAX 1048576
+/* What the platform's store grants to all hosts together. */
+#define STORE_READS_PER_S 2000
+#define STORE_WRITES_PER_S 400
+/* No contract allows a longer answer time. */
+#define FINISH_MAX_US (60 * US_PER_S)
+#define FINISH_POLL_MS 20
+
+struct server {
+	struct opt_value set[SERVE_OPTION_COUNT];
+	struct logger_duty *logger;
+	struct request_duty *request;
+	struct target_duty *target;
+	struct caller_duty *caller;
+	struct store *store;
+	struct peer_listen *peer_listen;
+	struct peer_send *peer_send;
+	struct peer_fetcher *peer_fetch;
+	struct control *control;
+	_Atomic int leaving;
+};
+
+static const char *text(const struct server *s, enum serve_option id)
+{
+	return s->set[id].text;
+}
+
+static int64_t number(const struct server *s, enum serve_option id)
+{
+	return s->set[id].number;
+}
+
+static uint64_t seed(const struct server *s)
+{
+	uint64_t given = (uint64_t)number(s, SET_SEED);
+
+	return given ? given : (uint64_t)clock_wall_us();
+}
+
+static enum err_code new_request_side(struct server *s, struct err *err)
+{
+	uint32_t open_max = (uint32_t)number(s, SET_OPEN_MAX);
+	/* Each sub-request in flight has room for its result. */
+	uint32_t capacity = cu_min_u32(RING_MAX, open_max * SUBS_PER_REQUEST);
+	struct request_options request = { .self = text(s, SET_HOST),
+					   .seed = seed(s),
+					   .capacity = capacity };
+	struct caller_options caller = {
+		.address = text(s, SET_CALLER_ADDRESS),
+		.port = (uint16_t)number(s, SET_CALLER_PORT),
+		.open_max = open_max,
+	};
+
+	s->request = request_duty_new(&request, err);
+	if (!s->request)
+		return err->code;
+	s->target =
+		target_duty_new(capacity, request_duty_ring(s->request), err);
+	if (!s->target)
+		return err->code;
+	caller.request = request_duty_ring(s->request);
+	s->caller = caller_duty_new(&caller, err);
+	return s->caller ? ERR_OK : err->code;
+}
+
+static enum err_code new_store(struct server *s, struct err *err)
+{
+	struct store_options o = {
+		.port = (uint16_t)number(s, SET_STORE_PORT),
+		.reads_per_s = STORE_READS_PER_S,
+		.writes_per_s = STORE_WRITES_PER_S,
+		.seed = seed(s),
+	};
+
+	cu_copy(o.address, sizeof(o.address), text(s, SET_STORE_ADDRESS));
+	s->store = store_new(&o, err);
+	return s->store ? ERR_OK : err->code;
+}
+
+/* The admin API is not served yet: every call is answered as unknown. */
+static void refuse_admin(struct control *c, struct admin_call *call)
+{
+	call->reply(call->reply_ctx, err_http_status(ERR_NOT_FOUND),
+		    "{\"code\":204,\"error\":\"NOT_FOUND\"}");
+	admin_call_free(call);
+}
+
+static enum err_code new_control(struct server *s, struct err *err)
+{
+	struct control_options o = {
+		.port = (uint16_t)number(s, SET_PEER_PORT),
+		.incarnation = (uint64_t)clock_wall_us() / US_PER_MS,
+		.seed = seed(s),
+		.admin = refuse_admin,
+	};
+
+	cu_copy(o.host, sizeof(o.host), text(s, SET_HOST));
+	cu_copy(o.data_centre, sizeof(o.data_centre), text(s, SET_DATA_CENTRE));
+	cu_copy(o.address, sizeof(o.address), text(s, SET_PEER_ADDRESS));
+	s->control = control_new(&o, err);
+	return s->control ? ERR_OK : err->code;
+}
+
+static enum err_code new_peers(struct server *s, struct err *err)
+{
+	s->peer_listen = peer_listen_new(text(s, SET_PEER_ADDRESS),
+					 (uint16_t)number(s, SET_PEER_PORT),
+					 control_ring(s->control), err);
+	if (!s->peer_listen)
+		return err->code;
+	s->peer_send = peer_send_new(err);
+	if (!s->peer_send)
+		return err->code;
+	s->peer_fetch = peer_fetch_new(err);
+	return s->peer_fetch ? ERR_OK : err->code;
+}
+
+static void join_rings(struct server *s)
+{
+	struct control_options *c = control_options(s->control);
+	struct request_options *r = request_duty_options(s->request);
+
+	c->store = store_ring(s->store);
+	c->request = request_duty_ring(s->request);
+	c->peer_send = peer_send_ring(s->peer_send);
+	c->peer_fetch = peer_fetch_ring(s->peer_fetch);
+	c->peer_listen = peer_listen_ring(s->peer_listen);
+	r->target = target_duty_ring(s->target);
+	r->store = store_ring(s->store);
+	r->control = control_ring(s->control);
+}
+
+static enum err_code create(struct server *s, struct err *err)
+{
+	enum err_code (*const steps[])(struct server *, struct err *) = {
+		new_request_side,
+		new_store,
+		new_control,
+		new_peers,
+	};
+	uint32_t i;
+
+	s->logger = logger_duty_new(err);
+	if (!s->logger)
+		return err->code;
+	for (i = 0; i < countof(steps); i++) {
+		if (steps[i](s, err) != ERR_OK)
+			return err->code;
+	}
+	join_rings(s);
+	return ERR_OK;
+}
+
+static enum err_code start(struct server *s, struct err *err)
+{
+	if (target_duty_start(s->target, err) != ERR_OK ||
+	    store_start(s->store, err) != ERR_OK ||
+	    peer_send_start(s->peer_send, err) != ERR_OK ||
+	    peer_fetch_start(s->peer_fetch, err) != ERR_OK ||
+	    request_duty_start(s->request, err) != ERR_OK ||
+	    control_start(s->control, err) != ERR_OK ||
+	    peer_listen_start(s->peer_listen, err) != ERR_OK ||
+	    caller_duty_start(s->caller, err) != ERR_OK)
+		return err->code;
+	return ERR_OK;
+}
+
+static void push_leave(struct ring *ring)
+{
+	struct msg m = { MSG_LEAVE, NULL, NULL };
+
+	if (ring_push(ring, &m) != ERR_OK)
+		log_event(LOG_LEVEL_WARNING, "leave_not_sent",
+			  "ring full or closed");
+}
+
+/* Waits for @ms or for another signal; returns 1 after a signal. */
+static int wait_signal(const sigset_t *signals, int64_t ms)
+{
+	struct timespec ts = { ms / MS_PER_S, (ms % MS_PER_S) * 1000000 };
+
+	return sigtimedwait(signals, NULL, &ts) > 0;
+}
+
+static uint32_t open_requests(struct server *s)
+{
+	return request_duty_open(s->request) + caller_duty_open(s->caller);
+}
+
+/*
+ * Graceful shutdown: the load balancer and the peers learn of it first, then
+ * new requests are refused, then those in flight finish.
+ */
+static void leave(struct server *s, const sigset_t *signals)
+{
+	int64_t until_us;
+
+	log_event(LOG_LEVEL_INFO, "leaving", "draining for %" PRId64 " ms",
+		  number(s, SET_DRAIN_MS));
+	s->leaving = 1;
+	caller_duty_drain(s->caller);
+	push_leave(control_ring(s->control));
+	wait_signal(signals, number(s, SET_DRAIN_MS));
+	push_leave(request_duty_ring(s->request));
+	until_us = clock_now_us() + FINISH_MAX_US;
+	while (open_requests(s) > 0 && clock_now_us() < until_us) {
+		if (wait_signal(signals, FINISH_POLL_MS))
+			break;
+	}
+	log_event(LOG_LEVEL_INFO, "stopped", "%u requests unfinished",
+		  open_requests(s));
+}
+
+static void stop(struct server *s)
+{
+	caller_duty_stop(s->caller);
+	peer_listen_stop(s->peer_listen);
+	peer_listen_join(s->peer_listen);
+	control_stop(s->control);
+	control_join(s->control);
+	peer_fetch_stop(s->peer_fetch);
+	peer_fetch_join(s->peer_fetch);
+	peer_send_stop(s->peer_send);
+	peer_send_join(s->peer_send);
+	target_duty_stop(s->target);
+	request_duty_stop(s->request);
+	store_stop(s->store);
+	store_join(s->store);
+}
+
+static void server_free(struct server *s)
+{
+	request_duty_free(s->request);
+	caller_duty_free(s->caller);
+	target_duty_free(s->target);
+	control_free(s->control);
+	peer_listen_free(s->peer_listen);
+	peer_send_free(s->peer_send);
+	peer_fetch_free(s->peer_fetch);
+	store_free(s->store);
+	logger_duty_free(s->logger);
+	free(s);
+}
+
+static void print_ready(struct server *s)
+{
+	printf("ready caller=%u peer=%u\n", caller_duty_port(s->caller),
+	       peer_listen_port(s->peer_listen));
+	fflush(stdout);
+}
+
+static int run(struct server *s)
+{
+	struct err err = { 0 };
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	/* Blocked before the threads start, so that only this one takes them. */
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	if (create(s, &err) != ERR_OK || start(s, &err) != ERR_OK) {
+		fprintf(stderr, "cowslippoint: %d %s: %s\n", (int)err.code,
+			err_name(err.code), err.detail);
+		return 1;
+	}
+	print_ready(s);
+	wait_signal(&signals, INT32_MAX);
+	leave(s, &signals);
+	stop(s);
+	return 0;
+}
+
+int serve_main(int argc, char **argv)
+{
+	struct server *s = cu_alloc(1, sizeof(*s));
+	struct err err = { 0 };
+	int status = 0;
+
+	switch (opt_parse(serve_option_defs, SERVE_OPTION_COUNT, argc, argv,
+			  s->set, &err)) {
+	case OPT_HELP:
+		opt_help(stdout, "serve", serve_option_defs,
+			 SERVE_OPTION_COUNT);
+		break;
+	case OPT_BAD:
+		fprintf(stderr, "cowslippoint: %d %s: %s\n", (int)err.code,
+			err_name(err.code), err.detail);
+		status = 2;
+		break;
+	case OPT_RUN:
+		log_init(text(s, SET_HOST), NULL, NULL);
+		curl_global_init(CURL_GLOBAL_ALL);
+		status = run(s);
+		break;
+	}
+	server_free(s);
+	return status;
+}
--- /dev/null
+++ b/src/duty/serve.h
@@ -0,0 +1,11 @@
+/* "cowslippoint serve": one host with all its duties. */
+#ifndef SERVE_H
+#define SERVE_H
+
+/*
+ * Runs until SIGTERM or SIGINT, then shuts down gracefully. Returns the exit
+ * status: 0 after a shutdown, 1 when it cannot start, 2 for wrong settings.
+ */
+int serve_main(int argc, char **argv);
+
+#endif
--- a/src/main.c
+++ b/src/main.c
@@ -3,13 +3,58 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/cutil.h"
+#include "duty/serve.h"
+
 #define VERSION "0.1.0"
+#define EXIT_USAGE 2
+
+struct subcommand {
+	const char *name;
+	int (*run)(int argc, char **argv);
+	const char *help;
+};
+
+static const struct subcommand subcommands[] = {
+	{ "serve", serve_main, "run one host" },
+};
+
+static void usage(FILE *out)
+{
+	uint32_t i;
+
+	fprintf(out, "usage: cowslippoint SUBCOMMAND [--help] [...]\n"
+		     "       cowslippoint --version\n\n");
+	for (i = 0; i < countof(subcommands); i++)
+		fprintf(out, "  %-8s %s\n", subcommands[i].name,
+			subcommands[i].help);
+	fprintf(out, "\nexit status: 0 done, 1 failed or refused, 2 wrong "
+		     "usage, 3 not reachable (ctl)\n");
+}
 
 int main(int argc, char **argv)
 {
-	if (argc > 1 && strcmp(argv[1], "--version") == 0) {
+	uint32_t i;
+
+	apr_initialize();
+	if (argc < 2) {
+		usage(stderr);
+		return EXIT_USAGE;
+	}
+	if (strcmp(argv[1], "--version") == 0) {
 		printf("cowslippoint %s\n", VERSION);
 		return 0;
 	}
-	return 2;
+	if (strcmp(argv[1], "--help") == 0) {
+		usage(stdout);
+		return 0;
+	}
+	for (i = 0; i < countof(subcommands); i++) {
+		if (strcmp(argv[1], subcommands[i].name) == 0)
+			return subcommands[i].run(argc - 1, argv + 1);
+	}
+	fprintf(stderr, "cowslippoint: \"%.40s\" is not a subcommand\n",
+		argv[1]);
+	usage(stderr);
+	return EXIT_USAGE;
 }
