--- a/src/duty/claims.c
+++ b/src/duty/claims.c
@@ -112,11 +112,16 @@
 	snprintf(key, KV_KEY_BYTES, KEY_PREFIX "%s/%s", customer, request_id);
 }
 
+static void drop_call(void *body)
+{
+	kv_request_free(body);
+}
+
 /* Sends a call; returns 0 when the store's ring does not take it. */
 static int send_call(struct claims *c, struct entry *e, struct kv_call *call)
 {
 	struct kv_request *r = cu_alloc(1, sizeof(*r));
-	struct msg m = { MSG_KV_CALL, r, NULL };
+	struct msg m = { MSG_KV_CALL, r, drop_call };
 
 	call->timeout_ms = CALL_TIMEOUT_MS;
 	r->call = *call;
