--- a/src/duty/control_store.c
+++ b/src/duty/control_store.c
@@ -75,9 +75,11 @@
 	struct kv_request *r = cu_alloc(1, sizeof(*r));
 	struct msg m = { MSG_KV_CALL, r, drop_request };
 
-	*entry = (struct call){
-		.control = c, .token = ++c->next_token, .done = done, .ctx = ctx
-	};
+	*entry = (struct call){ .control = c,
+				.token = ++c->next_token,
+				.done = done,
+				.ctx = ctx,
+				.ctx_free = ctx_free };
 	g_hash_table_insert(c->calls, &entry->token, entry);
 	r->call = *call;
 	r->reply_to = duty_ring(c->duty);
--- /dev/null
+++ b/tests/cfg_sim_store.c
@@ -0,0 +1,414 @@
+/* The simulated store and the ways to it; see cfg_sim.h. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cfg_sim.h"
+
+/* One way between a host and the store. */
+#define STORE_MIN_US 500
+#define STORE_SPREAD_US 2000
+#define CALL_TIMEOUT_US (1000 * US_PER_MS)
+/* A write that was reported as lost arrives up to this much later. */
+#define LATE_US (3 * (int64_t)US_PER_S)
+
+static void free_ref(gpointer item)
+{
+	cfg_item_unref(item);
+}
+
+void sim_store_init(struct sim_store *s)
+{
+	memset(s, 0, sizeof(*s));
+	s->items = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 free_ref);
+}
+
+void sim_store_clear(struct sim_store *s)
+{
+	cfg_head_free(s->head);
+	g_hash_table_destroy(s->items);
+}
+
+void sim_store_copy(struct sim_store *to, const struct sim_store *from)
+{
+	GHashTableIter it;
+	gpointer key;
+	gpointer item;
+
+	sim_store_clear(to);
+	sim_store_init(to);
+	to->revision = from->revision;
+	to->head_version = from->head_version;
+	to->head = from->head ? cfg_head_copy(from->head) : NULL;
+	g_hash_table_iter_init(&it, from->items);
+	while (g_hash_table_iter_next(&it, &key, &item))
+		g_hash_table_insert(to->items, g_strdup(key),
+				    cfg_item_ref(item));
+}
+
+static char *item_key(const char *name, uint64_t rev, uint64_t change)
+{
+	return g_strdup_printf("%s/%" PRIu64 "-%" PRIx64, name, rev, change);
+}
+
+enum call_kind { READ_HEAD, READ_ITEM, WRITE_ITEM, WRITE_HEAD, DELETE_ITEM };
+
+static const char *const kind_names[] = { "read_head", "read_item",
+					  "write_item", "write_head",
+					  "delete_item" };
+
+struct call {
+	struct sim_host *host;
+	enum call_kind kind;
+	struct head_entry entry;
+	struct cfg_item *item;
+	struct cfg_head *head;
+	uint64_t version;
+	enum err_code code;
+	/* The answer was reported as lost already. */
+	uint32_t answered;
+};
+
+static void call_free(void *ctx)
+{
+	struct call *c = ctx;
+
+	cfg_item_unref(c->item);
+	cfg_head_free(c->head);
+	free(c);
+}
+
+static int64_t latency_us(struct sim *s)
+{
+	return STORE_MIN_US + rng_below(&s->rng, STORE_SPREAD_US);
+}
+
+static int happens(struct sim *s, uint32_t permille)
+{
+	return permille && rng_below(&s->rng, PERMILLE) < permille;
+}
+
+static int is_write(const struct call *c)
+{
+	return c->kind == WRITE_ITEM || c->kind == WRITE_HEAD;
+}
+
+static void deliver(void *ctx)
+{
+	struct call *c = ctx;
+	struct sim *s = c->host->sim;
+	struct cfg *cfg = c->host->cfg;
+	struct cfg_head *head = c->head;
+
+	if (c->code != ERR_OK)
+		sim_trace(s, "h%u %s %s", c->host->number, kind_names[c->kind],
+			  err_name(c->code));
+	switch (c->kind) {
+	case READ_HEAD:
+		c->head = NULL;
+		cfg_on_head(cfg, s->now_us, c->code, head, c->version);
+		break;
+	case READ_ITEM:
+		cfg_on_item(cfg, s->now_us, c->entry.name, c->code, c->item);
+		break;
+	case WRITE_ITEM:
+		cfg_on_item_written(cfg, s->now_us, c->code);
+		break;
+	case WRITE_HEAD:
+		cfg_on_head_written(cfg, s->now_us, c->code);
+		break;
+	case DELETE_ITEM:
+		break;
+	}
+}
+
+static void answer(struct call *c, enum err_code code, int64_t delay_us)
+{
+	c->code = code;
+	sim_after(c->host->sim, c->host, delay_us, deliver, c, call_free);
+}
+
+static struct call *copy_call(const struct call *c)
+{
+	struct call *copy = cu_alloc(1, sizeof(*copy));
+
+	*copy = *c;
+	copy->item = c->item ? cfg_item_ref(c->item) : NULL;
+	copy->head = c->head ? cfg_head_copy(c->head) : NULL;
+	return copy;
+}
+
+static enum err_code read_head(struct call *c, const struct sim_store *from)
+{
+	if (!from->head)
+		return ERR_STORE_NOT_FOUND;
+	c->head = cfg_head_copy(from->head);
+	c->version = from->head_version;
+	return ERR_OK;
+}
+
+static enum err_code read_item(struct call *c, const struct sim_store *from)
+{
+	g_autofree char *key =
+		item_key(c->entry.name, c->entry.rev, c->entry.change);
+	struct cfg_item *item = g_hash_table_lookup(from->items, key);
+
+	if (!item)
+		return ERR_STORE_NOT_FOUND;
+	c->item = cfg_item_ref(item);
+	return ERR_OK;
+}
+
+static enum err_code write_item(struct call *c, struct sim_store *to)
+{
+	char *key = item_key(c->item->name, c->item->rev, c->item->change);
+
+	if (g_hash_table_contains(to->items, key)) {
+		g_free(key);
+		return ERR_STORE_CONFLICT;
+	}
+	to->revision++;
+	g_hash_table_insert(to->items, key, cfg_item_ref(c->item));
+	return ERR_OK;
+}
+
+/* Number N of the edit in {"edit":N}, or 0. */
+static uint32_t edit_number(const struct cfg_item *item)
+{
+	uint32_t n = 0;
+
+	if (item && sscanf(item->who, "edit %u", &n) == 1)
+		return n;
+	return 0;
+}
+
+static void note_commit(struct sim *s, const struct cfg_head *h)
+{
+	uint64_t change = cfg_head_change(h);
+	gpointer rev = GUINT_TO_POINTER((guint)h->rev);
+	gpointer before = g_hash_table_lookup(s->commits, &change);
+	uint32_t i;
+
+	if (before && before != rev && !s->restored)
+		sim_fail(s, "change committed at revision %u and %" PRIu64,
+			 GPOINTER_TO_UINT(before), h->rev);
+	if (!before)
+		g_hash_table_insert(s->commits,
+				    g_memdup2(&change, sizeof(change)), rev);
+	for (i = 0; i < h->entry_count; i++) {
+		const struct head_entry *e = &h->entries[i];
+		g_autofree char *key = item_key(e->name, e->rev, e->change);
+		struct cfg_item *item =
+			g_hash_table_lookup(s->store.items, key);
+
+		/*
+		 * A write that arrives after the store was restored may find
+		 * the version it expects; its items are gone, so no host
+		 * adopts it, and newer heads are written back.
+		 */
+		if (!e->deleted && !item && !s->restored)
+			sim_fail(s, "head %" PRIu64 " names %s, not stored",
+				 h->rev, key);
+		if (edit_number(item))
+			g_hash_table_insert(s->edit_commits,
+					    GUINT_TO_POINTER(edit_number(item)),
+					    GUINT_TO_POINTER((guint)e->rev));
+	}
+}
+
+struct notice {
+	struct sim_host *host;
+	struct cfg_head *head;
+	uint64_t version;
+};
+
+static void notice_free(void *ctx)
+{
+	struct notice *n = ctx;
+
+	cfg_head_free(n->head);
+	free(n);
+}
+
+static void notify(void *ctx)
+{
+	struct notice *n = ctx;
+	struct cfg_head *head = n->head;
+
+	n->head = NULL;
+	cfg_on_watch(n->host->cfg, n->host->sim->now_us, head, n->version);
+}
+
+static void notify_watchers(struct sim *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < SIM_WATCHERS && i < s->host_count; i++) {
+		struct sim_host *h = &s->hosts[i];
+		struct notice *n;
+
+		if (h->cut_off || happens(s, s->faults.lost_watch))
+			continue;
+		n = cu_alloc(1, sizeof(*n));
+		n->host = h;
+		n->head = cfg_head_copy(s->store.head);
+		n->version = s->store.head_version;
+		sim_after(s, h, latency_us(s), notify, n, notice_free);
+	}
+}
+
+static enum err_code write_head(struct call *c, struct sim_store *to)
+{
+	struct sim *s = c->host->sim;
+	uint64_t version = to->head ? to->head_version : 0;
+
+	if (version != c->version)
+		return ERR_STORE_CONFLICT;
+	cfg_head_free(to->head);
+	to->head = cfg_head_copy(c->head);
+	to->head_version = ++to->revision;
+	sim_trace(s, "store head %" PRIu64 " by h%u", c->head->rev,
+		  c->host->number);
+	note_commit(s, c->head);
+	notify_watchers(s);
+	return ERR_OK;
+}
+
+static enum err_code execute(struct call *c)
+{
+	struct sim *s = c->host->sim;
+	const struct sim_store *from = &s->store;
+
+	if (happens(s, s->faults.stale_read))
+		from = &s->saved;
+	switch (c->kind) {
+	case READ_HEAD:
+		return read_head(c, from);
+	case READ_ITEM:
+		return read_item(c, from);
+	case WRITE_ITEM:
+		return write_item(c, &s->store);
+	case WRITE_HEAD:
+		return write_head(c, &s->store);
+	case DELETE_ITEM:
+		break;
+	}
+	return ERR_OK;
+}
+
+static void delete_item(const struct call *c)
+{
+	g_autofree char *key =
+		item_key(c->entry.name, c->entry.rev, c->entry.change);
+
+	g_hash_table_remove(c->host->sim->store.items, key);
+}
+
+static void late_arrival(void *ctx)
+{
+	struct call *c = ctx;
+	struct sim *s = c->host->sim;
+
+	if (!s->faults.down)
+		execute(c);
+}
+
+static void arrive(void *ctx)
+{
+	struct call *c = copy_call(ctx);
+	struct sim *s = c->host->sim;
+
+	if (s->faults.down) {
+		answer(c, ERR_STORE_DOWN, latency_us(s));
+		return;
+	}
+	if (c->kind == DELETE_ITEM) {
+		delete_item(c);
+		call_free(c);
+		return;
+	}
+	if (is_write(c) && happens(s, s->faults.late_write)) {
+		sim_after(s, NULL, rng_below(&s->rng, LATE_US), late_arrival,
+			  copy_call(c), call_free);
+		answer(c, ERR_STORE_UNKNOWN, CALL_TIMEOUT_US);
+		return;
+	}
+	c->code = execute(c);
+	if (happens(s, s->faults.lost_answer))
+		answer(c, is_write(c) ? ERR_STORE_UNKNOWN : ERR_STORE_DOWN,
+		       CALL_TIMEOUT_US);
+	else
+		answer(c, c->code, latency_us(s));
+}
+
+static void submit(struct sim_host *h, struct call *c)
+{
+	struct sim *s = h->sim;
+
+	c->host = h;
+	if (h->cut_off)
+		answer(c, ERR_STORE_DOWN, latency_us(s));
+	else if (happens(s, s->faults.lost_call))
+		answer(c, is_write(c) ? ERR_STORE_UNKNOWN : ERR_STORE_DOWN,
+		       CALL_TIMEOUT_US);
+	else
+		sim_after(s, NULL, latency_us(s), arrive, c, call_free);
+}
+
+static struct call *new_call(enum call_kind kind)
+{
+	struct call *c = cu_alloc(1, sizeof(*c));
+
+	c->kind = kind;
+	return c;
+}
+
+static void on_read_head(void *ctx)
+{
+	submit(ctx, new_call(READ_HEAD));
+}
+
+static void on_read_item(void *ctx, const struct head_entry *e)
+{
+	struct call *c = new_call(READ_ITEM);
+
+	c->entry = *e;
+	submit(ctx, c);
+}
+
+static void on_write_item(void *ctx, const struct cfg_item *item)
+{
+	struct call *c = new_call(WRITE_ITEM);
+
+	c->item = cfg_item_new(item->name, item->rev, item->change, item->who,
+			       item->json);
+	submit(ctx, c);
+}
+
+static void on_write_head(void *ctx, const struct cfg_head *h,
+			  uint64_t if_version)
+{
+	struct call *c = new_call(WRITE_HEAD);
+
+	c->head = cfg_head_copy(h);
+	c->version = if_version;
+	submit(ctx, c);
+}
+
+static void on_delete_item(void *ctx, const struct head_entry *e)
+{
+	struct call *c = new_call(DELETE_ITEM);
+
+	c->entry = *e;
+	submit(ctx, c);
+}
+
+void sim_store_actions(struct cfg_actions *a)
+{
+	a->read_head = on_read_head;
+	a->read_item = on_read_item;
+	a->write_item = on_write_item;
+	a->write_head = on_write_head;
+	a->delete_item = on_delete_item;
+}
