--- a/src/controller/cfg.c
+++ b/src/controller/cfg.c
@@ -11,6 +11,12 @@
 #define RETRY_MIN_US (100 * US_PER_MS)
 /* Leaves several attempts within the 10 s of a change. */
 #define RETRY_MAX_US (1600 * US_PER_MS)
+/*
+ * An item that a head names and the store lacks for this long is isolated;
+ * peers that have it are heard and pulled from sooner. Happens when a write of
+ * the head arrives after the store was restored and lost the item.
+ */
+#define MISSING_US (3 * (int64_t)US_PER_S)
 
 static void free_item(gpointer item)
 {
@@ -132,9 +138,26 @@
 	cfg_item_unref(gone);
 }
 
+/* The empty text stands for a stored item that could not be read. */
+static int is_unreadable(const struct cfg_item *item)
+{
+	return item && item->json && !item->json[0];
+}
+
 static int same_item(const struct cfg_item *a, const struct cfg_item *b)
 {
-	return a && b && a->rev == b->rev && a->change == b->change;
+	return a && b && a->rev == b->rev && a->change == b->change &&
+	       is_unreadable(a) == is_unreadable(b);
+}
+
+static uint32_t count_unreadable(const struct cfg_set *s)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < s->head->entry_count; i++)
+		n += is_unreadable(s->items[i]);
+	return n;
 }
 
 /* Applies the differences between @old and the set in effect. */
@@ -164,8 +187,15 @@
 void cfg_adopt_internal(struct cfg *c, struct cfg_set *s)
 {
 	struct cfg_set *old = c->set;
+	int order = compare_head(c, s->head);
 
-	if (compare_head(c, s->head) <= 0) {
+	if (order == 0 && count_unreadable(s) < count_unreadable(old)) {
+		c->set = s;
+		apply_changes(c, old);
+		cfg_set_unref(old);
+		return;
+	}
+	if (order <= 0) {
 		cfg_set_unref(s);
 		return;
 	}
@@ -284,8 +314,16 @@
 	c->next_entry = 0;
 	c->reading = 0;
 	c->read_failed = 0;
-	for (i = 0; i < c->set->head->entry_count; i++)
-		cfg_set_put(c->work, c->set->items[i]);
+	if (head->rev != c->missing_rev ||
+	    cfg_head_change(head) != c->missing_change) {
+		c->missing_rev = head->rev;
+		c->missing_change = cfg_head_change(head);
+		c->missing_us = 0;
+	}
+	for (i = 0; i < c->set->head->entry_count; i++) {
+		if (!is_unreadable(c->set->items[i]))
+			cfg_set_put(c->work, c->set->items[i]);
+	}
 	read_items(c, now_us);
 }
 
@@ -295,7 +333,9 @@
 	int order = compare_head(c, head);
 
 	c->loaded = 1;
-	if (order > 0) {
+	/* Items that could not be read are tried again with each read. */
+	if (order > 0 ||
+	    (order == 0 && !c->edits && count_unreadable(c->set))) {
 		begin_reading(c, now_us, head, version);
 		return;
 	}
@@ -355,6 +395,18 @@
 	return e ? cfg_item_new(name, e->rev, e->change, "", "") : NULL;
 }
 
+/* 1 when the item has to be isolated, 0 when reading it is tried again. */
+static int is_lost(struct cfg *c, int64_t now_us, enum err_code code)
+{
+	if (code == ERR_CFG_FIELD || code == ERR_BAD_JSON)
+		return 1;
+	if (code != ERR_STORE_NOT_FOUND)
+		return 0;
+	if (!c->missing_us)
+		c->missing_us = now_us;
+	return now_us - c->missing_us >= MISSING_US;
+}
+
 void cfg_on_item(struct cfg *c, int64_t now_us, const char *name,
 		 enum err_code code, struct cfg_item *item)
 {
@@ -363,7 +415,7 @@
 	if (c->activity != CFG_READ_ITEMS || c->reading == 0)
 		return;
 	c->reading--;
-	if (code == ERR_CFG_FIELD || code == ERR_BAD_JSON)
+	if (code != ERR_OK && is_lost(c, now_us, code))
 		item = broken = unreadable_item(c->work, name);
 	/* An item that is not found belongs to a head that was replaced. */
 	if (!item || !cfg_set_put(c->work, item))
--- a/src/controller/cfg_edit.c
+++ b/src/controller/cfg_edit.c
@@ -29,6 +29,8 @@
 
 void cfg_drop_edits_internal(struct cfg *c)
 {
+	if (c->edits && c->activity == CFG_EDIT_HEAD)
+		c->edits->unknown = 1;
 	while (c->edits) {
 		struct err err = { 0 };
 
--- a/src/controller/cfg_state.h
+++ b/src/controller/cfg_state.h
@@ -58,6 +58,10 @@
 	uint32_t next_entry;
 	uint32_t reading;
 	uint32_t read_failed;
+	/* Head whose items were not found, and since when; 0 for none. */
+	uint64_t missing_rev;
+	uint64_t missing_change;
+	int64_t missing_us;
 	/* REPAIR_ITEM: the store's head. */
 	struct cfg_head *store_head;
 	struct cfg_edit *edits;
--- a/tests/cfg_sim.c
+++ b/tests/cfg_sim.c
@@ -333,6 +333,7 @@
 					   NULL);
 	s->acknowledged = g_hash_table_new(NULL, NULL);
 	s->edit_commits = g_hash_table_new(NULL, NULL);
+	s->refused = g_hash_table_new(NULL, NULL);
 	s->events = g_hash_table_new_full(NULL, NULL, event_free, NULL);
 	for (i = 0; i < host_count; i++) {
 		s->hosts[i].sim = s;
@@ -351,6 +352,7 @@
 	g_hash_table_destroy(s->commits);
 	g_hash_table_destroy(s->acknowledged);
 	g_hash_table_destroy(s->edit_commits);
+	g_hash_table_destroy(s->refused);
 	sim_store_clear(&s->store);
 	sim_store_clear(&s->saved);
 	tmr_free(s->timers);
@@ -410,6 +412,8 @@
 		g_hash_table_insert(e->sim->acknowledged,
 				    GUINT_TO_POINTER(e->number),
 				    GUINT_TO_POINTER((guint)rev));
+	else if (err->code != ERR_STORE_UNKNOWN)
+		g_hash_table_add(e->sim->refused, GUINT_TO_POINTER(e->number));
 	free(e);
 }
 
@@ -469,6 +473,22 @@
 	}
 }
 
+static void check_refused(struct sim *s)
+{
+	GHashTableIter it;
+	gpointer number;
+
+	g_hash_table_iter_init(&it, s->refused);
+	while (g_hash_table_iter_next(&it, &number, NULL)) {
+		gpointer rev = g_hash_table_lookup(s->edit_commits, number);
+
+		if (rev)
+			sim_fail(s, "edit %u reported as refused, stored at %u",
+				 GPOINTER_TO_UINT(number),
+				 GPOINTER_TO_UINT(rev));
+	}
+}
+
 void sim_check_converged(struct sim *s)
 {
 	const struct cfg_head *stored = s->store.head;
@@ -486,6 +506,8 @@
 				 i, h->rev, rev);
 		check_same_items(s, s->hosts[0].cfg, h->cfg);
 	}
-	if (!s->restored)
-		check_acknowledged(s);
+	if (s->restored)
+		return;
+	check_acknowledged(s);
+	check_refused(s);
 }
--- a/tests/cfg_sim.h
+++ b/tests/cfg_sim.h
@@ -77,6 +77,8 @@
 	GHashTable *acknowledged;
 	/* Edit number to revision at which the store accepted it. */
 	GHashTable *edit_commits;
+	/* Edits that were reported as refused for certain. */
+	GHashTable *refused;
 	uint32_t edits;
 	/* First violated invariant; empty when there is none. */
 	char violation[256];
--- a/tests/prop_control.c
+++ b/tests/prop_control.c
@@ -13,7 +13,9 @@
 
 #define SEEDS 3000
 #define HOSTS 5
-#define EDITS_UNTIL_US (14 * (int64_t)US_PER_S)
+/* Edits end between these times, so some faults follow the last edit. */
+#define EDITS_END_MIN_US (2 * (int64_t)US_PER_S)
+#define EDITS_END_MAX_US (14 * (int64_t)US_PER_S)
 #define HEAL_US (15 * (int64_t)US_PER_S)
 /* A change is in effect everywhere within this time (design page). */
 #define CONVERGE_US (10 * (int64_t)US_PER_S)
@@ -174,16 +176,19 @@
 	struct rng r = { seed };
 	struct fault faults[2];
 	int64_t next_edit_us = 0;
+	int64_t edits_end_us;
 	int ok;
 
 	faults[0] = draw_fault(&r);
 	do {
 		faults[1] = draw_fault(&r);
 	} while (faults[1].kind == faults[0].kind);
+	edits_end_us = EDITS_END_MIN_US +
+		       rng_below(&r, EDITS_END_MAX_US - EDITS_END_MIN_US);
 	sim_init(&s, HOSTS, rng_u64(&r), compare, out);
 	while (s.now_us < HEAL_US) {
 		step_faults(&s, faults, countof(faults));
-		if (s.now_us >= next_edit_us && s.now_us < EDITS_UNTIL_US) {
+		if (s.now_us >= next_edit_us && s.now_us < edits_end_us) {
 			random_edit(&s, &r);
 			next_edit_us = s.now_us + rng_below(&r, 500000);
 		}
