--- a/src/codec/sjson_layout.c
+++ b/src/codec/sjson_layout.c
@@ -10,7 +10,6 @@
 	uint32_t position;
 };
 
-/* The ranges of layout_check() apply after this; these fit the fields. */
 static enum err_code read_target(const json_t *obj, struct target *t,
 				 struct err *err)
 {
@@ -31,26 +30,39 @@
 		code = sjson_text_internal(obj, "version", t->version,
 					   sizeof(t->version), err);
 	if (code == ERR_OK)
-		code = sjson_u32_internal(obj, "slots", 1, UINT32_MAX, -1,
+		code = sjson_u32_internal(obj, "slots", 1, TARGET_SLOTS_MAX, -1,
 					  &t->slots, err);
 	if (code == ERR_OK)
-		code = sjson_u32_internal(obj, "connections", 1, UINT32_MAX, -1,
+		code = sjson_u32_internal(obj, "connections", 1,
+					  TARGET_CONNECTIONS_MAX, -1,
 					  &t->connections, err);
 	if (code == ERR_OK)
-		code = sjson_u32_internal(obj, "cold_slots", 1, UINT32_MAX, 1,
-					  &t->cold_slots, err);
+		code = sjson_u32_internal(obj, "cold_slots", 1,
+					  TARGET_SLOTS_MAX, 1, &t->cold_slots,
+					  err);
 	if (code == ERR_OK)
-		code = sjson_u32_internal(obj, "connect_us", 0, UINT32_MAX, 0,
+		code = sjson_u32_internal(obj, "connect_us", 0,
+					  TARGET_CONNECT_US_MAX, 0,
 					  &t->connect_us, err);
 	t->port = (uint16_t)port;
 	if (code == ERR_OK && !cu_name_ok(t->version, NAME_BYTES - 1))
 		code = err_set(err, ERR_CFG_FIELD,
-			       "target %s: version is not valid, accepted a "
-			       "name of 1 to 64 bytes",
-			       t->id);
+			       "version is not valid, accepted a name of 1 to "
+			       "64 bytes");
 	return code;
 }
 
+static enum err_code read_target_at(const json_t *list, uint32_t at,
+				    struct target *t, struct err *err)
+{
+	struct err inner = { 0 };
+	enum err_code code = read_target(json_array_get(list, at), t, &inner);
+
+	if (code == ERR_OK)
+		return ERR_OK;
+	return err_set(err, code, "targets[%u]: %s", at, inner.detail);
+}
+
 static int compare_refs(const void *a, const void *b)
 {
 	const struct target_ref *x = a;
@@ -154,8 +166,7 @@
 		code = sjson_text_internal(obj, "service", l->service,
 					   sizeof(l->service), err);
 	for (i = 0; i < l->target_count && code == ERR_OK; i++)
-		code = read_target(json_array_get(targets, i), &l->targets[i],
-				   err);
+		code = read_target_at(targets, i, &l->targets[i], err);
 	if (code == ERR_OK)
 		code = index_targets(l, refs, err);
 	for (i = 0; i < l->shard_count && code == ERR_OK; i++)
--- a/src/controller/cfg_edit.c
+++ b/src/controller/cfg_edit.c
@@ -120,7 +120,14 @@
 void cfg_edit_expire_internal(struct cfg *c, int64_t now_us)
 {
 	struct cfg_edit *e = c->edits;
+	uint64_t rev = e ? rev_of_change(c->set->head, e->change) : 0;
+	struct err ok = { 0 };
 
+	/* A peer may have told of the edit while the store is away. */
+	if (rev) {
+		finish_edit(c, &ok, rev);
+		return;
+	}
 	if (!e || now_us < e->deadline_us)
 		return;
 	if (e->last.code == ERR_OK)
--- a/src/model/layout.h
+++ b/src/model/layout.h
@@ -9,6 +9,9 @@
 
 #define LAYOUT_SHARDS_MAX 4096
 #define SHARD_REPLICAS_MAX 16
+#define TARGET_SLOTS_MAX 1024
+#define TARGET_CONNECTIONS_MAX 65536
+#define TARGET_CONNECT_US_MAX (10 * US_PER_S)
 /* Hosts that may connect to one target at once: 8 plus two in replacement. */
 #define CELL_HOSTS_MAX 10
 
--- a/tests/cfg_sim.h
+++ b/tests/cfg_sim.h
@@ -30,6 +30,9 @@
 	uint32_t down;
 	/* Permille of writes whose answer is lost after they took effect. */
 	uint32_t lost_answer;
+	/* Answers to this many next writes of items and of heads are lost. */
+	uint32_t lose_items;
+	uint32_t lose_heads;
 	/* Permille of calls that get lost on the way to the store. */
 	uint32_t lost_call;
 	/* Permille of writes that are reported as lost and arrive later. */
@@ -107,6 +110,15 @@
  */
 uint32_t sim_edit(struct sim *s, uint32_t host, const char *name,
 		  uint32_t deletes);
+/* The same for an edit that is based on item revision @if_rev. */
+uint32_t sim_edit_if(struct sim *s, uint32_t host, const char *name,
+		     uint32_t deletes, uint64_t if_rev);
+/*
+ * Writes a new head with @json for @name past all checks, as a program of
+ * another version could; @lose: without its item.
+ */
+void sim_inject(struct sim *s, const char *name, const char *json,
+		uint64_t change, uint32_t lose);
 /* Checks that all hosts and the store have the same revision and items. */
 void sim_check_converged(struct sim *s);
 void sim_fail(struct sim *s, const char *fmt, ...) PRINTF_LIKE(2, 3);
--- /dev/null
+++ b/tests/control_areas.h
@@ -0,0 +1,12 @@
+/* Script areas of test_control.c, one file each. */
+#ifndef CONTROL_AREAS_H
+#define CONTROL_AREAS_H
+
+#include "script.h"
+
+extern const struct script_area sjson_area;
+extern const struct script_area cfg_area;
+extern const struct script_area mbr_area;
+extern const struct script_area gate_area;
+
+#endif
--- /dev/null
+++ b/tests/control_cfg.c
@@ -0,0 +1,156 @@
+/* Scripted runs over the configuration controller in the simulation. */
+#include <inttypes.h>
+#include <string.h>
+
+#include "cfg_sim.h"
+#include "control_areas.h"
+
+struct cfg_ctx {
+	struct sim sim;
+	uint32_t started;
+};
+
+static void *cfg_ctx_new(void)
+{
+	return cu_alloc(1, sizeof(struct cfg_ctx));
+}
+
+static void cfg_ctx_free(void *ctx)
+{
+	struct cfg_ctx *c = ctx;
+
+	if (c->started)
+		sim_clear(&c->sim);
+	free(c);
+}
+
+/* The output buffer changes with each line of the script. */
+static struct sim *use(void *ctx, struct buf *out)
+{
+	struct cfg_ctx *c = ctx;
+
+	c->sim.out = out;
+	return &c->sim;
+}
+
+static void cmd_hosts(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct cfg_ctx *c = ctx;
+
+	sim_init(&c->sim, (uint32_t)script_int(argc, argv, "n", 3),
+		 (uint64_t)script_int(argc, argv, "seed", 1), NULL, out);
+	c->started = 1;
+}
+
+static void cmd_run(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct sim *s = use(ctx, out);
+
+	sim_run(s, s->now_us + script_int(argc, argv, "ms", 0) * US_PER_MS);
+}
+
+static void cmd_edit(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	sim_edit_if(use(ctx, out), (uint32_t)script_int(argc, argv, "host", 0),
+		    script_arg(argc, argv, "name", "contract/a"),
+		    (uint32_t)script_int(argc, argv, "delete", 0),
+		    (uint64_t)script_int(argc, argv, "if", 0));
+}
+
+static void cmd_fault(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct sim_faults *f = &use(ctx, out)->faults;
+
+	f->down = (uint32_t)script_int(argc, argv, "down", f->down);
+	f->lost_answer =
+		(uint32_t)script_int(argc, argv, "lost_answer", f->lost_answer);
+	f->lose_items =
+		(uint32_t)script_int(argc, argv, "lose_items", f->lose_items);
+	f->lose_heads =
+		(uint32_t)script_int(argc, argv, "lose_heads", f->lose_heads);
+	f->lost_call =
+		(uint32_t)script_int(argc, argv, "lost_call", f->lost_call);
+	f->late_write =
+		(uint32_t)script_int(argc, argv, "late_write", f->late_write);
+	f->stale_read =
+		(uint32_t)script_int(argc, argv, "stale_read", f->stale_read);
+	f->lost_watch =
+		(uint32_t)script_int(argc, argv, "lost_watch", f->lost_watch);
+}
+
+static void cmd_host(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct sim *s = use(ctx, out);
+	uint32_t n = (uint32_t)script_int(argc, argv, "n", 0);
+	struct sim_host *h = &s->hosts[n];
+
+	h->group = (uint32_t)script_int(argc, argv, "group", h->group);
+	h->cut_off = (uint32_t)script_int(argc, argv, "cut_off", h->cut_off);
+	h->paused = (uint32_t)script_int(argc, argv, "paused", h->paused);
+}
+
+static void cmd_restart(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	sim_restart(use(ctx, out), (uint32_t)script_int(argc, argv, "n", 0));
+}
+
+static void cmd_save(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	sim_save(use(ctx, out));
+}
+
+static void cmd_restore(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	sim_restore(use(ctx, out));
+}
+
+static void cmd_inject(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	sim_inject(use(ctx, out), script_arg(argc, argv, "name", "contract/a"),
+		   script_arg(argc, argv, "json", "bad"),
+		   (uint64_t)script_int(argc, argv, "change", 77),
+		   (uint32_t)script_int(argc, argv, "lose", 0));
+}
+
+static void cmd_show(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct sim *s = use(ctx, out);
+	const char *name = script_arg(argc, argv, "name", "contract/a");
+	uint32_t i;
+
+	for (i = 0; i < s->host_count; i++) {
+		const struct cfg_item *item =
+			cfg_item_in_effect(s->hosts[i].cfg, name);
+
+		buf_addf(out, "h%u revision %" PRIu64 " %s %s\n", i,
+			 cfg_rev(s->hosts[i].cfg), name,
+			 item ? item->json : "-");
+	}
+	buf_addf(out, "store revision %" PRIu64 "\n",
+		 s->store.head ? s->store.head->rev : 0);
+}
+
+static void cmd_check(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct sim *s = use(ctx, out);
+
+	sim_check_converged(s);
+	buf_addf(out, "%s\n", s->violation[0] ? s->violation : "converged");
+}
+
+static const struct script_command commands[] = {
+	{ "hosts", cmd_hosts },	    { "run", cmd_run },
+	{ "edit", cmd_edit },	    { "fault", cmd_fault },
+	{ "host", cmd_host },	    { "restart", cmd_restart },
+	{ "save", cmd_save },	    { "restore", cmd_restore },
+	{ "inject", cmd_inject },   { "show", cmd_show },
+	{ "converged", cmd_check },
+};
+
+const struct script_area cfg_area = {
+	.name = "cfg",
+	.ctx_new = cfg_ctx_new,
+	.ctx_free = cfg_ctx_free,
+	.command_count = countof(commands),
+	.commands = commands,
+};
--- /dev/null
+++ b/tests/control_sjson.c
@@ -0,0 +1,132 @@
+/* Scripted runs over the store documents: decode, check, encode again. */
+#include <string.h>
+
+#include "codec/hjson.h"
+#include "codec/sjson.h"
+#include "control_areas.h"
+
+static void *sjson_new(void)
+{
+	return cu_alloc(1, 1);
+}
+
+static void print(struct buf *out, const struct err *err, char *text)
+{
+	if (err->code != ERR_OK)
+		buf_addf(out, "%s: %s\n", err_name(err->code), err->detail);
+	else
+		buf_addf(out, "%s\n", text ? text : "");
+	free(text);
+}
+
+static void cmd_contract(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct contract *c CLEANUP_FREE = cu_alloc(1, sizeof(*c));
+	struct err err = { 0 };
+	int ok = sjson_contract(argv[0], c, &err) == ERR_OK;
+
+	print(out, &err, ok ? sjson_contract_text(c) : NULL);
+}
+
+static void cmd_layout(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct err err = { 0 };
+	struct layout *l = sjson_layout(argv[0], &err);
+
+	print(out, &err, l ? sjson_layout_text(l) : NULL);
+	layout_free(l);
+}
+
+static void cmd_dc(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct dc_item d;
+	struct err err = { 0 };
+	int ok = sjson_dc(argv[0], &d, &err) == ERR_OK;
+
+	print(out, &err, ok ? sjson_dc_text(&d) : NULL);
+}
+
+static void cmd_host(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct host_item h;
+	struct err err = { 0 };
+	int ok = sjson_host(argv[0], &h, &err) == ERR_OK;
+
+	print(out, &err, ok ? sjson_host_text(&h) : NULL);
+}
+
+static void cmd_rollout(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct rollout_item r;
+	struct err err = { 0 };
+	int ok = sjson_rollout(argv[0], &r, &err) == ERR_OK;
+
+	print(out, &err, ok ? sjson_rollout_text(&r) : NULL);
+}
+
+static void cmd_head(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct err err = { 0 };
+	struct cfg_head *h = sjson_head(argv[0], &err);
+
+	print(out, &err, h ? sjson_head_text(h) : NULL);
+	cfg_head_free(h);
+}
+
+static void cmd_item(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct err err = { 0 };
+	struct cfg_item *item = sjson_item(argv[0], &err);
+
+	print(out, &err, item ? sjson_item_text(item) : NULL);
+	cfg_item_unref(item);
+}
+
+static void cmd_check(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct err err = { 0 };
+
+	sjson_check_item(argv[0], argc > 1 ? argv[1] : NULL, &err);
+	print(out, &err, cu_strdup("ok"));
+}
+
+static void cmd_hosts(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct err err = { 0 };
+	uint32_t refused;
+	struct host_list *l = hjson_list(argv[0], &refused, &err);
+	uint32_t i;
+
+	if (!l) {
+		print(out, &err, NULL);
+		return;
+	}
+	for (i = 0; i < l->count; i++)
+		buf_addf(out, "%s %s:%u %s %s %s\n", l->hosts[i].id,
+			 l->hosts[i].address, l->hosts[i].port,
+			 l->hosts[i].data_centre,
+			 l->hosts[i].entry ? "entry" : "target",
+			 l->hosts[i].leaving ? "leaving" : "live");
+	buf_addf(out, "refused %u\n", refused);
+	host_list_free(l);
+}
+
+static const struct script_command commands[] = {
+	{ "contract", cmd_contract },
+	{ "layout", cmd_layout },
+	{ "dc", cmd_dc },
+	{ "host", cmd_host },
+	{ "rollout", cmd_rollout },
+	{ "head", cmd_head },
+	{ "item", cmd_item },
+	{ "check", cmd_check },
+	{ "hosts", cmd_hosts },
+};
+
+const struct script_area sjson_area = {
+	.name = "sjson",
+	.ctx_new = sjson_new,
+	.ctx_free = free,
+	.command_count = countof(commands),
+	.commands = commands,
+};
