--- /dev/null
+++ b/tests/test_store.c
@@ -0,0 +1,348 @@
+/*
+ * The store duty against a server with canned answers. Guards against lost
+ * answers that are taken for failures, writes that are sent twice, silent
+ * connections, watches with gaps, and answers that are not understood.
+ */
+#include <apr_general.h>
+#include <glib.h>
+#include <string.h>
+
+#include "duty/messages.h"
+#include "duty/store.h"
+#include "fake_http.h"
+
+#define CALL_MS 4000
+/* Ends a test whose answer never comes. */
+#define ANSWER_US (30 * (int64_t)US_PER_S)
+
+struct fixture {
+	struct fake_http *server;
+	struct store *store;
+	struct ring *replies;
+	/* What the server saw; written by its thread, read after replies. */
+	GMutex lock;
+	GString *seen;
+	uint32_t writes;
+};
+
+static void fixture_start(struct fixture *f, fake_http_fn *fn)
+{
+	struct store_options o = { .address = "127.0.0.1",
+				   .reads_per_s = 10000,
+				   .writes_per_s = 10000,
+				   .seed = 1 };
+	struct err err = { 0 };
+
+	memset(f, 0, sizeof(*f));
+	g_mutex_init(&f->lock);
+	f->seen = g_string_new("");
+	f->server = fake_http_new(fn, f);
+	o.port = fake_http_port(f->server);
+	f->replies = ring_new(64, NULL, NULL, &err);
+	f->store = store_new(&o, &err);
+	g_assert_nonnull(f->store);
+	g_assert_cmpint(store_start(f->store, &err), ==, ERR_OK);
+}
+
+static void fixture_stop(struct fixture *f)
+{
+	store_stop(f->store);
+	store_join(f->store);
+	store_free(f->store);
+	ring_free(f->replies);
+	fake_http_free(f->server);
+	g_string_free(f->seen, TRUE);
+	g_mutex_clear(&f->lock);
+}
+
+static void submit(struct fixture *f, struct kv_call call)
+{
+	struct kv_request *r = cu_alloc(1, sizeof(*r));
+	struct msg m = { MSG_KV_CALL, r, NULL };
+
+	r->call = call;
+	if (!r->call.timeout_ms)
+		r->call.timeout_ms = CALL_MS;
+	r->reply_to = f->replies;
+	r->token = 42;
+	g_assert_cmpint(ring_push(store_ring(f->store), &m), ==, ERR_OK);
+}
+
+static struct kv_reply *await(struct fixture *f)
+{
+	struct msg m;
+	struct kv_reply *reply;
+
+	g_assert_cmpuint(ring_wait(f->replies, &m, 1, ANSWER_US), ==, 1);
+	g_assert_cmpuint(m.type, ==, MSG_KV_RESULT);
+	reply = m.body;
+	g_assert_cmpuint(reply->token, ==, 42);
+	return reply;
+}
+
+/* Code of one call's result. */
+static enum err_code call_code(struct fixture *f, struct kv_call call)
+{
+	struct kv_reply *r;
+	enum err_code code;
+
+	submit(f, call);
+	r = await(f);
+	code = r->result.err.code;
+	kv_reply_free(r);
+	return code;
+}
+
+static struct kv_call get_call(const char *key)
+{
+	struct kv_call call = { .op = KV_GET };
+
+	cu_copy(call.key, sizeof(call.key), key);
+	return call;
+}
+
+static struct kv_call cas_call(const char *key, const char *value)
+{
+	struct kv_call call = { .op = KV_CAS };
+
+	cu_copy(call.key, sizeof(call.key), key);
+	call.value = cu_strdup(value);
+	call.value_bytes = (uint32_t)strlen(value);
+	return call;
+}
+
+static void note(struct fixture *f, const struct fake_request *r)
+{
+	g_mutex_lock(&f->lock);
+	g_string_append_printf(f->seen, "%s\n", r->line);
+	if (g_str_has_prefix(r->line, "PUT"))
+		f->writes++;
+	g_mutex_unlock(&f->lock);
+}
+
+/* Answers by key: the status for "sNNN", or a canned body. */
+static enum fake_action by_key(void *ctx, const struct fake_request *r,
+			       uint32_t *status, struct buf *out)
+{
+	note(ctx, r);
+	if (strstr(r->line, "/s")) {
+		*status = (uint32_t)atoi(strstr(r->line, "/s") + 2);
+		buf_addf(out, "{\"version\":7}");
+	} else if (strstr(r->line, "/broken")) {
+		buf_addf(out, "{\"version\":");
+	} else if (strstr(r->line, "/other")) {
+		buf_addf(out, "{\"key\":\"b\",\"version\":1,\"value\":\"x\"}");
+	} else if (strstr(r->line, "/large")) {
+		g_autofree char *fill = g_strnfill(1200000, 'x');
+
+		buf_addf(out, "{\"key\":\"large\",\"version\":1,\"value\":");
+		buf_addf(out, "\"%s\"}", fill);
+	} else if (g_str_has_prefix(r->line, "GET")) {
+		buf_addf(out, "{\"key\":\"k\",\"version\":3,\"value\":\"v\"}");
+	} else {
+		buf_addf(out, "{\"version\":13,\"lease\":3}");
+	}
+	return FAKE_REPLY;
+}
+
+/* Guards against a status or body that is mapped to the wrong code. */
+static void test_codes(void)
+{
+	struct fixture f;
+	struct kv_call call;
+	struct kv_reply *r;
+	g_autofree char *quotes = g_strnfill(600000, '"');
+	g_autofree char *value = g_strnfill(1048577, 'x');
+
+	fixture_start(&f, by_key);
+	submit(&f, get_call("k"));
+	r = await(&f);
+	g_assert_cmpint(r->result.err.code, ==, ERR_OK);
+	g_assert_cmpuint(r->result.version, ==, 3);
+	g_assert_cmpstr(r->result.pairs[0].value, ==, "v");
+	kv_reply_free(r);
+	g_assert_cmpint(call_code(&f, cas_call("k", "{}")), ==, ERR_OK);
+	g_assert_cmpint(call_code(&f, get_call("s404")), ==,
+			ERR_STORE_NOT_FOUND);
+	submit(&f, cas_call("s409", "{}"));
+	r = await(&f);
+	g_assert_cmpint(r->result.err.code, ==, ERR_STORE_CONFLICT);
+	g_assert_cmpuint(r->result.version, ==, 7);
+	kv_reply_free(r);
+	g_assert_cmpint(call_code(&f, cas_call("s413", "{}")), ==,
+			ERR_STORE_SIZE);
+	g_assert_cmpint(call_code(&f, get_call("s429")), ==, ERR_STORE_RATE);
+	g_assert_cmpint(call_code(&f, get_call("broken")), ==,
+			ERR_STORE_ANSWER);
+	g_assert_cmpint(call_code(&f, get_call("other")), ==, ERR_STORE_ANSWER);
+	g_assert_cmpint(call_code(&f, get_call("large")), ==, ERR_STORE_ANSWER);
+	g_assert_cmpint(call_code(&f, get_call("a b")), ==, ERR_BAD_FIELD);
+	/* A write of which no outcome is known may have taken effect. */
+	g_assert_cmpint(call_code(&f, cas_call("broken", "{}")), ==,
+			ERR_STORE_UNKNOWN);
+	/* Two such answers in a row would begin the backoff. */
+	g_assert_cmpint(call_code(&f, get_call("k")), ==, ERR_OK);
+	g_assert_cmpint(call_code(&f, cas_call("s500", "{}")), ==,
+			ERR_STORE_UNKNOWN);
+	g_assert_cmpint(call_code(&f, get_call("k")), ==, ERR_OK);
+	/* Values that could not be read back are not sent. */
+	f.writes = 0;
+	g_assert_cmpint(call_code(&f, cas_call("k", value)), ==,
+			ERR_STORE_SIZE);
+	g_assert_cmpint(call_code(&f, cas_call("k", quotes)), ==,
+			ERR_STORE_SIZE);
+	g_assert_cmpuint(f.writes, ==, 0);
+	call = (struct kv_call){ .op = KV_LEASE_GRANT, .ttl_ms = 5000 };
+	submit(&f, call);
+	r = await(&f);
+	g_assert_cmpint(r->result.err.code, ==, ERR_OK);
+	g_assert_cmpuint(r->result.lease, ==, 3);
+	kv_reply_free(r);
+	fixture_stop(&f);
+}
+
+/* Closes the connection without an answer from its second request on. */
+static enum fake_action close_reused(void *ctx, const struct fake_request *r,
+				     uint32_t *status, struct buf *out)
+{
+	note(ctx, r);
+	if (r->on_connection > 0)
+		return FAKE_CLOSE;
+	buf_addf(out, "{\"key\":\"k\",\"version\":3,\"value\":\"v\"}");
+	return FAKE_REPLY;
+}
+
+/*
+ * Guards against the HTTP library sending a write again on a new connection
+ * after a reused one ended: the write may have run the first time.
+ */
+static void test_lost_write(void)
+{
+	struct fixture f;
+
+	fixture_start(&f, close_reused);
+	g_assert_cmpint(call_code(&f, get_call("k")), ==, ERR_OK);
+	g_assert_cmpint(call_code(&f, cas_call("k", "{}")), ==,
+			ERR_STORE_UNKNOWN);
+	g_mutex_lock(&f.lock);
+	g_assert_cmpuint(f.writes, ==, 1);
+	g_mutex_unlock(&f.lock);
+	/* A read is sent again and succeeds. */
+	g_assert_cmpint(call_code(&f, get_call("k")), ==, ERR_OK);
+	g_assert_cmpint(call_code(&f, get_call("k")), ==, ERR_OK);
+	fixture_stop(&f);
+}
+
+/* The first connection turns silent after one answer; new ones work. */
+static enum fake_action silent_first(void *ctx, const struct fake_request *r,
+				     uint32_t *status, struct buf *out)
+{
+	note(ctx, r);
+	if (r->connection == 0 && r->on_connection > 0)
+		return FAKE_SILENT;
+	buf_addf(out, "{\"key\":\"k\",\"version\":3,\"value\":\"v\"}");
+	return FAKE_REPLY;
+}
+
+/* Guards against a read that waits on a silent connection for all its time. */
+static void test_silent(void)
+{
+	struct fixture f;
+	struct kv_call call = get_call("k");
+
+	fixture_start(&f, silent_first);
+	g_assert_cmpint(call_code(&f, call), ==, ERR_OK);
+	call.timeout_ms = 1000;
+	g_assert_cmpint(call_code(&f, call), ==, ERR_OK);
+	g_assert_cmpint(call_code(&f, call), ==, ERR_OK);
+	fixture_stop(&f);
+}
+
+/* Watches: an empty one, a lost one, an outage, then a change. */
+static enum fake_action watch_steps(void *ctx, const struct fake_request *r,
+				    uint32_t *status, struct buf *out)
+{
+	note(ctx, r);
+	switch (r->number) {
+	case 0:
+		buf_addf(out, "{\"version\":14,\"pairs\":[]}");
+		return FAKE_REPLY;
+	case 1:
+		return FAKE_CLOSE;
+	case 2:
+		*status = 503;
+		return FAKE_REPLY;
+	case 3:
+		buf_addf(out, "{\"version\":16,\"pairs\":[{\"key\":"
+			      "\"cfg/head\",\"version\":15,\"value\":"
+			      "\"x\"},{\"key\":\"cfg/headless\","
+			      "\"version\":16,\"value\":null}]}");
+		return FAKE_REPLY;
+	default:
+		buf_addf(out, "{\"version\":2,\"pairs\":[]}");
+		return FAKE_REPLY;
+	}
+}
+
+/* Guards against a watch that resumes too late or too early. */
+static void test_watch(void)
+{
+	struct fixture f;
+	struct kv_call call = { .op = KV_WATCH,
+				.key = "cfg/head",
+				.version = 12,
+				.ttl_ms = 1000,
+				.timeout_ms = 20000 };
+	struct kv_reply *r;
+
+	fixture_start(&f, watch_steps);
+	submit(&f, call);
+	r = await(&f);
+	g_assert_cmpint(r->result.err.code, ==, ERR_OK);
+	g_assert_cmpuint(r->result.version, ==, 16);
+	g_assert_cmpuint(r->result.pair_count, ==, 2);
+	g_assert_null(r->result.pairs[1].value);
+	kv_reply_free(r);
+	/* A store that went back is reported at once. */
+	call.version = 16;
+	submit(&f, call);
+	r = await(&f);
+	g_assert_cmpuint(r->result.version, ==, 2);
+	kv_reply_free(r);
+	g_mutex_lock(&f.lock);
+	g_assert_cmpstr(f.seen->str, ==,
+			"GET /v1/watch/cfg/head?after=12&timeout_ms=1000\n"
+			"GET /v1/watch/cfg/head?after=14&timeout_ms=1000\n"
+			"GET /v1/watch/cfg/head?after=14&timeout_ms=1000\n"
+			"GET /v1/watch/cfg/head?after=14&timeout_ms=1000\n"
+			"GET /v1/watch/cfg/head?after=16&timeout_ms=1000\n");
+	g_mutex_unlock(&f.lock);
+	fixture_stop(&f);
+}
+
+/* Guards against calls that wait for a store which refuses connections. */
+static void test_down(void)
+{
+	struct fixture f;
+	uint32_t i;
+
+	fixture_start(&f, by_key);
+	fake_http_free(f.server);
+	for (i = 0; i < 3; i++)
+		g_assert_cmpint(call_code(&f, cas_call("k", "{}")), ==,
+				ERR_STORE_DOWN);
+	f.server = fake_http_new(by_key, &f);
+	fixture_stop(&f);
+}
+
+int main(int argc, char **argv)
+{
+	apr_initialize();
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/store/codes", test_codes);
+	g_test_add_func("/store/lost-write", test_lost_write);
+	g_test_add_func("/store/silent", test_silent);
+	g_test_add_func("/store/watch", test_watch);
+	g_test_add_func("/store/down", test_down);
+	return g_test_run();
+}
