--- a/tests/prop_rollout.c
+++ b/tests/prop_rollout.c
@@ -37,8 +37,8 @@
 			in_time++;
 		else
 			g_test_message("seed %" G_GUINT64_FORMAT ": %s at "
-								 "finish_by, "
-								 "then %s: %s",
+				       "finish_by, "
+				       "then %s: %s",
 				       seed,
 				       rollout_state_name(r.state_at_finish),
 				       rollout_state_name(r.state), r.reason);
