--- /dev/null
+++ b/src/decide/hrw.h
@@ -0,0 +1,16 @@
+/*
+ * Rendezvous (highest random weight) hashing: every host computes the same
+ * choice from the same names, and a change of one candidate moves only the
+ * choices that involve it.
+ */
+#ifndef HRW_H
+#define HRW_H
+
+#include <stdint.h>
+
+/* Weight of @candidate for @key; the highest one is chosen. */
+uint64_t hrw_weight(const char *key, const char *candidate);
+/* 1 if candidate @a is chosen before @b; names break ties of weights. */
+int hrw_before(const char *key, const char *a, const char *b);
+
+#endif
