--- /dev/null
+++ b/src/codec/ajson_state.c
@@ -0,0 +1,118 @@
+/* Encoders of the state of data centres, rollouts and hosts; see ajson.h. */
+#include <jansson.h>
+
+#include "codec/ajson.h"
+
+static const char *const contact_names[] = {
+	[DCS_CONTACT_LIVE] = "live",
+	[DCS_CONTACT_SUSPECT] = "suspect",
+	[DCS_CONTACT_GONE] = "gone",
+	[DCS_CONTACT_LEAVING] = "leaving",
+};
+
+static json_t *ok_new(void)
+{
+	return json_pack("{s:i,s:s}", "code", 0, "error", "OK");
+}
+
+/* A reason that was cut within a character is no UTF-8 any more. */
+static json_t *text_value(const char *text)
+{
+	json_t *value = json_string(text);
+
+	return value ? value : json_string("?");
+}
+
+static json_t *dc_object(const struct dcs_status *s)
+{
+	const char *kind = s->kind == DCS_DATA_CENTRE ? "data_centre" : "host";
+
+	return json_pack("{s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:b}", kind, s->name,
+			 "state", s->state == DCS_OUT ? "out" : "in",
+			 "revision", (json_int_t)s->rev, "share_permille",
+			 (json_int_t)s->share_permille, "hosts",
+			 (json_int_t)s->host_count, "confirmed",
+			 (json_int_t)s->confirmed_count, "waiting",
+			 (json_int_t)s->waiting_count, "not_in_contact",
+			 (json_int_t)s->lost_count, "complete",
+			 (int)s->complete);
+}
+
+static char *finish(json_t *obj)
+{
+	char *text = json_dumps(obj, JSON_COMPACT);
+
+	json_decref(obj);
+	return text;
+}
+
+char *ajson_dc(const struct dcs_status *s, const char *text)
+{
+	json_t *obj = ok_new();
+
+	json_object_update_new(obj, dc_object(s));
+	json_object_set_new(obj, "text", json_string(text));
+	return finish(obj);
+}
+
+static json_t *rollout_object(const struct ajson_rollout *r)
+{
+	const struct rollout_item *i = r->item;
+	json_t *obj =
+		json_pack("{s:s,s:s,s:s,s:I,s:I,s:s,s:s,s:I,s:I,s:I,s:I}",
+			  "service", i->service, "from", i->from, "to", i->to,
+			  "finish_by_ms", (json_int_t)i->finish_by_ms,
+			  "share_permille", (json_int_t)i->share_permille,
+			  "state", rollout_state_name(i->state), "reason",
+			  i->reason, "revision", (json_int_t)r->rev,
+			  "share_here_permille", (json_int_t)r->share_permille,
+			  "score_milli", (json_int_t)r->score_milli,
+			  "threshold_milli", (json_int_t)r->threshold_milli);
+
+	json_object_set_new(obj, "reason", text_value(i->reason));
+	json_object_set_new(obj, "bad",
+			    r->bad ? text_value(r->bad) : json_null());
+	return obj;
+}
+
+char *ajson_rollout(const struct ajson_rollout *r)
+{
+	json_t *obj = ok_new();
+
+	json_object_update_new(obj, rollout_object(r));
+	return finish(obj);
+}
+
+static json_t *host_object(const struct dcs_host *h)
+{
+	return json_pack("{s:s,s:s,s:s,s:I}", "host", h->host, "data_centre",
+			 h->data_centre, "state", contact_names[h->contact],
+			 "revision", (json_int_t)h->adopted_rev);
+}
+
+char *ajson_status(const struct ajson_status *s)
+{
+	json_t *obj = ok_new();
+	json_t *hosts = json_array();
+	json_t *dcs = json_array();
+	json_t *rollouts = json_array();
+	uint32_t i;
+
+	for (i = 0; i < s->host_count; i++)
+		json_array_append_new(hosts, host_object(&s->hosts[i]));
+	for (i = 0; i < s->dc_count; i++)
+		json_array_append_new(dcs, dc_object(&s->dcs[i]));
+	for (i = 0; i < s->rollout_count; i++)
+		json_array_append_new(rollouts,
+				      rollout_object(&s->rollouts[i]));
+	json_object_set_new(obj, "host", json_string(s->host));
+	json_object_set_new(obj, "data_centre", json_string(s->data_centre));
+	json_object_set_new(obj, "revision", json_integer((json_int_t)s->rev));
+	json_object_set_new(obj, "store",
+			    json_string(s->store_up ? "up" : "down"));
+	json_object_set_new(obj, "hosts", hosts);
+	json_object_set_new(obj, "out_or_returning", dcs);
+	json_object_set_new(obj, "rollouts", rollouts);
+	json_object_set_new(obj, "text", json_string(s->text));
+	return finish(obj);
+}
--- a/src/controller/dcs.c
+++ b/src/controller/dcs.c
@@ -67,7 +67,7 @@
 {
 	struct dcs_entry *e = find_or_add(d, kind, name);
 
-	if (rev <= e->rev)
+	if (rev < e->rev)
 		return;
 	if (e->state == DCS_OUT && state == DCS_IN) {
 		e->ramping = 1;
@@ -162,22 +162,15 @@
 	       h->contact == DCS_CONTACT_LEAVING;
 }
 
-void dcs_status(const struct dcs *d, int64_t now_us, enum dcs_kind kind,
-		const char *name, const struct dcs_host *hosts,
-		uint32_t host_count, struct dcs_status *out)
+void dcs_spread(uint64_t rev, const struct dcs_host *hosts, uint32_t host_count,
+		struct dcs_status *out)
 {
-	const struct dcs_entry *e = find(d, kind, name);
 	uint32_t i;
 
-	memset(out, 0, sizeof(*out));
-	out->kind = kind;
-	cu_copy(out->name, sizeof(out->name), name);
-	out->state = e ? e->state : DCS_IN;
-	out->rev = e ? e->rev : 0;
-	out->share_permille = entry_share(e, now_us);
 	out->host_count = host_count;
+	out->confirmed_count = out->waiting_count = out->lost_count = 0;
 	for (i = 0; i < host_count; i++) {
-		if (hosts[i].adopted_rev >= out->rev)
+		if (hosts[i].adopted_rev >= rev)
 			out->confirmed_count++;
 		else if (in_contact(&hosts[i]))
 			out->waiting_count++;
@@ -187,6 +180,21 @@
 	out->complete = out->confirmed_count == host_count;
 }
 
+void dcs_status(const struct dcs *d, int64_t now_us, enum dcs_kind kind,
+		const char *name, const struct dcs_host *hosts,
+		uint32_t host_count, struct dcs_status *out)
+{
+	const struct dcs_entry *e = find(d, kind, name);
+
+	memset(out, 0, sizeof(*out));
+	out->kind = kind;
+	cu_copy(out->name, sizeof(out->name), name);
+	out->state = e ? e->state : DCS_IN;
+	out->rev = e ? e->rev : 0;
+	out->share_permille = entry_share(e, now_us);
+	dcs_spread(out->rev, hosts, host_count, out);
+}
+
 int dcs_partitioned(const char *data_centre, const struct dcs_host *hosts,
 		    uint32_t host_count)
 {
@@ -203,7 +211,8 @@
 	return known > 0;
 }
 
-static void list_hosts(const struct dcs_status *s, const struct dcs_host *hosts,
+/* Lists the hosts without @rev that are in contact, or are not. */
+static void list_hosts(uint64_t rev, const struct dcs_host *hosts,
 		       uint32_t host_count, int contact, struct buf *out)
 {
 	uint32_t listed = 0;
@@ -213,7 +222,7 @@
 	for (i = 0; i < host_count; i++) {
 		const struct dcs_host *h = &hosts[i];
 
-		if (h->adopted_rev >= s->rev || in_contact(h) != contact)
+		if (h->adopted_rev >= rev || in_contact(h) != contact)
 			continue;
 		if (listed == NAMES_LISTED_MAX) {
 			more++;
@@ -240,9 +249,8 @@
 	return 0;
 }
 
-static void list_partitions(const struct dcs_status *s,
-			    const struct dcs_host *hosts, uint32_t host_count,
-			    struct buf *out)
+static void list_partitions(uint64_t rev, const struct dcs_host *hosts,
+			    uint32_t host_count, struct buf *out)
 {
 	uint32_t i;
 
@@ -257,7 +265,26 @@
 			 "or partitioned. Its hosts that run without revision "
 			 "%" PRIu64 " continue to serve their own callers "
 			 "until they receive it\n",
-			 name, s->rev);
+			 name, rev);
+	}
+}
+
+void dcs_unconfirmed_text(uint64_t rev, const struct dcs_host *hosts,
+			  uint32_t host_count, struct buf *out)
+{
+	struct dcs_status s;
+
+	dcs_spread(rev, hosts, host_count, &s);
+	if (s.waiting_count) {
+		buf_addf(out, "not confirmed:");
+		list_hosts(rev, hosts, host_count, 1, out);
+		buf_addf(out, "\n");
+	}
+	if (s.lost_count) {
+		buf_addf(out, "not confirmed and not in contact:");
+		list_hosts(rev, hosts, host_count, 0, out);
+		buf_addf(out, "\n");
+		list_partitions(rev, hosts, host_count, out);
 	}
 }
 
@@ -278,15 +305,5 @@
 			 s->share_permille);
 	buf_addf(out, "; confirmed by %u of %u hosts\n", s->confirmed_count,
 		 s->host_count);
-	if (s->waiting_count) {
-		buf_addf(out, "not confirmed:");
-		list_hosts(s, hosts, host_count, 1, out);
-		buf_addf(out, "\n");
-	}
-	if (s->lost_count) {
-		buf_addf(out, "not confirmed and not in contact:");
-		list_hosts(s, hosts, host_count, 0, out);
-		buf_addf(out, "\n");
-		list_partitions(s, hosts, host_count, out);
-	}
+	dcs_unconfirmed_text(s->rev, hosts, host_count, out);
 }
--- a/src/controller/dcs.h
+++ b/src/controller/dcs.h
@@ -61,9 +61,9 @@
 void dcs_free(struct dcs *d);
 
 /*
- * Adopts one item of revision @rev. A revision that is not newer than the
- * adopted one of the same item is ignored. An "in" for something that was
- * not out does not ramp.
+ * Adopts one item of revision @rev. An older revision than the adopted one of
+ * the same item is ignored. An "in" for something that was not out does not
+ * ramp.
  */
 void dcs_apply(struct dcs *d, int64_t now_us, enum dcs_kind kind,
 	       const char *name, enum dcs_state state, uint64_t rev);
@@ -86,6 +86,12 @@
 void dcs_status(const struct dcs *d, int64_t now_us, enum dcs_kind kind,
 		const char *name, const struct dcs_host *hosts,
 		uint32_t host_count, struct dcs_status *out);
+/* Counts in @out the hosts that have adopted @rev; leaves the rest of it. */
+void dcs_spread(uint64_t rev, const struct dcs_host *hosts, uint32_t host_count,
+		struct dcs_status *out);
+/* Appends lines that name the hosts without @rev and partitions; or nothing. */
+void dcs_unconfirmed_text(uint64_t rev, const struct dcs_host *hosts,
+			  uint32_t host_count, struct buf *out);
 /*
  * 1 when no host of @data_centre is in contact while some are known: it is
  * down or partitioned, which cannot be told apart from here.
--- a/src/controller/rol.c
+++ b/src/controller/rol.c
@@ -179,7 +179,7 @@
 {
 	struct rol_entry *e = rol_entry_internal(r, item->service);
 
-	if (e && rev <= e->rev)
+	if (e && rev < e->rev)
 		return ERR_OK;
 	if (!rol_fence_ok_internal(r->fence, item->fence))
 		return err_set(err, ERR_CFG_FENCE,
--- a/src/controller/rol.h
+++ b/src/controller/rol.h
@@ -62,7 +62,7 @@
 /*
  * Adopts a rollout item of revision @rev. ERR_CFG_FENCE when a leader wrote
  * it with a lower fencing token than one already adopted; it has no effect.
- * Fence 0 is an operator's edit. A revision that is not newer is ignored.
+ * Fence 0 is an operator's edit. An older revision is ignored.
  */
 enum err_code rol_item(struct rol *r, int64_t now_us, int64_t wall_ms,
 		       const struct rollout_item *item, uint64_t rev,
