--- /dev/null
+++ b/src/duty/control_admin.c
@@ -0,0 +1,385 @@
+#include "duty/control_admin.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "codec/ajson.h"
+#include "codec/sjson.h"
+#include "duty/control_admin_state.h"
+
+struct control_admin *control_admin_new(const char *host,
+					const char *data_centre,
+					const struct control_admin_ops *ops,
+					void *ctx, struct dcs *dcs,
+					struct rol *rol, struct slo *slo)
+{
+	struct control_admin *a = cu_alloc(1, sizeof(*a));
+
+	cu_copy(a->host, sizeof(a->host), host);
+	cu_copy(a->data_centre, sizeof(a->data_centre), data_centre);
+	a->ops = ops;
+	a->ctx = ctx;
+	a->dcs = dcs;
+	a->rol = rol;
+	a->slo = slo;
+	return a;
+}
+
+void control_admin_free(struct control_admin *a)
+{
+	free(a);
+}
+
+enum err_code control_admin_reply_internal(struct admin_call *call,
+					   uint32_t http_status, char *json)
+{
+	call->reply(call->reply_ctx, http_status, json);
+	free(json);
+	admin_call_free(call);
+	return ERR_OK;
+}
+
+static enum err_code reply_ok(struct admin_call *call, char *json)
+{
+	return control_admin_reply_internal(call, err_http_status(ERR_OK),
+					    json);
+}
+
+struct pending_edit {
+	struct control_admin *admin;
+	struct admin_call *call;
+	char item[ITEM_NAME_BYTES];
+};
+
+static void log_edit(struct control_admin *a, const struct admin_call *call,
+		     const char *item, const struct err *err, uint64_t rev)
+{
+	struct buf text CLEANUP_BUF = { 0 };
+
+	buf_addf(&text, "%s %s by %s: ", call->method, item, call->who);
+	if (err->code == ERR_OK)
+		buf_addf(&text, "accepted as revision %llu",
+			 (unsigned long long)rev);
+	else
+		buf_addf(&text, "%s, %s", err_name(err->code), err->detail);
+	a->ops->log(a->ctx, "admin_change", text.data);
+}
+
+static void reply_change(struct pending_edit *p, uint64_t rev)
+{
+	struct change c = { 0 };
+	struct err err = { 0 };
+
+	if (control_admin_change_internal(p->admin, rev, &c, &err) != ERR_OK) {
+		/* Accepted, but this host has not put it into effect yet. */
+		c.rev = rev;
+		cu_copy(c.item, sizeof(c.item), p->item);
+		cu_copy(c.who, sizeof(c.who), p->call->who);
+		buf_addf(&c.statement, "accepted as revision %llu\n",
+			 (unsigned long long)rev);
+	}
+	reply_ok(p->call, ajson_change(&c));
+	change_clear(&c);
+}
+
+static void edit_done(void *ctx, const struct err *err, uint64_t rev)
+{
+	struct pending_edit *p CLEANUP_FREE = ctx;
+
+	log_edit(p->admin, p->call, p->item, err, rev);
+	if (err->code == ERR_OK)
+		reply_change(p, rev);
+	else
+		control_admin_reply_internal(
+			p->call, err_http_status(err->code), ajson_error(err));
+}
+
+enum err_code control_admin_edit_internal(struct control_admin *a,
+					  const char *item, const char *json,
+					  uint64_t if_rev,
+					  struct admin_call *call,
+					  struct err *err)
+{
+	struct pending_edit *p = cu_alloc(1, sizeof(*p));
+	enum err_code code;
+
+	p->admin = a;
+	p->call = call;
+	cu_copy(p->item, sizeof(p->item), item);
+	code = a->ops->edit(a->ctx, item, json, call->who, if_rev, edit_done, p,
+			    err);
+	if (code == ERR_OK)
+		return ERR_OK;
+	log_edit(a, call, item, err, 0);
+	free(p);
+	return code;
+}
+
+static const char *kind_of(const struct admin_path *p)
+{
+	return strcmp(p->collection, "contracts") == 0 ? "contract" : "layout";
+}
+
+static void item_name(const struct admin_path *p, char *out)
+{
+	snprintf(out, ITEM_NAME_BYTES, "%s/%s", kind_of(p),
+		 p->name ? p->name : "");
+}
+
+static void add_item(void *ctx, const struct cfg_item *item)
+{
+	if (item->json)
+		ajson_list_item(ctx, item);
+}
+
+static enum err_code items_list(struct control_admin *a,
+				const struct admin_path *p,
+				struct admin_call *call, struct err *err)
+{
+	struct ajson_list *l = ajson_list_new(p->collection);
+	char prefix[ITEM_NAME_BYTES];
+
+	item_name(p, prefix);
+	a->ops->each_item(a->ctx, prefix, add_item, l);
+	return reply_ok(call, ajson_list_text(l));
+}
+
+static enum err_code item_get(struct control_admin *a,
+			      const struct admin_path *p,
+			      struct admin_call *call, struct err *err)
+{
+	const struct cfg_item *item;
+	char name[ITEM_NAME_BYTES];
+
+	item_name(p, name);
+	item = a->ops->item(a->ctx, name);
+	if (!item || !item->json)
+		return err_set(err, ERR_NOT_FOUND, "no %s in effect", name);
+	return reply_ok(call, ajson_item(item));
+}
+
+static enum err_code item_put(struct control_admin *a,
+			      const struct admin_path *p,
+			      struct admin_call *call, struct err *err)
+{
+	const char *json = call->body ? call->body : "";
+	char name[ITEM_NAME_BYTES];
+	enum err_code code;
+
+	item_name(p, name);
+	code = sjson_check_item(name, json, err);
+	if (code != ERR_OK)
+		return code;
+	return control_admin_edit_internal(a, name, json, p->if_rev, call, err);
+}
+
+static enum err_code item_delete(struct control_admin *a,
+				 const struct admin_path *p,
+				 struct admin_call *call, struct err *err)
+{
+	const struct cfg_item *item;
+	char name[ITEM_NAME_BYTES];
+
+	item_name(p, name);
+	item = a->ops->item(a->ctx, name);
+	if (!item || !item->json)
+		return err_set(err, ERR_NOT_FOUND, "no %s in effect", name);
+	return control_admin_edit_internal(a, name, NULL, p->if_rev, call, err);
+}
+
+static enum err_code item_validate(struct control_admin *a,
+				   const struct admin_path *p,
+				   struct admin_call *call, struct err *err)
+{
+	char name[ITEM_NAME_BYTES];
+	enum err_code code;
+
+	item_name(p, name);
+	code = sjson_check_item(name, call->body ? call->body : "", err);
+	if (code != ERR_OK)
+		return code;
+	return reply_ok(call, ajson_valid());
+}
+
+static enum err_code item_diff(struct control_admin *a,
+			       const struct admin_path *p,
+			       struct admin_call *call, struct err *err)
+{
+	const struct cfg_item *item;
+	struct ajson_list *l;
+	char name[ITEM_NAME_BYTES];
+	enum err_code code;
+
+	item_name(p, name);
+	code = sjson_check_item(name, call->body ? call->body : "", err);
+	if (code != ERR_OK)
+		return code;
+	item = a->ops->item(a->ctx, name);
+	l = ajson_list_new("differences");
+	code = ajson_list_differences(l, item ? item->json : NULL, call->body,
+				      err);
+	if (code == ERR_OK)
+		return reply_ok(call, ajson_list_text(l));
+	ajson_list_free(l);
+	return code;
+}
+
+static void add_slo(void *ctx, const struct slo_report *r)
+{
+	ajson_list_slo(ctx, r);
+}
+
+static enum err_code report(struct control_admin *a, const struct admin_path *p,
+			    struct admin_call *call, struct err *err)
+{
+	int64_t now_us = a->ops->now_us(a->ctx);
+	struct ajson_list *l;
+	struct slo_report r;
+	enum err_code code;
+
+	if (p->name) {
+		code = slo_report(a->slo, now_us, p->name, &r, err);
+		if (code != ERR_OK)
+			return code;
+		l = ajson_list_new("customers");
+		ajson_list_slo(l, &r);
+	} else {
+		l = ajson_list_new("customers");
+		slo_each(a->slo, now_us, add_slo, l);
+	}
+	return reply_ok(call, ajson_list_text(l));
+}
+
+/* Parts of a path that a route needs. */
+enum route_shape { SHAPE_LIST, SHAPE_NAME, SHAPE_VERB };
+
+struct admin_route {
+	const char *method;
+	const char *collection;
+	enum route_shape shape;
+	/* NULL: none. */
+	const char *verb;
+	admin_route_fn *fn;
+};
+
+/* DEF(method, collection, shape, verb, function) */
+#define ITEM_ROUTES(DEF, collection)                                   \
+	DEF("GET", collection, SHAPE_LIST, NULL, items_list)           \
+	DEF("GET", collection, SHAPE_NAME, NULL, item_get)             \
+	DEF("PUT", collection, SHAPE_NAME, NULL, item_put)             \
+	DEF("DELETE", collection, SHAPE_NAME, NULL, item_delete)       \
+	DEF("POST", collection, SHAPE_VERB, "validate", item_validate) \
+	DEF("POST", collection, SHAPE_VERB, "diff", item_diff)
+#define ROUTES(DEF)                                                          \
+	ITEM_ROUTES(DEF, "contracts")                                        \
+	ITEM_ROUTES(DEF, "indexes")                                          \
+	DEF("GET", "data-centres", SHAPE_NAME, NULL, control_admin_dc_get)   \
+	DEF("POST", "data-centres", SHAPE_VERB, "out", control_admin_dc_set) \
+	DEF("POST", "data-centres", SHAPE_VERB, "in", control_admin_dc_set)  \
+	DEF("GET", "hosts", SHAPE_NAME, NULL, control_admin_host_get)        \
+	DEF("POST", "hosts", SHAPE_VERB, "out", control_admin_host_set)      \
+	DEF("POST", "hosts", SHAPE_VERB, "in", control_admin_host_set)       \
+	DEF("GET", "versions", SHAPE_NAME, NULL, control_admin_version_get)  \
+	DEF("POST", "versions", SHAPE_VERB, "start",                         \
+	    control_admin_version_start)                                     \
+	DEF("POST", "versions", SHAPE_VERB, "abort",                         \
+	    control_admin_version_abort)                                     \
+	DEF("GET", "status", SHAPE_LIST, NULL, control_admin_status)         \
+	DEF("GET", "changes", SHAPE_LIST, NULL, control_admin_changes_list)  \
+	DEF("GET", "changes", SHAPE_NAME, NULL, control_admin_change_get)    \
+	DEF("GET", "report", SHAPE_LIST, NULL, report)                       \
+	DEF("GET", "report", SHAPE_NAME, NULL, report)
+
+static const struct admin_route routes[] = {
+#define DEF(method, collection, shape, verb, fn) \
+	{ method, collection, shape, verb, fn },
+	ROUTES(DEF)
+#undef DEF
+};
+
+static enum err_code parse_query(const char *query, struct admin_path *out,
+				 struct err *err)
+{
+	char *end;
+
+	if (!query)
+		return ERR_OK;
+	if (strncmp(query, "if_rev=", 7) != 0 || query[7] < '0' ||
+	    query[7] > '9')
+		return err_set(err, ERR_BAD_FIELD,
+			       "query is '%s', accepted if_rev=NUMBER", query);
+	out->if_rev = strtoull(query + 7, &end, 10);
+	if (*end)
+		return err_set(err, ERR_BAD_FIELD,
+			       "if_rev is '%s', accepted a revision number",
+			       query + 7);
+	return ERR_OK;
+}
+
+static enum err_code parse_path(const char *path, struct admin_path *out,
+				struct err *err)
+{
+	char *query;
+	char *save = NULL;
+
+	memset(out, 0, sizeof(*out));
+	cu_copy(out->text, sizeof(out->text), path);
+	query = strchr(out->text, '?');
+	if (query)
+		*query++ = '\0';
+	out->collection = strtok_r(out->text, "/", &save);
+	out->name = strtok_r(NULL, "/", &save);
+	out->verb = strtok_r(NULL, "/", &save);
+	if (!out->collection || strtok_r(NULL, "/", &save))
+		return err_set(err, ERR_NOT_FOUND,
+			       "no resource at this path, see docs/ADMIN.md");
+	if (out->name && !cu_name_ok(out->name, NAME_BYTES - 1))
+		return err_set(err, ERR_BAD_FIELD,
+			       "name in the path is not valid, accepted 1 to "
+			       "64 of a-z A-Z 0-9 . _ : -");
+	return parse_query(query, out, err);
+}
+
+static int route_matches(const struct admin_route *r,
+			 const struct admin_path *p)
+{
+	enum route_shape shape = p->verb   ? SHAPE_VERB
+				 : p->name ? SHAPE_NAME
+					   : SHAPE_LIST;
+
+	return r->shape == shape && strcmp(r->collection, p->collection) == 0 &&
+	       (!r->verb || strcmp(r->verb, p->verb) == 0);
+}
+
+static enum err_code dispatch(struct control_admin *a, struct admin_call *call,
+			      struct err *err)
+{
+	struct buf methods CLEANUP_BUF = { 0 };
+	struct admin_path p;
+	enum err_code code = parse_path(call->path, &p, err);
+	uint32_t i;
+
+	if (code != ERR_OK)
+		return code;
+	for (i = 0; i < countof(routes); i++) {
+		if (!route_matches(&routes[i], &p))
+			continue;
+		if (strcmp(routes[i].method, call->method) == 0)
+			return routes[i].fn(a, &p, call, err);
+		buf_addf(&methods, " %s", routes[i].method);
+	}
+	if (methods.data)
+		return err_set(err, ERR_METHOD, "method %s, accepted%s",
+			       call->method, methods.data);
+	return err_set(err, ERR_NOT_FOUND,
+		       "no resource at this path, see docs/ADMIN.md");
+}
+
+void control_admin_call(struct control_admin *a, struct admin_call *call)
+{
+	struct err err = { 0 };
+
+	if (dispatch(a, call, &err) != ERR_OK)
+		control_admin_reply_internal(call, err_http_status(err.code),
+					     ajson_error(&err));
+}
--- /dev/null
+++ b/src/duty/control_admin_change.c
@@ -0,0 +1,278 @@
+/* What became of each change; see control_admin.h. */
+#include <inttypes.h>
+#include <string.h>
+
+#include "codec/ajson.h"
+#include "codec/sjson.h"
+#include "duty/control_admin_state.h"
+
+#define ROLLOUT_PREFIX "rollout/"
+/* Changes that one list names. */
+#define LISTED_MAX 50
+
+static int is_rollout(const char *item)
+{
+	return strncmp(item, ROLLOUT_PREFIX, strlen(ROLLOUT_PREFIX)) == 0;
+}
+
+/* Version that the rollout item leads to; empty for another document. */
+static void rollout_target(const struct cfg_item *item, char *out)
+{
+	struct rollout_item r;
+	struct err err = { 0 };
+
+	out[0] = '\0';
+	if (is_rollout(item->name) && item->json &&
+	    sjson_rollout(item->json, &r, &err) == ERR_OK)
+		cu_copy(out, NAME_BYTES, r.to);
+}
+
+static void fill_entry(struct history_entry *e, const struct cfg_item *item)
+{
+	memset(e, 0, sizeof(*e));
+	e->rev = item->rev;
+	cu_copy(e->item, sizeof(e->item), item->name);
+	cu_copy(e->who, sizeof(e->who), item->who);
+	e->deleted = !item->json;
+	rollout_target(item, e->to);
+}
+
+void control_admin_item(struct control_admin *a, const struct cfg_item *item)
+{
+	fill_entry(&a->history[a->history_count++ % HISTORY_MAX], item);
+}
+
+static uint64_t history_start(const struct control_admin *a)
+{
+	return a->history_count > HISTORY_MAX ? a->history_count - HISTORY_MAX
+					      : 0;
+}
+
+struct rev_search {
+	uint64_t rev;
+	struct history_entry *out;
+};
+
+static void match_rev(void *ctx, const struct cfg_item *item)
+{
+	struct rev_search *s = ctx;
+
+	if (item->rev == s->rev)
+		fill_entry(s->out, item);
+}
+
+/* From memory, or from the items in effect, which outlive a restart. */
+static enum err_code find_entry(struct control_admin *a, uint64_t rev,
+				struct history_entry *out, struct err *err)
+{
+	struct rev_search search = { rev, out };
+	uint64_t i;
+
+	for (i = a->history_count; i > history_start(a); i--) {
+		const struct history_entry *e =
+			&a->history[(i - 1) % HISTORY_MAX];
+
+		if (e->rev == rev) {
+			*out = *e;
+			return ERR_OK;
+		}
+	}
+	memset(out, 0, sizeof(*out));
+	a->ops->each_item(a->ctx, "", match_rev, &search);
+	if (out->rev)
+		return ERR_OK;
+	if (rev > a->ops->rev(a->ctx))
+		return err_set(err, ERR_NOT_FOUND,
+			       "change r%" PRIu64 " is not known here; this "
+			       "host is at revision %" PRIu64,
+			       rev, a->ops->rev(a->ctx));
+	return err_set(err, ERR_NOT_FOUND,
+		       "change r%" PRIu64 " was replaced before this host "
+		       "started, or is older than its last %d changes",
+		       rev, HISTORY_MAX);
+}
+
+static void rollout_statement(const struct rollout_item *r, const char *bad,
+			      struct change *out)
+{
+	switch (r->state) {
+	case ROLLOUT_DONE:
+		out->state = CHANGE_DONE;
+		buf_addf(&out->statement, "done: %s serves all of %s\n", r->to,
+			 r->service);
+		return;
+	case ROLLOUT_ROLLED_BACK:
+		out->state = CHANGE_ROLLED_BACK;
+		buf_addf(&out->statement, "rolled back to %s: %s\n", r->from,
+			 r->reason);
+		return;
+	case ROLLOUT_ABORTED:
+		out->state = CHANGE_ABORTED;
+		buf_addf(&out->statement, "aborted, back to %s: %s\n", r->from,
+			 r->reason);
+		return;
+	default:
+		out->state = CHANGE_IN_PROGRESS;
+	}
+	if (bad)
+		buf_addf(&out->statement,
+			 "being rolled back to %s; this host already gives %s "
+			 "no work: %s\n",
+			 r->from, r->to, bad);
+	else
+		buf_addf(&out->statement, "in progress: %s has %u of 1000\n",
+			 r->to, r->share_permille);
+}
+
+struct centre_search {
+	const struct dcs_host *hosts;
+	uint32_t host_count;
+	/* Data centres named so far, each with a blank before and after. */
+	struct buf *seen;
+	struct buf *out;
+	uint32_t missing;
+};
+
+/* Data centres that have targets but no known host. */
+static void check_centre(void *ctx, const char *service, const struct target *t)
+{
+	struct centre_search *s = ctx;
+	char key[NAME_BYTES + 2];
+	uint32_t i;
+
+	snprintf(key, sizeof(key), " %s ", t->data_centre);
+	if (s->seen->data && strstr(s->seen->data, key))
+		return;
+	buf_addf(s->seen, "%s", key);
+	for (i = 0; i < s->host_count; i++) {
+		if (strcmp(s->hosts[i].data_centre, t->data_centre) == 0)
+			return;
+	}
+	s->missing++;
+	buf_addf(s->out,
+		 "data centre %s: no host is known here; it is down or "
+		 "partitioned, and its hosts may serve without this change\n",
+		 t->data_centre);
+}
+
+static void spread_statement(struct control_admin *a, uint64_t rev,
+			     struct change *out)
+{
+	struct dcs_host *hosts CLEANUP_FREE = NULL;
+	struct buf seen CLEANUP_BUF = { 0 };
+	struct buf rest CLEANUP_BUF = { 0 };
+	struct centre_search search = { .seen = &seen, .out = &rest };
+	struct dcs_status s;
+
+	hosts = control_admin_hosts_internal(a, &search.host_count);
+	search.hosts = hosts;
+	dcs_spread(rev, hosts, search.host_count, &s);
+	dcs_unconfirmed_text(rev, hosts, search.host_count, &rest);
+	control_admin_targets_internal(a, check_centre, &search);
+	out->host_count = s.host_count;
+	out->confirmed_count = s.confirmed_count;
+	out->waiting_count = s.waiting_count;
+	out->lost_count = s.lost_count;
+	out->state = s.complete && !search.missing ? CHANGE_DONE
+						   : CHANGE_IN_PROGRESS;
+	if (out->state == CHANGE_DONE)
+		buf_addf(&out->statement, "done: in effect on all %u hosts\n",
+			 s.host_count);
+	else
+		buf_addf(&out->statement,
+			 "in progress: in effect on %u of %u known hosts\n",
+			 s.confirmed_count, s.host_count);
+	if (rest.data)
+		buf_add(&out->statement, rest.data, rest.len_bytes);
+}
+
+/* 1 when the rollout that the change began is still the one in effect. */
+static int rollout_state_now(struct control_admin *a,
+			     const struct history_entry *e,
+			     const struct cfg_item *now, struct change *out)
+{
+	struct rollout_item r;
+	struct err err = { 0 };
+
+	if (!e->to[0] || !now || !now->json ||
+	    sjson_rollout(now->json, &r, &err) != ERR_OK ||
+	    strcmp(r.to, e->to) != 0)
+		return 0;
+	rollout_statement(&r, rol_bad_reason(a->rol, r.service, r.to), out);
+	return 1;
+}
+
+static void fill_change(struct control_admin *a, const struct history_entry *e,
+			struct change *out)
+{
+	const struct cfg_item *now = a->ops->item(a->ctx, e->item);
+
+	out->rev = e->rev;
+	cu_copy(out->item, sizeof(out->item), e->item);
+	cu_copy(out->who, sizeof(out->who), e->who);
+	if (rollout_state_now(a, e, now, out))
+		return;
+	if (now && now->rev > e->rev) {
+		out->state = CHANGE_REPLACED;
+		buf_addf(&out->statement, "replaced by r%" PRIu64 " of %s\n",
+			 now->rev, now->who);
+		return;
+	}
+	spread_statement(a, e->rev, out);
+}
+
+enum err_code control_admin_change_internal(struct control_admin *a,
+					    uint64_t rev, struct change *out,
+					    struct err *err)
+{
+	struct history_entry e;
+	enum err_code code = find_entry(a, rev, &e, err);
+
+	memset(out, 0, sizeof(*out));
+	if (code == ERR_OK)
+		fill_change(a, &e, out);
+	return code;
+}
+
+enum err_code control_admin_change_get(struct control_admin *a,
+				       const struct admin_path *p,
+				       struct admin_call *call, struct err *err)
+{
+	uint64_t rev = change_rev_of(p->name);
+	struct change c = { 0 };
+	enum err_code code;
+
+	if (!rev)
+		return err_set(err, ERR_BAD_FIELD,
+			       "change ID is %s, accepted r and a revision "
+			       "number",
+			       p->name);
+	code = control_admin_change_internal(a, rev, &c, err);
+	if (code == ERR_OK)
+		control_admin_reply_internal(call, err_http_status(ERR_OK),
+					     ajson_change(&c));
+	change_clear(&c);
+	return code;
+}
+
+enum err_code control_admin_changes_list(struct control_admin *a,
+					 const struct admin_path *p,
+					 struct admin_call *call,
+					 struct err *err)
+{
+	struct ajson_list *l = ajson_list_new("changes");
+	uint64_t from = history_start(a);
+	uint64_t i;
+
+	if (a->history_count - from > LISTED_MAX)
+		from = a->history_count - LISTED_MAX;
+	for (i = a->history_count; i > from; i--) {
+		struct change c = { 0 };
+
+		fill_change(a, &a->history[(i - 1) % HISTORY_MAX], &c);
+		ajson_list_change(l, &c);
+		change_clear(&c);
+	}
+	return control_admin_reply_internal(call, err_http_status(ERR_OK),
+					    ajson_list_text(l));
+}
