--- /dev/null
+++ b/src/duty/admin.c
@@ -0,0 +1,451 @@
+#include "duty/admin.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/addr.h"
+#include "base/metric.h"
+#include "codec/ajson.h"
+#include "duty/admin_reply.h"
+#include "duty/messages.h"
+
+#define API_PREFIX "/admin/v1/"
+#define JSON_TYPE "application/json"
+#define METRICS_TYPE "text/plain; version=0.0.4; charset=utf-8"
+/* Operators and one scraper; more are refused by the library. */
+#define CONNECTIONS_MAX 64
+/* A client that sends nothing for this long is closed. */
+#define IDLE_S 30
+
+struct admin {
+	struct admin_options o;
+	struct MHD_Daemon *daemon;
+	uint16_t port;
+	_Atomic uint32_t health;
+	/* Guards the list of open requests. */
+	pthread_mutex_t lock;
+	struct admin_request *open;
+	uint32_t stopping;
+};
+
+/* One request of a client, from its header to its end. */
+struct admin_request {
+	struct admin *admin;
+	struct MHD_Connection *connection;
+	struct admin_request *next;
+	struct buf body;
+	uint32_t too_large;
+	/* Set while control works on it. */
+	struct admin_reply *reply;
+};
+
+static enum MHD_Result answer(struct MHD_Connection *c, uint32_t status,
+			      const char *type, const char *text)
+{
+	struct MHD_Response *r = MHD_create_response_from_buffer(
+		strlen(text), (void *)(uintptr_t)text, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result result;
+
+	MHD_add_response_header(r, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+	result = MHD_queue_response(c, status, r);
+	MHD_destroy_response(r);
+	return result;
+}
+
+static enum MHD_Result answer_error(struct MHD_Connection *c,
+				    const struct err *err)
+{
+	char *json CLEANUP_FREE = ajson_error(err);
+
+	return answer(c, err_http_status(err->code), JSON_TYPE, json);
+}
+
+/* Takes the same time wherever the texts differ. */
+static int token_equal(const char *a, const char *b)
+{
+	size_t len = strlen(a);
+	size_t len_b = strlen(b);
+	unsigned char difference = len != len_b;
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		difference |= (unsigned char)a[i] ^
+			      (unsigned char)b[len_b ? i % len_b : 0];
+	return difference == 0;
+}
+
+static int authorized(const struct admin *a, struct MHD_Connection *c)
+{
+	const char *given = MHD_lookup_connection_value(
+		c, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION);
+	char expected[ADMIN_TOKEN_BYTES + 8];
+
+	if (!a->o.token[0])
+		return 1;
+	snprintf(expected, sizeof(expected), "Bearer %s", a->o.token);
+	return given && token_equal(given, expected);
+}
+
+static enum MHD_Result answer_health(struct admin *a, struct MHD_Connection *c)
+{
+	struct err err = { .code = (enum err_code)a->health };
+	char *json CLEANUP_FREE = NULL;
+
+	cu_copy(err.detail, sizeof(err.detail), err_text(err.code));
+	json = ajson_error(&err);
+	return answer(c, err.code == ERR_OK ? 200 : 503, JSON_TYPE, json);
+}
+
+static enum MHD_Result answer_metrics(struct MHD_Connection *c)
+{
+	struct buf text CLEANUP_BUF = { 0 };
+
+	metric_write(&text);
+	return answer(c, 200, METRICS_TYPE, text.data);
+}
+
+/* Address of the client and the name it gives, without control characters. */
+static void who_asks(struct MHD_Connection *c, char *out, size_t size_bytes)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(c, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	const char *name =
+		MHD_lookup_connection_value(c, MHD_HEADER_KIND, "X-Operator");
+	const struct sockaddr *sa = info ? info->client_addr : NULL;
+	char address[ADDRESS_BYTES] = "?";
+
+	if (sa && sa->sa_family == AF_INET)
+		inet_ntop(AF_INET, &((const struct sockaddr_in *)sa)->sin_addr,
+			  address, sizeof(address));
+	else if (sa && sa->sa_family == AF_INET6)
+		inet_ntop(AF_INET6,
+			  &((const struct sockaddr_in6 *)sa)->sin6_addr,
+			  address, sizeof(address));
+	if (!cu_name_ok(name, NAME_BYTES - 1))
+		name = "unnamed";
+	snprintf(out, size_bytes, "%s@%s", name, address);
+}
+
+static enum MHD_Result collect_query(void *cls, enum MHD_ValueKind kind,
+				     const char *key, const char *value)
+{
+	struct buf *path = cls;
+
+	buf_addf(path, "%c%s=%s", strchr(path->data, '?') ? '&' : '?', key,
+		 value ? value : "");
+	return MHD_YES;
+}
+
+static void wake_connection(void *ctx)
+{
+	MHD_resume_connection(ctx);
+}
+
+/* For a call that is dropped unread because control has stopped. */
+static void drop_call(void *body)
+{
+	struct admin_call *call = body;
+	struct err err = { 0 };
+	char *json CLEANUP_FREE = NULL;
+
+	err_set(&err, ERR_STOPPING, "this host is shutting down");
+	json = ajson_error(&err);
+	call->reply(call->reply_ctx, err_http_status(err.code), json);
+	admin_call_free(call);
+}
+
+static enum err_code new_call(struct admin_request *r, const char *method,
+			      const char *url, struct admin_call **out,
+			      struct err *err)
+{
+	struct buf path CLEANUP_BUF = { 0 };
+	struct admin_call *call;
+
+	if (strlen(method) >= sizeof(call->method))
+		return err_set(err, ERR_METHOD,
+			       "method %.16s, accepted GET PUT POST DELETE",
+			       method);
+	buf_addf(&path, "%s", url + strlen(API_PREFIX));
+	MHD_get_connection_values(r->connection, MHD_GET_ARGUMENT_KIND,
+				  collect_query, &path);
+	if (path.len_bytes >= sizeof(call->path))
+		return err_set(err, ERR_NOT_FOUND,
+			       "path is too long, accepted up to %zu bytes",
+			       sizeof(call->path) - 1);
+	call = cu_alloc(1, sizeof(*call));
+	cu_copy(call->method, sizeof(call->method), method);
+	cu_copy(call->path, sizeof(call->path), path.data);
+	who_asks(r->connection, call->who, sizeof(call->who));
+	if (r->body.data)
+		call->body = cu_strdup(r->body.data);
+	*out = call;
+	return ERR_OK;
+}
+
+/*
+ * 0 once the port closes. Under the lock, so that cancel_calls() resumes
+ * either a suspended connection or none.
+ */
+static int suspend(struct admin_request *r)
+{
+	struct admin *a = r->admin;
+	int open;
+
+	pthread_mutex_lock(&a->lock);
+	open = !a->stopping;
+	if (open) {
+		MHD_suspend_connection(r->connection);
+		r->reply = admin_reply_new(wake_connection, r->connection);
+	}
+	pthread_mutex_unlock(&a->lock);
+	return open;
+}
+
+/* Hands the call to control and suspends the connection. */
+static enum MHD_Result start_call(struct admin_request *r, const char *method,
+				  const char *url)
+{
+	struct admin_call *call = NULL;
+	struct msg m = { .type = MSG_ADMIN, .drop = drop_call };
+	struct err err = { 0 };
+
+	if (new_call(r, method, url, &call, &err) != ERR_OK)
+		return answer_error(r->connection, &err);
+	if (!suspend(r)) {
+		admin_call_free(call);
+		err_set(&err, ERR_STOPPING, "this host is shutting down");
+		return answer_error(r->connection, &err);
+	}
+	call->reply = admin_reply_set;
+	call->reply_ctx = r->reply;
+	m.body = call;
+	if (ring_push(r->admin->o.control, &m) != ERR_OK) {
+		err_set(&err, ERR_RING_FULL, "control takes no more calls now");
+		admin_reply_set(r->reply, err_http_status(err.code), "");
+		admin_call_free(call);
+	}
+	return MHD_YES;
+}
+
+static enum MHD_Result finish_call(struct admin_request *r)
+{
+	struct err err = { 0 };
+	const char *json;
+	uint32_t status;
+
+	/* Resumed without a reply only when the library shuts down. */
+	if (!admin_reply_get(r->reply, &status, &json))
+		return MHD_NO;
+	if (json[0])
+		return answer(r->connection, status, JSON_TYPE, json);
+	err_set(&err, ERR_RING_FULL, "control takes no more calls now");
+	return answer_error(r->connection, &err);
+}
+
+static enum MHD_Result route(struct admin_request *r, const char *method,
+			     const char *url)
+{
+	struct admin *a = r->admin;
+	struct err err = { 0 };
+	int get = strcmp(method, "GET") == 0;
+	int page = strcmp(url, "/healthz") == 0 || strcmp(url, "/metrics") == 0;
+
+	if (page && !get)
+		err_set(&err, ERR_METHOD, "method %.16s, accepted GET", method);
+	else if (strcmp(url, "/healthz") == 0)
+		return answer_health(a, r->connection);
+	else if (!authorized(a, r->connection))
+		err_set(&err, ERR_AUTH,
+			"the header 'Authorization: Bearer TOKEN' is missing "
+			"or has another token");
+	else if (r->too_large)
+		err_set(&err, ERR_TOO_LARGE, "body exceeds %d bytes",
+			ADMIN_BODY_BYTES_MAX);
+	else if (page)
+		return answer_metrics(r->connection);
+	else if (strncmp(url, API_PREFIX, strlen(API_PREFIX)) == 0)
+		return start_call(r, method, url);
+	else
+		err_set(&err, ERR_NOT_FOUND,
+			"no such page, accepted /metrics, /healthz and "
+			"/admin/v1/");
+	return answer_error(r->connection, &err);
+}
+
+static struct admin_request *request_new(struct admin *a,
+					 struct MHD_Connection *c)
+{
+	struct admin_request *r = cu_alloc(1, sizeof(*r));
+
+	r->admin = a;
+	r->connection = c;
+	pthread_mutex_lock(&a->lock);
+	r->next = a->open;
+	a->open = r;
+	pthread_mutex_unlock(&a->lock);
+	return r;
+}
+
+static void take_body(struct admin_request *r, const char *data, size_t bytes)
+{
+	/* The rest is read and dropped, so that the client sees the answer. */
+	if (r->body.len_bytes + bytes > ADMIN_BODY_BYTES_MAX)
+		r->too_large = 1;
+	if (!r->too_large)
+		buf_add(&r->body, data, bytes);
+}
+
+static enum MHD_Result on_access(void *cls, struct MHD_Connection *c,
+				 const char *url, const char *method,
+				 const char *version, const char *data,
+				 size_t *bytes, void **state)
+{
+	struct admin_request *r = *state;
+
+	if (!r) {
+		*state = request_new(cls, c);
+		return MHD_YES;
+	}
+	if (*bytes) {
+		take_body(r, data, *bytes);
+		*bytes = 0;
+		return MHD_YES;
+	}
+	if (r->reply)
+		return finish_call(r);
+	return route(r, method, url);
+}
+
+static void on_completed(void *cls, struct MHD_Connection *c, void **state,
+			 enum MHD_RequestTerminationCode code)
+{
+	struct admin *a = cls;
+	struct admin_request *r = *state;
+	struct admin_request **at;
+
+	if (!r)
+		return;
+	pthread_mutex_lock(&a->lock);
+	for (at = &a->open; *at && *at != r; at = &(*at)->next)
+		;
+	if (*at)
+		*at = r->next;
+	pthread_mutex_unlock(&a->lock);
+	if (r->reply)
+		admin_reply_unref(r->reply);
+	buf_free(&r->body);
+	free(r);
+	*state = NULL;
+}
+
+static int is_loopback(const struct sockaddr_storage *s)
+{
+	const struct sockaddr_in *v4 = (const struct sockaddr_in *)s;
+	const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)s;
+
+	if (s->ss_family == AF_INET)
+		return ntohl(v4->sin_addr.s_addr) >> 24 == 127;
+	return IN6_IS_ADDR_LOOPBACK(&v6->sin6_addr);
+}
+
+static enum err_code parse_address(const struct admin_options *o,
+				   struct sockaddr_storage *out,
+				   struct err *err)
+{
+	if (!addr_fill(o->address, o->port, out))
+		return err_set(err, ERR_SETTING,
+			       "admin address is '%s', accepted an IP number",
+			       o->address);
+	if (!is_loopback(out) && !o->token[0])
+		return err_set(err, ERR_SETTING,
+			       "admin address is %s, accepted without a token: "
+			       "a loopback address",
+			       o->address);
+	return ERR_OK;
+}
+
+static enum err_code start_daemon(struct admin *a,
+				  const struct sockaddr_storage *at,
+				  struct err *err)
+{
+	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD |
+			     MHD_ALLOW_SUSPEND_RESUME;
+	const union MHD_DaemonInfo *info;
+
+	if (at->ss_family == AF_INET6)
+		flags |= MHD_USE_IPv6;
+	a->daemon = MHD_start_daemon(flags, 0, NULL, NULL, on_access, a,
+				     MHD_OPTION_SOCK_ADDR, at,
+				     MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+				     a, MHD_OPTION_CONNECTION_LIMIT,
+				     (unsigned int)CONNECTIONS_MAX,
+				     MHD_OPTION_CONNECTION_TIMEOUT,
+				     (unsigned int)IDLE_S, MHD_OPTION_END);
+	if (!a->daemon)
+		return err_set(err, ERR_IO, "cannot serve admin port %s:%u",
+			       a->o.address, a->o.port);
+	info = MHD_get_daemon_info(a->daemon, MHD_DAEMON_INFO_BIND_PORT);
+	a->port = info ? info->port : a->o.port;
+	return ERR_OK;
+}
+
+struct admin *admin_new(const struct admin_options *o, struct err *err)
+{
+	struct sockaddr_storage at;
+	struct admin *a;
+
+	if (parse_address(o, &at, err) != ERR_OK)
+		return NULL;
+	a = cu_alloc(1, sizeof(*a));
+	a->o = *o;
+	a->health = ERR_NO_CONFIG;
+	pthread_mutex_init(&a->lock, NULL);
+	if (start_daemon(a, &at, err) == ERR_OK)
+		return a;
+	pthread_mutex_destroy(&a->lock);
+	free(a);
+	return NULL;
+}
+
+/* Suspended connections have to be resumed before the library stops. */
+static void cancel_calls(struct admin *a)
+{
+	struct err err = { 0 };
+	char *json CLEANUP_FREE = NULL;
+	struct admin_request *r;
+
+	err_set(&err, ERR_STOPPING, "this host is shutting down");
+	json = ajson_error(&err);
+	pthread_mutex_lock(&a->lock);
+	a->stopping = 1;
+	for (r = a->open; r; r = r->next) {
+		if (r->reply)
+			admin_reply_cancel(r->reply, err_http_status(err.code),
+					   json);
+	}
+	pthread_mutex_unlock(&a->lock);
+}
+
+void admin_free(struct admin *a)
+{
+	if (!a)
+		return;
+	MHD_quiesce_daemon(a->daemon);
+	cancel_calls(a);
+	MHD_stop_daemon(a->daemon);
+	pthread_mutex_destroy(&a->lock);
+	free(a);
+}
+
+uint16_t admin_port(const struct admin *a)
+{
+	return a->port;
+}
+
+void admin_set_health(struct admin *a, enum err_code code)
+{
+	a->health = (uint32_t)code;
+}
--- /dev/null
+++ b/src/duty/admin_reply.c
@@ -0,0 +1,73 @@
+#include "duty/admin_reply.h"
+
+#include <pthread.h>
+
+#include "base/cutil.h"
+
+struct admin_reply {
+	pthread_mutex_t lock;
+	uint32_t refs;
+	uint32_t ready;
+	uint32_t http_status;
+	char *json;
+	void (*wake)(void *ctx);
+	void *ctx;
+};
+
+struct admin_reply *admin_reply_new(void (*wake)(void *ctx), void *ctx)
+{
+	struct admin_reply *r = cu_alloc(1, sizeof(*r));
+
+	pthread_mutex_init(&r->lock, NULL);
+	r->refs = 2;
+	r->wake = wake;
+	r->ctx = ctx;
+	return r;
+}
+
+void admin_reply_unref(struct admin_reply *r)
+{
+	uint32_t left;
+
+	pthread_mutex_lock(&r->lock);
+	left = --r->refs;
+	pthread_mutex_unlock(&r->lock);
+	if (left)
+		return;
+	pthread_mutex_destroy(&r->lock);
+	free(r->json);
+	free(r);
+}
+
+void admin_reply_cancel(struct admin_reply *r, uint32_t http_status,
+			const char *json)
+{
+	pthread_mutex_lock(&r->lock);
+	if (!r->ready) {
+		r->ready = 1;
+		r->http_status = http_status;
+		r->json = cu_strdup(json);
+		/* Under the lock: the connection cannot be gone yet. */
+		r->wake(r->ctx);
+	}
+	pthread_mutex_unlock(&r->lock);
+}
+
+void admin_reply_set(void *reply, uint32_t http_status, const char *json)
+{
+	admin_reply_cancel(reply, http_status, json);
+	admin_reply_unref(reply);
+}
+
+int admin_reply_get(struct admin_reply *r, uint32_t *http_status,
+		    const char **json)
+{
+	int ready;
+
+	pthread_mutex_lock(&r->lock);
+	ready = (int)r->ready;
+	*http_status = r->http_status;
+	*json = r->json;
+	pthread_mutex_unlock(&r->lock);
+	return ready;
+}
--- a/src/duty/control_admin_status.c
+++ b/src/duty/control_admin_status.c
@@ -100,9 +100,9 @@
 	s.hosts = control_admin_hosts_internal(a, &s.host_count);
 	buf_addf(&s.text,
 		 "host %s in data centre %s: revision %" PRIu64 ", store %s, "
-								"%u of %u "
-								"known hosts "
-								"live\n",
+		 "%u of %u "
+		 "known hosts "
+		 "live\n",
 		 a->host, a->data_centre, out.rev, out.store_up ? "up" : "down",
 		 count_live(&s), s.host_count);
 	dcs_unconfirmed_text(out.rev, s.hosts, s.host_count, &s.text);
