--- /dev/null
+++ b/src/duty/control_ops.c
@@ -0,0 +1,337 @@
+#include "duty/control_ops.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "codec/sjson.h"
+#include "duty/control_admin.h"
+#include "duty/control_ops_state.h"
+#include "duty/control_state.h"
+
+/* Per data centre; the same number of hosts watches the store. */
+#define CANDIDATES 2
+#define MEMBERS_PERIOD_US (1 * (int64_t)US_PER_S)
+
+static int64_t wall_ms(void)
+{
+	return clock_wall_us() / US_PER_MS;
+}
+
+static void apply_dc(struct control_ops *o, int64_t now_us,
+		     const struct cfg_item *item)
+{
+	const char *name = item->name + strlen("dc/");
+	struct dc_item d = { 0 };
+	struct err err = { 0 };
+
+	if (item->json && sjson_dc(item->json, &d, &err) != ERR_OK)
+		return;
+	dcs_apply(o->dcs, now_us, DCS_DATA_CENTRE, name,
+		  d.out ? DCS_OUT : DCS_IN, item->rev);
+}
+
+static void apply_host(struct control_ops *o, int64_t now_us,
+		       const struct cfg_item *item)
+{
+	const char *name = item->name + strlen("host/");
+	struct host_item h = { 0 };
+	struct err err = { 0 };
+
+	if (item->json && sjson_host(item->json, &h, &err) != ERR_OK)
+		return;
+	dcs_apply(o->dcs, now_us, DCS_HOST, name, h.out ? DCS_OUT : DCS_IN,
+		  item->rev);
+}
+
+static void apply_rollout(struct control_ops *o, int64_t now_us,
+			  const struct cfg_item *item)
+{
+	struct rollout_item r;
+	struct err err = { 0 };
+
+	if (!item->json) {
+		rol_item_deleted(o->rol, item->name + strlen("rollout/"));
+		return;
+	}
+	if (sjson_rollout(item->json, &r, &err) != ERR_OK)
+		return;
+	if (rol_item(o->rol, now_us, wall_ms(), &r, item->rev, &err) != ERR_OK)
+		log_event(LOG_LEVEL_ERROR, "rollout_refused", "%s", err.detail);
+}
+
+static void on_item(void *ctx, int64_t now_us, const struct cfg_item *item)
+{
+	struct control_ops *o = ctx;
+
+	control_admin_item(o->admin, item);
+	if (strncmp(item->name, "dc/", 3) == 0)
+		apply_dc(o, now_us, item);
+	else if (strncmp(item->name, "host/", 5) == 0)
+		apply_host(o, now_us, item);
+	else if (strncmp(item->name, "rollout/", 8) == 0)
+		apply_rollout(o, now_us, item);
+	o->next_share_us = dcs_next_us(o->dcs, now_us);
+}
+
+static void count_member(void *ctx, const struct member_info *m)
+{
+	struct control_ops *o = ctx;
+
+	if (m->state != HOST_LIVE)
+		return;
+	o->host_count++;
+	if (strcmp(m->data_centre, o->data_centre) == 0 &&
+	    strcmp(m->host, o->host) < 0)
+		o->rank++;
+}
+
+static void count_members(struct control_ops *o)
+{
+	o->host_count = o->rank = 0;
+	control_each_member(o->control, count_member, o);
+	rol_set_hosts(o->rol, o->host_count);
+	rol_set_candidate(o->rol, o->rank < CANDIDATES);
+}
+
+static int take_dirty(struct control_ops *o)
+{
+	int dirty = (int)o->dirty;
+
+	o->dirty = 0;
+	return dirty;
+}
+
+static int on_tick(void *ctx, int64_t now_us)
+{
+	struct control_ops *o = ctx;
+
+	if (now_us >= o->next_members_us) {
+		o->next_members_us = now_us + MEMBERS_PERIOD_US;
+		count_members(o);
+	}
+	rol_tick(o->rol, now_us, wall_ms());
+	if (o->next_share_us >= 0 && now_us >= o->next_share_us) {
+		o->next_share_us = dcs_next_us(o->dcs, now_us);
+		o->dirty = 1;
+	}
+	return take_dirty(o);
+}
+
+static int on_evidence(void *ctx, int64_t now_us, const struct evidence *e)
+{
+	struct control_ops *o = ctx;
+	uint32_t i;
+
+	rol_evidence(o->rol, now_us, e->versions, e->version_count);
+	for (i = 0; i < e->customer_count; i++)
+		slo_add(o->slo, now_us, &e->customers[i]);
+	return take_dirty(o);
+}
+
+static int on_heartbeat_in(void *ctx, int64_t now_us, const struct heartbeat *h)
+{
+	struct control_ops *o = ctx;
+
+	rol_peer(o->rol, now_us, h->host, h->rollouts, h->rollout_count);
+	return take_dirty(o);
+}
+
+static void on_heartbeat_out(void *ctx, int64_t now_us, struct heartbeat *h)
+{
+	struct control_ops *o = ctx;
+
+	h->out_rev = dcs_rev(o->dcs);
+	h->rollout_count =
+		rol_report(o->rol, h->rollouts, HEARTBEAT_ROLLOUTS_MAX);
+}
+
+struct view_walk {
+	struct control_ops *ops;
+	struct view *view;
+	int64_t now_us;
+};
+
+static void add_dc(struct view_walk *w, const char *name)
+{
+	struct view *v = w->view;
+	struct dc_weight *d;
+
+	v->dcs = cu_grow(v->dcs, v->dc_count + 1, sizeof(*v->dcs));
+	d = &v->dcs[v->dc_count++];
+	cu_copy(d->data_centre, sizeof(d->data_centre), name);
+	d->share_permille = dcs_share_permille(w->ops->dcs, name, w->now_us);
+}
+
+static void add_block(struct view_walk *w, const char *name)
+{
+	struct view *v = w->view;
+
+	v->blocks = cu_grow(v->blocks, v->block_count + 1, sizeof(*v->blocks));
+	cu_copy(v->blocks[v->block_count++].id, NAME_BYTES, name);
+}
+
+static void view_dcs(void *ctx, enum dcs_kind kind, const char *name,
+		     enum dcs_state state, uint64_t rev)
+{
+	if (kind == DCS_DATA_CENTRE)
+		add_dc(ctx, name);
+	else if (state == DCS_OUT)
+		add_block(ctx, name);
+}
+
+static void view_version(void *ctx, const char *service, const char *version,
+			 uint32_t share_permille)
+{
+	struct view_walk *w = ctx;
+	struct view *v = w->view;
+	struct version_weight *vw;
+
+	v->versions = cu_grow(v->versions, v->version_count + 1,
+			      sizeof(*v->versions));
+	vw = &v->versions[v->version_count++];
+	cu_copy(vw->service, sizeof(vw->service), service);
+	cu_copy(vw->version, sizeof(vw->version), version);
+	vw->share_permille = share_permille;
+}
+
+static void on_view(void *ctx, int64_t now_us, struct view *v)
+{
+	struct control_ops *o = ctx;
+	struct view_walk w = { o, v, now_us };
+
+	dcs_each(o->dcs, view_dcs, &w);
+	rol_each_share(o->rol, view_version, &w);
+}
+
+static enum err_code admin_edit(void *ctx, const char *item, const char *json,
+				const char *who, uint64_t if_rev,
+				control_admin_done_fn *done, void *done_ctx,
+				struct err *err)
+{
+	struct control_ops *o = ctx;
+
+	return control_edit(o->control, item, json, who, if_rev, done, done_ctx,
+			    err);
+}
+
+static const struct cfg_item *admin_item(void *ctx, const char *name)
+{
+	struct control_ops *o = ctx;
+
+	return control_item(o->control, name);
+}
+
+static void admin_each_item(void *ctx, const char *prefix,
+			    void (*fn)(void *fn_ctx,
+				       const struct cfg_item *item),
+			    void *fn_ctx)
+{
+	struct control_ops *o = ctx;
+
+	control_each_item(o->control, prefix, fn, fn_ctx);
+}
+
+static void admin_each_member(void *ctx,
+			      void (*fn)(void *fn_ctx,
+					 const struct member_info *m),
+			      void *fn_ctx)
+{
+	struct control_ops *o = ctx;
+
+	control_each_member(o->control, fn, fn_ctx);
+}
+
+static uint64_t admin_rev(void *ctx)
+{
+	struct control_ops *o = ctx;
+
+	return control_rev(o->control);
+}
+
+static int admin_store_up(void *ctx)
+{
+	struct control_ops *o = ctx;
+
+	return control_store_up(o->control);
+}
+
+static int64_t admin_now_us(void *ctx)
+{
+	return clock_now_us();
+}
+
+static int64_t admin_wall_ms(void *ctx)
+{
+	return wall_ms();
+}
+
+static void admin_log(void *ctx, const char *event, const char *text)
+{
+	log_event(LOG_LEVEL_INFO, event, "%s", text);
+}
+
+static const struct control_admin_ops admin_ops = {
+	.edit = admin_edit,
+	.item = admin_item,
+	.each_item = admin_each_item,
+	.each_member = admin_each_member,
+	.rev = admin_rev,
+	.store_up = admin_store_up,
+	.now_us = admin_now_us,
+	.wall_ms = admin_wall_ms,
+	.log = admin_log,
+};
+
+struct control_ops *control_ops_new(struct control *c, const char *host,
+				    const char *data_centre, uint64_t seed)
+{
+	struct control_ops *o = cu_alloc(1, sizeof(*o));
+	struct control_hooks hooks = { .item = on_item,
+				       .tick = on_tick,
+				       .evidence = on_evidence,
+				       .heartbeat_in = on_heartbeat_in,
+				       .heartbeat_out = on_heartbeat_out,
+				       .view = on_view,
+				       .ctx = o };
+
+	o->control = c;
+	o->next_share_us = -1;
+	cu_copy(o->host, sizeof(o->host), host);
+	cu_copy(o->data_centre, sizeof(o->data_centre), data_centre);
+	o->dcs = dcs_new();
+	o->rol = rol_new(host, seed, &control_ops_rol, o);
+	o->slo = slo_new();
+	o->admin = control_admin_new(host, data_centre, &admin_ops, o, o->dcs,
+				     o->rol, o->slo);
+	control_add_hooks(c, &hooks);
+	return o;
+}
+
+void control_ops_free(struct control_ops *o)
+{
+	if (!o)
+		return;
+	control_admin_free(o->admin);
+	slo_free(o->slo);
+	rol_free(o->rol);
+	dcs_free(o->dcs);
+	free(o);
+}
+
+/* The hooks carry the context, so control needs none for this handler. */
+static struct control_ops *ops_of(struct control *c)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->hook_count; i++) {
+		if (c->hooks[i].item == on_item)
+			return c->hooks[i].ctx;
+	}
+	return NULL;
+}
+
+void control_admin(struct control *c, struct admin_call *call)
+{
+	control_admin_call(ops_of(c)->admin, call);
+}
--- /dev/null
+++ b/src/duty/control_ops_rol.c
@@ -0,0 +1,171 @@
+/* Store calls and writes of the rollout controller; see control_ops.h. */
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "codec/sjson.h"
+#include "duty/control_ops_state.h"
+
+#define LEASE_CALL_MS 1000
+
+/* NULL when all are in use. */
+static struct ops_call *take_call(struct control_ops *o, uint32_t number)
+{
+	uint32_t i;
+
+	for (i = 0; i < CONTROL_OPS_CALLS_MAX; i++) {
+		struct ops_call *call = &o->calls[i];
+
+		if (call->used)
+			continue;
+		memset(call, 0, sizeof(*call));
+		call->ops = o;
+		call->used = 1;
+		call->call = number;
+		return call;
+	}
+	return NULL;
+}
+
+static void start_lease_call(struct control_ops *o, struct kv_call *call,
+			     uint32_t number, kv_done_fn *done)
+{
+	struct ops_call *c = take_call(o, number);
+	struct kv_result r = { 0 };
+	struct ops_call none = { .ops = o, .call = number };
+
+	call->timeout_ms = LEASE_CALL_MS;
+	if (c) {
+		control_kv(o->control, call, done, c);
+		return;
+	}
+	free(call->value);
+	err_set(&r.err, ERR_OVERLOADED, "too many store calls are open");
+	done(&none, &r);
+}
+
+static void granted(void *ctx, const struct kv_result *r);
+static void claimed(void *ctx, const struct kv_result *r);
+
+static void renewed(void *ctx, const struct kv_result *r)
+{
+	struct ops_call *c = ctx;
+	struct control_ops *o = c->ops;
+
+	c->used = 0;
+	rol_lead_renew_done(rol_lead(o->rol), clock_now_us(), c->call,
+			    r->err.code);
+}
+
+static void revoked(void *ctx, const struct kv_result *r)
+{
+	struct ops_call *c = ctx;
+
+	c->used = 0;
+}
+
+static void op_grant(void *ctx, uint32_t number, uint32_t ttl_ms)
+{
+	struct kv_call call = { .op = KV_LEASE_GRANT, .ttl_ms = ttl_ms };
+
+	start_lease_call(ctx, &call, number, granted);
+}
+
+static void op_claim(void *ctx, uint32_t number, uint64_t lease)
+{
+	struct control_ops *o = ctx;
+	struct kv_call call = { .op = KV_CAS, .lease = lease };
+
+	cu_copy(call.key, sizeof(call.key), ROL_LEAD_KEY);
+	call.value = cu_strdup(o->host);
+	call.value_bytes = (uint32_t)strlen(call.value);
+	start_lease_call(o, &call, number, claimed);
+}
+
+static void op_renew(void *ctx, uint32_t number, uint64_t lease)
+{
+	struct kv_call call = { .op = KV_LEASE_RENEW, .lease = lease };
+
+	start_lease_call(ctx, &call, number, renewed);
+}
+
+static void op_revoke(void *ctx, uint64_t lease)
+{
+	struct kv_call call = { .op = KV_LEASE_REVOKE, .lease = lease };
+
+	start_lease_call(ctx, &call, 0, revoked);
+}
+
+static void written(void *ctx, const struct err *err, uint64_t rev)
+{
+	struct ops_call *c = ctx;
+	struct control_ops *o = c->ops;
+
+	c->used = 0;
+	if (err->code != ERR_OK)
+		log_event(LOG_LEVEL_WARNING, "rollout_write_failed", "%s: %s",
+			  c->service, err->detail);
+	rol_write_done(o->rol, clock_now_us(), c->service, err->code);
+}
+
+static int op_write(void *ctx, const struct rollout_item *item, uint64_t if_rev)
+{
+	struct control_ops *o = ctx;
+	struct ops_call *c = take_call(o, 0);
+	char *json CLEANUP_FREE = sjson_rollout_text(item);
+	char name[ITEM_NAME_BYTES];
+	char who[WHO_BYTES];
+	struct err err = { 0 };
+
+	if (!c)
+		return 0;
+	cu_copy(c->service, sizeof(c->service), item->service);
+	snprintf(name, sizeof(name), "rollout/%s", item->service);
+	snprintf(who, sizeof(who), "rollout leader %s", o->host);
+	if (control_edit(o->control, name, json, who, if_rev, written, c,
+			 &err) == ERR_OK)
+		return 1;
+	c->used = 0;
+	return 0;
+}
+
+static void op_changed(void *ctx)
+{
+	struct control_ops *o = ctx;
+
+	o->dirty = 1;
+}
+
+static void op_note(void *ctx, const char *service, const char *text)
+{
+	log_event(LOG_LEVEL_WARNING, "rollout", "%s: %s", service, text);
+}
+
+const struct rol_ops control_ops_rol = {
+	.lead = { op_grant, op_claim, op_renew, op_revoke },
+	.write = op_write,
+	.changed = op_changed,
+	.note = op_note,
+};
+
+static void granted(void *ctx, const struct kv_result *r)
+{
+	struct ops_call *c = ctx;
+	struct control_ops *o = c->ops;
+
+	c->used = 0;
+	rol_lead_grant_done(rol_lead(o->rol), clock_now_us(), c->call,
+			    r->err.code, r->lease, &control_ops_rol.lead, o);
+}
+
+static void claimed(void *ctx, const struct kv_result *r)
+{
+	struct ops_call *c = ctx;
+	struct control_ops *o = c->ops;
+
+	c->used = 0;
+	rol_lead_claim_done(rol_lead(o->rol), clock_now_us(), c->call,
+			    r->err.code, r->version, rol_fence(o->rol),
+			    &control_ops_rol.lead, o);
+}
