--- a/src/codec/cjson.c
+++ b/src/codec/cjson.c
@@ -103,8 +103,11 @@
 	struct request *r;
 
 	if (!json_is_object(root)) {
-		err_set(err, ERR_BAD_JSON, "line %d: %s", where.line,
-			root ? "not an object" : where.text);
+		if (root)
+			err_set(err, ERR_BAD_JSON, "not an object");
+		else
+			err_set(err, ERR_BAD_JSON, "line %d: %s", where.line,
+				where.text);
 		json_decref(root);
 		return NULL;
 	}
--- a/src/codec/tjson.c
+++ b/src/codec/tjson.c
@@ -48,8 +48,9 @@
 {
 	const char *text = json_string_value(json_object_get(body, field));
 
-	if (text)
-		cu_copy(out, NAME_BYTES, text);
+	/* A cut name could match another one. */
+	if (text && !cu_copy(out, NAME_BYTES, text))
+		out[0] = '\0';
 }
 
 static int decode_hit(struct hits *hits, const json_t *hit)
@@ -86,29 +87,42 @@
 	return ERR_OK;
 }
 
+/*
+ * Only the documented body tells that nothing ran; the same status can come
+ * from something else on the way.
+ */
+static uint32_t says(const json_t *body, const char *error)
+{
+	const char *text = json_string_value(json_object_get(body, "error"));
+
+	return text && strcmp(text, error) == 0;
+}
+
 static void decode_error(struct sub_result *r, uint32_t http_status,
 			 const json_t *body)
 {
 	switch (http_status) {
 	case 404:
-		r->code = ERR_TARGET_SNAPSHOT;
-		r->not_run = 1;
+		r->not_run = says(body, "snapshot_gone");
+		r->code = r->not_run ? ERR_TARGET_SNAPSHOT : ERR_TARGET_STATUS;
 		break;
 	case 409:
 		r->code = ERR_CANCELLED;
-		r->not_run = json_is_true(json_object_get(body, "not_run"));
+		r->not_run = says(body, "cancelled") &&
+			     json_is_true(json_object_get(body, "not_run"));
 		break;
 	case 429:
 		r->code = ERR_TARGET_SHED;
-		r->not_run = 1;
+		r->not_run = says(body, "shed");
 		break;
 	case 503:
-		r->code = ERR_TARGET_DRAINING;
-		r->not_run = 1;
+		r->not_run = says(body, "draining");
+		r->code = r->not_run ? ERR_TARGET_DRAINING : ERR_TARGET_STATUS;
 		break;
 	case 504:
 		r->code = ERR_TARGET_TIMEOUT;
-		r->not_run = json_is_true(json_object_get(body, "not_run"));
+		r->not_run = says(body, "deadline") &&
+			     json_is_true(json_object_get(body, "not_run"));
 		break;
 	default:
 		r->code = ERR_TARGET_STATUS;
--- /dev/null
+++ b/tests/test_claims.c
@@ -0,0 +1,222 @@
+/*
+ * Scripted runs over the claims of request IDs: the store's side of the rings
+ * is played by the script.
+ */
+#include <apr_general.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "duty/claims.h"
+#include "script.h"
+
+#define RING_CAPACITY 64
+#define CALLS_MAX 64
+
+struct claims_ctx {
+	struct claims *claims;
+	struct ring *store;
+	struct ring *replies;
+	struct tmr *timers;
+	int64_t now_us;
+	/* What the request path answers: 0 when the request has ended. */
+	int wanted;
+	/* The request ends, and records this, while it is told. */
+	const char *record_at_once;
+	uint32_t call_count;
+	struct kv_request *calls[CALLS_MAX];
+	struct buf *out;
+};
+
+static int on_done(void *ctx, uint64_t req_no, enum claim_result result)
+{
+	static const char *const results[] = { "granted", "taken",
+					       "unavailable", "unknown" };
+	struct claims_ctx *c = ctx;
+
+	buf_addf(c->out, "done %" PRIu64 " %s\n", req_no, results[result]);
+	if (c->record_at_once)
+		claims_record(c->claims, "c", c->record_at_once,
+			      OUTCOME_NOT_RUN);
+	c->record_at_once = NULL;
+	return c->wanted;
+}
+
+static void *claims_ctx_new(void)
+{
+	struct claims_ctx *c = cu_alloc(1, sizeof(*c));
+
+	c->wanted = 1;
+	c->store = ring_new(RING_CAPACITY, NULL, NULL, NULL);
+	c->replies = ring_new(RING_CAPACITY, NULL, NULL, NULL);
+	c->timers = tmr_new();
+	c->claims = claims_new("h1", 1, c->store, c->replies, c->timers,
+			       on_done, c);
+	return c;
+}
+
+static void claims_ctx_free(void *ctx)
+{
+	struct claims_ctx *c = ctx;
+	uint32_t i;
+
+	claims_free(c->claims);
+	for (i = 0; i < c->call_count; i++)
+		kv_request_free(c->calls[i]);
+	ring_free(c->store);
+	ring_free(c->replies);
+	tmr_free(c->timers);
+	free(c);
+}
+
+/* Prints what was sent to the store; tokens of claims are random. */
+static void take_calls(struct claims_ctx *c, struct buf *out)
+{
+	static const char *const ops[] = { "get",   "cas",   "delete", "watch",
+					   "grant", "renew", "revoke", "hosts" };
+	struct msg m;
+
+	while (ring_take(c->store, &m, 1) == 1) {
+		struct kv_request *r = m.body;
+		const char *outcome = r->call.value
+					      ? strstr(r->call.value, "outcome"
+								      "\":")
+					      : NULL;
+
+		g_assert_cmpuint(c->call_count, <, CALLS_MAX);
+		c->calls[c->call_count++] = r;
+		buf_addf(out, "store %u %s %s", c->call_count, ops[r->call.op],
+			 r->call.key);
+		if (r->call.op == KV_CAS)
+			buf_addf(out, " if_version=%" PRIu64 " lease=%" PRIu64,
+				 r->call.version, r->call.lease);
+		buf_addf(out, " %s\n", outcome ? outcome : "");
+	}
+}
+
+static void cmd_run(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct claims_ctx *c = ctx;
+
+	c->out = out;
+	c->now_us += script_int(argc, argv, "ms", 0) * US_PER_MS;
+	tmr_run(c->timers, c->now_us);
+	take_calls(c, out);
+}
+
+static void cmd_start(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct claims_ctx *c = ctx;
+
+	c->out = out;
+	claims_start(c->claims, (uint64_t)script_int(argc, argv, "req", 1), "c",
+		     script_arg(argc, argv, "id", "k1"));
+	take_calls(c, out);
+}
+
+static void cmd_record(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct claims_ctx *c = ctx;
+
+	c->out = out;
+	claims_record(c->claims, "c", script_arg(argc, argv, "id", "k1"),
+		      (enum outcome)script_int(argc, argv, "outcome", 0));
+	take_calls(c, out);
+}
+
+struct code_search {
+	const char *name;
+	enum err_code code;
+};
+
+static void match_code(void *ctx, enum err_code code)
+{
+	struct code_search *s = ctx;
+
+	if (strcmp(err_name(code), s->name) == 0)
+		s->code = code;
+}
+
+/* Answers store call n; text=own repeats the claim that call from=N wrote. */
+static void cmd_reply(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct claims_ctx *c = ctx;
+	const struct kv_request *r =
+		c->calls[script_int(argc, argv, "call", 1) - 1];
+	int64_t from = script_int(argc, argv, "from", 0);
+	const char *text = from ? c->calls[from - 1]->call.value
+				: script_arg(argc, argv, "text", NULL);
+	struct code_search s = {
+		.name = script_arg(argc, argv, "code", "OK"),
+		.code = ERR_INTERNAL,
+	};
+	struct kv_reply *reply = cu_alloc(1, sizeof(*reply));
+
+	err_each(match_code, &s);
+	reply->token = r->token;
+	reply->op = r->call.op;
+	reply->result.err.code = s.code;
+	reply->result.version = (uint64_t)script_int(argc, argv, "version", 0);
+	reply->result.lease = (uint64_t)script_int(argc, argv, "lease", 0);
+	if (text) {
+		reply->result.pair_count = 1;
+		reply->result.pairs = cu_alloc(1, sizeof(*reply->result.pairs));
+		reply->result.pairs[0].value = cu_strdup(text);
+		reply->result.pairs[0].value_bytes = (uint32_t)strlen(text);
+	}
+	c->wanted = (int)script_int(argc, argv, "wanted", 1);
+	c->record_at_once = script_arg(argc, argv, "record", NULL);
+	c->out = out;
+	claims_reply(c->claims, reply);
+	kv_reply_free(reply);
+	take_calls(c, out);
+}
+
+static void on_query(void *ctx, struct answer *a)
+{
+	struct claims_ctx *c = ctx;
+
+	buf_addf(c->out, "answer %s %s %s\n", a->request_id,
+		 err_name(a->err.code), outcome_name(a->outcome));
+	answer_free(a);
+}
+
+static void cmd_query(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct claims_ctx *c = ctx;
+	struct caller_request *r = cu_alloc(1, sizeof(*r));
+
+	r->request = cu_alloc(1, sizeof(*r->request));
+	r->request->op = OP_OUTCOME;
+	cu_copy(r->request->customer, NAME_BYTES, "c");
+	cu_copy(r->request->id, REQUEST_ID_BYTES,
+		script_arg(argc, argv, "id", "k1"));
+	r->reply = on_query;
+	r->reply_ctx = c;
+	c->out = out;
+	claims_query(c->claims, r);
+	take_calls(c, out);
+}
+
+static const struct script_command commands[] = {
+	{ "run", cmd_run },	  { "start", cmd_start },
+	{ "record", cmd_record }, { "reply", cmd_reply },
+	{ "query", cmd_query },
+};
+
+static const struct script_area area = {
+	.name = "claims",
+	.ctx_new = claims_ctx_new,
+	.ctx_free = claims_ctx_free,
+	.command_count = countof(commands),
+	.commands = commands,
+};
+
+int main(int argc, char **argv)
+{
+	apr_initialize();
+	g_test_init(&argc, &argv, NULL);
+	script_register(&area, "tests/scripts");
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_decide.c
@@ -0,0 +1,403 @@
+/* Scripted runs over the decisions of the request path, without the path. */
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "decide/adm.h"
+#include "decide/bal.h"
+#include "decide/bgt.h"
+#include "decide/gth.h"
+#include "decide/hdg.h"
+#include "decide/hrw.h"
+#include "decide/once.h"
+#include "decide/tgt.h"
+#include "script.h"
+
+#define TARGETS_MAX 4
+
+struct decide_ctx {
+	int64_t now_us;
+	struct bgt bgt;
+	struct adm adm;
+	struct hdg hdg;
+	struct once once;
+	struct rng rng;
+	struct tgt *tgts[TARGETS_MAX];
+};
+
+static void *decide_new(void)
+{
+	struct decide_ctx *c = cu_alloc(1, sizeof(*c));
+
+	c->rng.state = 1;
+	hdg_init(&c->hdg);
+	return c;
+}
+
+static void decide_free(void *ctx)
+{
+	struct decide_ctx *c = ctx;
+	uint32_t i;
+
+	for (i = 0; i < TARGETS_MAX; i++) {
+		if (c->tgts[i])
+			tgt_unref(c->tgts[i]);
+	}
+	free(c);
+}
+
+static uint32_t arg_u32(uint32_t argc, char **argv, const char *name,
+			uint32_t fallback)
+{
+	return (uint32_t)script_int(argc, argv, name, fallback);
+}
+
+static void cmd_wait(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct decide_ctx *c = ctx;
+
+	c->now_us += script_int(argc, argv, "us", 0) +
+		     script_int(argc, argv, "ms", 0) * US_PER_MS;
+}
+
+static void cmd_budget(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct decide_ctx *c = ctx;
+	uint32_t spends = arg_u32(argc, argv, "spend", 0);
+	uint32_t granted = 0;
+
+	if (script_arg(argc, argv, "extra", NULL))
+		bgt_init(&c->bgt, arg_u32(argc, argv, "extra", 0),
+			 arg_u32(argc, argv, "rate", 100));
+	bgt_earn(&c->bgt, arg_u32(argc, argv, "earn", 0));
+	while (spends-- > 0)
+		granted += (uint32_t)bgt_spend(&c->bgt);
+	buf_addf(out, "granted %u fill %u\n", granted,
+		 bgt_fill_permille(&c->bgt));
+}
+
+static void cmd_contract(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct decide_ctx *c = ctx;
+	struct contract k = {
+		.rate_per_s = arg_u32(argc, argv, "rate", 100),
+		.answer_ms = arg_u32(argc, argv, "answer_ms", 100),
+	};
+
+	adm_configure(&c->adm, &k, arg_u32(argc, argv, "hosts", 1), c->now_us);
+	buf_addf(out, "rate %u burst %" PRId64 " limit %" PRIu64 "\n",
+		 c->adm.rate_per_s, c->adm.tokens_cap_micro / 1000000,
+		 c->adm.limit_milli / 1000);
+}
+
+static void cmd_enter(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct decide_ctx *c = ctx;
+	uint32_t count = arg_u32(argc, argv, "count", 1);
+	enum err_code last = ERR_OK;
+	uint32_t entered = 0;
+	struct err err;
+
+	while (count-- > 0) {
+		last = adm_enter(&c->adm, c->now_us, &err);
+		entered += last == ERR_OK;
+	}
+	buf_addf(out, "entered %u last %s in_flight %u\n", entered,
+		 err_name(last), c->adm.in_flight);
+}
+
+static void cmd_left(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	static const char *const names[] = { "good", "loaded", "neutral" };
+	struct decide_ctx *c = ctx;
+	const char *result = script_arg(argc, argv, "result", "good");
+	uint32_t count = arg_u32(argc, argv, "count", 1);
+	int64_t every_us = script_int(argc, argv, "every_us", 0);
+	uint32_t i;
+
+	for (i = 0; strcmp(names[i], result) != 0;)
+		i++;
+	while (count-- > 0) {
+		c->now_us += every_us;
+		adm_leave(&c->adm, c->now_us,
+			  script_int(argc, argv, "elapsed_us", 1000),
+			  (enum adm_result)i);
+	}
+	buf_addf(out, "in_flight %u limit %" PRIu64 "\n", c->adm.in_flight,
+		 c->adm.limit_milli / 1000);
+}
+
+static void cmd_hedge(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct decide_ctx *c = ctx;
+	uint32_t samples = arg_u32(argc, argv, "samples", 0);
+	uint32_t adjusts = arg_u32(argc, argv, "adjusts", 0);
+
+	while (samples-- > 0)
+		hdg_sample(&c->hdg, script_int(argc, argv, "service_us", 1000));
+	while (adjusts-- > 0) {
+		c->now_us += 100 * US_PER_MS;
+		hdg_adjust(&c->hdg, c->now_us,
+			   arg_u32(argc, argv, "fill", 1000));
+	}
+	buf_addf(out, "mean %" PRId64 " factor %u delay %" PRId64 "\n",
+		 c->hdg.mean_us, c->hdg.factor_milli, hdg_delay_us(&c->hdg));
+}
+
+static struct tgt *target_of(struct decide_ctx *c, uint32_t argc, char **argv)
+{
+	struct tgt *t = c->tgts[arg_u32(argc, argv, "t", 0) % TARGETS_MAX];
+
+	g_assert_nonnull(t);
+	return t;
+}
+
+static void print_target(const struct decide_ctx *c, const struct tgt *t,
+			 struct buf *out)
+{
+	static const char *const phases[] = { "new", "cold", "warm" };
+
+	buf_addf(out, "%s latency %" PRId64 " outstanding %u usable %d/%d\n",
+		 phases[t->phase], t->latency_us, t->outstanding,
+		 tgt_usable(t, c->now_us, 1), tgt_usable(t, c->now_us, 0));
+}
+
+static void cmd_target(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct decide_ctx *c = ctx;
+	uint32_t i = arg_u32(argc, argv, "t", 0) % TARGETS_MAX;
+	struct target def = {
+		.slots = arg_u32(argc, argv, "slots", 2),
+		.connections = arg_u32(argc, argv, "connections", 40),
+		.cold_slots = arg_u32(argc, argv, "cold_slots", 1),
+	};
+
+	snprintf(def.id, sizeof(def.id), "t%u", i);
+	if (c->tgts[i])
+		tgt_unref(c->tgts[i]);
+	c->tgts[i] = tgt_new(&def);
+	print_target(c, c->tgts[i], out);
+}
+
+static void cmd_sent(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct decide_ctx *c = ctx;
+	uint32_t count = arg_u32(argc, argv, "count", 1);
+
+	while (count-- > 0)
+		tgt_sent(target_of(c, argc, argv), c->now_us);
+	print_target(c, target_of(c, argc, argv), out);
+}
+
+/* Sub-requests one after the other, each answered after service_us. */
+static void cmd_good(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct decide_ctx *c = ctx;
+	struct tgt *t = target_of(c, argc, argv);
+	int64_t service_us = script_int(argc, argv, "service_us", 1000);
+	uint32_t count = arg_u32(argc, argv, "count", 1);
+
+	while (count-- > 0) {
+		tgt_sent(t, c->now_us);
+		c->now_us += service_us;
+		tgt_good(t, c->now_us, service_us,
+			 script_arg(argc, argv, "instance", "a"),
+			 script_int(argc, argv, "peers_us", 0));
+		c->now_us += script_int(argc, argv, "gap_us", 0);
+	}
+	print_target(c, t, out);
+}
+
+static void cmd_bad(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct decide_ctx *c = ctx;
+	struct tgt *t = target_of(c, argc, argv);
+	uint32_t count = arg_u32(argc, argv, "count", 1);
+
+	while (count-- > 0) {
+		tgt_sent(t, c->now_us);
+		if (script_arg(argc, argv, "abandoned", NULL)) {
+			tgt_abandoned(t, c->now_us,
+				      script_int(argc, argv, "abandoned", 0));
+			tgt_neutral(t);
+		} else {
+			tgt_failed(t, c->now_us,
+				   (int)script_int(argc, argv, "shed", 0));
+		}
+	}
+	print_target(c, t, out);
+}
+
+static void cmd_announce(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct decide_ctx *c = ctx;
+	struct tgt *t = target_of(c, argc, argv);
+	int changed = tgt_announced(t, c->now_us,
+				    script_arg(argc, argv, "instance", "a"),
+				    (int)script_int(argc, argv, "warm", 1));
+
+	buf_addf(out, "changed %d ", changed);
+	print_target(c, t, out);
+}
+
+static void cmd_pick(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct decide_ctx *c = ctx;
+	struct bal_candidate candidates[TARGETS_MAX] = { 0 };
+	uint32_t picked[TARGETS_MAX + 1] = { 0 };
+	uint32_t draws = arg_u32(argc, argv, "draws", 1);
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < TARGETS_MAX; i++) {
+		if (c->tgts[i])
+			candidates[count++].tgt = c->tgts[i];
+	}
+	while (draws-- > 0) {
+		i = bal_pick(candidates, count, c->now_us, &c->rng);
+		picked[i == BAL_NONE ? TARGETS_MAX : i]++;
+	}
+	for (i = 0; i < count; i++)
+		buf_addf(out, "t%u=%u ", i, picked[i]);
+	buf_addf(out, "none=%u\n", picked[TARGETS_MAX]);
+}
+
+/* Owners of some keys among the hosts that are named. */
+static void cmd_owners(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	char hosts[SCRIPT_WORDS_MAX][NAME_BYTES];
+	uint32_t owned[SCRIPT_WORDS_MAX] = { 0 };
+	uint32_t owners = 0;
+	uint32_t key;
+	uint32_t i;
+
+	for (i = 0; i < argc; i++)
+		cu_copy(hosts[i], NAME_BYTES, argv[i]);
+	for (key = 0; key < 300; key++) {
+		char name[NAME_BYTES];
+
+		snprintf(name, sizeof(name), "k%u", key);
+		for (i = 0; i < argc; i++) {
+			if (!hrw_is_owner(name, hosts[i], hosts, argc))
+				continue;
+			owned[i]++;
+			owners++;
+		}
+	}
+	for (i = 0; i < argc; i++)
+		buf_addf(out, "%s=%u ", hosts[i], owned[i]);
+	buf_addf(out, "owners=%u\n", owners);
+}
+
+static void print_once(const struct once *o, enum once_step step,
+		       struct buf *out)
+{
+	static const char *const steps[] = { "write", "read", "end" };
+	static const char *const results[] = { "granted", "taken",
+					       "unavailable", "unknown" };
+
+	buf_addf(out, "%s", steps[step]);
+	if (step == ONCE_WRITE)
+		buf_addf(out, " if_version=%" PRIu64, o->version);
+	if (step == ONCE_END)
+		buf_addf(out, " %s version=%" PRIu64, results[o->result],
+			 o->version);
+	buf_addf(out, "\n");
+}
+
+struct code_search {
+	const char *name;
+	enum err_code code;
+};
+
+static void match_code(void *ctx, enum err_code code)
+{
+	struct code_search *s = ctx;
+
+	if (strcmp(err_name(code), s->name) == 0)
+		s->code = code;
+}
+
+static enum err_code code_arg(uint32_t argc, char **argv)
+{
+	struct code_search s = {
+		.name = script_arg(argc, argv, "code", "OK"),
+		.code = ERR_INTERNAL,
+	};
+
+	err_each(match_code, &s);
+	g_assert_cmpint(s.code, !=, ERR_INTERNAL);
+	return s.code;
+}
+
+static void cmd_once(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	once_init(&((struct decide_ctx *)ctx)->once,
+		  script_arg(argc, argv, "token", "own"));
+}
+
+static void cmd_written(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct once *o = &((struct decide_ctx *)ctx)->once;
+	enum once_step step =
+		once_written(o, code_arg(argc, argv),
+			     (uint64_t)script_int(argc, argv, "version", 0));
+
+	print_once(o, step, out);
+}
+
+static void cmd_read(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct once *o = &((struct decide_ctx *)ctx)->once;
+	const char *token = script_arg(argc, argv, "token", NULL);
+	const char *outcome = script_arg(argc, argv, "outcome", "unknown");
+	struct once_claim claim = { .outcome = OUTCOME_UNKNOWN };
+	enum once_step step;
+
+	if (token)
+		cu_copy(claim.token, sizeof(claim.token), token);
+	if (strcmp(outcome, "not_run") == 0)
+		claim.outcome = OUTCOME_NOT_RUN;
+	if (strcmp(outcome, "done") == 0)
+		claim.outcome = OUTCOME_DONE;
+	step = once_read(o, code_arg(argc, argv),
+			 (uint64_t)script_int(argc, argv, "version", 0),
+			 token ? &claim : NULL);
+	print_once(o, step, out);
+}
+
+static void cmd_decide(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	buf_addf(out, "%s\n",
+		 err_name(gth_decide(arg_u32(argc, argv, "total", 1),
+				     arg_u32(argc, argv, "answered", 0),
+				     arg_u32(argc, argv, "need", 1000))));
+}
+
+static const struct script_command commands[] = {
+	{ "wait", cmd_wait },	      { "budget", cmd_budget },
+	{ "contract", cmd_contract }, { "enter", cmd_enter },
+	{ "left", cmd_left },	      { "hedge", cmd_hedge },
+	{ "target", cmd_target },     { "sent", cmd_sent },
+	{ "good", cmd_good },	      { "bad", cmd_bad },
+	{ "announce", cmd_announce }, { "pick", cmd_pick },
+	{ "owners", cmd_owners },     { "once", cmd_once },
+	{ "written", cmd_written },   { "read", cmd_read },
+	{ "decide", cmd_decide },
+};
+
+static const struct script_area area = {
+	.name = "decide",
+	.ctx_new = decide_new,
+	.ctx_free = decide_free,
+	.command_count = countof(commands),
+	.commands = commands,
+};
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	script_register(&area, "tests/scripts");
+	return g_test_run();
+}
