--- a/tests/standin/corpus.c
+++ b/tests/standin/corpus.c
@@ -8,9 +8,13 @@
 #include "base/rng.h"
 
 #define COMMON_ONE_IN 8
+/* First character of the ID of a document that all shards hold. */
+#define COMMON_ID 'c'
 /* Few distinct scores, so that ties have to be broken by ID. */
 #define SCORE_STEPS 64
 #define SCORE_STEP 0.25
+/* Three names and the field names around them. */
+#define DOC_BYTES 256
 
 static uint64_t hash_add(uint64_t h, const char *text)
 {
@@ -20,11 +24,12 @@
 static char *doc_text(const char *index, const char *shard,
 		      const char *snapshot)
 {
-	struct buf b = { 0 };
+	char text[DOC_BYTES];
 
-	buf_addf(&b, "{\"index\":\"%s\",\"shard\":\"%s\",\"snapshot\":\"%s\"}",
+	snprintf(text, sizeof(text),
+		 "{\"index\":\"%s\",\"shard\":\"%s\",\"snapshot\":\"%s\"}",
 		 index, shard, snapshot);
-	return b.data;
+	return cu_strdup(text);
 }
 
 static int hit_compare(const void *a, const void *b)
@@ -59,17 +64,15 @@
 	hits_free(from);
 }
 
-static void add_common(const char *index, const char *snapshot, uint64_t key,
-		       struct hits *out)
+static void add_common(uint64_t key, struct hits *out)
 {
 	struct rng r = { key };
 	char id[NAME_BYTES];
 
 	if (rng_below(&r, COMMON_ONE_IN) != 0)
 		return;
-	snprintf(id, sizeof(id), "c%016" PRIx64, rng_u64(&r));
-	hits_add(out, id, SCORE_STEP * rng_below(&r, SCORE_STEPS),
-		 doc_text(index, "all", snapshot));
+	snprintf(id, sizeof(id), "%c%016" PRIx64, COMMON_ID, rng_u64(&r));
+	hits_add(out, id, SCORE_STEP * rng_below(&r, SCORE_STEPS), NULL);
 }
 
 void corpus_search(const char *index, const char *shard, const char *snapshot,
@@ -78,18 +81,24 @@
 	uint64_t key = hash_add(hash_add(hash_add(0, index), snapshot), query);
 	struct rng r = { hash_add(key, shard) };
 	uint32_t count = rng_below(&r, CORPUS_SHARD_HITS_MAX);
-	struct hits all = { 0 };
+	struct hits all CLEANUP(hits_free) = { 0 };
 	char id[NAME_BYTES];
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
 		snprintf(id, sizeof(id), "d%016" PRIx64, rng_u64(&r));
 		hits_add(&all, id, SCORE_STEP * rng_below(&r, SCORE_STEPS),
-			 doc_text(index, shard, snapshot));
+			 NULL);
 	}
-	add_common(index, snapshot, key, &all);
+	add_common(key, &all);
 	sort_hits(&all);
-	take_first(&all, limit, out);
+	for (i = 0; i < all.count && i < limit; i++) {
+		const struct hit *h = &all.items[i];
+		const char *where = h->id[0] == COMMON_ID ? "all" : shard;
+
+		hits_add(out, h->id, h->score,
+			 doc_text(index, where, snapshot));
+	}
 }
 
 void corpus_lookup(const char *index, const char *shard, const char *snapshot,
--- a/tests/standin/fleet_answer.c
+++ b/tests/standin/fleet_answer.c
@@ -1,6 +1,7 @@
 #include "fleet_answer.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "corpus.h"
@@ -17,6 +18,11 @@
 		corpus_lookup(j->index, j->shard, j->snapshot, j->text, out);
 }
 
+static void add_text(struct buf *b, const char *text)
+{
+	buf_add(b, text, strlen(text));
+}
+
 static void add_hits(struct buf *b, const struct job *j)
 {
 	struct hits hits CLEANUP(hits_free) = { 0 };
@@ -24,10 +30,19 @@
 
 	find_hits(j, &hits);
 	buf_addf(b, "\"hits\":[");
-	for (i = 0; i < hits.count; i++)
-		buf_addf(b, "%s{\"id\":\"%s\",\"score\":%.2f,\"doc\":%s}",
-			 i ? "," : "", hits.items[i].id, hits.items[i].score,
-			 hits.items[i].doc);
+	for (i = 0; i < hits.count; i++) {
+		char score[32];
+
+		snprintf(score, sizeof(score), "%.2f", hits.items[i].score);
+		/* Copied rather than formatted: this runs for every hit. */
+		add_text(b, i ? ",{\"id\":\"" : "{\"id\":\"");
+		add_text(b, hits.items[i].id);
+		add_text(b, "\",\"score\":");
+		add_text(b, score);
+		add_text(b, ",\"doc\":");
+		add_text(b, hits.items[i].doc);
+		add_text(b, "}");
+	}
 	buf_addf(b, "]");
 }
 
