--- /dev/null
+++ b/src/decide/tgt.c
@@ -0,0 +1,240 @@
+#include "decide/tgt.h"
+
+#include <string.h>
+
+#include "base/cutil.h"
+
+/* Used until the first answer arrives. */
+#define LATENCY_START_US 2000
+#define LATENCY_SMOOTHING 8
+/* One slow answer in a hundred must not move the average by much. */
+#define LATENCY_CLIP 4
+/* One failure can be chance; two in a row leave the replica. */
+#define FAILURES_MAX 2
+#define ABANDONED_MAX 4
+#define AVOID_START_US (100 * US_PER_MS)
+#define AVOID_MAX_US (4 * US_PER_S)
+/* Cold caches make answers several times slower; queues rarely do at once. */
+#define COLD_FACTOR 4
+/* Slow enough that a run of slow answers does not become the new base. */
+#define BASE_SMOOTHING 256
+/* Twice the arrivals explain slower answers by queueing. */
+#define GAP_FACTOR 2
+/* Two heartbeats: a notice sent before this host's own observation. */
+#define STALE_NOTICE_US (3 * US_PER_S)
+/* Good answers that double the cold limit. */
+#define COLD_GOOD_RUN 10
+
+struct tgt *tgt_new(const struct target *def)
+{
+	struct tgt *t = cu_alloc(1, sizeof(*t));
+
+	t->refs = 1;
+	t->def = *def;
+	t->latency_us = LATENCY_START_US;
+	t->avoid_us = AVOID_START_US;
+	t->cold_limit = cu_max_u32(1, def->cold_slots);
+	return t;
+}
+
+struct tgt *tgt_ref(struct tgt *t)
+{
+	t->refs++;
+	return t;
+}
+
+void tgt_unref(struct tgt *t)
+{
+	if (--t->refs == 0)
+		free(t);
+}
+
+void tgt_redefine(struct tgt *t, const struct target *def)
+{
+	t->def = *def;
+}
+
+void tgt_sent(struct tgt *t, int64_t now_us)
+{
+	int64_t gap_us = cu_min_i64(now_us - t->sent_us, US_PER_S);
+
+	if (!t->gap_base_us && t->sent_us)
+		t->gap_us = t->gap_base_us = gap_us;
+	if (t->gap_base_us) {
+		t->gap_us += (gap_us - t->gap_us) / LATENCY_SMOOTHING;
+		t->gap_base_us += (gap_us - t->gap_base_us) / BASE_SMOOTHING;
+	}
+	t->sent_us = cu_max_i64(now_us, 1);
+	t->outstanding++;
+}
+
+static void become_cold(struct tgt *t, int64_t now_us)
+{
+	t->phase = TGT_COLD;
+	t->cold_us = now_us;
+	t->cold_limit = cu_max_u32(1, t->def.cold_slots);
+	t->cold_good = 0;
+}
+
+static void ramp(struct tgt *t)
+{
+	if (t->phase != TGT_COLD)
+		return;
+	if (++t->cold_good < COLD_GOOD_RUN)
+		return;
+	t->cold_good = 0;
+	t->cold_limit *= 2;
+	if (t->cold_limit < t->def.slots)
+		return;
+	t->phase = TGT_WARM;
+	t->base_us = t->latency_us;
+}
+
+/* Slower than before and than its peers, and not for more arrivals. */
+static int suddenly_slow(const struct tgt *t, int64_t peers_us)
+{
+	return t->phase == TGT_WARM && peers_us > 0 &&
+	       t->latency_us >= t->base_us * COLD_FACTOR &&
+	       t->latency_us >= peers_us * (COLD_FACTOR / 2) &&
+	       t->gap_us * GAP_FACTOR >= t->gap_base_us;
+}
+
+static void smooth(struct tgt *t, int64_t sample_us)
+{
+	int64_t clipped_us = sample_us;
+
+	if (!t->base_us)
+		t->latency_us = t->base_us = cu_max_i64(sample_us, 1);
+	if (t->phase == TGT_WARM)
+		clipped_us =
+			cu_min_i64(sample_us, t->latency_us * LATENCY_CLIP);
+	t->latency_us += (clipped_us - t->latency_us) / LATENCY_SMOOTHING;
+	t->latency_us = cu_max_i64(t->latency_us, 1);
+	t->base_us += (cu_min_i64(sample_us, t->base_us * LATENCY_CLIP) -
+		       t->base_us) /
+		      BASE_SMOOTHING;
+	t->base_us = cu_max_i64(t->base_us, 1);
+}
+
+void tgt_good(struct tgt *t, int64_t now_us, int64_t service_us,
+	      const char *instance, int64_t peers_us)
+{
+	t->outstanding--;
+	if (instance[0] && strcmp(t->instance, instance) != 0) {
+		cu_copy(t->instance, sizeof(t->instance), instance);
+		t->instance_us = now_us;
+		become_cold(t, now_us);
+	}
+	t->failures_in_row = 0;
+	t->abandoned_in_row = 0;
+	t->avoid_until_us = 0;
+	t->avoid_us = AVOID_START_US;
+	smooth(t, service_us);
+	if (suddenly_slow(t, peers_us))
+		become_cold(t, now_us);
+	if (now_us - service_us >= t->cold_us)
+		ramp(t);
+}
+
+static void avoid(struct tgt *t, int64_t now_us)
+{
+	/* Failures of requests sent before the decision do not extend it. */
+	if (now_us < t->avoid_until_us)
+		return;
+	t->avoid_until_us = now_us + t->avoid_us;
+	t->avoid_us = cu_min_i64(t->avoid_us * 2, AVOID_MAX_US);
+}
+
+void tgt_failed(struct tgt *t, int64_t now_us, int shed)
+{
+	t->outstanding--;
+	if (shed) {
+		/* Raises the cost so that other replicas are tried first. */
+		t->latency_us += t->latency_us / LATENCY_SMOOTHING + 1;
+		return;
+	}
+	t->failures_in_row++;
+	if (t->failures_in_row >= FAILURES_MAX)
+		avoid(t, now_us);
+}
+
+void tgt_abandoned(struct tgt *t, int64_t now_us, int64_t waited_us)
+{
+	if (waited_us > t->latency_us)
+		smooth(t, waited_us);
+	t->abandoned_in_row++;
+	if (t->abandoned_in_row >= ABANDONED_MAX)
+		avoid(t, now_us);
+}
+
+void tgt_neutral(struct tgt *t)
+{
+	t->outstanding--;
+}
+
+int tgt_announced(struct tgt *t, int64_t now_us, const char *instance, int warm)
+{
+	enum tgt_phase before = t->phase;
+	int same = strcmp(t->instance, instance) == 0;
+	int seen = t->instance_us && now_us - t->instance_us < STALE_NOTICE_US;
+
+	/* The process that this host has just seen is the newer one. */
+	if (!same && seen)
+		return 0;
+	/* Another host found what this one knows: the ramp goes on. */
+	if (same && !warm && before != TGT_NEW)
+		return 0;
+	cu_copy(t->instance, sizeof(t->instance), instance);
+	if (warm) {
+		t->phase = TGT_WARM;
+		t->announced_us = now_us;
+	} else {
+		become_cold(t, now_us);
+	}
+	return t->phase != before;
+}
+
+static uint32_t probe_limit(const struct tgt *t, int64_t now_us, int is_owner)
+{
+	if (now_us < t->avoid_until_us)
+		return 0;
+	if (!is_owner && t->announced_us < t->avoid_until_us)
+		return 0;
+	return 1;
+}
+
+static uint32_t limit(const struct tgt *t, int64_t now_us, int is_owner)
+{
+	uint32_t share = target_connection_share(&t->def);
+
+	if (t->avoid_until_us)
+		return probe_limit(t, now_us, is_owner);
+	if (t->phase == TGT_WARM)
+		return share;
+	if (!is_owner)
+		return 0;
+	return cu_min_u32(share, t->cold_limit);
+}
+
+int tgt_usable(const struct tgt *t, int64_t now_us, int is_owner)
+{
+	return t->outstanding < limit(t, now_us, is_owner);
+}
+
+int tgt_live(const struct tgt *t, int64_t now_us, int is_owner)
+{
+	return limit(t, now_us, is_owner) > 0;
+}
+
+int tgt_expected(const struct tgt *t, int64_t until_us, int is_owner)
+{
+	/* A cold target may be announced as warm at any time. */
+	if (!t->avoid_until_us)
+		return 1;
+	return is_owner && t->avoid_until_us < until_us;
+}
+
+int64_t tgt_cost_us(const struct tgt *t)
+{
+	return (int64_t)(t->outstanding + 1) * t->latency_us / t->def.slots;
+}
