--- a/tests/bench/remote.c
+++ b/tests/bench/remote.c
@@ -87,8 +87,7 @@
 	if (sample->is_lookup)
 		buf_addf(b,
 			 "\"record\":\"r%" PRIu64 "\",\"idempotent\":false,"
-						  "\"request_id\":\"b%" PRIu64
-			 "\"}",
+			 "\"request_id\":\"b%" PRIu64 "\"}",
 			 no, no);
 	else
 		buf_addf(b, "\"query\":\"heron\",\"limit\":%d}", HITS_WANTED);
--- a/tests/bench/stage.c
+++ b/tests/bench/stage.c
@@ -133,8 +133,8 @@
 {
 	uint64_t rev = h->rev + 1;
 	struct head_entry e = { .rev = rev, .change = rev };
-	g_autofree char *key =
-		g_strdup_printf("cfg/item/%s/%" PRIu64, name, rev);
+	g_autofree char *key = g_strdup_printf(
+		"cfg/item/%s/%" PRIu64 "-%016" PRIx64, name, rev, rev);
 	struct cfg_item *item = cfg_item_new(name, rev, rev, "bench", json);
 	char *text CLEANUP_FREE = sjson_item_text(item);
 
