Serve the admin API and report readiness

cowslippoint serve now runs all duties. Open: heartbeats are sent and not received, leases are not granted.

--- a/src/duty/request.c
+++ b/src/duty/request.c
@@ -16,7 +16,7 @@
 	struct sub_result *refused;
 	uint32_t refused_count;
 	uint32_t refused_cap;
-	_Atomic int ready;
+	int ready;
 	_Atomic uint32_t open;
 };
 
@@ -116,6 +116,14 @@
 		path_request(d->path, c, now_us);
 }
 
+static void take_view(struct request_duty *d, struct view *v, int64_t now_us)
+{
+	path_view(d->path, v, now_us);
+	if (!d->ready && d->options.ready)
+		d->options.ready(d->options.ready_ctx);
+	d->ready = 1;
+}
+
 static void take_message(struct request_duty *d, struct msg *m, int64_t now_us)
 {
 	switch (m->type) {
@@ -132,8 +140,7 @@
 		free(m->body);
 		break;
 	case MSG_VIEW:
-		path_view(d->path, m->body, now_us);
-		d->ready = 1;
+		take_view(d, m->body, now_us);
 		break;
 	case MSG_NOTICE:
 		path_notice(d->path, m->body, now_us);
@@ -145,7 +152,6 @@
 		break;
 	case MSG_LEAVE:
 		path_leave(d->path);
-		d->ready = 0;
 		break;
 	default:
 		if (m->drop)
@@ -180,11 +186,6 @@
 	return duty_start(d->duty, on_message, d, err);
 }
 
-int request_duty_ready(struct request_duty *d)
-{
-	return d->ready;
-}
-
 uint32_t request_duty_open(struct request_duty *d)
 {
 	return d->open;
--- a/src/duty/request.h
+++ b/src/duty/request.h
@@ -19,6 +19,9 @@
 	struct ring *target;
 	struct ring *store;
 	struct ring *control;
+	/* Called once on the request duty, with the first view; may be NULL. */
+	void (*ready)(void *ctx);
+	void *ready_ctx;
 };
 
 struct request_duty *request_duty_new(const struct request_options *o,
@@ -27,8 +30,6 @@
 struct request_options *request_duty_options(struct request_duty *d);
 struct ring *request_duty_ring(struct request_duty *d);
 enum err_code request_duty_start(struct request_duty *d, struct err *err);
-/* 1 while the path accepts requests and has a view. Any thread. */
-int request_duty_ready(struct request_duty *d);
 /* Requests in flight. Any thread. */
 uint32_t request_duty_open(struct request_duty *d);
 void request_duty_stop(struct request_duty *d);
--- a/src/duty/serve.c
+++ b/src/duty/serve.c
@@ -9,8 +9,10 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "duty/admin.h"
 #include "duty/caller.h"
 #include "duty/control.h"
+#include "duty/control_ops.h"
 #include "duty/logger.h"
 #include "duty/messages.h"
 #include "duty/peer_fetch.h"
@@ -42,7 +44,8 @@
 	struct peer_send *peer_send;
 	struct peer_fetcher *peer_fetch;
 	struct control *control;
-	_Atomic int leaving;
+	struct control_ops *ops;
+	struct admin *admin;
 };
 
 static const char *text(const struct server *s, enum serve_option id)
@@ -62,6 +65,22 @@
 	return given ? given : (uint64_t)clock_wall_us();
 }
 
+/* The first view is in effect. Runs on the request duty. */
+static void on_ready(void *ctx)
+{
+	struct server *s = ctx;
+
+	admin_set_health(s->admin, ERR_OK);
+}
+
+/* Runs on the control duty. */
+static void on_hosts(void *ctx, uint32_t count)
+{
+	struct server *s = ctx;
+
+	store_set_hosts(s->store, count);
+}
+
 static enum err_code new_request_side(struct server *s, struct err *err)
 {
 	uint32_t open_max = (uint32_t)number(s, SET_OPEN_MAX);
@@ -69,7 +88,9 @@
 	uint32_t capacity = cu_min_u32(RING_MAX, open_max * SUBS_PER_REQUEST);
 	struct request_options request = { .self = text(s, SET_HOST),
 					   .seed = seed(s),
-					   .capacity = capacity };
+					   .capacity = capacity,
+					   .ready = on_ready,
+					   .ready_ctx = s };
 	struct caller_options caller = {
 		.address = text(s, SET_CALLER_ADDRESS),
 		.port = (uint16_t)number(s, SET_CALLER_PORT),
@@ -102,12 +123,33 @@
 	return s->store ? ERR_OK : err->code;
 }
 
-/* The admin API is not served yet: every call is answered as unknown. */
-static void refuse_admin(struct control *c, struct admin_call *call)
+/* Reads "ADDRESS:PORT,ADDRESS:PORT" of --peers. */
+static enum err_code take_seeds(struct server *s, struct control_options *o,
+				struct err *err)
 {
-	call->reply(call->reply_ctx, err_http_status(ERR_NOT_FOUND),
-		    "{\"code\":204,\"error\":\"NOT_FOUND\"}");
-	admin_call_free(call);
+	char list[sizeof(s->set[SET_PEERS].text)];
+	char *save = NULL;
+	char *word;
+
+	cu_copy(list, sizeof(list), text(s, SET_PEERS));
+	for (word = strtok_r(list, ",", &save); word;
+	     word = strtok_r(NULL, ",", &save)) {
+		struct peer_address *seed_at = &o->seeds[o->seed_count];
+		char *colon = strrchr(word, ':');
+		long port = colon ? strtol(colon + 1, NULL, 10) : 0;
+
+		if (!colon || port < 1 || port > PORT_MAX ||
+		    o->seed_count == CONTROL_SEEDS_MAX)
+			return err_set(err, ERR_SETTING,
+				       "--peers has \"%.40s\", accepted up to "
+				       "%d ADDRESS:PORT",
+				       word, CONTROL_SEEDS_MAX);
+		*colon = '\0';
+		cu_copy(seed_at->address, sizeof(seed_at->address), word);
+		seed_at->port = (uint16_t)port;
+		o->seed_count++;
+	}
+	return ERR_OK;
 }
 
 static enum err_code new_control(struct server *s, struct err *err)
@@ -116,14 +158,22 @@
 		.port = (uint16_t)number(s, SET_PEER_PORT),
 		.incarnation = (uint64_t)clock_wall_us() / US_PER_MS,
 		.seed = seed(s),
-		.admin = refuse_admin,
+		.admin = control_admin,
+		.hosts = on_hosts,
+		.hosts_ctx = s,
 	};
 
+	if (take_seeds(s, &o, err) != ERR_OK)
+		return err->code;
+
 	cu_copy(o.host, sizeof(o.host), text(s, SET_HOST));
 	cu_copy(o.data_centre, sizeof(o.data_centre), text(s, SET_DATA_CENTRE));
 	cu_copy(o.address, sizeof(o.address), text(s, SET_PEER_ADDRESS));
 	s->control = control_new(&o, err);
-	return s->control ? ERR_OK : err->code;
+	if (!s->control)
+		return err->code;
+	s->ops = control_ops_new(s->control, o.host, o.data_centre, o.seed);
+	return ERR_OK;
 }
 
 static enum err_code new_peers(struct server *s, struct err *err)
@@ -140,6 +190,22 @@
 	return s->peer_fetch ? ERR_OK : err->code;
 }
 
+static enum err_code new_admin(struct server *s, struct err *err)
+{
+	struct admin_options o = {
+		.port = (uint16_t)number(s, SET_ADMIN_PORT),
+		.control = control_ring(s->control),
+	};
+
+	cu_copy(o.address, sizeof(o.address), text(s, SET_ADMIN_ADDRESS));
+	if (!cu_copy(o.token, sizeof(o.token), text(s, SET_ADMIN_TOKEN)))
+		return err_set(err, ERR_SETTING,
+			       "--admin-token is longer than %zu",
+			       sizeof(o.token) - 1);
+	s->admin = admin_new(&o, err);
+	return s->admin ? ERR_OK : err->code;
+}
+
 static void join_rings(struct server *s)
 {
 	struct control_options *c = control_options(s->control);
@@ -158,10 +224,7 @@
 static enum err_code create(struct server *s, struct err *err)
 {
 	enum err_code (*const steps[])(struct server *, struct err *) = {
-		new_request_side,
-		new_store,
-		new_control,
-		new_peers,
+		new_request_side, new_store, new_control, new_peers, new_admin,
 	};
 	uint32_t i;
 
@@ -222,7 +285,7 @@
 
 	log_event(LOG_LEVEL_INFO, "leaving", "draining for %" PRId64 " ms",
 		  number(s, SET_DRAIN_MS));
-	s->leaving = 1;
+	admin_set_health(s->admin, ERR_STOPPING);
 	caller_duty_drain(s->caller);
 	push_leave(control_ring(s->control));
 	wait_signal(signals, number(s, SET_DRAIN_MS));
@@ -239,6 +302,8 @@
 static void stop(struct server *s)
 {
 	caller_duty_stop(s->caller);
+	admin_free(s->admin);
+	s->admin = NULL;
 	peer_listen_stop(s->peer_listen);
 	peer_listen_join(s->peer_listen);
 	control_stop(s->control);
@@ -255,9 +320,11 @@
 
 static void server_free(struct server *s)
 {
+	admin_free(s->admin);
 	request_duty_free(s->request);
 	caller_duty_free(s->caller);
 	target_duty_free(s->target);
+	control_ops_free(s->ops);
 	control_free(s->control);
 	peer_listen_free(s->peer_listen);
 	peer_send_free(s->peer_send);
@@ -269,7 +336,8 @@
 
 static void print_ready(struct server *s)
 {
-	printf("ready caller=%u peer=%u\n", caller_duty_port(s->caller),
+	printf("ready caller=%u admin=%u peer=%u\n",
+	       caller_duty_port(s->caller), admin_port(s->admin),
 	       peer_listen_port(s->peer_listen));
 	fflush(stdout);
 }
--- a/src/duty/settings.h
+++ b/src/duty/settings.h
@@ -29,6 +29,9 @@
 	    OPT_IP, "127.0.0.1", 0, 0, "address of this host for other hosts") \
 	DEF(SET_PEER_PORT, "peer-port", "COWSLIPPOINT_PEER_PORT", OPT_NUMBER,  \
 	    "8082", 1, PORT_MAX, "UDP and TCP port for other hosts")           \
+	DEF(SET_PEERS, "peers", "COWSLIPPOINT_PEERS", OPT_TEXT, "", 0, 0,      \
+	    "ADDRESS:PORT,... of hosts to ask for the configuration while "    \
+	    "the host list cannot be read")                                    \
 	DEF(SET_STORE_ADDRESS, "store-address", "COWSLIPPOINT_STORE_ADDRESS",  \
 	    OPT_IP, "127.0.0.1", 0, 0, "address of the key-value service")     \
 	DEF(SET_STORE_PORT, "store-port", "COWSLIPPOINT_STORE_PORT",           \
