--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,8 @@
 STANDIN_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/standin/*.c)))
 CAPACITY_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/capacity/*.c)))
 BENCH_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/bench/*.c)))
+DEMO_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/demo/*.c)) \
+	tests/proc.c tests/client.c tests/standin/corpus.c)
 PROGRAMS = $(OUT)/cowslippoint $(if $(STANDIN_OBJ),$(OUT)/standin) \
 	$(if $(BENCH_OBJ),$(OUT)/bench)
 FORMATTED = $(filter-out src/codec/peer%,$(shell find src tests -name '*.[ch]'))
@@ -73,6 +75,13 @@
 	@echo "LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
+$(OUT)/demo-run: $(DEMO_OBJ) $(OUT)/libcowslippoint.a
+	@echo "LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+demo: $(OUT)/cowslippoint $(OUT)/standin $(OUT)/demo-run
+	$(OUT)/demo-run
+
 $(TEST_BIN): $(OUT)/%: $(OUT)/tests/%.o \
 		$(patsubst %.c,$(OUT)/%.o,$(TEST_SHARED)) \
 		$(OUT)/libcowslippoint.a
@@ -111,4 +120,4 @@
 	rm -rf build
 
 -include $(shell find build -name '*.d' 2>/dev/null)
-.PHONY: all deps tests bench capacity format format-check lint check clean
+.PHONY: all demo deps tests bench capacity format format-check lint check clean
--- a/src/duty/serve.c
+++ b/src/duty/serve.c
@@ -211,6 +211,8 @@
 	struct control_options *c = control_options(s->control);
 	struct request_options *r = request_duty_options(s->request);
 
+	/* Known only now when any free port was asked for. */
+	c->port = peer_listen_port(s->peer_listen);
 	c->store = store_ring(s->store);
 	c->request = request_duty_ring(s->request);
 	c->peer_send = peer_send_ring(s->peer_send);
--- a/src/duty/settings.h
+++ b/src/duty/settings.h
@@ -22,13 +22,15 @@
 	    OPT_IP, "127.0.0.1", 0, 0,                                         \
 	    "address of the admin API; beyond loopback a token is required")   \
 	DEF(SET_ADMIN_PORT, "admin-port", "COWSLIPPOINT_ADMIN_PORT",           \
-	    OPT_NUMBER, "8081", 0, PORT_MAX, "port of the admin API")          \
+	    OPT_NUMBER, "8081", 0, PORT_MAX,                                   \
+	    "port of the admin API (0: any free one)")                         \
 	DEF(SET_ADMIN_TOKEN, "admin-token", "COWSLIPPOINT_ADMIN_TOKEN",        \
 	    OPT_TEXT, "", 0, 0, "token that admin clients send")               \
 	DEF(SET_PEER_ADDRESS, "peer-address", "COWSLIPPOINT_PEER_ADDRESS",     \
 	    OPT_IP, "127.0.0.1", 0, 0, "address of this host for other hosts") \
 	DEF(SET_PEER_PORT, "peer-port", "COWSLIPPOINT_PEER_PORT", OPT_NUMBER,  \
-	    "8082", 1, PORT_MAX, "UDP and TCP port for other hosts")           \
+	    "8082", 0, PORT_MAX,                                               \
+	    "UDP and TCP port for other hosts (0: any free one)")              \
 	DEF(SET_PEERS, "peers", "COWSLIPPOINT_PEERS", OPT_TEXT, "", 0, 0,      \
 	    "ADDRESS:PORT,... of hosts to ask for the configuration while "    \
 	    "the host list cannot be read")                                    \
--- a/src/main.c
+++ b/src/main.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/cutil.h"
+#include "ctl/ctl.h"
 #include "duty/serve.h"
 
 #define VERSION "0.1.0"
@@ -17,6 +18,7 @@
 
 static const struct subcommand subcommands[] = {
 	{ "serve", serve_main, "run one host" },
+	{ "ctl", ctl_main, "operate the system over the admin API" },
 };
 
 static void usage(FILE *out)
