--- a/src/controller/slo.c
+++ b/src/controller/slo.c
@@ -139,15 +139,11 @@
 	return name;
 }
 
-static void fill(struct slo_customer *c, int64_t now_us, struct slo_report *out)
+void slo_evaluate(struct slo_report *out)
 {
-	memset(out, 0, sizeof(*out));
-	advance(c, now_us);
-	cu_copy(out->customer, sizeof(out->customer), c->name);
-	sum(c, FAST_BUCKETS, &out->fast);
-	sum(c, BUCKETS, &out->slow);
 	out->fast_burn_milli = burn_milli(&out->fast);
 	out->slow_burn_milli = burn_milli(&out->slow);
+	out->budget_left_permille = 0;
 	if (out->slow_burn_milli < 1000)
 		out->budget_left_permille =
 			(uint32_t)(1000 - out->slow_burn_milli);
@@ -156,6 +152,16 @@
 		     out->slow_burn_milli >= SLO_ALARM_BURN_MILLI;
 }
 
+static void fill(struct slo_customer *c, int64_t now_us, struct slo_report *out)
+{
+	memset(out, 0, sizeof(*out));
+	advance(c, now_us);
+	cu_copy(out->customer, sizeof(out->customer), c->name);
+	sum(c, FAST_BUCKETS, &out->fast);
+	sum(c, BUCKETS, &out->slow);
+	slo_evaluate(out);
+}
+
 enum err_code slo_report(struct slo *s, int64_t now_us, const char *customer,
 			 struct slo_report *out, struct err *err)
 {
--- /dev/null
+++ b/src/ctl/ctl.h
@@ -0,0 +1,45 @@
+/* The operator's commands: "cowslippoint ctl ..." over the admin API. */
+#ifndef CTL_H
+#define CTL_H
+
+#include <stdint.h>
+
+#include "base/cutil.h"
+#include "base/err.h"
+
+enum ctl_exit {
+	CTL_DONE = 0,
+	/* Refused, rolled back, or not done within the time to wait. */
+	CTL_REFUSED = 1,
+	CTL_USAGE = 2,
+	CTL_NOT_REACHABLE = 3
+};
+
+enum ctl_stream { CTL_OUT, CTL_ERR };
+
+/* What the commands need of their surroundings; tests give their own. */
+struct ctl_io {
+	/*
+	 * Sends one call to host number @host of @admin. ERR_OK with the HTTP
+	 * status and the body, or ERR_IO when nothing was sent to it, or
+	 * ERR_STORE_UNKNOWN when the answer was lost.
+	 */
+	enum err_code (*call)(void *ctx, const char *admin, const char *token,
+			      const char *method, const char *path,
+			      const char *body, uint32_t *http_status,
+			      struct buf *out, struct err *err);
+	void (*print)(void *ctx, enum ctl_stream to, const char *text);
+	/* Value of an environment variable or NULL. */
+	const char *(*setting)(void *ctx, const char *name);
+	/* Waits until the next look at a change. */
+	void (*pause)(void *ctx, uint32_t ms);
+	/* 1: progress of --wait is shown. */
+	uint32_t terminal;
+	void *ctx;
+};
+
+/* @argv: the word "ctl" and what follows it. Returns an enum ctl_exit. */
+int ctl_main(int argc, char **argv);
+int ctl_run(const struct ctl_io *io, int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/src/ctl/ctl_commands.c
@@ -0,0 +1,359 @@
+/* The commands, one function each, and their table; see ctl_internal.h. */
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl/ctl_internal.h"
+
+const char *ctl_operand(const struct ctl *c, uint32_t i)
+{
+	return c->args.words[c->args.word_count - 1 - i];
+}
+
+/* Reads @file, "-" for standard input, as a JSON object. */
+static json_t *read_document(const struct ctl *c, const char *file)
+{
+	struct err err = { 0 };
+	json_error_t error;
+	json_t *doc;
+
+	if (strcmp(file, "-") == 0)
+		doc = json_loadf(stdin, 0, &error);
+	else
+		doc = json_load_file(file, 0, &error);
+	if (json_is_object(doc))
+		return doc;
+	json_decref(doc);
+	err_set(&err, ERR_BAD_JSON, "%s, line %d: %s", file,
+		doc ? 1 : error.line,
+		doc ? "document is not an object" : error.text);
+	ctl_fail(c, CTL_REFUSED, &err);
+	return NULL;
+}
+
+static int print_raw(const struct ctl *c, const struct ctl_answer *a)
+{
+	c->io->print(c->io->ctx, CTL_OUT, a->text.data);
+	c->io->print(c->io->ctx, CTL_OUT, "\n");
+	return CTL_DONE;
+}
+
+static int print_document(const struct ctl *c, const json_t *doc)
+{
+	char *text CLEANUP_FREE = json_dumps(doc, JSON_INDENT(2));
+
+	c->io->print(c->io->ctx, CTL_OUT, text);
+	c->io->print(c->io->ctx, CTL_OUT, "\n");
+	return CTL_DONE;
+}
+
+/* What a document command works on. */
+struct document {
+	const char *collection;
+	/* Field that names the document. */
+	const char *key;
+};
+
+static const struct document contract_doc = { "contracts", "customer" };
+static const struct document index_doc = { "indexes", "index" };
+
+/* Path of the document in @doc, or 0 after printing what is wrong. */
+static int document_path(const struct ctl *c, const struct document *d,
+			 const json_t *doc, const char *verb, char *path,
+			 size_t size_bytes)
+{
+	const char *name = ctl_text(doc, d->key);
+	struct err err = { 0 };
+
+	if (cu_name_ok(name, 64)) {
+		snprintf(path, size_bytes, "%s/%s%s", d->collection, name,
+			 verb);
+		return 1;
+	}
+	err_set(&err, ERR_CFG_FIELD,
+		"%s is missing or not valid, accepted 1 to 64 of "
+		"a-z A-Z 0-9 . _ : -",
+		d->key);
+	ctl_fail(c, CTL_REFUSED, &err);
+	return 0;
+}
+
+static int apply(const struct ctl *c, const struct document *d)
+{
+	json_t *doc = read_document(c, ctl_operand(c, 0));
+	char *body CLEANUP_FREE = NULL;
+	char path[128];
+	int result = CTL_REFUSED;
+
+	if (doc && document_path(c, d, doc, "", path, sizeof(path))) {
+		body = json_dumps(doc, JSON_COMPACT);
+		result = ctl_change(c, "PUT", path, body);
+	}
+	json_decref(doc);
+	return result;
+}
+
+static int show_all(const struct ctl *c, const struct document *d,
+		    const struct ctl_answer *a)
+{
+	const json_t *items = json_object_get(a->json, d->collection);
+	size_t i;
+	json_t *item;
+
+	json_array_foreach(items, i, item) ctl_printf(
+		c, CTL_OUT, "%s  revision %lld by %s\n", ctl_text(item, "item"),
+		(long long)json_integer_value(json_object_get(item, "revisio"
+								    "n")),
+		ctl_text(item, "who"));
+	return CTL_DONE;
+}
+
+static int show(const struct ctl *c, const struct document *d)
+{
+	struct ctl_answer a CLEANUP(ctl_answer_clear) = { 0 };
+	int named = c->args.word_count == 3;
+	char path[256];
+	int result;
+
+	snprintf(path, sizeof(path), "%s%s%s", d->collection, named ? "/" : "",
+		 named ? ctl_operand(c, 0) : "");
+	result = ctl_call(c, "GET", path, NULL, &a);
+	if (result != CTL_DONE)
+		return result;
+	if (c->args.json)
+		return print_raw(c, &a);
+	if (!named)
+		return show_all(c, d, &a);
+	return print_document(c, json_object_get(a.json, "document"));
+}
+
+static int contract_apply(const struct ctl *c)
+{
+	return apply(c, &contract_doc);
+}
+
+static int contract_show(const struct ctl *c)
+{
+	return show(c, &contract_doc);
+}
+
+static int index_apply(const struct ctl *c)
+{
+	return apply(c, &index_doc);
+}
+
+static int index_show(const struct ctl *c)
+{
+	return show(c, &index_doc);
+}
+
+static int post_document(const struct ctl *c, const char *verb,
+			 struct ctl_answer *a)
+{
+	json_t *doc = read_document(c, ctl_operand(c, 0));
+	char *body CLEANUP_FREE = NULL;
+	char path[128];
+	int result = CTL_REFUSED;
+
+	if (doc &&
+	    document_path(c, &contract_doc, doc, verb, path, sizeof(path))) {
+		body = json_dumps(doc, JSON_COMPACT);
+		result = ctl_call(c, "POST", path, body, a);
+	}
+	json_decref(doc);
+	return result;
+}
+
+static int contract_validate(const struct ctl *c)
+{
+	struct ctl_answer a CLEANUP(ctl_answer_clear) = { 0 };
+	int result = post_document(c, "/validate", &a);
+
+	if (result != CTL_DONE)
+		return result;
+	if (c->args.json)
+		return print_raw(c, &a);
+	ctl_printf(c, CTL_OUT, "valid\n");
+	return CTL_DONE;
+}
+
+static const char *or_absent(const char *text)
+{
+	return text[0] ? text : "(absent)";
+}
+
+static int contract_diff(const struct ctl *c)
+{
+	struct ctl_answer a CLEANUP(ctl_answer_clear) = { 0 };
+	int result = post_document(c, "/diff", &a);
+	size_t i;
+	json_t *d;
+
+	if (result != CTL_DONE)
+		return result;
+	if (c->args.json)
+		return print_raw(c, &a);
+	json_array_foreach(json_object_get(a.json, "differences"), i, d)
+		ctl_printf(c, CTL_OUT, "%s: %s -> %s\n", ctl_text(d, "field"),
+			   or_absent(ctl_text(d, "before")),
+			   or_absent(ctl_text(d, "after")));
+	if (i == 0)
+		ctl_printf(c, CTL_OUT, "no difference\n");
+	return CTL_DONE;
+}
+
+static int set_state(const struct ctl *c, const char *collection)
+{
+	char path[256];
+
+	snprintf(path, sizeof(path), "%s/%s/%s", collection, ctl_operand(c, 0),
+		 c->args.words[1]);
+	return ctl_change(c, "POST", path, NULL);
+}
+
+static int dc_set(const struct ctl *c)
+{
+	return set_state(c, "data-centres");
+}
+
+static int host_set(const struct ctl *c)
+{
+	return set_state(c, "hosts");
+}
+
+static int version_start(const struct ctl *c)
+{
+	char *body CLEANUP_FREE = NULL;
+	json_t *obj = json_pack("{s:s,s:s,s:i}", "from", c->args.from, "to",
+				c->args.to, "finish_in_s", c->args.finish_in_s);
+	char path[256];
+
+	body = json_dumps(obj, JSON_COMPACT);
+	json_decref(obj);
+	snprintf(path, sizeof(path), "versions/%s/start", ctl_operand(c, 0));
+	return ctl_change(c, "POST", path, body);
+}
+
+static int version_abort(const struct ctl *c)
+{
+	char *body CLEANUP_FREE = NULL;
+	json_t *obj = json_pack("{s:s}", "reason", c->args.reason);
+	char path[256];
+
+	body = json_dumps(obj, JSON_COMPACT);
+	json_decref(obj);
+	snprintf(path, sizeof(path), "versions/%s/abort", ctl_operand(c, 0));
+	return ctl_change(c, "POST", path, body);
+}
+
+static void print_version(const struct ctl *c, const json_t *v)
+{
+	const char *bad = ctl_text(v, "bad");
+
+	ctl_printf(c, CTL_OUT, "%s: %s to %s, %s, %lld of 1000\n",
+		   ctl_text(v, "service"), ctl_text(v, "from"),
+		   ctl_text(v, "to"), ctl_text(v, "state"),
+		   (long long)json_integer_value(json_object_get(v, "share_"
+								    "here_"
+								    "permill"
+								    "e")));
+	if (bad[0])
+		ctl_printf(c, CTL_OUT, "bad: %s\n", bad);
+	ctl_printf(c, CTL_OUT, "evidence against it: %.1f of %.1f\n",
+		   (double)json_integer_value(json_object_get(v, "score_"
+								 "milli")) /
+			   1000.0,
+		   (double)json_integer_value(json_object_get(v, "threshold_"
+								 "milli")) /
+			   1000.0);
+}
+
+static int version_status(const struct ctl *c)
+{
+	struct ctl_answer a CLEANUP(ctl_answer_clear) = { 0 };
+	char path[256];
+	int result;
+
+	snprintf(path, sizeof(path), "versions/%s", ctl_operand(c, 0));
+	result = ctl_call(c, "GET", path, NULL, &a);
+	if (result != CTL_DONE)
+		return result;
+	if (c->args.json)
+		return print_raw(c, &a);
+	print_version(c, a.json);
+	return CTL_DONE;
+}
+
+static int status(const struct ctl *c)
+{
+	struct ctl_answer a CLEANUP(ctl_answer_clear) = { 0 };
+	int result = ctl_call(c, "GET", "status", NULL, &a);
+	size_t i;
+	json_t *h;
+
+	if (result != CTL_DONE)
+		return result;
+	if (c->args.json)
+		return print_raw(c, &a);
+	c->io->print(c->io->ctx, CTL_OUT, ctl_text(a.json, "text"));
+	json_array_foreach(json_object_get(a.json, "hosts"), i, h) ctl_printf(
+		c, CTL_OUT, "  %-20s data centre %-10s %-8s %lld\n",
+		ctl_text(h, "host"), ctl_text(h, "data_centre"),
+		ctl_text(h, "state"),
+		(long long)json_integer_value(json_object_get(h, "revision")));
+	return CTL_DONE;
+}
+
+static int change(const struct ctl *c)
+{
+	return ctl_follow(c, ctl_operand(c, 0));
+}
+
+/*
+ * DEF(object, verb, lowest, highest, options, required, operands, help, fn)
+ */
+#define COMMANDS(DEF)                                                         \
+	DEF("contract", "apply", 1, 1, OPT_CHANGE, 0, "FILE",                 \
+	    "put a customer's contract into effect", contract_apply)          \
+	DEF("contract", "show", 0, 1, 0, 0, "[CUSTOMER]",                     \
+	    "show one contract, or list all", contract_show)                  \
+	DEF("contract", "diff", 1, 1, 0, 0, "FILE",                           \
+	    "compare a contract with the one in effect", contract_diff)       \
+	DEF("contract", "validate", 1, 1, 0, 0, "FILE",                       \
+	    "check a contract without applying it", contract_validate)        \
+	DEF("index", "apply", 1, 1, OPT_CHANGE, 0, "FILE",                    \
+	    "put an index's layout into effect", index_apply)                 \
+	DEF("index", "show", 0, 1, 0, 0, "[INDEX]",                           \
+	    "show one layout, or list all", index_show)                       \
+	DEF("dc", "out", 1, 1, OPT_CHANGE, 0, "DATA_CENTRE",                  \
+	    "take a data centre out of service", dc_set)                      \
+	DEF("dc", "in", 1, 1, OPT_CHANGE, 0, "DATA_CENTRE",                   \
+	    "bring a data centre back", dc_set)                               \
+	DEF("host", "out", 1, 1, OPT_CHANGE, 0, "HOST",                       \
+	    "take a target or entry host out", host_set)                      \
+	DEF("host", "in", 1, 1, OPT_CHANGE, 0, "HOST",                        \
+	    "bring a target or entry host back", host_set)                    \
+	DEF("version", "start", 1, 1, OPT_START | OPT_CHANGE, OPT_START,      \
+	    "SERVICE", "roll out a version by evidence", version_start)       \
+	DEF("version", "status", 1, 1, 0, 0, "SERVICE",                       \
+	    "show a service's rollout", version_status)                       \
+	DEF("version", "abort", 1, 1, OPT_REASON | OPT_CHANGE, 0, "SERVICE",  \
+	    "stop a rollout and return to the old version", version_abort)    \
+	DEF("status", NULL, 0, 0, 0, 0, "", "show hosts, changes and alarms", \
+	    status)                                                           \
+	DEF("change", NULL, 1, 1, OPT_WAIT, 0, "ID",                          \
+	    "show what became of a change", change)                           \
+	DEF("report", NULL, 0, 1, OPT_SVG, 0, "[CUSTOMER]",                   \
+	    "show the service-level burn", ctl_report)
+
+const struct ctl_command ctl_commands[] = {
+#define DEF(object, verb, lowest, highest, options, required, operands, help, \
+	    fn)                                                               \
+	{                                                                     \
+		object,	  verb,	    lowest, highest, options,                 \
+		required, operands, help,   fn                                \
+	},
+	COMMANDS(DEF)
+#undef DEF
+};
+
+const uint32_t ctl_command_count = countof(ctl_commands);
--- /dev/null
+++ b/src/ctl/ctl_internal.h
@@ -0,0 +1,120 @@
+/* Parts shared by the files of the operator's commands; see ctl.h. */
+#ifndef CTL_INTERNAL_H
+#define CTL_INTERNAL_H
+
+#include <jansson.h>
+
+#include "controller/slo.h"
+#include "ctl/ctl.h"
+
+#define CTL_ADDRESSES_MAX 64
+#define CTL_ADDRESS_BYTES 64
+#define CTL_WORDS_MAX 4
+#define CTL_DOCUMENT_BYTES_MAX 1048576
+
+/* The command line. */
+struct ctl_args {
+	/* Command words and operands, such as "dc", "out", "b". */
+	uint32_t word_count;
+	const char *words[CTL_WORDS_MAX];
+	uint32_t json;
+	uint32_t wait;
+	uint32_t address_count;
+	char addresses[CTL_ADDRESSES_MAX][CTL_ADDRESS_BYTES];
+	const char *token;
+	/* Empty when not given. */
+	const char *from;
+	const char *to;
+	const char *reason;
+	const char *svg;
+	int32_t finish_in_s;
+	/* 0 when not given. */
+	int64_t if_rev;
+	int32_t timeout_s;
+};
+
+struct ctl {
+	const struct ctl_io *io;
+	struct ctl_args args;
+};
+
+/* An answer of the admin API. */
+struct ctl_answer {
+	uint32_t http_status;
+	struct buf text;
+	/* Parsed text or NULL. */
+	json_t *json;
+};
+
+void ctl_answer_clear(struct ctl_answer *a);
+void ctl_printf(const struct ctl *c, enum ctl_stream to, const char *fmt, ...)
+	PRINTF_LIKE(3, 4);
+/* Prints an error with its number; returns @result. */
+int ctl_fail(const struct ctl *c, int result, const struct err *err);
+/*
+ * Calls the first address that takes a connection. Returns CTL_DONE with a
+ * good answer, else the exit code, after printing why.
+ */
+int ctl_call(const struct ctl *c, const char *method, const char *path,
+	     const char *body, struct ctl_answer *out);
+/* The same for one address, without printing. */
+enum err_code ctl_call_one(const struct ctl *c, const char *address,
+			   const char *method, const char *path,
+			   const char *body, struct ctl_answer *out,
+			   struct err *err);
+/* Prints the error that the host answered; returns CTL_REFUSED. */
+int ctl_refused(const struct ctl *c, const struct ctl_answer *a);
+/* Field of a JSON object as text; "" when absent. */
+const char *ctl_text(const json_t *obj, const char *field);
+
+/* Sends a change and, with --wait, follows it to its end. */
+int ctl_change(const struct ctl *c, const char *method, const char *path,
+	       const char *body);
+/* Shows change @id; with --wait follows it to its end. */
+int ctl_follow(const struct ctl *c, const char *id);
+
+/* ctl_commands.c */
+enum ctl_option {
+	OPT_FROM = 1,
+	OPT_TO = 2,
+	OPT_FINISH = 4,
+	OPT_REASON = 8,
+	OPT_SVG = 16,
+	OPT_IF_REV = 32,
+	OPT_WAIT = 64
+};
+#define OPT_CHANGE (OPT_IF_REV | OPT_WAIT)
+#define OPT_START (OPT_FROM | OPT_TO | OPT_FINISH)
+
+typedef int ctl_command_fn(const struct ctl *c);
+
+struct ctl_command {
+	const char *object;
+	/* NULL: the object is the whole command. */
+	const char *verb;
+	/* Operands after the command's words. */
+	uint32_t lowest;
+	uint32_t highest;
+	/* Options that the command takes, besides those that all take. */
+	uint32_t options;
+	uint32_t required;
+	const char *operands;
+	const char *help;
+	ctl_command_fn *fn;
+};
+
+extern const struct ctl_command ctl_commands[];
+extern const uint32_t ctl_command_count;
+/* Operand @i of the command line, counted from the last one. */
+const char *ctl_operand(const struct ctl *c, uint32_t i);
+
+/* ctl_report.c */
+int ctl_report(const struct ctl *c);
+/* Table of the reports as text. */
+void ctl_report_text(const struct slo_report *r, uint32_t count,
+		     struct buf *out);
+/* Plot of burn and of what spent the budget, as SVG. */
+void ctl_report_svg(const struct slo_report *r, uint32_t count,
+		    struct buf *out);
+
+#endif
