--- /dev/null
+++ b/tests/test_operator.c
@@ -0,0 +1,448 @@
+/*
+ * Scripted runs over the operator's controllers with a virtual clock: data
+ * centres (dcs), rollouts (rol) and service levels (slo).
+ */
+#include <apr_general.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "controller/dcs.h"
+#include "controller/rol.h"
+#include "controller/slo.h"
+#include "script.h"
+
+#define HOSTS_MAX 8
+
+struct dcs_ctx {
+	struct dcs *dcs;
+	uint32_t host_count;
+	struct dcs_host hosts[HOSTS_MAX];
+};
+
+static void *dcs_ctx_new(void)
+{
+	struct dcs_ctx *c = cu_alloc(1, sizeof(*c));
+
+	c->dcs = dcs_new();
+	return c;
+}
+
+static void dcs_ctx_free(void *ctx)
+{
+	struct dcs_ctx *c = ctx;
+
+	dcs_free(c->dcs);
+	free(c);
+}
+
+static int64_t ms_arg(uint32_t argc, char **argv, const char *name)
+{
+	return script_int(argc, argv, name, 0) * US_PER_MS;
+}
+
+static enum dcs_kind kind_arg(uint32_t argc, char **argv)
+{
+	return strcmp(script_arg(argc, argv, "kind", "dc"), "dc") == 0
+		       ? DCS_DATA_CENTRE
+		       : DCS_HOST;
+}
+
+static void dcs_cmd_host(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	static const char *const names[] = { "live", "suspect", "gone",
+					     "leaving" };
+	const char *name = script_arg(argc, argv, "name", "h1");
+	const char *state = script_arg(argc, argv, "state", "live");
+	struct dcs_ctx *c = ctx;
+	struct dcs_host *h;
+	uint32_t i;
+
+	for (i = 0; i < c->host_count; i++) {
+		if (strcmp(c->hosts[i].host, name) == 0)
+			break;
+	}
+	g_assert_cmpuint(i, <, HOSTS_MAX);
+	h = &c->hosts[i];
+	c->host_count = cu_max_u32(c->host_count, i + 1);
+	cu_copy(h->host, NAME_BYTES, name);
+	cu_copy(h->data_centre, NAME_BYTES, script_arg(argc, argv, "dc", "a"));
+	h->adopted_rev = (uint64_t)script_int(argc, argv, "rev", 0);
+	for (i = 0; i < countof(names); i++) {
+		if (strcmp(names[i], state) == 0)
+			h->contact = (enum dcs_contact)i;
+	}
+}
+
+static void dcs_cmd_apply(void *ctx, uint32_t argc, char **argv,
+			  struct buf *out)
+{
+	struct dcs_ctx *c = ctx;
+	int is_out = strcmp(script_arg(argc, argv, "state", "in"), "out") == 0;
+
+	dcs_apply(c->dcs, ms_arg(argc, argv, "ms"), kind_arg(argc, argv),
+		  script_arg(argc, argv, "name", "a"),
+		  is_out ? DCS_OUT : DCS_IN,
+		  (uint64_t)script_int(argc, argv, "rev", 0));
+}
+
+static void dcs_cmd_share(void *ctx, uint32_t argc, char **argv,
+			  struct buf *out)
+{
+	struct dcs_ctx *c = ctx;
+	int64_t now_us = ms_arg(argc, argv, "ms");
+	int64_t next_us = dcs_next_us(c->dcs, now_us);
+
+	buf_addf(out, "share %u next %" PRId64 " ms, host out %d\n",
+		 dcs_share_permille(c->dcs, script_arg(argc, argv, "name", "a"),
+				    now_us),
+		 next_us < 0 ? -1 : next_us / US_PER_MS,
+		 dcs_host_out(c->dcs, script_arg(argc, argv, "name", "a")));
+}
+
+static void dcs_cmd_status(void *ctx, uint32_t argc, char **argv,
+			   struct buf *out)
+{
+	struct dcs_ctx *c = ctx;
+	struct dcs_status s;
+
+	dcs_status(c->dcs, ms_arg(argc, argv, "ms"), kind_arg(argc, argv),
+		   script_arg(argc, argv, "name", "a"), c->hosts, c->host_count,
+		   &s);
+	buf_addf(out, "complete %u\n", s.complete);
+	dcs_status_text(&s, c->hosts, c->host_count, out);
+}
+
+static const struct script_command dcs_commands[] = {
+	{ "host", dcs_cmd_host },
+	{ "apply", dcs_cmd_apply },
+	{ "share", dcs_cmd_share },
+	{ "status", dcs_cmd_status },
+};
+
+struct rol_ctx {
+	struct rol *rol;
+	struct buf *out;
+	/* Numbers of the latest store calls. */
+	uint32_t call;
+};
+
+static void on_grant(void *ctx, uint32_t call, uint32_t ttl_ms)
+{
+	struct rol_ctx *c = ctx;
+
+	c->call = call;
+	buf_addf(c->out, "store: grant %u ms\n", ttl_ms);
+}
+
+static void on_claim(void *ctx, uint32_t call, uint64_t lease)
+{
+	struct rol_ctx *c = ctx;
+
+	c->call = call;
+	buf_addf(c->out, "store: claim with lease %" PRIu64 "\n", lease);
+}
+
+static void on_renew(void *ctx, uint32_t call, uint64_t lease)
+{
+	struct rol_ctx *c = ctx;
+
+	c->call = call;
+	buf_addf(c->out, "store: renew lease %" PRIu64 "\n", lease);
+}
+
+static void on_revoke(void *ctx, uint64_t lease)
+{
+	struct rol_ctx *c = ctx;
+
+	buf_addf(c->out, "store: revoke lease %" PRIu64 "\n", lease);
+}
+
+static int on_write(void *ctx, const struct rollout_item *item, uint64_t if_rev)
+{
+	struct rol_ctx *c = ctx;
+
+	buf_addf(c->out,
+		 "write: %s share %u fence %" PRIu64 " if %" PRIu64 "%s%s\n",
+		 rollout_state_name(item->state), item->share_permille,
+		 item->fence, if_rev, item->reason[0] ? ": " : "",
+		 item->reason);
+	return 1;
+}
+
+static void on_changed(void *ctx)
+{
+	struct rol_ctx *c = ctx;
+
+	buf_addf(c->out, "changed\n");
+}
+
+static void on_note(void *ctx, const char *service, const char *text)
+{
+	struct rol_ctx *c = ctx;
+
+	buf_addf(c->out, "note: %s: %s\n", service, text);
+}
+
+static const struct rol_ops rol_test_ops = {
+	.lead = { on_grant, on_claim, on_renew, on_revoke },
+	.write = on_write,
+	.changed = on_changed,
+	.note = on_note,
+};
+
+static void *rol_ctx_new(void)
+{
+	struct rol_ctx *c = cu_alloc(1, sizeof(*c));
+
+	c->rol = rol_new("h1", 1, &rol_test_ops, c);
+	rol_set_hosts(c->rol, 8);
+	rol_set_candidate(c->rol, 1);
+	return c;
+}
+
+static void rol_ctx_free(void *ctx)
+{
+	struct rol_ctx *c = ctx;
+
+	rol_free(c->rol);
+	free(c);
+}
+
+static void rol_cmd_item(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct rol_ctx *c = ctx;
+	int64_t now_us = ms_arg(argc, argv, "ms");
+	struct rollout_item item = { 0 };
+	struct err err = { 0 };
+
+	c->out = out;
+	cu_copy(item.service, NAME_BYTES, "svc");
+	cu_copy(item.from, NAME_BYTES, script_arg(argc, argv, "from", "v1"));
+	cu_copy(item.to, NAME_BYTES, script_arg(argc, argv, "to", "v2"));
+	item.share_permille = (uint32_t)script_int(argc, argv, "share", 10);
+	item.fence = (uint64_t)script_int(argc, argv, "fence", 0);
+	item.finish_by_ms = (uint64_t)script_int(argc, argv, "finish", 60000);
+	item.state =
+		rollout_state_of(script_arg(argc, argv, "state", "running"));
+	cu_copy(item.reason, REASON_BYTES,
+		script_arg(argc, argv, "reason", ""));
+	rol_item(c->rol, now_us, now_us / US_PER_MS, &item,
+		 (uint64_t)script_int(argc, argv, "rev", 1), &err);
+	if (err.code != ERR_OK)
+		buf_addf(out, "%s %s\n", err_name(err.code), err.detail);
+}
+
+/* "requests/failures/slow" */
+static void counts_arg(uint32_t argc, char **argv, const char *name,
+		       uint32_t *requests, uint32_t *failures, uint32_t *slow)
+{
+	const char *text = script_arg(argc, argv, name, "0/0/0");
+
+	g_assert_cmpint(sscanf(text, "%u/%u/%u", requests, failures, slow), ==,
+			3);
+}
+
+static void rol_cmd_evidence(void *ctx, uint32_t argc, char **argv,
+			     struct buf *out)
+{
+	struct rol_ctx *c = ctx;
+	struct version_evidence e[2] = { 0 };
+	int64_t times = script_int(argc, argv, "times", 1);
+	uint32_t i;
+
+	c->out = out;
+	for (i = 0; i < 2; i++) {
+		cu_copy(e[i].service, NAME_BYTES, "svc");
+		cu_copy(e[i].version, NAME_BYTES, i ? "v1" : "v2");
+		counts_arg(argc, argv, i ? "old" : "new", &e[i].requests,
+			   &e[i].failures, &e[i].slow);
+	}
+	while (times-- > 0)
+		rol_evidence(c->rol, ms_arg(argc, argv, "ms"), e, 2);
+}
+
+static void rol_cmd_peer(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct rol_ctx *c = ctx;
+	struct rollout_evidence e = { 0 };
+
+	c->out = out;
+	cu_copy(e.service, NAME_BYTES, "svc");
+	cu_copy(e.version, NAME_BYTES, script_arg(argc, argv, "version", "v2"));
+	e.bad = (uint32_t)script_int(argc, argv, "bad", 0);
+	rol_peer(c->rol, ms_arg(argc, argv, "ms"), "h2", &e, 1);
+}
+
+static void rol_cmd_report(void *ctx, uint32_t argc, char **argv,
+			   struct buf *out)
+{
+	struct rol_ctx *c = ctx;
+	struct rollout_evidence e[HEARTBEAT_ROLLOUTS_MAX];
+	uint32_t count = rol_report(c->rol, e, countof(e));
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		buf_addf(out, "%s %s bad %u, %u/%u/%u\n", e[i].service,
+			 e[i].version, e[i].bad, e[i].requests, e[i].failures,
+			 e[i].slow);
+}
+
+static void rol_cmd_tick(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct rol_ctx *c = ctx;
+	int64_t now_us = ms_arg(argc, argv, "ms");
+
+	c->out = out;
+	rol_tick(c->rol, now_us, now_us / US_PER_MS);
+}
+
+static enum err_code code_arg(uint32_t argc, char **argv)
+{
+	const char *name = script_arg(argc, argv, "code", "OK");
+
+	if (strcmp(name, "OK") == 0)
+		return ERR_OK;
+	if (strcmp(name, "STORE_CONFLICT") == 0)
+		return ERR_STORE_CONFLICT;
+	if (strcmp(name, "STORE_NOT_FOUND") == 0)
+		return ERR_STORE_NOT_FOUND;
+	if (strcmp(name, "CFG_RACE") == 0)
+		return ERR_CFG_RACE;
+	g_assert_cmpstr(name, ==, "STORE_UNKNOWN");
+	return ERR_STORE_UNKNOWN;
+}
+
+static void rol_cmd_granted(void *ctx, uint32_t argc, char **argv,
+			    struct buf *out)
+{
+	struct rol_ctx *c = ctx;
+
+	c->out = out;
+	rol_lead_grant_done(rol_lead(c->rol), ms_arg(argc, argv, "ms"), c->call,
+			    code_arg(argc, argv),
+			    (uint64_t)script_int(argc, argv, "lease", 1),
+			    &rol_test_ops.lead, c);
+}
+
+static void rol_cmd_claimed(void *ctx, uint32_t argc, char **argv,
+			    struct buf *out)
+{
+	struct rol_ctx *c = ctx;
+
+	c->out = out;
+	rol_lead_claim_done(rol_lead(c->rol), ms_arg(argc, argv, "ms"), c->call,
+			    code_arg(argc, argv),
+			    (uint64_t)script_int(argc, argv, "version", 1),
+			    rol_fence(c->rol), &rol_test_ops.lead, c);
+}
+
+static void rol_cmd_renewed(void *ctx, uint32_t argc, char **argv,
+			    struct buf *out)
+{
+	struct rol_ctx *c = ctx;
+
+	rol_lead_renew_done(rol_lead(c->rol), ms_arg(argc, argv, "ms"), c->call,
+			    code_arg(argc, argv));
+}
+
+static void rol_cmd_written(void *ctx, uint32_t argc, char **argv,
+			    struct buf *out)
+{
+	struct rol_ctx *c = ctx;
+
+	c->out = out;
+	rol_write_done(c->rol, ms_arg(argc, argv, "ms"), "svc",
+		       code_arg(argc, argv));
+}
+
+static void rol_cmd_show(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct rol_ctx *c = ctx;
+	int64_t now_us = ms_arg(argc, argv, "ms");
+	uint64_t score;
+	uint64_t threshold;
+
+	rol_statistic(c->rol, "svc", &score, &threshold);
+	buf_addf(out, "v1 %u v2 %u leads %d score %" PRIu64 " of %" PRIu64 "\n",
+		 rol_share_permille(c->rol, "svc", "v1"),
+		 rol_share_permille(c->rol, "svc", "v2"),
+		 rol_lead_may_act(rol_lead(c->rol), now_us), score, threshold);
+}
+
+static const struct script_command rol_commands[] = {
+	{ "item", rol_cmd_item },	{ "evidence", rol_cmd_evidence },
+	{ "peer", rol_cmd_peer },	{ "report", rol_cmd_report },
+	{ "tick", rol_cmd_tick },	{ "granted", rol_cmd_granted },
+	{ "claimed", rol_cmd_claimed }, { "renewed", rol_cmd_renewed },
+	{ "written", rol_cmd_written }, { "show", rol_cmd_show },
+};
+
+static void *slo_ctx_new(void)
+{
+	return slo_new();
+}
+
+static void slo_ctx_free(void *ctx)
+{
+	slo_free(ctx);
+}
+
+static void slo_cmd_add(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct customer_evidence e = { 0 };
+
+	cu_copy(e.customer, NAME_BYTES,
+		script_arg(argc, argv, "customer", "c1"));
+	e.good = (uint32_t)script_int(argc, argv, "good", 0);
+	e.late = (uint32_t)script_int(argc, argv, "late", 0);
+	e.partial = (uint32_t)script_int(argc, argv, "partial", 0);
+	e.refused = (uint32_t)script_int(argc, argv, "refused", 0);
+	e.lost = (uint32_t)script_int(argc, argv, "lost", 0);
+	slo_add(ctx, script_int(argc, argv, "s", 0) * US_PER_S, &e);
+}
+
+static void slo_cmd_show(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	const char *customer = script_arg(argc, argv, "customer", "c1");
+	int64_t now_us = script_int(argc, argv, "s", 0) * US_PER_S;
+	struct slo_report r;
+	struct err err = { 0 };
+
+	if (slo_report(ctx, now_us, customer, &r, &err) != ERR_OK) {
+		buf_addf(out, "%s %s\n", err_name(err.code), err.detail);
+		return;
+	}
+	buf_addf(out,
+		 "fast %" PRIu64 " slow %" PRIu64 " left %u spent by %s "
+		 "alarm %u, good %" PRIu64 " bad %" PRIu64 "\n",
+		 r.fast_burn_milli, r.slow_burn_milli, r.budget_left_permille,
+		 r.spent_by, r.alarm, r.slow.good, slo_bad(&r.slow));
+}
+
+static const struct script_command slo_commands[] = {
+	{ "add", slo_cmd_add },
+	{ "show", slo_cmd_show },
+};
+
+#define AREA(area)                                         \
+	{                                                  \
+		.name = #area, .ctx_new = area##_ctx_new,  \
+		.ctx_free = area##_ctx_free,               \
+		.command_count = countof(area##_commands), \
+		.commands = area##_commands                \
+	}
+
+static const struct script_area areas[] = { AREA(dcs), AREA(rol), AREA(slo) };
+
+int main(int argc, char **argv)
+{
+	uint32_t i;
+
+	apr_initialize();
+	g_test_init(&argc, &argv, NULL);
+	for (i = 0; i < countof(areas); i++)
+		script_register(&areas[i], "tests/scripts");
+	return g_test_run();
+}
