--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -89,12 +89,13 @@
 	return CTL_DONE;
 }
 
-static int usage(const struct ctl *c, const char *fmt, const char *what)
+static int usage(const struct ctl *c, const char *problem, const char *what)
 {
 	struct err err = { 0 };
 	char detail[ERR_DETAIL_BYTES];
 
-	snprintf(detail, sizeof(detail), "%s %s; see ctl --help", what, fmt);
+	snprintf(detail, sizeof(detail), "%s%s%s; see ctl --help", what,
+		 problem[0] ? " " : "", problem);
 	err_set(&err, ERR_USAGE, "%s", detail);
 	return ctl_fail(c, CTL_USAGE, &err);
 }
@@ -231,6 +232,19 @@
 	return k->fn(c);
 }
 
+/* What argtable2 says of the command line, in one line. */
+static int print_errors(const struct ctl *c, const struct ctl_table *t)
+{
+	char *text CLEANUP_FREE = NULL;
+	size_t bytes = 0;
+	FILE *memory = open_memstream(&text, &bytes);
+
+	arg_print_errors(memory, t->end, "ctl");
+	fclose(memory);
+	text[strcspn(text, "\n")] = '\0';
+	return usage(c, "", strncmp(text, "ctl: ", 5) == 0 ? text + 5 : text);
+}
+
 int ctl_run(const struct ctl_io *io, int argc, char **argv)
 {
 	struct ctl c = { .io = io };
@@ -244,7 +258,7 @@
 		result = print_help(&c, (void **)&t,
 				    t.words->count ? t.words->sval[0] : NULL);
 	else if (errors)
-		result = usage(&c, "is not understood", "the command line");
+		result = print_errors(&c, &t);
 	else if (take_args(&c, &t) != CTL_DONE)
 		result = CTL_USAGE;
 	else
--- a/src/ctl/ctl_commands.c
+++ b/src/ctl/ctl_commands.c
@@ -9,24 +9,32 @@
 	return c->args.words[c->args.word_count - 1 - i];
 }
 
-/* Reads @file, "-" for standard input, as a JSON object. */
-static json_t *read_document(const struct ctl *c, const char *file)
+/*
+ * Reads @file, "-" for standard input, as a JSON object. NULL after printing
+ * what is wrong, with the exit code in @result.
+ */
+static json_t *read_document(const struct ctl *c, const char *file, int *result)
 {
+	FILE *f = strcmp(file, "-") == 0 ? stdin : fopen(file, "r");
 	struct err err = { 0 };
 	json_error_t error;
 	json_t *doc;
 
-	if (strcmp(file, "-") == 0)
-		doc = json_loadf(stdin, 0, &error);
-	else
-		doc = json_load_file(file, 0, &error);
+	if (!f) {
+		err_set(&err, ERR_IO, "cannot read %s", file);
+		*result = ctl_fail(c, CTL_USAGE, &err);
+		return NULL;
+	}
+	doc = json_loadf(f, 0, &error);
+	if (f != stdin)
+		fclose(f);
 	if (json_is_object(doc))
 		return doc;
 	json_decref(doc);
 	err_set(&err, ERR_BAD_JSON, "%s, line %d: %s", file,
 		doc ? 1 : error.line,
 		doc ? "document is not an object" : error.text);
-	ctl_fail(c, CTL_REFUSED, &err);
+	*result = ctl_fail(c, CTL_REFUSED, &err);
 	return NULL;
 }
 
@@ -79,10 +87,10 @@
 
 static int apply(const struct ctl *c, const struct document *d)
 {
-	json_t *doc = read_document(c, ctl_operand(c, 0));
+	int result = CTL_REFUSED;
+	json_t *doc = read_document(c, ctl_operand(c, 0), &result);
 	char *body CLEANUP_FREE = NULL;
 	char path[128];
-	int result = CTL_REFUSED;
 
 	if (doc && document_path(c, d, doc, "", path, sizeof(path))) {
 		body = json_dumps(doc, JSON_COMPACT);
@@ -149,10 +157,10 @@
 static int post_document(const struct ctl *c, const char *verb,
 			 struct ctl_answer *a)
 {
-	json_t *doc = read_document(c, ctl_operand(c, 0));
+	int result = CTL_REFUSED;
+	json_t *doc = read_document(c, ctl_operand(c, 0), &result);
 	char *body CLEANUP_FREE = NULL;
 	char path[128];
-	int result = CTL_REFUSED;
 
 	if (doc &&
 	    document_path(c, &contract_doc, doc, verb, path, sizeof(path))) {
--- a/src/ctl/ctl_report.c
+++ b/src/ctl/ctl_report.c
@@ -274,6 +274,17 @@
 	return answered ? CTL_DONE : CTL_NOT_REACHABLE;
 }
 
+static json_t *counts_json(const struct slo_counts *c)
+{
+	json_t *obj = json_pack("{s:I}", "good", (json_int_t)c->good);
+
+#define DEF(field) \
+	json_object_set_new(obj, #field, json_integer((json_int_t)c->field));
+	SLO_BAD_KINDS(DEF)
+#undef DEF
+	return obj;
+}
+
 static int print_json(const struct ctl *c, const struct report *r)
 {
 	char *text CLEANUP_FREE = NULL;
@@ -285,19 +296,17 @@
 	for (i = 0; i < r->count; i++) {
 		const struct slo_report *s = &r->customers[i];
 
-		json_array_append_new(
-			all,
-			json_pack("{s:s,s:I,s:I,s:I,s:s,s:b,s:I,s:I}",
-				  "customer", s->customer, "fast_burn_milli",
-				  (json_int_t)s->fast_burn_milli,
-				  "slow_burn_milli",
-				  (json_int_t)s->slow_burn_milli,
-				  "budget_left_permille",
-				  (json_int_t)s->budget_left_permille,
-				  "spent_by", s->spent_by, "alarm",
-				  (int)s->alarm, "good",
-				  (json_int_t)s->slow.good, "bad",
-				  (json_int_t)slo_bad(&s->slow)));
+		json_t *obj = json_pack(
+			"{s:s,s:I,s:I,s:I,s:s,s:b}", "customer", s->customer,
+			"fast_burn_milli", (json_int_t)s->fast_burn_milli,
+			"slow_burn_milli", (json_int_t)s->slow_burn_milli,
+			"budget_left_permille",
+			(json_int_t)s->budget_left_permille, "spent_by",
+			s->spent_by, "alarm", (int)s->alarm);
+
+		json_object_set_new(obj, "fast", counts_json(&s->fast));
+		json_object_set_new(obj, "slow", counts_json(&s->slow));
+		json_array_append_new(all, obj);
 	}
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
--- a/src/duty/control_admin_change.c
+++ b/src/duty/control_admin_change.c
@@ -15,16 +15,15 @@
 	return strncmp(item, ROLLOUT_PREFIX, strlen(ROLLOUT_PREFIX)) == 0;
 }
 
-/* Version that the rollout item leads to; empty for another document. */
-static void rollout_target(const struct cfg_item *item, char *out)
+/* Leaves @out->to empty for another document. */
+static void decode_rollout(const struct cfg_item *item,
+			   struct rollout_item *out)
 {
-	struct rollout_item r;
 	struct err err = { 0 };
 
-	out[0] = '\0';
-	if (is_rollout(item->name) && item->json &&
-	    sjson_rollout(item->json, &r, &err) == ERR_OK)
-		cu_copy(out, NAME_BYTES, r.to);
+	if (!is_rollout(item->name) || !item->json ||
+	    sjson_rollout(item->json, out, &err) != ERR_OK)
+		memset(out, 0, sizeof(*out));
 }
 
 static void fill_entry(struct history_entry *e, const struct cfg_item *item)
@@ -34,7 +33,7 @@
 	cu_copy(e->item, sizeof(e->item), item->name);
 	cu_copy(e->who, sizeof(e->who), item->who);
 	e->deleted = !item->json;
-	rollout_target(item, e->to);
+	decode_rollout(item, &e->rollout);
 }
 
 void control_admin_item(struct control_admin *a, const struct cfg_item *item)
@@ -186,20 +185,65 @@
 		buf_add(&out->statement, rest.data, rest.len_bytes);
 }
 
-/* 1 when the rollout that the change began is still the one in effect. */
-static int rollout_state_now(struct control_admin *a,
-			     const struct history_entry *e,
-			     const struct cfg_item *now, struct change *out)
+/*
+ * Last known state of the rollout that the change is part of: the one in
+ * effect, or the last one remembered if another rollout followed.
+ */
+static const struct rollout_item *last_state(struct control_admin *a,
+					     const struct history_entry *e)
 {
-	struct rollout_item r;
-	struct err err = { 0 };
+	const struct rollout_item *last = &e->rollout;
+	uint64_t i;
+
+	for (i = history_start(a); i < a->history_count; i++) {
+		const struct history_entry *h = &a->history[i % HISTORY_MAX];
+
+		if (h->rev > e->rev && strcmp(h->item, e->item) == 0 &&
+		    strcmp(h->rollout.to, e->rollout.to) == 0 &&
+		    strcmp(h->rollout.from, e->rollout.from) == 0)
+			last = &h->rollout;
+	}
+	return last;
+}
+
+/* An abort is itself a change that is done when every host has it. */
+static int follows_rollout(const struct history_entry *e)
+{
+	return e->rollout.to[0] && e->rollout.state != ROLLOUT_ABORTED;
+}
+
+static void rollout_change(struct control_admin *a,
+			   const struct history_entry *e,
+			   const struct cfg_item *now, struct change *out)
+{
+	const struct rollout_item *last = last_state(a, e);
+	const char *bad = rol_bad_reason(a->rol, last->service, last->to);
+
+	rollout_statement(last, bad, out);
+	if (out->state == CHANGE_IN_PROGRESS && now && now->rev > e->rev &&
+	    !now->json) {
+		out->state = CHANGE_REPLACED;
+		buf_free(&out->statement);
+		buf_addf(&out->statement, "deleted by r%" PRIu64 " of %s\n",
+			 now->rev, now->who);
+	}
+}
+
+/* A return has not ended before the data centre has its full share. */
+static void ramp_statement(struct control_admin *a, const char *data_centre,
+			   struct change *out)
+{
+	uint32_t share =
+		dcs_share_permille(a->dcs, data_centre, a->ops->now_us(a->ctx));
 
-	if (!e->to[0] || !now || !now->json ||
-	    sjson_rollout(now->json, &r, &err) != ERR_OK ||
-	    strcmp(r.to, e->to) != 0)
-		return 0;
-	rollout_statement(&r, rol_bad_reason(a->rol, r.service, r.to), out);
-	return 1;
+	if (share == 0 || share == PERMILLE || out->state != CHANGE_DONE)
+		return;
+	out->state = CHANGE_IN_PROGRESS;
+	buf_free(&out->statement);
+	buf_addf(&out->statement,
+		 "in progress: in effect on all %u hosts, share %u of 1000 and "
+		 "rising\n",
+		 out->host_count, share);
 }
 
 static void fill_change(struct control_admin *a, const struct history_entry *e,
@@ -210,8 +254,10 @@
 	out->rev = e->rev;
 	cu_copy(out->item, sizeof(out->item), e->item);
 	cu_copy(out->who, sizeof(out->who), e->who);
-	if (rollout_state_now(a, e, now, out))
+	if (follows_rollout(e)) {
+		rollout_change(a, e, now, out);
 		return;
+	}
 	if (now && now->rev > e->rev) {
 		out->state = CHANGE_REPLACED;
 		buf_addf(&out->statement, "replaced by r%" PRIu64 " of %s\n",
@@ -219,6 +265,8 @@
 		return;
 	}
 	spread_statement(a, e->rev, out);
+	if (strncmp(e->item, "dc/", 3) == 0)
+		ramp_statement(a, e->item + 3, out);
 }
 
 enum err_code control_admin_change_internal(struct control_admin *a,
--- a/src/duty/control_admin_state.h
+++ b/src/duty/control_admin_state.h
@@ -14,8 +14,8 @@
 	uint64_t rev;
 	char item[ITEM_NAME_BYTES];
 	char who[WHO_BYTES];
-	/* Version that a rollout item leads to, else empty. */
-	char to[NAME_BYTES];
+	/* Of a rollout item; rollout.to is empty for another item. */
+	struct rollout_item rollout;
 	uint32_t deleted;
 };
 
--- a/src/duty/control_admin_status.c
+++ b/src/duty/control_admin_status.c
@@ -31,6 +31,7 @@
 static void add_dc(void *ctx, enum dcs_kind kind, const char *name,
 		   enum dcs_state state, uint64_t rev)
 {
+	struct buf text CLEANUP_BUF = { 0 };
 	struct status *s = ctx;
 	struct dcs_status d;
 
@@ -40,7 +41,9 @@
 		return;
 	s->dcs = cu_grow(s->dcs, s->dc_count + 1, sizeof(*s->dcs));
 	s->dcs[s->dc_count++] = d;
-	dcs_status_text(&d, s->hosts, s->host_count, &s->text);
+	dcs_status_text(&d, s->hosts, s->host_count, &text);
+	/* The hosts that have not confirmed are listed once for all items. */
+	buf_add(&s->text, text.data, strcspn(text.data, "\n") + 1);
 }
 
 static void add_rollout(void *ctx, const struct cfg_item *item)
