--- a/src/duty/admin.c
+++ b/src/duty/admin.c
@@ -5,6 +5,7 @@
 #include <pthread.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
 #include "base/addr.h"
 #include "base/metric.h"
@@ -19,14 +20,17 @@
 #define CONNECTIONS_MAX 64
 /* A client that sends nothing for this long is closed. */
 #define IDLE_S 30
+/* Longest wait for clients that are still sending or reading at the stop. */
+#define LAST_ANSWERS_S 2
 
 struct admin {
 	struct admin_options o;
 	struct MHD_Daemon *daemon;
 	uint16_t port;
 	_Atomic uint32_t health;
-	/* Guards the list of open requests. */
+	/* Guards the list of open requests; signalled when it gets empty. */
 	pthread_mutex_t lock;
+	pthread_cond_t none_open;
 	struct admin_request *open;
 	uint32_t stopping;
 };
@@ -210,7 +214,9 @@
 {
 	struct admin_call *call = NULL;
 	struct msg m = { .type = MSG_ADMIN, .drop = drop_call };
+	char *json CLEANUP_FREE = NULL;
 	struct err err = { 0 };
+	enum err_code code;
 
 	if (new_call(r, method, url, &call, &err) != ERR_OK)
 		return answer_error(r->connection, &err);
@@ -222,9 +228,11 @@
 	call->reply = admin_reply_set;
 	call->reply_ctx = r->reply;
 	m.body = call;
-	if (ring_push(r->admin->o.control, &m) != ERR_OK) {
-		err_set(&err, ERR_RING_FULL, "control takes no more calls now");
-		admin_reply_set(r->reply, err_http_status(err.code), "");
+	code = ring_push(r->admin->o.control, &m);
+	if (code != ERR_OK) {
+		err_set(&err, code, "control takes no more calls now");
+		json = ajson_error(&err);
+		admin_reply_set(r->reply, err_http_status(code), json);
 		admin_call_free(call);
 	}
 	return MHD_YES;
@@ -232,17 +240,13 @@
 
 static enum MHD_Result finish_call(struct admin_request *r)
 {
-	struct err err = { 0 };
 	const char *json;
 	uint32_t status;
 
 	/* Resumed without a reply only when the library shuts down. */
 	if (!admin_reply_get(r->reply, &status, &json))
 		return MHD_NO;
-	if (json[0])
-		return answer(r->connection, status, JSON_TYPE, json);
-	err_set(&err, ERR_RING_FULL, "control takes no more calls now");
-	return answer_error(r->connection, &err);
+	return answer(r->connection, status, JSON_TYPE, json);
 }
 
 static enum MHD_Result route(struct admin_request *r, const char *method,
@@ -333,6 +337,8 @@
 		;
 	if (*at)
 		*at = r->next;
+	if (!a->open)
+		pthread_cond_signal(&a->none_open);
 	pthread_mutex_unlock(&a->lock);
 	if (r->reply)
 		admin_reply_unref(r->reply);
@@ -392,6 +398,24 @@
 	return ERR_OK;
 }
 
+static void locks_init(struct admin *a)
+{
+	pthread_condattr_t attr;
+
+	pthread_mutex_init(&a->lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&a->none_open, &attr);
+	pthread_condattr_destroy(&attr);
+}
+
+static void locks_free(struct admin *a)
+{
+	pthread_cond_destroy(&a->none_open);
+	pthread_mutex_destroy(&a->lock);
+	free(a);
+}
+
 struct admin *admin_new(const struct admin_options *o, struct err *err)
 {
 	struct sockaddr_storage at;
@@ -402,11 +426,10 @@
 	a = cu_alloc(1, sizeof(*a));
 	a->o = *o;
 	a->health = ERR_NO_CONFIG;
-	pthread_mutex_init(&a->lock, NULL);
+	locks_init(a);
 	if (start_daemon(a, &at, err) == ERR_OK)
 		return a;
-	pthread_mutex_destroy(&a->lock);
-	free(a);
+	locks_free(a);
 	return NULL;
 }
 
@@ -429,15 +452,30 @@
 	pthread_mutex_unlock(&a->lock);
 }
 
+/* Lets the clients read their last answers. */
+static void wait_answers(struct admin *a)
+{
+	struct timespec until;
+	int result = 0;
+
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_sec += LAST_ANSWERS_S;
+	pthread_mutex_lock(&a->lock);
+	while (a->open && result == 0)
+		result =
+			pthread_cond_timedwait(&a->none_open, &a->lock, &until);
+	pthread_mutex_unlock(&a->lock);
+}
+
 void admin_free(struct admin *a)
 {
 	if (!a)
 		return;
 	MHD_quiesce_daemon(a->daemon);
 	cancel_calls(a);
+	wait_answers(a);
 	MHD_stop_daemon(a->daemon);
-	pthread_mutex_destroy(&a->lock);
-	free(a);
+	locks_free(a);
 }
 
 uint16_t admin_port(const struct admin *a)
