--- a/src/decide/hrw.c
+++ b/src/decide/hrw.c
@@ -17,3 +17,16 @@
 
 	return x != y ? x > y : strcmp(a, b) < 0;
 }
+
+int hrw_is_owner(const char *key, const char *self, char (*hosts)[NAME_BYTES],
+		 uint32_t host_count)
+{
+	uint32_t i;
+
+	for (i = 0; i < host_count; i++) {
+		if (strcmp(hosts[i], self) != 0 &&
+		    hrw_before(key, hosts[i], self))
+			return 0;
+	}
+	return 1;
+}
