--- a/Makefile
+++ b/Makefile
@@ -69,7 +69,7 @@
 	@echo "LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(OUT)/capacity: $(CAPACITY_OBJ) $(OUT)/libcowslippoint.a
+$(OUT)/capacity: $(CAPACITY_OBJ) $(OUT)/tests/bench/proc.o $(OUT)/libcowslippoint.a
 	@echo "LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
--- /dev/null
+++ b/tests/capacity/cap_config.c
@@ -0,0 +1,174 @@
+/* Configuration against the number of items. */
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/cutil.h"
+#include "cap.h"
+#include "codec/sjson.h"
+#include "controller/cfg_set.h"
+
+#define HEAD_REPEATS 4
+
+static const uint32_t item_sizes[] = { 500, 2000, 4000, 6000, 8000 };
+
+static void make_contract(struct contract *k, uint32_t n)
+{
+	memset(k, 0, sizeof(*k));
+	snprintf(k->customer, sizeof(k->customer), "customer-%06u", n);
+	k->index_count = 2;
+	cu_copy(k->indexes[0], NAME_BYTES, "concept");
+	cu_copy(k->indexes[1], NAME_BYTES, "proof-board");
+	k->answer_ms = 94;
+	k->min_coverage_permille = 950;
+	k->rate_per_s = 100;
+	k->target_share_permille = 100;
+	k->extra_load_permille = 50;
+}
+
+static struct cfg_head *make_head(uint32_t items)
+{
+	struct cfg_head *h = cfg_head_new();
+	uint32_t i;
+
+	for (i = 0; i < items; i++) {
+		struct head_entry e = { .rev = i + 1, .change = i + 1 };
+
+		snprintf(e.name, sizeof(e.name), "contract/customer-%06u", i);
+		cfg_head_advance(h, i + 1);
+		cfg_head_put(h, &e);
+	}
+	return h;
+}
+
+static struct cfg_set *make_set(uint32_t items)
+{
+	struct cfg_set *s = cfg_set_new(make_head(items));
+	uint32_t i;
+
+	for (i = 0; i < items; i++) {
+		struct contract k;
+		char *json CLEANUP_FREE = NULL;
+		struct cfg_item *item;
+
+		make_contract(&k, i);
+		json = sjson_contract_text(&k);
+		item = cfg_item_new(s->head->entries[i].name, i + 1, i + 1,
+				    "operator", json);
+		cfg_set_put(s, item);
+		cfg_item_unref(item);
+	}
+	return s;
+}
+
+static double head_bytes(void *ctx)
+{
+	char *text CLEANUP_FREE = sjson_head_text(ctx);
+
+	return (double)strlen(text);
+}
+
+static double head_encode(void *ctx)
+{
+	double start_us = cap_cpu_us();
+	uint32_t i;
+
+	for (i = 0; i < HEAD_REPEATS; i++)
+		free(sjson_head_text(ctx));
+	return (cap_cpu_us() - start_us) / HEAD_REPEATS;
+}
+
+static double head_decode(void *ctx)
+{
+	char *text CLEANUP_FREE = sjson_head_text(ctx);
+	struct err err = { 0 };
+	double start_us = cap_cpu_us();
+	uint32_t i;
+
+	for (i = 0; i < HEAD_REPEATS; i++)
+		cfg_head_free(sjson_head(text, &err));
+	return (cap_cpu_us() - start_us) / HEAD_REPEATS;
+}
+
+static void measure_heads(struct cap *c, const char *name, const char *unit,
+			  cap_run_fn *run)
+{
+	struct cap_series *s = cap_start(c, name, "item", unit);
+	uint32_t i;
+
+	for (i = 0; i < countof(item_sizes); i++) {
+		struct cfg_head *h = make_head(item_sizes[i]);
+
+		cap_point(s, item_sizes[i], cap_median(run, h));
+		cfg_head_free(h);
+	}
+	cap_fit(s);
+}
+
+static double set_bytes(void *ctx)
+{
+	double before = cap_heap_bytes();
+	struct cfg_set *s = make_set(*(uint32_t *)ctx);
+	double bytes = cap_heap_bytes() - before;
+
+	cfg_set_unref(s);
+	return bytes;
+}
+
+/* One change: the new revision's set is made from the old one. */
+static double set_change(void *ctx)
+{
+	struct cfg_set *s = ctx;
+	struct contract k;
+	char *json CLEANUP_FREE = NULL;
+	struct cfg_item *item;
+	struct cfg_delta d = { .rev = s->head->rev + 1, .recent_count = 1 };
+	struct cfg_set *next;
+	double start_us;
+	double spent_us;
+
+	make_contract(&k, 0);
+	json = sjson_contract_text(&k);
+	item = cfg_item_new(s->head->entries[0].name, d.rev, d.rev, "operator",
+			    json);
+	d.recent[0] = d.rev;
+	d.item_count = 1;
+	d.items = &item;
+	start_us = cap_cpu_us();
+	next = cfg_set_apply(s, &d);
+	spent_us = cap_cpu_us() - start_us;
+	cfg_set_unref(next);
+	cfg_item_unref(item);
+	return spent_us;
+}
+
+static void measure_sets(struct cap *c)
+{
+	struct cap_series *s =
+		cap_start(c, "configuration set memory", "item", "bytes");
+	uint32_t i;
+
+	for (i = 0; i < countof(item_sizes); i++) {
+		uint32_t items = item_sizes[i];
+
+		cap_point(s, items, cap_median(set_bytes, &items));
+	}
+	cap_fit(s);
+	s = cap_start(c, "adopting one change", "item", "us");
+	for (i = 0; i < countof(item_sizes); i++) {
+		struct cfg_set *set = make_set(item_sizes[i]);
+
+		cap_point(s, item_sizes[i], cap_median(set_change, set));
+		cfg_set_unref(set);
+	}
+	cap_fit(s);
+}
+
+void cap_config(struct cap *c)
+{
+	measure_heads(c, "head document", "bytes", head_bytes);
+	measure_heads(c, "head encoding", "us", head_encode);
+	measure_heads(c, "head decoding", "us", head_decode);
+	measure_sets(c);
+}
--- /dev/null
+++ b/tests/capacity/cap_membership.c
@@ -0,0 +1,228 @@
+/* Membership, heartbeats and host list against the number of hosts. */
+#include <stdio.h>
+#include <string.h>
+
+#include "base/cutil.h"
+#include "cap.h"
+#include "codec/hjson.h"
+#include "codec/pxdr.h"
+#include "controller/mbr.h"
+
+/* Ticks of the controller in one second. */
+#define TICKS_PER_S 10
+#define SECONDS 200
+/* IPv4 and UDP headers of a datagram. */
+#define UDP_BYTES 28
+
+static const uint32_t host_sizes[] = { 100, 425, 850, 1275, 1700 };
+
+static void ignore_change(void *ctx, const struct member_info *m)
+{
+}
+
+static void make_host(struct heartbeat *h, uint32_t n, uint64_t sequence)
+{
+	memset(h, 0, sizeof(*h));
+	snprintf(h->host, sizeof(h->host), "entry-host-%05u", n);
+	snprintf(h->data_centre, sizeof(h->data_centre), "dc-%02u", n % 18);
+	snprintf(h->address, sizeof(h->address), "10.%u.%u.%u", n / 65536,
+		 n / 256 % 256, n % 256);
+	h->port = 8082;
+	h->incarnation = 1;
+	h->sequence = sequence;
+	h->state = HOST_LIVE;
+	h->config_rev = 1;
+}
+
+static struct host_list *make_list(uint32_t hosts)
+{
+	struct host_list *l = cu_alloc(1, sizeof(*l));
+	uint32_t i;
+
+	l->revision = 1;
+	l->count = hosts;
+	l->hosts = cu_alloc(hosts, sizeof(*l->hosts));
+	for (i = 0; i < hosts; i++) {
+		struct listed_host *h = &l->hosts[i];
+		struct heartbeat beat;
+
+		make_host(&beat, i + 1, 1);
+		cu_copy(h->id, sizeof(h->id), beat.host);
+		cu_copy(h->address, sizeof(h->address), beat.address);
+		cu_copy(h->data_centre, sizeof(h->data_centre),
+			beat.data_centre);
+		h->port = beat.port;
+		h->entry = 1;
+	}
+	return l;
+}
+
+static struct mbr *make_members(uint32_t hosts)
+{
+	struct mbr_actions a = { ignore_change, NULL };
+	struct member_info self = { .host = "entry-host-00000",
+				    .data_centre = "dc-00",
+				    .address = "10.0.0.0",
+				    .port = 8082,
+				    .incarnation = 1 };
+	struct mbr *m = mbr_new(&self, &a, 1, 0);
+	struct host_list *l = make_list(hosts - 1);
+
+	mbr_on_list(m, 0, l);
+	host_list_free(l);
+	return m;
+}
+
+static void count_receiver(void *ctx, const char *address, uint16_t port)
+{
+	(*(uint32_t *)ctx)++;
+}
+
+struct member_run {
+	uint32_t hosts;
+	uint32_t receivers;
+};
+
+/* One second: ticks, own heartbeat, and as many received as sent. */
+static void one_second(struct mbr *m, struct member_run *r, int64_t *now_us,
+		       uint32_t second)
+{
+	struct heartbeat h = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < TICKS_PER_S; i++) {
+		*now_us += US_PER_S / TICKS_PER_S;
+		mbr_tick(m, *now_us);
+	}
+	mbr_fill(m, &h);
+	r->receivers = 0;
+	mbr_each_receiver(m, count_receiver, &r->receivers);
+	for (i = 0; i < r->receivers; i++) {
+		make_host(&h, 1 + (second * 31 + i * 7) % (r->hosts - 1),
+			  second + 1);
+		mbr_on_heartbeat(m, *now_us, &h);
+	}
+}
+
+static double member_seconds(void *ctx)
+{
+	struct member_run *r = ctx;
+	struct mbr *m = make_members(r->hosts);
+	int64_t now_us = 0;
+	double start_us = cap_cpu_us();
+	double spent_us;
+	uint32_t i;
+
+	for (i = 0; i < SECONDS; i++)
+		one_second(m, r, &now_us, i);
+	spent_us = cap_cpu_us() - start_us;
+	mbr_free(m);
+	return spent_us / SECONDS;
+}
+
+static double member_bytes(void *ctx)
+{
+	struct member_run *r = ctx;
+	double before = cap_heap_bytes();
+	struct mbr *m = make_members(r->hosts);
+	double bytes = cap_heap_bytes() - before;
+
+	mbr_free(m);
+	return bytes;
+}
+
+static double member_joins(void *ctx)
+{
+	struct member_run *r = ctx;
+	double start_us = cap_cpu_us();
+
+	mbr_free(make_members(r->hosts));
+	return cap_cpu_us() - start_us;
+}
+
+static double list_decode(void *ctx)
+{
+	const struct buf *b = ctx;
+	struct err err = { 0 };
+	double start_us = cap_cpu_us();
+
+	host_list_free(hjson_list(b->data, NULL, &err));
+	return cap_cpu_us() - start_us;
+}
+
+static void measure_list(struct cap *c)
+{
+	static const uint32_t sizes[] = { 1700, 5000, 10000, 14700 };
+	struct cap_series *cpu =
+		cap_start(c, "host list decoding", "entry", "us");
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < countof(sizes); i++) {
+		struct buf b CLEANUP_BUF = { 0 };
+
+		buf_addf(&b, "{\"revision\":5,\"hosts\":[");
+		for (k = 0; k < sizes[i]; k++)
+			buf_addf(&b,
+				 "%s{\"id\":\"entry-host-%05u\",\"address\":"
+				 "\"10.0.0.1\",\"port\":6001,\"data_centre\":"
+				 "\"dc-01\",\"role\":\"entry\",\"state\":"
+				 "\"live\"}",
+				 k ? "," : "", k);
+		buf_addf(&b, "]}");
+		cap_point(cpu, sizes[i], cap_median(list_decode, &b));
+	}
+	cap_fit(cpu);
+}
+
+static void measure_bytes(struct cap *c)
+{
+	static const uint32_t sizes[] = { 2, 4, 8, 10, 100, 425, 1700 };
+	struct cap_series *s =
+		cap_start(c, "heartbeat bytes sent", "host", "bytes/s");
+	struct heartbeat h;
+	struct pxdr_heartbeat x;
+	uint32_t bytes;
+	uint32_t i;
+
+	make_host(&h, 1, 1000);
+	bytes = pxdr_from_heartbeat(&h, &x) + UDP_BYTES;
+	for (i = 0; i < countof(sizes); i++) {
+		struct mbr *m = make_members(sizes[i]);
+		uint32_t receivers = 0;
+
+		mbr_each_receiver(m, count_receiver, &receivers);
+		cap_point(s, sizes[i], (double)receivers * bytes);
+		mbr_free(m);
+	}
+	cap_fit(s);
+}
+
+void cap_membership(struct cap *c)
+{
+	struct cap_series *cpu = cap_start(c, "membership CPU", "host", "us/s");
+	struct cap_series *other;
+	struct member_run r;
+	uint32_t i;
+
+	for (i = 0; i < countof(host_sizes); i++) {
+		r.hosts = host_sizes[i];
+		cap_point(cpu, r.hosts, cap_median(member_seconds, &r));
+	}
+	cap_fit(cpu);
+	other = cap_start(c, "membership memory", "host", "bytes");
+	for (i = 0; i < countof(host_sizes); i++) {
+		r.hosts = host_sizes[i];
+		cap_point(other, r.hosts, cap_median(member_bytes, &r));
+	}
+	cap_fit(other);
+	/* Each join goes over all members to choose partners anew. */
+	other = cap_start(c, "first host list", "host", "us");
+	for (i = 0; i < countof(host_sizes); i++) {
+		r.hosts = host_sizes[i];
+		cap_point(other, r.hosts, cap_median(member_joins, &r));
+	}
+	cap_fit(other);
+	measure_list(c);
+	measure_bytes(c);
+}
