--- a/tests/bench/host.c
+++ b/tests/bench/host.c
@@ -6,11 +6,13 @@
 #include <apr_general.h>
 #include <curl/curl.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "base/log.h"
+#include "base/metric.h"
 #include "bench.h"
 #include "codec/sjson.h"
 #include "duty/caller.h"
@@ -78,6 +80,19 @@
 	sigprocmask(SIG_BLOCK, &set, NULL);
 }
 
+/* To build/bench.log. */
+static void print_counters(void)
+{
+	enum metric_id id;
+
+	for (id = 0; id < METRIC_COUNT; id++) {
+		if (metric_get(id))
+			fprintf(stderr, "%s=%" PRIu64 " ", metric_name(id),
+				metric_get(id));
+	}
+	fprintf(stderr, "\n");
+}
+
 enum err_code bench_host(int argc, char **argv, struct err *err)
 {
 	struct request_options ro = { .capacity = RING_MESSAGES };
@@ -129,5 +144,6 @@
 		return err->code;
 	wait_signal();
 	/* The load has ended; the process ends with what it holds. */
+	print_counters();
 	return ERR_OK;
 }
