Keep idle connections to all targets

Cause: libcurl keeps four idle connections per transfer in progress, so connections to 207 targets pushed each other out and most sub-requests paid the 6 ms of a new connection. Change: CURLMOPT_MAXCONNECTS 16384.

--- a/src/duty/target.c
+++ b/src/duty/target.c
@@ -18,6 +18,8 @@
 /* Idle connections may have been forgotten by a middlebox after longer. */
 #define IDLE_MAX_S 10L
 #define POLL_MAX_MS 1000
+/* Idle connections kept; the shares of all targets of a cell fit in it. */
+#define CONNECTIONS_MAX 16384L
 /* Handles kept for reuse. */
 #define IDLE_HANDLES_MAX 256
 
@@ -70,6 +72,9 @@
 	struct target_duty *t = cu_alloc(1, sizeof(*t));
 
 	t->multi = curl_multi_init();
+	/* The default is four per transfer in progress, so that connections to
+	 * many targets push each other out. */
+	curl_multi_setopt(t->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_MAX);
 	t->duty = duty_new("target", capacity, wake, t, err);
 	if (!t->duty) {
 		curl_multi_cleanup(t->multi);
--- a/tests/demo/demo.c
+++ b/tests/demo/demo.c
@@ -330,6 +330,8 @@
 			good = 0;
 		tried++;
 		client_clear(&a);
+		if (good == 0)
+			g_usleep(POLL_US);
 	}
 	claim(d, good > 0 && good >= WORLD_HOSTS * world_app_count(),
 	      "%u targets warmed up by their owners (%.1f s)",
@@ -399,23 +401,18 @@
 {
 	struct client_answer a;
 	const json_t *target;
-	const char *key;
-	json_t *targets;
 	int64_t sum = 0;
+	size_t i;
 
 	client_call(&a, "GET", (uint16_t)proc_number(&d->targets, "admin"),
 		    "/control/stats", NULL, CALL_TIMEOUT_MS);
-	targets = json_object_get(a.json, "targets");
-	json_object_foreach(targets, key, target)
-	{
-		const char *dc =
-			json_string_value(json_object_get(target, "data_"
-								  "centre"));
-
-		if (dc && strcmp(dc, data_centre) == 0)
-			sum += json_integer_value(json_object_get(target, "rece"
-									  "ive"
-									  "d"));
+	json_array_foreach (json_object_get(a.json, "targets"), i, target) {
+		const char *id =
+			json_string_value(json_object_get(target, "id"));
+
+		if (id && strcmp(world_target_data_centre(id), data_centre) == 0)
+			sum += json_integer_value(
+				json_object_get(target, "received"));
 	}
 	client_clear(&a);
 	return sum;
--- a/tests/demo/world.c
+++ b/tests/demo/world.c
@@ -49,6 +49,14 @@
 	return data_centres[i % WORLD_DATA_CENTRES];
 }
 
+const char *world_target_data_centre(const char *id)
+{
+	const char *dash = strrchr(id, '-');
+
+	return world_data_centre(
+		dash ? (uint32_t)strtoul(dash + 1, NULL, 10) : 0);
+}
+
 uint32_t world_target_count(void)
 {
 	uint32_t count = 0;
--- a/tests/demo/world.h
+++ b/tests/demo/world.h
@@ -34,6 +34,8 @@
 const struct world_customer *world_customer(uint32_t i);
 /* "a", "b" or "c"; replica i of a shard is in data centre i modulo 3. */
 const char *world_data_centre(uint32_t i);
+/* Data centre of the target with this ID, "INDEX-SHARD-REPLICA". */
+const char *world_target_data_centre(const char *id);
 uint32_t world_target_count(void);
 
 /* Lines of "standin target --targets", one file for all targets. */
