--- a/src/duty/peer.c
+++ b/src/duty/peer.c
@@ -1,5 +1,7 @@
 #include "duty/peer.h"
 
+#include <pthread.h>
+#include <signal.h>
 #include <stdlib.h>
 
 void peer_datagram_free(struct peer_datagram *d)
@@ -17,3 +19,12 @@
 	cfg_delta_free(p->delta);
 	free(p);
 }
+
+void peer_block_sigpipe(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGPIPE);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+}
--- a/src/duty/peer.h
+++ b/src/duty/peer.h
@@ -41,6 +41,12 @@
 	struct cfg_delta *delta;
 };
 
+/*
+ * The RPC library writes to TCP sockets in a way that raises SIGPIPE when the
+ * other side closed; blocked on the calling thread, the write fails instead.
+ */
+void peer_block_sigpipe(void);
+
 void peer_datagram_free(struct peer_datagram *d);
 void peer_items_free(struct peer_items *p);
 
--- a/src/duty/peer_fetch.c
+++ b/src/duty/peer_fetch.c
@@ -123,6 +123,7 @@
 			m->drop(m->body);
 		return;
 	}
+	peer_block_sigpipe();
 	p = cu_alloc(1, sizeof(*p));
 	p->token = f->token;
 	cu_copy(p->host, sizeof(p->host), f->host);
--- a/src/duty/peer_listen.c
+++ b/src/duty/peer_listen.c
@@ -89,6 +89,9 @@
 	fcntl(xprt->xp_fd, F_SETFL, flags & ~O_NONBLOCK);
 	sent = svc_sendreply(xprt, (xdrproc_t)xdr_peer_config, config);
 	fcntl(xprt->xp_fd, F_SETFL, flags);
+	/* Nothing more is tried on a connection that takes no answer. */
+	if (!sent)
+		shutdown(xprt->xp_fd, SHUT_RDWR);
 	return sent;
 }
 
@@ -171,6 +174,7 @@
 {
 	struct peer_listen *p = ctx;
 
+	peer_block_sigpipe();
 	while (!duty_stopping(d)) {
 		struct pollfd *set CLEANUP_FREE = NULL;
 		nfds_t count;
--- /dev/null
+++ b/tests/test_control_duty.c
@@ -0,0 +1,514 @@
+/*
+ * The control duty with one ring in place of all other duties: the test
+ * answers store calls from memory and looks at what the duty sends. Guards
+ * against a view, heartbeat or pull that does not follow from an event.
+ */
+#include <apr_general.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "controller/cfg_set.h"
+#include "duty/control.h"
+#include "duty/messages.h"
+#include "duty/peer.h"
+
+/* Ends a test whose message never comes. */
+#define MESSAGE_US (30 * (int64_t)US_PER_S)
+#define CONTRACT                                            \
+	"{\"customer\":\"blue\",\"indexes\":[\"concept\"]," \
+	"\"answer_ms\":90,\"min_coverage_permille\":950,"   \
+	"\"rate_per_s\":500,\"target_share_permille\":400," \
+	"\"extra_load_permille\":100}"
+#define HOSTS_ALONE "{\"revision\":1,\"hosts\":[]}"
+#define HOSTS_LEAVING                                                 \
+	"{\"revision\":2,\"hosts\":[{\"id\":\"t1\",\"address\":"      \
+	"\"127.0.0.1\",\"port\":9001,\"data_centre\":\"a\",\"role\":" \
+	"\"target\",\"state\":\"leaving\"}]}"
+
+struct stored {
+	uint64_t version;
+	char *value;
+};
+
+struct fixture {
+	struct control *control;
+	struct ring *sink;
+	GHashTable *keys;
+	uint64_t revision;
+	const char *hosts;
+	uint32_t down;
+	/* Watch that waits for a change of the head. */
+	struct kv_request *watch;
+	/* Last of each kind of message, owned. */
+	struct view *view;
+	struct peer_datagram *datagram;
+	struct peer_fetch *fetch;
+	/* Result of the last edit. */
+	uint32_t edits_done;
+	struct err edit_err;
+	uint64_t edit_rev;
+	/* Calls of the hooks. */
+	_Atomic uint32_t items;
+	_Atomic uint32_t ticks;
+	_Atomic uint32_t reports;
+	_Atomic uint32_t heartbeats;
+};
+
+static void free_stored(gpointer p)
+{
+	struct stored *s = p;
+
+	free(s->value);
+	free(s);
+}
+
+static void reply(struct fixture *f, struct kv_request *r,
+		  const struct kv_result *result)
+{
+	struct kv_reply *answer = cu_alloc(1, sizeof(*answer));
+	struct msg m = { MSG_KV_RESULT, answer, NULL };
+
+	answer->token = r->token;
+	answer->op = r->call.op;
+	answer->result = *result;
+	g_assert_cmpint(ring_push(r->reply_to, &m), ==, ERR_OK);
+	kv_request_free(r);
+}
+
+static void add_pair(struct kv_result *result, const char *key,
+		     uint64_t version, const char *value)
+{
+	struct kv_pair *p = cu_alloc(1, sizeof(*p));
+
+	cu_copy(p->key, sizeof(p->key), key);
+	p->version = version;
+	p->value = cu_strdup(value);
+	p->value_bytes = (uint32_t)strlen(value);
+	result->pairs = p;
+	result->pair_count = 1;
+}
+
+static void get(struct fixture *f, struct kv_request *r)
+{
+	struct kv_result result = { 0 };
+	struct stored *s = g_hash_table_lookup(f->keys, r->call.key);
+
+	if (s) {
+		result.version = s->version;
+		add_pair(&result, r->call.key, s->version, s->value);
+	} else {
+		result.err.code = ERR_STORE_NOT_FOUND;
+	}
+	reply(f, r, &result);
+}
+
+/* Answers the watch if the head is newer than the version it waits after. */
+static void try_watch(struct fixture *f)
+{
+	struct kv_result result = { .version = f->revision };
+	struct stored *s = g_hash_table_lookup(f->keys, "cfg/head");
+	struct kv_request *r = f->watch;
+
+	if (!r || !s || s->version <= r->call.version)
+		return;
+	add_pair(&result, "cfg/head", s->version, s->value);
+	f->watch = NULL;
+	reply(f, r, &result);
+}
+
+static void cas(struct fixture *f, struct kv_request *r)
+{
+	struct kv_result result = { 0 };
+	struct stored *s = g_hash_table_lookup(f->keys, r->call.key);
+	struct stored *next;
+
+	if ((s ? s->version : 0) != r->call.version) {
+		result.err.code = ERR_STORE_CONFLICT;
+		reply(f, r, &result);
+		return;
+	}
+	next = cu_alloc(1, sizeof(*next));
+	next->version = result.version = ++f->revision;
+	next->value = cu_strdup(r->call.value);
+	g_hash_table_replace(f->keys, g_strdup(r->call.key), next);
+	reply(f, r, &result);
+	try_watch(f);
+}
+
+static void serve(struct fixture *f, struct kv_request *r)
+{
+	struct kv_result result = { 0 };
+
+	if (f->down && r->call.op != KV_WATCH) {
+		result.err.code = ERR_STORE_DOWN;
+		reply(f, r, &result);
+		return;
+	}
+	switch (r->call.op) {
+	case KV_GET:
+		get(f, r);
+		break;
+	case KV_CAS:
+		cas(f, r);
+		break;
+	case KV_WATCH:
+		f->watch = r;
+		try_watch(f);
+		break;
+	case KV_HOSTS:
+		add_pair(&result, "", 0, f->hosts);
+		reply(f, r, &result);
+		break;
+	case KV_DELETE:
+		g_hash_table_remove(f->keys, r->call.key);
+		reply(f, r, &result);
+		break;
+	default:
+		g_error("unexpected store call %d", r->call.op);
+	}
+}
+
+static void take(struct fixture *f, struct msg *m)
+{
+	switch (m->type) {
+	case MSG_KV_CALL:
+		serve(f, m->body);
+		break;
+	case MSG_VIEW:
+		view_unref(f->view);
+		f->view = m->body;
+		break;
+	case MSG_PEER_SEND:
+		peer_datagram_free(f->datagram);
+		f->datagram = m->body;
+		break;
+	case MSG_PEER_FETCH:
+		free(f->fetch);
+		f->fetch = m->body;
+		break;
+	default:
+		if (m->drop)
+			m->drop(m->body);
+	}
+}
+
+typedef int until_fn(struct fixture *f);
+
+/* Handles messages until @fn holds. */
+static void pump(struct fixture *f, until_fn *fn)
+{
+	gint64 end_us = g_get_monotonic_time() + MESSAGE_US;
+	struct msg m;
+
+	while (!fn(f)) {
+		if (ring_wait(f->sink, &m, 1, MESSAGE_US))
+			take(f, &m);
+		if (g_get_monotonic_time() > end_us)
+			g_error("the awaited message does not come");
+	}
+}
+
+static void on_edit(void *ctx, const struct err *err, uint64_t rev)
+{
+	struct fixture *f = ctx;
+	struct msg m = { MSG_LOG_LINE, NULL, NULL };
+
+	f->edit_err = *err;
+	f->edit_rev = rev;
+	f->edits_done++;
+	/* Wakes the test. */
+	g_assert_cmpint(ring_push(f->sink, &m), ==, ERR_OK);
+}
+
+static struct fixture *current;
+
+/* Handler of operator calls: the path is the item, the body the document. */
+static void on_admin(struct control *c, struct admin_call *call)
+{
+	struct err err = { 0 };
+
+	if (control_edit(c, call->path, call->body, call->who, 0, on_edit,
+			 current, &err) != ERR_OK)
+		on_edit(current, &err, 0);
+	admin_call_free(call);
+}
+
+static void hook_item(void *ctx, int64_t now_us, const struct cfg_item *item)
+{
+	((struct fixture *)ctx)->items++;
+}
+
+static int hook_tick(void *ctx, int64_t now_us)
+{
+	((struct fixture *)ctx)->ticks++;
+	return 0;
+}
+
+static int hook_evidence(void *ctx, int64_t now_us, const struct evidence *e)
+{
+	((struct fixture *)ctx)->reports++;
+	return 0;
+}
+
+static int hook_heartbeat(void *ctx, int64_t now_us, const struct heartbeat *h)
+{
+	((struct fixture *)ctx)->heartbeats++;
+	return 0;
+}
+
+static void hook_out(void *ctx, int64_t now_us, struct heartbeat *h)
+{
+	h->out_rev = 77;
+}
+
+static void hook_view(void *ctx, int64_t now_us, struct view *v)
+{
+	v->dcs = cu_alloc(1, sizeof(*v->dcs));
+	v->dc_count = 1;
+	cu_copy(v->dcs[0].data_centre, NAME_BYTES, "b");
+	v->dcs[0].share_permille = 50;
+}
+
+static void fixture_start(struct fixture *f, const char *hosts)
+{
+	struct control_options o = { .host = "h1",
+				     .data_centre = "a",
+				     .address = "127.0.0.1",
+				     .port = 6001,
+				     .incarnation = 1000,
+				     .seed = 3,
+				     .admin = on_admin };
+	struct control_hooks hooks = { .item = hook_item,
+				       .tick = hook_tick,
+				       .evidence = hook_evidence,
+				       .heartbeat_in = hook_heartbeat,
+				       .heartbeat_out = hook_out,
+				       .view = hook_view,
+				       .ctx = f };
+	struct err err = { 0 };
+
+	memset(f, 0, sizeof(*f));
+	current = f;
+	f->hosts = hosts;
+	f->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					free_stored);
+	f->sink = ring_new(4096, NULL, NULL, &err);
+	o.store = o.request = o.peer_send = o.peer_fetch = o.peer_listen =
+		f->sink;
+	f->control = control_new(&o, &err);
+	g_assert_nonnull(f->control);
+	control_add_hooks(f->control, &hooks);
+	g_assert_cmpint(control_start(f->control, &err), ==, ERR_OK);
+}
+
+static void fixture_stop(struct fixture *f)
+{
+	control_stop(f->control);
+	control_join(f->control);
+	control_free(f->control);
+	kv_request_free(f->watch);
+	view_unref(f->view);
+	peer_datagram_free(f->datagram);
+	free(f->fetch);
+	ring_free(f->sink);
+	g_hash_table_destroy(f->keys);
+}
+
+static void push(struct fixture *f, uint32_t type, void *body)
+{
+	struct msg m = { type, body, NULL };
+
+	g_assert_cmpint(ring_push(control_ring(f->control), &m), ==, ERR_OK);
+}
+
+static void edit(struct fixture *f, const char *item, const char *json)
+{
+	struct admin_call *call = cu_alloc(1, sizeof(*call));
+
+	cu_copy(call->path, sizeof(call->path), item);
+	cu_copy(call->who, sizeof(call->who), "operator");
+	call->body = json ? cu_strdup(json) : NULL;
+	f->edits_done = 0;
+	push(f, MSG_ADMIN, call);
+}
+
+static int edit_is_done(struct fixture *f)
+{
+	return f->edits_done > 0;
+}
+
+static int has_contract(struct fixture *f)
+{
+	return f->view && view_contract(f->view, "blue") != NULL;
+}
+
+/* An edit may come before the host list was read. */
+static void edit_until_ready(struct fixture *f, const char *item,
+			     const char *json)
+{
+	do {
+		edit(f, item, json);
+		pump(f, edit_is_done);
+	} while (f->edit_err.code == ERR_NO_CONFIG);
+}
+
+/* Guards against an accepted edit that does not reach the request duty. */
+static void test_edit(void)
+{
+	struct fixture f;
+
+	fixture_start(&f, HOSTS_ALONE);
+	edit_until_ready(&f, "contract/blue", CONTRACT);
+	g_assert_cmpint(f.edit_err.code, ==, ERR_OK);
+	g_assert_cmpuint(f.edit_rev, ==, 1);
+	pump(&f, has_contract);
+	g_assert_cmpuint(f.view->config_rev, ==, 1);
+	g_assert_cmpuint(view_dc_share(f.view, "b"), ==, 50);
+	g_assert_cmpstr(f.view->self, ==, "h1");
+	g_assert_cmpuint(f.items, ==, 1);
+	edit(&f, "contract/blue", "{\"customer\":\"blue\"}");
+	pump(&f, edit_is_done);
+	g_assert_cmpint(f.edit_err.code, ==, ERR_CFG_FIELD);
+	/* The host that edited removes the revision it replaced. */
+	edit(&f, "contract/blue", CONTRACT);
+	pump(&f, edit_is_done);
+	g_assert_cmpuint(f.edit_rev, ==, 2);
+	fixture_stop(&f);
+}
+
+static struct heartbeat *heartbeat(uint64_t sequence, uint64_t rev,
+				   uint64_t change)
+{
+	struct heartbeat *h = cu_alloc(1, sizeof(*h));
+
+	cu_copy(h->host, sizeof(h->host), "h2");
+	cu_copy(h->data_centre, sizeof(h->data_centre), "a");
+	cu_copy(h->address, sizeof(h->address), "127.0.0.1");
+	h->port = 6002;
+	h->incarnation = 1;
+	h->sequence = sequence;
+	h->config_rev = rev;
+	h->config_change = change;
+	return h;
+}
+
+static int is_fetching(struct fixture *f)
+{
+	return f->fetch != NULL;
+}
+
+static int has_two_hosts(struct fixture *f)
+{
+	return f->view && f->view->host_count == 2;
+}
+
+/* Guards against a host that stays empty while the store is down. */
+static void test_pull(void)
+{
+	struct fixture f;
+	struct peer_items *items = cu_alloc(1, sizeof(*items));
+	struct cfg_delta *d = cu_alloc(1, sizeof(*d));
+
+	fixture_start(&f, HOSTS_ALONE);
+	f.down = 1;
+	push(&f, MSG_HEARTBEAT_IN, heartbeat(1, 9, 0xab));
+	pump(&f, is_fetching);
+	g_assert_cmpuint(f.fetch->from.port, ==, 6002);
+	g_assert_cmpuint(f.fetch->rev, ==, 0);
+	d->rev = 9;
+	d->full = 1;
+	d->recent_count = 1;
+	d->recent[0] = 0xab;
+	d->items = cu_alloc(1, sizeof(*d->items));
+	d->items[0] = cfg_item_new("contract/blue", 9, 0xab, "op", CONTRACT);
+	d->item_count = 1;
+	items->token = f.fetch->token;
+	items->delta = d;
+	push(&f, MSG_PEER_ITEMS, items);
+	pump(&f, has_contract);
+	g_assert_cmpuint(f.view->config_rev, ==, 9);
+	pump(&f, has_two_hosts);
+	g_assert_cmpuint(f.heartbeats, ==, 1);
+	fixture_stop(&f);
+}
+
+static int sends_notice(struct fixture *f)
+{
+	return f->datagram && f->datagram->heartbeat.notice_count == 1;
+}
+
+static int sends_leaving(struct fixture *f)
+{
+	return f->datagram && f->datagram->heartbeat.state == HOST_LEAVING;
+}
+
+/* Guards against notices and a leave that other hosts are not told of. */
+static void test_heartbeat(void)
+{
+	struct fixture f;
+	struct evidence *e = cu_alloc(1, sizeof(*e));
+
+	fixture_start(&f, HOSTS_ALONE);
+	push(&f, MSG_HEARTBEAT_IN, heartbeat(1, 0, 0));
+	e->notices = cu_alloc(1, sizeof(*e->notices));
+	e->notice_count = 1;
+	cu_copy(e->notices[0].target, NAME_BYTES, "t1");
+	push(&f, MSG_EVIDENCE, e);
+	pump(&f, sends_notice);
+	g_assert_cmpstr(f.datagram->heartbeat.notices[0].target, ==, "t1");
+	g_assert_cmpuint(f.datagram->heartbeat.out_rev, ==, 77);
+	g_assert_cmpuint(f.datagram->to[0].port, ==, 6002);
+	g_assert_cmpuint(f.reports, ==, 1);
+	push(&f, MSG_LEAVE, NULL);
+	pump(&f, sends_leaving);
+	fixture_stop(&f);
+}
+
+static int blocks_target(struct fixture *f)
+{
+	return f->view && view_blocked(f->view, "t1");
+}
+
+/* Guards against new work for a target that the host list shows leaving. */
+static void test_leaving_target(void)
+{
+	struct fixture f;
+
+	fixture_start(&f, HOSTS_LEAVING);
+	pump(&f, blocks_target);
+	fixture_stop(&f);
+}
+
+/* Guards against an edit that is never answered when the host stops. */
+static void test_stop(void)
+{
+	struct fixture f;
+
+	fixture_start(&f, HOSTS_ALONE);
+	edit_until_ready(&f, "contract/blue", CONTRACT);
+	f.down = 1;
+	edit(&f, "contract/blue", CONTRACT);
+	control_stop(f.control);
+	control_join(f.control);
+	control_free(f.control);
+	g_assert_cmpuint(f.edits_done, ==, 1);
+	g_assert_cmpint(f.edit_err.code, ==, ERR_STOPPING);
+	kv_request_free(f.watch);
+	view_unref(f.view);
+	peer_datagram_free(f.datagram);
+	ring_free(f.sink);
+	g_hash_table_destroy(f.keys);
+}
+
+int main(int argc, char **argv)
+{
+	apr_initialize();
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/control/edit", test_edit);
+	g_test_add_func("/control/pull", test_pull);
+	g_test_add_func("/control/heartbeat", test_heartbeat);
+	g_test_add_func("/control/leaving-target", test_leaving_target);
+	g_test_add_func("/control/stop", test_stop);
+	return g_test_run();
+}
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -3,6 +3,7 @@
  * that is down, pulls that do not end, and messages that are accepted unchecked.
  */
 #include <apr_general.h>
+#include <arpa/inet.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -24,6 +25,8 @@
 #define MESSAGE_US (30 * (int64_t)US_PER_S)
 #define BIG_ITEMS 3
 #define BIG_BYTES 700000
+/* More than the kernel buffers for one connection. */
+#define UNREAD_ANSWERS 12
 
 struct fixture {
 	struct ring *control;
@@ -346,6 +349,72 @@
 	close(fd);
 }
 
+/* Writes a whole FETCH_CONFIG call with its record mark to @fd. */
+static void send_fetch(int fd)
+{
+	struct rpc_msg call = { .rm_xid = 1, .rm_direction = CALL };
+	peer_fetch_args args = { 0 };
+	char data[256];
+	uint32_t bytes;
+	uint32_t mark;
+	XDR xdrs;
+
+	call.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	call.rm_call.cb_prog = COWSLIPPOINT_PEER;
+	call.rm_call.cb_vers = PEER_V1;
+	call.rm_call.cb_proc = FETCH_CONFIG;
+	call.rm_call.cb_cred = _null_auth;
+	call.rm_call.cb_verf = _null_auth;
+	xdrmem_create(&xdrs, data + 4, sizeof(data) - 4, XDR_ENCODE);
+	g_assert_true(xdr_callmsg(&xdrs, &call));
+	g_assert_true(xdr_peer_fetch_args(&xdrs, &args));
+	bytes = xdr_getpos(&xdrs);
+	mark = htonl(0x80000000U | bytes);
+	memcpy(data, &mark, sizeof(mark));
+	g_assert_cmpint(send(fd, data, bytes + 4, 0), ==, bytes + 4);
+}
+
+/* Guards against a client that takes no answer and so stops the server. */
+static void test_unread_answer(void)
+{
+	struct fixture f;
+	struct sockaddr_storage at;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int small_bytes = 4096;
+	struct peer_datagram *d = new_datagram(1);
+	struct peer_items *p;
+	uint64_t errors = metric_get(M_PEER_ERRORS);
+	uint64_t rev = 0;
+	gint64 end_us;
+	uint32_t i;
+
+	fixture_start(&f);
+	push(peer_listen_ring(f.listen), MSG_CONFIG, big_set());
+	while (rev == 0) {
+		p = pull(&f, peer_listen_port(f.listen), 0);
+		rev = p->delta ? p->delta->rev : 0;
+		peer_items_free(p);
+	}
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small_bytes,
+		   sizeof(small_bytes));
+	g_assert_cmpint(
+		connect(fd, (struct sockaddr *)&at,
+			addr_fill(ADDRESS, peer_listen_port(f.listen), &at)),
+		==, 0);
+	for (i = 0; i < UNREAD_ANSWERS; i++)
+		send_fetch(fd);
+	end_us = g_get_monotonic_time() + MESSAGE_US;
+	while (metric_get(M_PEER_ERRORS) == errors) {
+		g_assert_cmpint(g_get_monotonic_time(), <, end_us);
+		peer_items_free(pull(&f, peer_listen_port(f.listen), 0));
+	}
+	add_receiver(d, peer_listen_port(f.listen));
+	push(peer_send_ring(f.send), MSG_PEER_SEND, d);
+	free(await(&f, MSG_HEARTBEAT_IN));
+	fixture_stop(&f);
+	close(fd);
+}
+
 int main(int argc, char **argv)
 {
 	apr_initialize();
@@ -356,5 +425,6 @@
 	g_test_add_func("/peer/pull", test_pull);
 	g_test_add_func("/peer/pull-fails", test_pull_fails);
 	g_test_add_func("/peer/stuck-client", test_stuck_client);
+	g_test_add_func("/peer/unread-answer", test_unread_answer);
 	return g_test_run();
 }
