Give every notice its turn in the heartbeats

Cause: the list of outgoing notices held 16, so a host that owned more warm targets announced only the first 16 of them in each period. Change: a list of 1024 in order of arrival; notices with sendings left go to the back.

--- a/src/duty/control_peer.c
+++ b/src/duty/control_peer.c
@@ -26,23 +26,30 @@
 	to->port = port;
 }
 
-/* Copies the notices that have sendings left, as far as there is room. */
+/*
+ * Takes notices from the front as far as there is room; those with sendings
+ * left go to the back, so that a long list gets its turn as a whole.
+ */
 static void fill_notices(struct control *c, struct heartbeat *h)
 {
-	uint32_t kept = 0;
+	struct outgoing_notice again[HEARTBEAT_NOTICES_MAX];
+	uint32_t taken = cu_min_u32(c->notice_count, HEARTBEAT_NOTICES_MAX);
+	uint32_t again_count = 0;
 	uint32_t i;
 
-	for (i = 0; i < c->notice_count; i++) {
+	for (i = 0; i < taken; i++) {
 		struct outgoing_notice *n = &c->notices[i];
 
-		if (h->notice_count < HEARTBEAT_NOTICES_MAX) {
-			h->notices[h->notice_count++] = n->notice;
-			n->sends_left--;
-		}
-		if (n->sends_left)
-			c->notices[kept++] = *n;
+		h->notices[h->notice_count++] = n->notice;
+		if (--n->sends_left)
+			again[again_count++] = *n;
 	}
-	c->notice_count = kept;
+	c->notice_count -= taken;
+	memmove(c->notices, &c->notices[taken],
+		c->notice_count * sizeof(c->notices[0]));
+	memcpy(&c->notices[c->notice_count], again,
+	       again_count * sizeof(again[0]));
+	c->notice_count += again_count;
 }
 
 static struct peer_datagram *new_heartbeat(struct control *c, int64_t now_us)
@@ -227,7 +234,7 @@
 		if (strcmp(c->notices[i].notice.target, n->target) == 0)
 			return &c->notices[i];
 	}
-	if (c->notice_count == HEARTBEAT_NOTICES_MAX)
+	if (c->notice_count == CONTROL_NOTICES_MAX)
 		return NULL;
 	return &c->notices[c->notice_count++];
 }
--- a/src/duty/control_state.h
+++ b/src/duty/control_state.h
@@ -14,6 +14,9 @@
 
 /* A target notice goes out with this many heartbeats. */
 #define CONTROL_NOTICE_SENDS 3
+/* Announcements of all targets that one host owns; further ones wait for the
+ * next announcement period. */
+#define CONTROL_NOTICES_MAX 1024
 
 struct outgoing_notice {
 	struct target_notice notice;
@@ -47,7 +50,8 @@
 	uint32_t pull_open;
 	struct tmr_sub pull_timer;
 	uint32_t notice_count;
-	struct outgoing_notice notices[HEARTBEAT_NOTICES_MAX];
+	/* Oldest first; each heartbeat takes from the front. */
+	struct outgoing_notice notices[CONTROL_NOTICES_MAX];
 
 	/* Item name to the decoded contract or layout in effect. */
 	GHashTable *contracts;
--- a/tests/demo/demo.c
+++ b/tests/demo/demo.c
@@ -406,13 +406,16 @@
 
 	client_call(&a, "GET", (uint16_t)proc_number(&d->targets, "admin"),
 		    "/control/stats", NULL, CALL_TIMEOUT_MS);
-	json_array_foreach (json_object_get(a.json, "targets"), i, target) {
+	json_array_foreach(json_object_get(a.json, "targets"), i, target)
+	{
 		const char *id =
 			json_string_value(json_object_get(target, "id"));
 
-		if (id && strcmp(world_target_data_centre(id), data_centre) == 0)
-			sum += json_integer_value(
-				json_object_get(target, "received"));
+		if (id &&
+		    strcmp(world_target_data_centre(id), data_centre) == 0)
+			sum += json_integer_value(json_object_get(target, "rece"
+									  "ive"
+									  "d"));
 	}
 	client_clear(&a);
 	return sum;
--- a/tests/demo/world.c
+++ b/tests/demo/world.c
@@ -53,8 +53,8 @@
 {
 	const char *dash = strrchr(id, '-');
 
-	return world_data_centre(
-		dash ? (uint32_t)strtoul(dash + 1, NULL, 10) : 0);
+	return world_data_centre(dash ? (uint32_t)strtoul(dash + 1, NULL, 10)
+				      : 0);
 }
 
 uint32_t world_target_count(void)
