Warm cold targets up before the first search

Cause: an owner repeated a caller's search to its cold targets and sent nothing until it had seen one, so each index stayed unusable on the other hosts until every owner had got a search of it.

--- a/src/filter/warm.c
+++ b/src/filter/warm.c
@@ -1,6 +1,6 @@
 /*
- * Warm-up: the owner of a cold target repeats a caller's search to it within
- * the cold limit, so that the target becomes warm whichever hosts callers
+ * Warm-up: the owner of a cold target sends searches to it, a repetition of a
+ * caller's when there was one, within the cold limit, so that the target becomes warm whichever hosts callers
  * reach.
  */
 #include <inttypes.h>
@@ -10,6 +10,11 @@
 
 /* Cold targets appear by view, notice and answer; all are looked for here. */
 #define WARM_PERIOD_US (20 * US_PER_MS)
+/*
+ * Sent until a caller has searched the index through this host. Without it, a
+ * target would stay cold for the other hosts until its owner got a search.
+ */
+#define WARM_TEXT_DEFAULT "warm-up"
 /* Cold answers are slow; one that takes longer is a failure. */
 #define WARM_ANSWER_US (1 * US_PER_S)
 
@@ -32,7 +37,8 @@
 	cu_copy(c->snapshot, sizeof(c->snapshot), l->snapshot);
 	cu_copy(c->address, sizeof(c->address), s->tgt->def.address);
 	c->port = s->tgt->def.port;
-	c->text = cu_strdup(s->index->warm_text);
+	c->text = cu_strdup(s->index->warm_text ? s->index->warm_text
+						: WARM_TEXT_DEFAULT);
 	c->limit = s->index->warm_limit;
 	c->idempotent = 1;
 	c->deadline_us = now_us + WARM_ANSWER_US;
@@ -73,8 +79,6 @@
 		for (j = 0; j < b->layout->target_count; j++) {
 			struct bound_target *t = &b->targets[j];
 
-			if (!b->stats->warm_text)
-				continue;
 			if (is_wanted(t, now_us))
 				send_warm_up(p, b, t, now_us);
 			is_left |= t->is_owner && t->tgt->phase != TGT_WARM;
--- a/tests/demo/demo.c
+++ b/tests/demo/demo.c
@@ -28,6 +28,8 @@
 #define CALL_TIMEOUT_MS 10000
 #define WAIT_US (20 * US_PER_S)
 #define POLL_US (50 * US_PER_MS)
+/* A search that finds cold targets waits for them until its deadline. */
+#define WARM_TIMEOUT_MS 100
 #define LOAD_THREADS 6
 /* Operators are promised "a few seconds". */
 #define OUT_BOUND_US (3 * US_PER_S)
@@ -295,7 +297,8 @@
 
 /* One search of @app through host @i; 1 if complete and as expected. */
 static int search(struct demo *d, uint32_t i, const struct world_app *app,
-		  const char *query, struct client_answer *a)
+		  const char *query, uint32_t timeout_ms,
+		  struct client_answer *a)
 {
 	struct hits want CLEANUP(hits_free) = { 0 };
 	g_autofree char *body =
@@ -324,14 +327,12 @@
 
 		if (search(d, tried % WORLD_HOSTS,
 			   world_app(tried / WORLD_HOSTS % world_app_count()),
-			   "warm", &a))
+			   "warm", WARM_TIMEOUT_MS, &a))
 			good++;
 		else
 			good = 0;
 		tried++;
 		client_clear(&a);
-		if (good == 0)
-			g_usleep(POLL_US);
 	}
 	claim(d, good > 0 && good >= WORLD_HOSTS * world_app_count(),
 	      "%u targets warmed up by their owners (%.1f s)",
@@ -346,7 +347,8 @@
 	for (i = 0; i < world_app_count(); i++) {
 		const struct world_app *app = world_app(i);
 		struct client_answer a;
-		int good = search(d, i % WORLD_HOSTS, app, "heron", &a);
+		int good = search(d, i % WORLD_HOSTS, app, "heron",
+				  CALL_TIMEOUT_MS, &a);
 
 		claim(d, good,
 		      "%s/%s through h%u: snapshot %s, %d of %d shards, %s, "
