--- a/src/codec/pxdr.c
+++ b/src/codec/pxdr.c
@@ -192,9 +192,9 @@
 
 static struct cfg_item *read_item(const peer_config *page, const peer_item *x)
 {
-	if (!x->name || !x->name[0] || strlen(x->name) >= ITEM_NAME_BYTES ||
-	    x->rev < 1 || x->rev > page->rev || !x->who ||
-	    strlen(x->who) >= WHO_BYTES || x->deleted > 1 || !x->json)
+	if (!x->name || !cfg_item_name_ok(x->name) || x->rev < 1 ||
+	    x->rev > page->rev || !x->who || strlen(x->who) >= WHO_BYTES ||
+	    x->deleted > 1 || !x->json)
 		return NULL;
 	return cfg_item_new(x->name, x->rev, x->change, x->who,
 			    x->deleted ? NULL : x->json);
--- a/src/codec/sjson_head.c
+++ b/src/codec/sjson_head.c
@@ -42,8 +42,9 @@
 
 	if (dash)
 		e.rev = strtoull(text, &end, 10);
-	if (!cu_copy(e.name, sizeof(e.name), name) || !dash || end != dash ||
-	    e.rev < 1 || e.rev > h->rev || !read_change(dash + 1, &e.change))
+	cu_copy(e.name, sizeof(e.name), name);
+	if (!cfg_item_name_ok(name) || !dash || end != dash || e.rev < 1 ||
+	    e.rev > h->rev || !read_change(dash + 1, &e.change))
 		return err_set(err, ERR_CFG_FIELD,
 			       "items: %s is not valid, accepted a revision 1 "
 			       "to %" PRIu64 " with a change ID",
@@ -168,6 +169,10 @@
 			       "change is not valid, accepted 16 hexadecimal "
 			       "digits");
 	doc = json_object_get(obj, "doc");
+	if (code == ERR_OK && !cfg_item_name_ok(item.name))
+		code = err_set(err, ERR_CFG_FIELD,
+			       "name is not valid, accepted a kind, a slash "
+			       "and a name");
 	if (code == ERR_OK && !json_is_object(doc))
 		code = err_set(err, ERR_CFG_FIELD,
 			       "doc is missing, accepted a JSON object");
--- a/src/model/config.c
+++ b/src/model/config.c
@@ -22,6 +22,29 @@
 	return host_names[s];
 }
 
+int cfg_item_name_ok(const char *name)
+{
+	char kind[ITEM_NAME_BYTES];
+	char *slash;
+
+	if (!cu_copy(kind, sizeof(kind), name))
+		return 0;
+	slash = strchr(kind, '/');
+	if (!slash)
+		return 0;
+	*slash = '\0';
+	return cu_name_ok(kind, ITEM_NAME_BYTES) &&
+	       cu_name_ok(slash + 1, NAME_BYTES - 1);
+}
+
+static void replace_unprintable(char *s)
+{
+	for (; *s; s++) {
+		if (*s < ' ' || *s > '~')
+			*s = '?';
+	}
+}
+
 struct cfg_item *cfg_item_new(const char *name, uint64_t rev, uint64_t change,
 			      const char *who, const char *json)
 {
@@ -32,6 +55,7 @@
 	item->rev = rev;
 	item->change = change;
 	cu_copy(item->who, sizeof(item->who), who);
+	replace_unprintable(item->who);
 	item->json = json ? cu_strdup(json) : NULL;
 	return item;
 }
--- a/src/model/config.h
+++ b/src/model/config.h
@@ -86,6 +86,9 @@
 	char *json;
 };
 
+/* 1 if @name is a kind and a name with a slash between them, else 0. */
+int cfg_item_name_ok(const char *name);
+/* Bytes of @who other than printable ASCII are replaced by '?'. */
 struct cfg_item *cfg_item_new(const char *name, uint64_t rev, uint64_t change,
 			      const char *who, const char *json);
 struct cfg_item *cfg_item_ref(struct cfg_item *item);
--- /dev/null
+++ b/tests/prop_codec.c
@@ -0,0 +1,287 @@
+/*
+ * Seeded mutations of valid documents and messages. Guards against a decoder
+ * that reads past its input, and against a document that is accepted but
+ * cannot be stored and read again.
+ */
+#include <apr_general.h>
+#include <glib.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "codec/hjson.h"
+#include "codec/pxdr.h"
+#include "codec/sjson.h"
+#include "platform/kv_json.h"
+
+#define ROUNDS 20000
+#define MUTATIONS_MAX 4
+#define MESSAGE_BYTES 4096
+
+static const char *const documents[] = {
+	"{\"customer\":\"blue\",\"indexes\":[\"concept\"],\"answer_ms\":90,"
+	"\"min_coverage_permille\":950,\"rate_per_s\":500,"
+	"\"target_share_permille\":400,\"extra_load_permille\":100}",
+	"{\"index\":\"concept\",\"snapshot\":\"s7\",\"service\":\"c\","
+	"\"targets\":[{\"id\":\"t1\",\"address\":\"127.0.0.1\","
+	"\"port\":9001,\"data_centre\":\"a\",\"version\":\"v1\","
+	"\"slots\":2,\"connections\":25,\"cold_slots\":1}],"
+	"\"shards\":[{\"name\":\"s0\",\"targets\":[\"t1\"]}]}",
+	"{\"data_centre\":\"a\",\"state\":\"out\"}",
+	"{\"host\":\"h1\",\"state\":\"in\"}",
+	"{\"service\":\"c\",\"from\":\"v1\",\"to\":\"v2\","
+	"\"finish_by_ms\":5,\"share_permille\":10,\"state\":\"running\","
+	"\"reason\":\"\",\"fence\":3}",
+	"{\"rev\":2,\"recent\":[\"00000000000000ab\","
+	"\"00000000000000aa\"],\"items\":{\"contract/a\":"
+	"\"2-00000000000000ab\"},\"gone\":{\"dc/b\":"
+	"\"1-00000000000000aa\"}}",
+	"{\"name\":\"dc/a\",\"rev\":3,\"change\":\"00000000000000ab\","
+	"\"who\":\"op\",\"doc\":{\"data_centre\":\"a\",\"state\":\"out\"}}",
+	"{\"revision\":5,\"hosts\":[{\"id\":\"h1\",\"address\":"
+	"\"127.0.0.1\",\"port\":6001,\"data_centre\":\"a\",\"role\":"
+	"\"entry\",\"state\":\"live\"}]}",
+	"{\"version\":14,\"pairs\":[{\"key\":\"cfg/head\","
+	"\"version\":13,\"value\":\"x\"}]}",
+};
+
+/* Each decodes @text, and if it accepts it, encodes and decodes it again. */
+static void try_contract(const char *text)
+{
+	struct contract *c CLEANUP_FREE = cu_alloc(1, sizeof(*c));
+	char *again CLEANUP_FREE = NULL;
+
+	if (sjson_contract(text, c, NULL) != ERR_OK)
+		return;
+	again = sjson_contract_text(c);
+	g_assert_cmpint(sjson_contract(again, c, NULL), ==, ERR_OK);
+}
+
+static void try_layout(const char *text)
+{
+	struct layout *l = sjson_layout(text, NULL);
+	char *again CLEANUP_FREE = NULL;
+
+	if (!l)
+		return;
+	again = sjson_layout_text(l);
+	layout_free(l);
+	l = sjson_layout(again, NULL);
+	g_assert_nonnull(l);
+	layout_free(l);
+}
+
+static void try_small(const char *text)
+{
+	struct dc_item d;
+	struct host_item h;
+	struct rollout_item r;
+	char *again;
+
+	if (sjson_dc(text, &d, NULL) == ERR_OK) {
+		again = sjson_dc_text(&d);
+		g_assert_cmpint(sjson_dc(again, &d, NULL), ==, ERR_OK);
+		free(again);
+	}
+	if (sjson_host(text, &h, NULL) == ERR_OK) {
+		again = sjson_host_text(&h);
+		g_assert_cmpint(sjson_host(again, &h, NULL), ==, ERR_OK);
+		free(again);
+	}
+	if (sjson_rollout(text, &r, NULL) == ERR_OK) {
+		again = sjson_rollout_text(&r);
+		g_assert_cmpint(sjson_rollout(again, &r, NULL), ==, ERR_OK);
+		free(again);
+	}
+}
+
+static void try_head(const char *text)
+{
+	struct cfg_head *h = sjson_head(text, NULL);
+	char *again CLEANUP_FREE = NULL;
+
+	if (!h)
+		return;
+	again = sjson_head_text(h);
+	cfg_head_free(h);
+	h = sjson_head(again, NULL);
+	g_assert_nonnull(h);
+	cfg_head_free(h);
+}
+
+static void try_item(const char *text)
+{
+	struct cfg_item *item = sjson_item(text, NULL);
+	char *again CLEANUP_FREE = NULL;
+
+	if (!item)
+		return;
+	again = sjson_item_text(item);
+	cfg_item_unref(item);
+	item = sjson_item(again, NULL);
+	g_assert_nonnull(item);
+	cfg_item_unref(item);
+}
+
+static void try_answers(const char *text)
+{
+	static const enum kv_op ops[] = { KV_GET,	  KV_CAS,   KV_WATCH,
+					  KV_LEASE_GRANT, KV_HOSTS, KV_DELETE };
+	uint32_t i;
+
+	for (i = 0; i < countof(ops); i++) {
+		struct kv_call call = { .op = ops[i], .key = "cfg/head" };
+		struct kv_result r = { 0 };
+
+		kv_json_decode(&call, 200, text, strlen(text), &r);
+		kv_result_clear(&r);
+	}
+}
+
+static void try_all(const char *text)
+{
+	struct host_list *l = hjson_list(text, NULL, NULL);
+
+	host_list_free(l);
+	try_contract(text);
+	try_layout(text);
+	try_small(text);
+	try_head(text);
+	try_item(text);
+	try_answers(text);
+}
+
+static void mutate(struct rng *r, char *data, uint32_t len)
+{
+	static const char bytes[] = "{}[]\",:0195-ae.tnul\\ \xff";
+	uint32_t n = rng_below(r, MUTATIONS_MAX + 1);
+
+	while (n--) {
+		uint32_t at = rng_below(r, len);
+		uint32_t from = rng_below(r, len);
+
+		if (rng_below(r, 2))
+			data[at] = bytes[rng_below(r, sizeof(bytes) - 1)];
+		else
+			memmove(data + at, data + from,
+				cu_min_u32(len - at, len - from) / 2);
+	}
+}
+
+static void test_documents(void)
+{
+	struct rng r = { 1 };
+	uint32_t i;
+
+	for (i = 0; i < ROUNDS; i++) {
+		char *text CLEANUP_FREE =
+			cu_strdup(documents[rng_below(&r, countof(documents))]);
+
+		mutate(&r, text, (uint32_t)strlen(text));
+		try_all(text);
+	}
+}
+
+static uint32_t encode_heartbeat(char *data)
+{
+	struct heartbeat *h CLEANUP_FREE = cu_alloc(1, sizeof(*h));
+	struct pxdr_heartbeat x;
+	uint32_t bytes;
+	XDR xdrs;
+
+	cu_copy(h->host, sizeof(h->host), "h1");
+	cu_copy(h->data_centre, sizeof(h->data_centre), "a");
+	cu_copy(h->address, sizeof(h->address), "127.0.0.1");
+	h->port = 6001;
+	h->notice_count = 2;
+	cu_copy(h->notices[0].target, NAME_BYTES, "t1");
+	cu_copy(h->notices[1].target, NAME_BYTES, "t2");
+	h->rollout_count = 1;
+	cu_copy(h->rollouts[0].service, NAME_BYTES, "c");
+	cu_copy(h->rollouts[0].version, NAME_BYTES, "v1");
+	pxdr_from_heartbeat(h, &x);
+	xdrmem_create(&xdrs, data, MESSAGE_BYTES, XDR_ENCODE);
+	g_assert_true(xdr_peer_heartbeat(&xdrs, &x.xdr));
+	bytes = xdr_getpos(&xdrs);
+	xdr_destroy(&xdrs);
+	return bytes;
+}
+
+static uint32_t encode_config(char *data)
+{
+	struct cfg_item *item = cfg_item_new("dc/a", 2, 5, "op", "{}");
+	struct cfg_delta d = { .rev = 2,
+			       .recent_count = 2,
+			       .recent = { 5, 4 },
+			       .item_count = 1,
+			       .items = &item };
+	peer_config x;
+	uint32_t bytes;
+	XDR xdrs;
+
+	pxdr_from_delta(&d, &x);
+	xdrmem_create(&xdrs, data, MESSAGE_BYTES, XDR_ENCODE);
+	g_assert_true(xdr_peer_config(&xdrs, &x));
+	bytes = xdr_getpos(&xdrs);
+	xdr_destroy(&xdrs);
+	pxdr_config_free(&x);
+	cfg_item_unref(item);
+	return bytes;
+}
+
+static void try_heartbeat(char *data, uint32_t bytes)
+{
+	struct heartbeat *h CLEANUP_FREE = cu_alloc(1, sizeof(*h));
+	peer_heartbeat x = { 0 };
+	XDR xdrs;
+
+	xdrmem_create(&xdrs, data, bytes, XDR_DECODE);
+	if (xdr_peer_heartbeat(&xdrs, &x))
+		pxdr_to_heartbeat(&x, h, NULL);
+	xdr_free((xdrproc_t)xdr_peer_heartbeat, (char *)&x);
+	xdr_destroy(&xdrs);
+}
+
+static void try_config(char *data, uint32_t bytes)
+{
+	struct cfg_delta *d = NULL;
+	peer_config x = { 0 };
+	uint32_t i;
+	XDR xdrs;
+
+	xdrmem_create(&xdrs, data, bytes, XDR_DECODE);
+	if (pxdr_config_bounded(&xdrs, &x))
+		d = pxdr_to_delta(&x, NULL);
+	for (i = 0; d && i < d->item_count; i++) {
+		if (d->items[i]->json)
+			free(sjson_item_text(d->items[i]));
+	}
+	cfg_delta_free(d);
+	xdr_free((xdrproc_t)xdr_peer_config, (char *)&x);
+	xdr_destroy(&xdrs);
+}
+
+static void test_messages(void)
+{
+	struct rng r = { 2 };
+	uint32_t i;
+
+	for (i = 0; i < ROUNDS; i++) {
+		char data[MESSAGE_BYTES];
+		uint32_t bytes = i % 2 ? encode_heartbeat(data)
+				       : encode_config(data);
+
+		mutate(&r, data, bytes);
+		bytes = rng_below(&r, 4) ? bytes : rng_below(&r, bytes);
+		try_heartbeat(data, bytes);
+		try_config(data, bytes);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	apr_initialize();
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/codec/documents", test_documents);
+	g_test_add_func("/codec/messages", test_messages);
+	return g_test_run();
+}
