--- a/src/duty/control_store.c
+++ b/src/duty/control_store.c
@@ -333,12 +333,13 @@
 			  "%u entries refused; %s", refused, err.detail);
 	if (!l)
 		return;
+	if (!c->list || c->list->revision != l->revision)
+		c->view_dirty = 1;
 	host_list_free(c->list);
 	c->list = l;
 	mbr_on_list(c->mbr, now_us, l);
 	if (mbr_is_alone(c->mbr))
 		cfg_allow_edits(c->cfg);
-	c->view_dirty = 1;
 }
 
 static void list_due(void *ctx, int64_t now_us);
