--- a/src/codec/ajson.c
+++ b/src/codec/ajson.c
@@ -47,7 +47,7 @@
 	json_error_t error;
 	json_t *obj = json_loads(text, 0, &error);
 
-	if (obj && json_is_object(obj))
+	if (json_is_object(obj))
 		return obj;
 	json_decref(obj);
 	err_set(err, ERR_BAD_JSON, "body is not a JSON object");
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -194,13 +194,16 @@
 {
 	uint32_t i;
 
-	for (i = 0; a->word_count && i < ctl_command_count; i++) {
+	if (!a->words[0])
+		return NULL;
+	for (i = 0; i < ctl_command_count; i++) {
 		const struct ctl_command *k = &ctl_commands[i];
 
 		if (strcmp(a->words[0], k->object) != 0)
 			continue;
-		if (!k->verb ||
-		    (a->word_count > 1 && strcmp(a->words[1], k->verb) == 0))
+		if (!k->verb)
+			return k;
+		if (a->word_count > 1 && strcmp(a->words[1], k->verb) == 0)
 			return k;
 	}
 	return NULL;
--- a/src/duty/admin.c
+++ b/src/duty/admin.c
@@ -161,32 +161,34 @@
 	admin_call_free(call);
 }
 
-static enum err_code new_call(struct admin_request *r, const char *method,
-			      const char *url, struct admin_call **out,
-			      struct err *err)
+/* NULL with @err set when the call is refused. */
+static struct admin_call *new_call(struct admin_request *r, const char *method,
+				   const char *url, struct err *err)
 {
 	struct buf path CLEANUP_BUF = { 0 };
 	struct admin_call *call;
 
-	if (strlen(method) >= sizeof(call->method))
-		return err_set(err, ERR_METHOD,
-			       "method %.16s, accepted GET PUT POST DELETE",
-			       method);
+	if (strlen(method) >= sizeof(call->method)) {
+		err_set(err, ERR_METHOD,
+			"method %.16s, accepted GET PUT POST DELETE", method);
+		return NULL;
+	}
 	buf_addf(&path, "%s", url + strlen(API_PREFIX));
 	MHD_get_connection_values(r->connection, MHD_GET_ARGUMENT_KIND,
 				  collect_query, &path);
-	if (path.len_bytes >= sizeof(call->path))
-		return err_set(err, ERR_NOT_FOUND,
-			       "path is too long, accepted up to %zu bytes",
-			       sizeof(call->path) - 1);
+	if (path.len_bytes >= sizeof(call->path)) {
+		err_set(err, ERR_NOT_FOUND,
+			"path is too long, accepted up to %zu bytes",
+			sizeof(call->path) - 1);
+		return NULL;
+	}
 	call = cu_alloc(1, sizeof(*call));
 	cu_copy(call->method, sizeof(call->method), method);
 	cu_copy(call->path, sizeof(call->path), path.data);
 	who_asks(r->connection, call->who, sizeof(call->who));
 	if (r->body.data)
 		call->body = cu_strdup(r->body.data);
-	*out = call;
-	return ERR_OK;
+	return call;
 }
 
 /*
@@ -212,13 +214,14 @@
 static enum MHD_Result start_call(struct admin_request *r, const char *method,
 				  const char *url)
 {
-	struct admin_call *call = NULL;
+	struct admin_call *call;
 	struct msg m = { .type = MSG_ADMIN, .drop = drop_call };
 	char *json CLEANUP_FREE = NULL;
 	struct err err = { 0 };
 	enum err_code code;
 
-	if (new_call(r, method, url, &call, &err) != ERR_OK)
+	call = new_call(r, method, url, &err);
+	if (!call)
 		return answer_error(r->connection, &err);
 	if (!suspend(r)) {
 		admin_call_free(call);
--- a/src/duty/control_admin.c
+++ b/src/duty/control_admin.c
@@ -340,15 +340,20 @@
 	return parse_query(query, out, err);
 }
 
+static enum route_shape shape_of(const struct admin_path *p)
+{
+	if (p->verb)
+		return SHAPE_VERB;
+	return p->name ? SHAPE_NAME : SHAPE_LIST;
+}
+
 static int route_matches(const struct admin_route *r,
 			 const struct admin_path *p)
 {
-	enum route_shape shape = p->verb   ? SHAPE_VERB
-				 : p->name ? SHAPE_NAME
-					   : SHAPE_LIST;
-
-	return r->shape == shape && strcmp(r->collection, p->collection) == 0 &&
-	       (!r->verb || strcmp(r->verb, p->verb) == 0);
+	if (r->shape != shape_of(p) ||
+	    strcmp(r->collection, p->collection) != 0)
+		return 0;
+	return !p->verb || !r->verb || strcmp(r->verb, p->verb) == 0;
 }
 
 static enum err_code dispatch(struct control_admin *a, struct admin_call *call,
--- a/src/duty/control_admin_version.c
+++ b/src/duty/control_admin_version.c
@@ -44,9 +44,9 @@
 					struct admin_call *call,
 					struct err *err)
 {
-	struct rollout_item item;
+	struct rollout_item item = { 0 };
 	struct ajson_rollout info;
-	uint64_t rev;
+	uint64_t rev = 0;
 	enum err_code code = rollout_of(a, p->name, &item, &rev, err);
 
 	if (code != ERR_OK)
@@ -100,7 +100,7 @@
 				 struct err *err)
 {
 	struct service_search search = { .service = service };
-	struct rollout_item before;
+	struct rollout_item before = { 0 };
 	struct err none = { 0 };
 
 	control_admin_targets_internal(a, check_service, &search);
@@ -137,7 +137,7 @@
 	struct rollout_item r = { .share_permille = FIRST_SHARE_PERMILLE,
 				  .state = ROLLOUT_RUNNING };
 	struct ajson_start s = { 0 };
-	uint64_t rev;
+	uint64_t rev = 0;
 	enum err_code code = ajson_start(call->body, &s, err);
 
 	if (code == ERR_OK)
@@ -158,8 +158,8 @@
 					  struct err *err)
 {
 	char reason[REASON_BYTES / 2];
-	struct rollout_item r;
-	uint64_t rev;
+	struct rollout_item r = { 0 };
+	uint64_t rev = 0;
 	enum err_code code =
 		ajson_reason(call->body, reason, sizeof(reason), err);
 
--- a/tests/prop_rollout_states.c
+++ b/tests/prop_rollout_states.c
@@ -231,12 +231,11 @@
 	if (op->kind == CALL_GRANT) {
 		op->lease = ++w->leases;
 		w->lease_end_s[op->lease] = end_s;
-	} else if (!lease_live(w, op->lease)) {
+	} else if (!lease_live(w, op->lease) ||
+		   (op->kind == CALL_CLAIM && lease_live(w, w->key_lease))) {
 		op->code = 2;
 	} else if (op->kind == CALL_RENEW) {
 		w->lease_end_s[op->lease] = end_s;
-	} else if (lease_live(w, w->key_lease)) {
-		op->code = 2;
 	} else {
 		w->key_lease = op->lease;
 		op->version = ++w->revision;
