--- a/src/controller/rol.c
+++ b/src/controller/rol.c
@@ -173,6 +173,21 @@
 		rol_mark_bad_internal(r, item->service, item->to, item->reason);
 }
 
+/* Keeps the revision, so that the leader can write over it. */
+static enum err_code refuse(struct rol *r, struct rol_entry *e,
+			    const struct rollout_item *item, uint64_t rev,
+			    struct err *err)
+{
+	if (e) {
+		e->rev = rev;
+		e->refused = 1;
+	}
+	return err_set(err, ERR_CFG_FENCE,
+		       "rollout of %s: fencing token %llu is lower than %llu",
+		       item->service, (unsigned long long)item->fence,
+		       (unsigned long long)r->fence);
+}
+
 enum err_code rol_item(struct rol *r, int64_t now_us, int64_t wall_ms,
 		       const struct rollout_item *item, uint64_t rev,
 		       struct err *err)
@@ -182,13 +197,10 @@
 	if (e && rev < e->rev)
 		return ERR_OK;
 	if (!rol_fence_ok_internal(r->fence, item->fence))
-		return err_set(err, ERR_CFG_FENCE,
-			       "rollout of %s: fencing token %llu is lower "
-			       "than %llu",
-			       item->service, (unsigned long long)item->fence,
-			       (unsigned long long)r->fence);
+		return refuse(r, e, item, rev, err);
 	e = entry_or_add(r, item->service);
 	e->rev = rev;
+	e->refused = 0;
 	if (item->fence > r->fence)
 		r->fence = item->fence;
 	adopt(r, e, now_us, wall_ms, item);
@@ -324,7 +336,7 @@
 {
 	if (e->deleted)
 		return 0;
-	if (e->item.state == ROLLOUT_RUNNING)
+	if (e->refused || e->item.state == ROLLOUT_RUNNING)
 		return 1;
 	return e->item.state == ROLLOUT_DONE &&
 	       rol_bad_reason(r, e->item.service, e->item.to);
@@ -339,7 +351,8 @@
 	if (e->deleted || e->writing || now_us < e->retry_us)
 		return;
 	if (!rol_next_item_internal(&e->item, r->lead.fence, reason != NULL,
-				    grow, &next))
+				    grow, &next) &&
+	    !e->refused)
 		return;
 	if (reason)
 		cu_copy(next.reason, sizeof(next.reason), reason);
--- a/src/controller/rol_internal.h
+++ b/src/controller/rol_internal.h
@@ -33,6 +33,8 @@
 	/* Own, since the last heartbeat: new and old version. */
 	struct rol_counts unsent[2];
 	uint32_t deleted;
+	/* The item in effect was refused; the leader has to replace it. */
+	uint32_t refused;
 	uint32_t writing;
 	int64_t retry_us;
 };
--- a/src/controller/slo.c
+++ b/src/controller/slo.c
@@ -11,6 +11,8 @@
 	char name[NAME_BYTES];
 	/* Number of the newest bucket: time divided by BUCKET_US. */
 	int64_t newest;
+	/* Alarm at the last slo_alarms(). */
+	uint32_t alarm;
 	struct slo_counts buckets[BUCKETS];
 };
 
@@ -185,3 +187,18 @@
 		fn(ctx, &r);
 	}
 }
+
+void slo_alarms(struct slo *s, int64_t now_us,
+		void (*fn)(void *ctx, const struct slo_report *r), void *ctx)
+{
+	struct slo_report r;
+	uint32_t i;
+
+	for (i = 0; i < s->count; i++) {
+		fill(s->customers[i], now_us, &r);
+		if (r.alarm == s->customers[i]->alarm)
+			continue;
+		s->customers[i]->alarm = r.alarm;
+		fn(ctx, &r);
+	}
+}
--- a/src/controller/slo.h
+++ b/src/controller/slo.h
@@ -58,6 +58,9 @@
 /* Calls @fn for each customer in order of first appearance. */
 void slo_each(struct slo *s, int64_t now_us,
 	      void (*fn)(void *ctx, const struct slo_report *r), void *ctx);
+/* Calls @fn for each customer whose alarm began or ended since the last call. */
+void slo_alarms(struct slo *s, int64_t now_us,
+		void (*fn)(void *ctx, const struct slo_report *r), void *ctx);
 /* Fills what follows from the counts of both windows. */
 void slo_evaluate(struct slo_report *r);
 /* Number of answers of all bad kinds. */
--- a/src/duty/admin.c
+++ b/src/duty/admin.c
@@ -28,6 +28,7 @@
 	struct MHD_Daemon *daemon;
 	uint16_t port;
 	_Atomic uint32_t health;
+	_Atomic uint32_t is_out;
 	/* Guards the list of open requests; signalled when it gets empty. */
 	pthread_mutex_t lock;
 	pthread_cond_t none_open;
@@ -99,6 +100,9 @@
 	char *json CLEANUP_FREE = NULL;
 
 	cu_copy(err.detail, sizeof(err.detail), err_text(err.code));
+	if (a->is_out && err.code == ERR_OK)
+		err_set(&err, ERR_STOPPING,
+			"taken out of service by an operator");
 	json = ajson_error(&err);
 	return answer(c, err.code == ERR_OK ? 200 : 503, JSON_TYPE, json);
 }
@@ -490,3 +494,8 @@
 {
 	a->health = (uint32_t)code;
 }
+
+void admin_set_out(struct admin *a, uint32_t is_out)
+{
+	a->is_out = is_out;
+}
--- a/src/duty/control_ops.c
+++ b/src/duty/control_ops.c
@@ -12,6 +12,8 @@
 /* Per data centre; the same number of hosts watches the store. */
 #define CANDIDATES 2
 #define MEMBERS_PERIOD_US (1 * (int64_t)US_PER_S)
+/* The windows advance in steps of 10 s. */
+#define ALARMS_PERIOD_US (10 * (int64_t)US_PER_S)
 
 static int64_t wall_ms(void)
 {
@@ -60,6 +62,25 @@
 		log_event(LOG_LEVEL_ERROR, "rollout_refused", "%s", err.detail);
 }
 
+static int data_centre_out(const struct control_ops *o, int64_t now_us)
+{
+	return dcs_share_permille(o->dcs, o->data_centre, now_us) == 0;
+}
+
+static void check_out(struct control_ops *o, int64_t now_us)
+{
+	uint32_t is_out = dcs_host_out(o->dcs, o->host) ||
+			  data_centre_out(o, now_us);
+
+	if (is_out == o->is_out)
+		return;
+	o->is_out = is_out;
+	log_event(LOG_LEVEL_INFO, "host_out", "this host is %s service",
+		  is_out ? "out of" : "in");
+	if (o->out)
+		o->out(o->out_ctx, is_out);
+}
+
 static void on_item(void *ctx, int64_t now_us, const struct cfg_item *item)
 {
 	struct control_ops *o = ctx;
@@ -72,6 +93,7 @@
 	else if (strncmp(item->name, "rollout/", 8) == 0)
 		apply_rollout(o, now_us, item);
 	o->next_share_us = dcs_next_us(o->dcs, now_us);
+	check_out(o, now_us);
 }
 
 static void count_member(void *ctx, const struct member_info *m)
@@ -102,10 +124,30 @@
 	return dirty;
 }
 
+static void log_alarm(void *ctx, const struct slo_report *r)
+{
+	log_event(r->alarm ? LOG_LEVEL_ERROR : LOG_LEVEL_INFO,
+		  r->alarm ? "burn_alarm" : "burn_alarm_over",
+		  "customer %s burns its budget at %llu times the allowed "
+		  "rate, mostly %s",
+		  r->customer, (unsigned long long)r->fast_burn_milli / 1000,
+		  r->spent_by);
+}
+
+static void check_alarms(struct control_ops *o, int64_t now_us)
+{
+	if (now_us < o->next_alarms_us)
+		return;
+	o->next_alarms_us = now_us + ALARMS_PERIOD_US;
+	slo_alarms(o->slo, now_us, log_alarm, o);
+}
+
 static int on_tick(void *ctx, int64_t now_us)
 {
 	struct control_ops *o = ctx;
 
+	check_alarms(o, now_us);
+
 	if (now_us >= o->next_members_us) {
 		o->next_members_us = now_us + MEMBERS_PERIOD_US;
 		count_members(o);
@@ -319,6 +361,13 @@
 	free(o);
 }
 
+void control_ops_on_out(struct control_ops *o,
+			void (*fn)(void *ctx, uint32_t is_out), void *ctx)
+{
+	o->out = fn;
+	o->out_ctx = ctx;
+}
+
 /* The hooks carry the context, so control needs none for this handler. */
 static struct control_ops *ops_of(struct control *c)
 {
--- a/src/duty/control_ops_state.h
+++ b/src/duty/control_ops_state.h
@@ -30,6 +30,11 @@
 	int64_t next_share_us;
 	int64_t next_members_us;
 	uint32_t dirty;
+	int64_t next_alarms_us;
+	void (*out)(void *ctx, uint32_t is_out);
+	void *out_ctx;
+	/* 1 while this host or its data centre is taken out. */
+	uint32_t is_out;
 	uint32_t host_count;
 	/* Live hosts of this data centre whose names sort before this one's. */
 	uint32_t rank;
--- a/tests/test_admin.c
+++ b/tests/test_admin.c
@@ -166,6 +166,13 @@
 			 (enum err_code)script_int(argc, argv, "code", ERR_OK));
 }
 
+static void cmd_out(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct admin_ctx *c = ctx;
+
+	admin_set_out(c->admin, (uint32_t)script_int(argc, argv, "on", 1));
+}
+
 static void *client_main(void *ctx)
 {
 	struct admin_ctx *c = ctx;
@@ -241,6 +248,7 @@
 	{ "release", cmd_release },
 	{ "stop", cmd_stop },
 	{ "stop_control", cmd_stop_control },
+	{ "out", cmd_out },
 };
 
 static const struct script_area area = {
--- a/tests/test_operator.c
+++ b/tests/test_operator.c
@@ -421,7 +421,20 @@
 		 r.spent_by, r.alarm, r.slow.good, slo_bad(&r.slow));
 }
 
+static void show_alarm(void *ctx, const struct slo_report *r)
+{
+	buf_addf(ctx, "%s alarm %u\n", r->customer, r->alarm);
+}
+
+static void slo_cmd_alarms(void *ctx, uint32_t argc, char **argv,
+			   struct buf *out)
+{
+	slo_alarms(ctx, script_int(argc, argv, "s", 0) * US_PER_S, show_alarm,
+		   out);
+}
+
 static const struct script_command slo_commands[] = {
+	{ "alarms", slo_cmd_alarms },
 	{ "add", slo_cmd_add },
 	{ "show", slo_cmd_show },
 };
