--- /dev/null
+++ b/tests/test_control_ops.c
@@ -0,0 +1,453 @@
+/*
+ * Scripted runs over the control duty with the operator's controllers (area
+ * ops): the test plays the store and the other duties on one ring, operators'
+ * calls go in as messages, and the published view is awaited.
+ */
+#include <apr_general.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "duty/control_ops.h"
+#include "duty/messages.h"
+#include "duty/peer.h"
+#include "script.h"
+
+/* Bounds the wait for what never comes, which is a failure. */
+#define AWAIT_US (30 * (int64_t)US_PER_S)
+#define LEASE_ID 5
+
+struct stored {
+	uint64_t version;
+	char *value;
+};
+
+struct ops_ctx {
+	struct control *control;
+	struct control_ops *ops;
+	/* Inbound ring of all other duties. */
+	struct ring *sink;
+	GHashTable *keys;
+	uint64_t revision;
+	struct kv_request *watch;
+	struct view *view;
+	struct heartbeat sent;
+	uint64_t sequence;
+	_Atomic uint32_t is_out;
+	/* Reply to the last call. */
+	uint32_t status;
+	char *json;
+};
+
+struct call_reply {
+	uint32_t status;
+	char *json;
+};
+
+static void free_stored(gpointer p)
+{
+	struct stored *s = p;
+
+	free(s->value);
+	free(s);
+}
+
+static void answer(struct ops_ctx *c, struct kv_request *r,
+		   const struct kv_result *result)
+{
+	struct kv_reply *reply = cu_alloc(1, sizeof(*reply));
+	struct msg m = { MSG_KV_RESULT, reply, NULL };
+
+	reply->token = r->token;
+	reply->op = r->call.op;
+	reply->result = *result;
+	g_assert_cmpint(ring_push(r->reply_to, &m), ==, ERR_OK);
+	kv_request_free(r);
+}
+
+static void add_pair(struct kv_result *result, const char *key,
+		     uint64_t version, const char *value)
+{
+	struct kv_pair *p = cu_alloc(1, sizeof(*p));
+
+	cu_copy(p->key, sizeof(p->key), key);
+	p->version = version;
+	p->value = cu_strdup(value);
+	p->value_bytes = (uint32_t)strlen(value);
+	result->pairs = p;
+	result->pair_count = 1;
+	result->version = version;
+}
+
+static void answer_get(struct ops_ctx *c, struct kv_request *r)
+{
+	struct stored *s = g_hash_table_lookup(c->keys, r->call.key);
+	struct kv_result result = { 0 };
+
+	if (s)
+		add_pair(&result, r->call.key, s->version, s->value);
+	else
+		result.err.code = ERR_STORE_NOT_FOUND;
+	answer(c, r, &result);
+}
+
+static void answer_cas(struct ops_ctx *c, struct kv_request *r)
+{
+	struct stored *s = g_hash_table_lookup(c->keys, r->call.key);
+	struct kv_result result = { 0 };
+	struct stored *next;
+
+	if ((s ? s->version : 0) != r->call.version) {
+		result.err.code = ERR_STORE_CONFLICT;
+		answer(c, r, &result);
+		return;
+	}
+	next = cu_alloc(1, sizeof(*next));
+	next->version = result.version = ++c->revision;
+	next->value = cu_strdup(r->call.value);
+	g_hash_table_replace(c->keys, g_strdup(r->call.key), next);
+	answer(c, r, &result);
+}
+
+static void serve(struct ops_ctx *c, struct kv_request *r)
+{
+	struct kv_result result = { 0 };
+
+	switch (r->call.op) {
+	case KV_GET:
+		answer_get(c, r);
+		return;
+	case KV_CAS:
+		answer_cas(c, r);
+		return;
+	case KV_WATCH:
+		/* This host makes all edits, so there is nothing to see. */
+		c->watch = r;
+		return;
+	case KV_HOSTS:
+		add_pair(&result, "", 0, "{\"revision\":1,\"hosts\":[]}");
+		break;
+	case KV_LEASE_GRANT:
+		result.lease = LEASE_ID;
+		break;
+	default:
+		break;
+	}
+	answer(c, r, &result);
+}
+
+static void take_reply(struct ops_ctx *c, struct call_reply *r)
+{
+	free(c->json);
+	c->status = r->status;
+	c->json = r->json;
+	free(r);
+}
+
+static void take(struct ops_ctx *c, struct msg *m)
+{
+	struct peer_datagram *d = m->body;
+
+	switch (m->type) {
+	case MSG_KV_CALL:
+		serve(c, m->body);
+		break;
+	case MSG_VIEW:
+		view_unref(c->view);
+		c->view = m->body;
+		break;
+	case MSG_PEER_SEND:
+		c->sent = d->heartbeat;
+		peer_datagram_free(d);
+		break;
+	case MSG_LOG_LINE:
+		take_reply(c, m->body);
+		break;
+	default:
+		if (m->drop)
+			m->drop(m->body);
+	}
+}
+
+typedef int until_fn(struct ops_ctx *c, uint32_t argc, char **argv);
+
+static void pump(struct ops_ctx *c, until_fn *fn, uint32_t argc, char **argv)
+{
+	gint64 end_us = g_get_monotonic_time() + AWAIT_US;
+	struct msg m;
+
+	while (!fn(c, argc, argv)) {
+		if (ring_wait(c->sink, &m, 1, US_PER_S))
+			take(c, &m);
+		if (g_get_monotonic_time() > end_us)
+			g_error("what the script awaits does not come");
+	}
+}
+
+static void on_out(void *ctx, uint32_t is_out)
+{
+	struct ops_ctx *c = ctx;
+
+	c->is_out = is_out;
+}
+
+static void *ops_new(void)
+{
+	struct control_options o = { .host = "h1",
+				     .data_centre = "a",
+				     .address = "127.0.0.1",
+				     .port = 6001,
+				     .incarnation = 1000,
+				     .seed = 3,
+				     .admin = control_admin };
+	struct ops_ctx *c = cu_alloc(1, sizeof(*c));
+	struct err err = { 0 };
+
+	c->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					free_stored);
+	c->sink = ring_new(4096, NULL, NULL, &err);
+	o.store = o.request = o.peer_send = o.peer_fetch = o.peer_listen =
+		c->sink;
+	c->control = control_new(&o, &err);
+	g_assert_nonnull(c->control);
+	c->ops = control_ops_new(c->control, "h1", "a", 7);
+	control_ops_on_out(c->ops, on_out, c);
+	g_assert_cmpint(control_start(c->control, &err), ==, ERR_OK);
+	return c;
+}
+
+static void drain(struct ops_ctx *c)
+{
+	struct msg m;
+
+	while (ring_take(c->sink, &m, 1)) {
+		if (m.type == MSG_LOG_LINE)
+			take_reply(c, m.body);
+		else if (m.drop)
+			m.drop(m.body);
+	}
+}
+
+static void ops_free(void *ctx)
+{
+	struct ops_ctx *c = ctx;
+
+	control_stop(c->control);
+	control_join(c->control);
+	control_free(c->control);
+	control_ops_free(c->ops);
+	drain(c);
+	kv_request_free(c->watch);
+	view_unref(c->view);
+	ring_free(c->sink);
+	g_hash_table_destroy(c->keys);
+	free(c->json);
+	free(c);
+}
+
+static void push(struct ops_ctx *c, uint32_t type, void *body)
+{
+	struct msg m = { type, body, NULL };
+
+	g_assert_cmpint(ring_push(control_ring(c->control), &m), ==, ERR_OK);
+}
+
+/* Runs on the control duty. */
+static void on_reply(void *ctx, uint32_t http_status, const char *json)
+{
+	struct ops_ctx *c = ctx;
+	struct call_reply *r = cu_alloc(1, sizeof(*r));
+	struct msg m = { MSG_LOG_LINE, r, NULL };
+
+	r->status = http_status;
+	r->json = cu_strdup(json);
+	g_assert_cmpint(ring_push(c->sink, &m), ==, ERR_OK);
+}
+
+static int has_reply(struct ops_ctx *c, uint32_t argc, char **argv)
+{
+	return c->status != 0;
+}
+
+static void ask(struct ops_ctx *c, const char *method, const char *path,
+		const char *body)
+{
+	struct admin_call *call = cu_alloc(1, sizeof(*call));
+
+	cu_copy(call->method, sizeof(call->method), method);
+	cu_copy(call->path, sizeof(call->path), path);
+	cu_copy(call->who, sizeof(call->who), "ana@127.0.0.1");
+	call->body = body ? cu_strdup(body) : NULL;
+	call->reply = on_reply;
+	call->reply_ctx = c;
+	c->status = 0;
+	push(c, MSG_ADMIN, call);
+	pump(c, has_reply, 0, NULL);
+}
+
+/* call METHOD PATH [BODY] */
+static void cmd_call(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct ops_ctx *c = ctx;
+
+	do {
+		ask(c, argv[0], argv[1], argc > 2 ? argv[2] : NULL);
+		/* An edit may come before the host list was read. */
+	} while (strstr(c->json, "\"NO_CONFIG\""));
+	buf_addf(out, "%u %s\n", c->status, c->json);
+}
+
+/* await PATH TEXT: asks until the answer contains TEXT. */
+static void cmd_await(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	gint64 end_us = g_get_monotonic_time() + AWAIT_US;
+	struct ops_ctx *c = ctx;
+	struct msg m;
+
+	for (;;) {
+		ask(c, "GET", argv[0], NULL);
+		if (strstr(c->json, argv[1]))
+			return;
+		if (g_get_monotonic_time() > end_us)
+			g_error("no answer with %s: %s", argv[1], c->json);
+		/* Nothing changes without a message to another duty. */
+		if (ring_wait(c->sink, &m, 1, US_PER_S))
+			take(c, &m);
+	}
+}
+
+static int view_matches(struct ops_ctx *c, uint32_t argc, char **argv)
+{
+	uint32_t share = (uint32_t)script_int(argc, argv, "share", 0);
+	const char *dc = script_arg(argc, argv, "dc", NULL);
+	const char *version = script_arg(argc, argv, "version", NULL);
+	const char *block = script_arg(argc, argv, "block", NULL);
+
+	if (!c->view)
+		return 0;
+	if (dc)
+		return view_dc_share(c->view, dc) == share;
+	if (version)
+		return view_version_share(c->view, "s", version) == share;
+	return view_blocked(c->view, block);
+}
+
+/* view dc=D share=N, version=V share=N or block=TARGET: awaits such a view. */
+static void cmd_view(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	pump(ctx, view_matches, argc, argv);
+}
+
+static int sent_matches(struct ops_ctx *c, uint32_t argc, char **argv)
+{
+	uint32_t bad = (uint32_t)script_int(argc, argv, "bad", 0);
+	uint64_t rev = (uint64_t)script_int(argc, argv, "out_rev", 0);
+	uint32_t i;
+
+	if (c->sent.out_rev < rev)
+		return 0;
+	for (i = 0; i < c->sent.rollout_count; i++) {
+		if (c->sent.rollouts[i].bad)
+			return 1;
+	}
+	return !bad;
+}
+
+/* sent [bad=1] [out_rev=N]: awaits such a heartbeat. */
+static void cmd_sent(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	pump(ctx, sent_matches, argc, argv);
+}
+
+/* "requests/failures" of a version */
+static void version_arg(uint32_t argc, char **argv, const char *version,
+			struct version_evidence *e)
+{
+	const char *text = script_arg(argc, argv, version, "0/0");
+
+	cu_copy(e->service, NAME_BYTES, "s");
+	cu_copy(e->version, NAME_BYTES, version);
+	g_assert_cmpint(sscanf(text, "%u/%u", &e->requests, &e->failures), ==,
+			2);
+}
+
+/* evidence v1=R/F v2=R/F times=N */
+static void cmd_evidence(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	int64_t times = script_int(argc, argv, "times", 1);
+
+	while (times-- > 0) {
+		struct evidence *e = cu_alloc(1, sizeof(*e));
+
+		e->versions = cu_alloc(2, sizeof(*e->versions));
+		e->version_count = 2;
+		version_arg(argc, argv, "v1", &e->versions[0]);
+		version_arg(argc, argv, "v2", &e->versions[1]);
+		e->customers = cu_alloc(1, sizeof(*e->customers));
+		e->customer_count = 1;
+		cu_copy(e->customers[0].customer, NAME_BYTES, "blue");
+		e->customers[0].good = 10;
+		push(ctx, MSG_EVIDENCE, e);
+	}
+}
+
+/* heartbeat host=H dc=D [bad=VERSION] */
+static void cmd_heartbeat(void *ctx, uint32_t argc, char **argv,
+			  struct buf *out)
+{
+	struct heartbeat *h = cu_alloc(1, sizeof(*h));
+	const char *bad = script_arg(argc, argv, "bad", NULL);
+	struct ops_ctx *c = ctx;
+
+	cu_copy(h->host, NAME_BYTES, script_arg(argc, argv, "host", "h2"));
+	cu_copy(h->data_centre, NAME_BYTES, script_arg(argc, argv, "dc", "b"));
+	cu_copy(h->address, ADDRESS_BYTES, "127.0.0.1");
+	h->port = 6002;
+	h->incarnation = 1;
+	h->sequence = ++c->sequence;
+	if (bad) {
+		h->rollout_count = 1;
+		cu_copy(h->rollouts[0].service, NAME_BYTES, "s");
+		cu_copy(h->rollouts[0].version, NAME_BYTES, bad);
+		h->rollouts[0].bad = 1;
+	}
+	push(c, MSG_HEARTBEAT_IN, h);
+}
+
+static void cmd_out(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct ops_ctx *c = ctx;
+
+	buf_addf(out, "out %u\n", c->is_out);
+}
+
+static const struct script_command commands[] = {
+	{ "call", cmd_call },	      { "await", cmd_await },
+	{ "view", cmd_view },	      { "sent", cmd_sent },
+	{ "evidence", cmd_evidence }, { "heartbeat", cmd_heartbeat },
+	{ "out", cmd_out },
+};
+
+static const struct script_area area = {
+	.name = "ops",
+	.ctx_new = ops_new,
+	.ctx_free = ops_free,
+	.command_count = countof(commands),
+	.commands = commands,
+};
+
+/* Warnings of what the scripts cause on purpose. */
+static void drop_line(void *ctx, const char *line)
+{
+}
+
+int main(int argc, char **argv)
+{
+	apr_initialize();
+	log_init("h1", drop_line, NULL);
+	g_test_init(&argc, &argv, NULL);
+	script_register(&area, "tests/scripts");
+	return g_test_run();
+}
