Add the simulation of hosts and targets, property and differential tests

Cause: faults in combination were not covered. The runs showed: the budget earned from sub-requests that were never sent; a request pinned to an older view kept ramping a cold target that another host owns by now; a cold target was probed by hosts that do not own it; other hosts waited up to five seconds for an announcement after a short failure; sub-requests sent shortly before a deadline took a busy target out of use; a host that had just started got requests before it knew any target.

Change: fixes for each; path_ready() tells when a host can answer, and owners warm up their targets without waiting for a caller's search.

--- a/src/decide/tgt.c
+++ b/src/decide/tgt.c
@@ -12,6 +12,7 @@
 /* One failure can be chance; two in a row leave the replica. */
 #define FAILURES_MAX 2
 #define ABANDONED_MAX 4
+#define ABANDONED_FACTOR 2
 #define AVOID_START_US (100 * US_PER_MS)
 #define AVOID_MAX_US (4 * US_PER_S)
 /* Cold caches make answers several times slower; queues rarely do at once. */
@@ -103,13 +104,13 @@
 {
 	int64_t clipped_us = sample_us;
 
-	if (!t->base_us)
-		t->latency_us = t->base_us = cu_max_i64(sample_us, 1);
 	if (t->phase == TGT_WARM)
 		clipped_us =
 			cu_min_i64(sample_us, t->latency_us * LATENCY_CLIP);
 	t->latency_us += (clipped_us - t->latency_us) / LATENCY_SMOOTHING;
 	t->latency_us = cu_max_i64(t->latency_us, 1);
+	if (!t->base_us)
+		return;
 	t->base_us += (cu_min_i64(sample_us, t->base_us * LATENCY_CLIP) -
 		       t->base_us) /
 		      BASE_SMOOTHING;
@@ -129,7 +130,10 @@
 	t->abandoned_in_row = 0;
 	t->avoid_until_us = 0;
 	t->avoid_us = AVOID_START_US;
+	if (!t->base_us)
+		t->latency_us = t->base_us = cu_max_i64(service_us, 1);
 	smooth(t, service_us);
+	t->answered_us = t->latency_us;
 	if (suddenly_slow(t, peers_us))
 		become_cold(t, now_us);
 	if (now_us - service_us >= t->cold_us)
@@ -138,10 +142,13 @@
 
 static void avoid(struct tgt *t, int64_t now_us)
 {
+	/* Spreads the probes of hosts that failed at the same time. */
+	int64_t spread_us = now_us % (t->avoid_us / 2);
+
 	/* Failures of requests sent before the decision do not extend it. */
 	if (now_us < t->avoid_until_us)
 		return;
-	t->avoid_until_us = now_us + t->avoid_us;
+	t->avoid_until_us = now_us + t->avoid_us + spread_us;
 	t->avoid_us = cu_min_i64(t->avoid_us * 2, AVOID_MAX_US);
 }
 
@@ -162,6 +169,9 @@
 {
 	if (waited_us > t->latency_us)
 		smooth(t, waited_us);
+	/* Sent shortly before a deadline: no answer could be expected. */
+	if (waited_us < t->answered_us * ABANDONED_FACTOR)
+		return;
 	t->abandoned_in_row++;
 	if (t->abandoned_in_row >= ABANDONED_MAX)
 		avoid(t, now_us);
@@ -194,25 +204,17 @@
 	return t->phase != before;
 }
 
-static uint32_t probe_limit(const struct tgt *t, int64_t now_us, int is_owner)
-{
-	if (now_us < t->avoid_until_us)
-		return 0;
-	if (!is_owner && t->announced_us < t->avoid_until_us)
-		return 0;
-	return 1;
-}
-
 static uint32_t limit(const struct tgt *t, int64_t now_us, int is_owner)
 {
 	uint32_t share = target_connection_share(&t->def);
 
+	if (t->phase != TGT_WARM && !is_owner)
+		return 0;
+	/* After failures one probe at a time, whether owner or not. */
 	if (t->avoid_until_us)
-		return probe_limit(t, now_us, is_owner);
+		return now_us >= t->avoid_until_us;
 	if (t->phase == TGT_WARM)
 		return share;
-	if (!is_owner)
-		return 0;
 	return cu_min_u32(share, t->cold_limit);
 }
 
@@ -229,9 +231,7 @@
 int tgt_expected(const struct tgt *t, int64_t until_us, int is_owner)
 {
 	/* A cold target may be announced as warm at any time. */
-	if (!t->avoid_until_us)
-		return 1;
-	return is_owner && t->avoid_until_us < until_us;
+	return t->avoid_until_us < until_us;
 }
 
 int64_t tgt_cost_us(const struct tgt *t)
--- a/src/decide/tgt.h
+++ b/src/decide/tgt.h
@@ -22,10 +22,14 @@
 	uint32_t refs;
 	struct target def;
 	uint32_t outstanding;
+	/* This host ramps the target while it is cold, by the latest view. */
+	int is_owner;
 	int64_t sent_us;
 	/* Smoothed time from sending to the answer; base follows slowly. */
 	int64_t latency_us;
 	int64_t base_us;
+	/* Smoothed time at the last answer, without what was abandoned since. */
+	int64_t answered_us;
 	/* Smoothed time between sub-requests, fast and slow. */
 	int64_t gap_us;
 	int64_t gap_base_us;
@@ -78,8 +82,8 @@
 
 /*
  * 1 if one more sub-request may be sent. @is_owner: this host ramps the target
- * while it is cold and probes it after failures; other hosts wait for the
- * owner's announcement, so that together they send no more than it tolerates.
+ * while it is cold; other hosts wait for the owner's announcement, so that
+ * together they send no more than it tolerates.
  */
 int tgt_usable(const struct tgt *t, int64_t now_us, int is_owner);
 /* 1 if sub-requests are sent at all, now or once others are answered. */
--- a/src/duty/request.c
+++ b/src/duty/request.c
@@ -77,6 +77,7 @@
 	struct evidence *e = path_evidence(d->path, now_us);
 	struct msg m = { MSG_EVIDENCE, e, NULL };
 
+	d->ready = path_ready(d->path, now_us);
 	tmr_arm(duty_timers(d->duty), &d->evidence_timer,
 		now_us + EVIDENCE_PERIOD_US, send_evidence, d);
 	if (!d->options.control || ring_push(d->options.control, &m) != ERR_OK)
@@ -133,7 +134,6 @@
 		break;
 	case MSG_VIEW:
 		path_view(d->path, m->body, now_us);
-		d->ready = 1;
 		break;
 	case MSG_NOTICE:
 		path_notice(d->path, m->body, now_us);
@@ -165,6 +165,7 @@
 		path_result(d->path, r, now_us);
 	}
 	d->open = path_open(d->path);
+	d->ready = path_ready(d->path, now_us);
 }
 
 enum err_code request_duty_start(struct request_duty *d, struct err *err)
--- a/src/filter/6_scatter.c
+++ b/src/filter/6_scatter.c
@@ -98,14 +98,14 @@
 		if (s->failed_mask & (1U << i) || is_open_on(s, i) ||
 		    !target_allowed(r, t, relaxed))
 			continue;
-		o->live += (uint32_t)tgt_live(t->tgt, now_us, t->is_owner);
+		o->live += (uint32_t)tgt_live(t->tgt, now_us, t->tgt->is_owner);
 		o->expected += (uint32_t)tgt_expected(t->tgt, r->close_us,
-						      t->is_owner);
+						      t->tgt->is_owner);
 		if (customer_open(r->customer, t->tgt, 0) >=
 		    customer_limit(r, t->tgt))
 			continue;
 		candidates[count] =
-			(struct bal_candidate){ t->tgt, t->is_owner, 0 };
+			(struct bal_candidate){ t->tgt, t->tgt->is_owner, 0 };
 		replicas[count++] = i;
 	}
 	picked = bal_pick(candidates, count, now_us, &r->path->rng);
@@ -161,6 +161,9 @@
 	cu_copy(sub->request_id, sizeof(sub->request_id), r->in->id);
 	g_hash_table_insert(p->subs, &sub->id, sub);
 	s->open[s->open_count++] = sub;
+	/* A restart sends again what was counted before. */
+	if (s->attempts == 0 && !r->restarted)
+		bgt_earn(&r->customer->bgt, 1);
 	s->attempts++;
 	s->phase = SHARD_OPEN;
 	r->sent++;
@@ -479,9 +482,6 @@
 	uint32_t i;
 
 	metric_add(M_SHARDS_ASKED, r->shard_count);
-	/* A restart asks again what was already counted as offered. */
-	if (!r->restarted)
-		bgt_earn(&r->customer->bgt, r->shard_count);
 	hdg_adjust(&r->index->stats->hdg, now_us,
 		   bgt_fill_permille(&r->customer->bgt));
 	for (i = 0; i < r->shard_count; i++)
--- a/src/filter/bound.c
+++ b/src/filter/bound.c
@@ -84,7 +84,7 @@
 		struct bound_target *t = &b->targets[i];
 
 		t->tgt = tgt_ref(find_target(p, def));
-		t->is_owner = owns(p, v, def->id);
+		t->tgt->is_owner = owns(p, v, def->id);
 		t->blocked = view_blocked(v, def->id);
 		t->dc_share_permille = view_dc_share(v, def->data_centre);
 		t->version = find_version(v, l->service, def->version);
--- a/src/filter/path.c
+++ b/src/filter/path.c
@@ -8,6 +8,9 @@
 /* Owners repeat which targets are warm for hosts that started since. */
 #define ANNOUNCE_PERIOD_US (5 * US_PER_S)
 
+/* Two heartbeats and the ramp of a target that nobody has used yet. */
+#define READY_WAIT_US (3 * US_PER_S)
+
 static void free_customer(gpointer data)
 {
 	struct customer_stats *s = data;
@@ -77,6 +80,7 @@
 	p->version_evidence =
 		g_array_new(FALSE, TRUE, sizeof(struct version_evidence));
 	p->next_req = 1;
+	p->first_view_us = -1;
 	/* Below 2^53 for targets that read it as a double. */
 	p->next_sub = 1 + (rng_u64(&p->rng) & 0xfffffffffffULL);
 	build_chain(p);
@@ -167,6 +171,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		refresh_customer(p, v, value, now_us);
 	/* A host that joined knows no target yet. */
+	if (p->first_view_us < 0)
+		p->first_view_us = now_us;
 	if (!p->bound || !same_hosts(p->bound->view, v))
 		p->announce_at_us = now_us;
 	bound_view_unref(p->bound);
@@ -409,6 +415,43 @@
 	p->leaving = 1;
 }
 
+static int index_ready(const struct bound_index *b, int64_t now_us)
+{
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < b->layout->shard_count; i++) {
+		const struct shard *s = &b->layout->shards[i];
+		int live = 0;
+
+		for (j = 0; j < s->replica_count; j++) {
+			const struct bound_target *t =
+				&b->targets[s->replicas[j]];
+
+			live |= t->tgt->phase == TGT_WARM &&
+				tgt_live(t->tgt, now_us, t->tgt->is_owner);
+		}
+		if (!live)
+			return 0;
+	}
+	return 1;
+}
+
+int path_ready(const struct path *p, int64_t now_us)
+{
+	uint32_t i;
+
+	if (!p->bound || p->leaving)
+		return 0;
+	if (now_us - p->first_view_us >= READY_WAIT_US)
+		return 1;
+	for (i = 0; i < p->bound->view->layout_count; i++) {
+		if (!index_ready(&p->bound->indexes[i], now_us))
+			return 0;
+	}
+	return 1;
+}
+
 uint32_t path_open(const struct path *p)
 {
 	return g_hash_table_size(p->reqs);
@@ -429,7 +472,7 @@
 		for (j = 0; j < b->layout->target_count; j++) {
 			struct bound_target *t = &b->targets[j];
 
-			if (t->is_owner && t->tgt->phase == TGT_WARM &&
+			if (t->tgt->is_owner && t->tgt->phase == TGT_WARM &&
 			    !t->tgt->avoid_until_us)
 				evidence_notice(p, t->tgt, NOTICE_WARM);
 		}
--- a/src/filter/path.h
+++ b/src/filter/path.h
@@ -48,6 +48,11 @@
 void path_notice(struct path *p, const struct target_notice *n, int64_t now_us);
 /* Refuses new requests from now on; those in flight finish. */
 void path_leave(struct path *p);
+/*
+ * 1 when requests can be answered: a view is in force and every shard has a
+ * replica in use, or announcements were awaited long enough.
+ */
+int path_ready(const struct path *p, int64_t now_us);
 /* Number of requests in flight. */
 uint32_t path_open(const struct path *p);
 /* What was observed since the last call; the caller frees it. */
--- a/src/filter/req.h
+++ b/src/filter/req.h
@@ -43,8 +43,6 @@
 /* A target of the view in force. */
 struct bound_target {
 	struct tgt *tgt;
-	/* This host ramps the target while it is cold. */
-	int is_owner;
 	/* Leaving or taken out: no new work. */
 	int blocked;
 	uint32_t dc_share_permille;
@@ -192,6 +190,8 @@
 	uint64_t next_req;
 	uint64_t next_sub;
 	int64_t announce_at_us;
+	/* Time of the first view; -1 before. */
+	int64_t first_view_us;
 	int leaving;
 };
 
--- a/src/filter/warm.c
+++ b/src/filter/warm.c
@@ -13,9 +13,12 @@
 /* Cold answers are slow; one that takes longer is a failure. */
 #define WARM_ANSWER_US (1 * US_PER_S)
 
+/* Until a caller's search is known. */
+#define WARM_TEXT "warm-up"
+
 static int is_wanted(const struct bound_target *t, int64_t now_us)
 {
-	return t->is_owner && t->tgt->phase != TGT_WARM && !t->blocked &&
+	return t->tgt->is_owner && t->tgt->phase != TGT_WARM && !t->blocked &&
 	       t->dc_share_permille > 0 && tgt_usable(t->tgt, now_us, 1);
 }
 
@@ -32,7 +35,8 @@
 	cu_copy(c->snapshot, sizeof(c->snapshot), l->snapshot);
 	cu_copy(c->address, sizeof(c->address), s->tgt->def.address);
 	c->port = s->tgt->def.port;
-	c->text = cu_strdup(s->index->warm_text);
+	c->text = cu_strdup(s->index->warm_text ? s->index->warm_text
+						: WARM_TEXT);
 	c->limit = s->index->warm_limit;
 	c->idempotent = 1;
 	c->deadline_us = now_us + WARM_ANSWER_US;
@@ -73,11 +77,10 @@
 		for (j = 0; j < b->layout->target_count; j++) {
 			struct bound_target *t = &b->targets[j];
 
-			if (!b->stats->warm_text)
-				continue;
 			if (is_wanted(t, now_us))
 				send_warm_up(p, b, t, now_us);
-			is_left |= t->is_owner && t->tgt->phase != TGT_WARM;
+			is_left |= t->tgt->is_owner &&
+				   t->tgt->phase != TGT_WARM;
 		}
 	}
 	if (is_left)
--- /dev/null
+++ b/tests/prop_path.c
@@ -0,0 +1,155 @@
+/*
+ * Property tests of the request path: faults alone and in pairs over many
+ * seeds. SIM_SEED and SIM_FAULTS (a number of bits) repeat one run.
+ */
+#include <glib.h>
+#include <stdlib.h>
+
+#include "sim.h"
+
+#define SEEDS_ALONE 80
+#define SEEDS_PAIR 15
+#define EXTRA_PERMILLE 100
+/* Small, so that a run without a budget exceeds it soon. */
+#define EXTRA_BROKEN_PERMILLE 10
+
+static int run(uint64_t seed, uint32_t faults, enum sim_broken broken,
+	       uint32_t extra_permille)
+{
+	struct sim_options o;
+	struct sim_result *r;
+	int failed;
+
+	sim_options_init(&o, seed);
+	o.faults = faults;
+	o.broken = broken;
+	o.extra_permille = extra_permille;
+	r = sim_run(&o);
+	failed = r->violations > 0;
+	if (failed && broken == SIM_BROKEN_NONE)
+		g_test_message("SIM_SEED=%u SIM_FAULTS=%u: %s (%u in all)",
+			       (uint32_t)seed, faults, r->violation,
+			       (uint32_t)r->violations);
+	sim_result_free(r);
+	return failed;
+}
+
+static void run_seeds(uint32_t faults, uint32_t first, uint32_t count)
+{
+	uint32_t failed = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		failed += (uint32_t)run(first + i, faults, SIM_BROKEN_NONE,
+					EXTRA_PERMILLE);
+	g_assert_cmpuint(failed, ==, 0);
+}
+
+/* Without faults every answer is complete. */
+static void test_none(void)
+{
+	uint32_t i;
+
+	run_seeds(0, 1, SEEDS_ALONE);
+	for (i = 1; i <= SEEDS_ALONE; i++) {
+		struct sim_options o;
+		struct sim_result *r;
+
+		sim_options_init(&o, i);
+		r = sim_run(&o);
+		g_assert_cmpuint(r->requests[0], >, 50);
+		g_assert_cmpuint(r->complete[0] + r->refused_code[209] +
+					 r->refused_code[305],
+				 ==, r->requests[0]);
+		sim_result_free(r);
+	}
+}
+
+static void test_alone(gconstpointer data)
+{
+	run_seeds(SIM_BIT(GPOINTER_TO_UINT(data)), 1000, SEEDS_ALONE);
+}
+
+static void test_pairs(gconstpointer data)
+{
+	uint32_t first = GPOINTER_TO_UINT(data);
+	uint32_t second;
+
+	for (second = first + 1; second < SIM_FAULT_COUNT; second++)
+		run_seeds(SIM_BIT(first) | SIM_BIT(second), 2000 + first * 100,
+			  SEEDS_PAIR);
+}
+
+static void test_one(void)
+{
+	run_seeds((uint32_t)atoi(g_getenv("SIM_FAULTS")),
+		  (uint32_t)atoi(g_getenv("SIM_SEED")), 1);
+}
+
+/*
+ * A wrong decision that no check notices would make the runs above idle. The
+ * right one passes the same runs.
+ */
+static void check_caught(enum sim_broken broken, uint32_t faults)
+{
+	uint32_t caught = 0;
+	uint32_t sound = 0;
+	uint32_t i;
+
+	for (i = 0; i < SEEDS_PAIR; i++) {
+		caught += (uint32_t)run(1 + i, faults, broken,
+					EXTRA_BROKEN_PERMILLE);
+		sound += (uint32_t)!run(1 + i, faults, SIM_BROKEN_NONE,
+					EXTRA_BROKEN_PERMILLE);
+	}
+	g_assert_cmpuint(caught, >, 0);
+	g_assert_cmpuint(sound, ==, SEEDS_PAIR);
+}
+
+static void test_broken_budget(void)
+{
+	check_caught(SIM_BROKEN_BUDGET, SIM_BIT(SIM_FLOOD) | SIM_BIT(SIM_FAIL) |
+						SIM_BIT(SIM_LOSS));
+}
+
+static void test_broken_claim(void)
+{
+	check_caught(SIM_BROKEN_CLAIM, SIM_BIT(SIM_STORE));
+}
+
+static void test_broken_owner(void)
+{
+	check_caught(SIM_BROKEN_OWNER, SIM_BIT(SIM_RESTART));
+}
+
+static void test_broken_match(void)
+{
+	check_caught(SIM_BROKEN_MATCH, SIM_BIT(SIM_CROSS));
+}
+
+int main(int argc, char **argv)
+{
+	uint32_t i;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
+	if (g_getenv("SIM_SEED")) {
+		g_test_add_func("/path/one", test_one);
+		return g_test_run();
+	}
+	g_test_add_func("/path/no_fault", test_none);
+	for (i = 0; i < SIM_FAULT_COUNT; i++) {
+		g_autofree char *name = g_strdup_printf(
+			"/path/fault/%s", sim_fault_name((enum sim_fault)i));
+		g_autofree char *pairs = g_strdup_printf(
+			"/path/pairs/%s", sim_fault_name((enum sim_fault)i));
+
+		g_test_add_data_func(name, GUINT_TO_POINTER(i), test_alone);
+		g_test_add_data_func(pairs, GUINT_TO_POINTER(i), test_pairs);
+	}
+	g_test_add_func("/path/broken/budget", test_broken_budget);
+	g_test_add_func("/path/broken/claim", test_broken_claim);
+	g_test_add_func("/path/broken/owner", test_broken_owner);
+	g_test_add_func("/path/broken/match", test_broken_match);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/sim.h
@@ -0,0 +1,149 @@
+/*
+ * Simulation of several hosts' request paths over simulated targets, callers
+ * and a simulated store, with one seed and one virtual clock. It checks what
+ * must hold whatever fails and collects what is measured.
+ */
+#ifndef SIM_H
+#define SIM_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#define SIM_HOSTS_MAX 10
+#define SIM_CUSTOMERS_MAX 2
+
+enum sim_policy {
+	SIM_COWSLIPPOINT,
+	/* One random replica for each shard, no limits, no second attempt. */
+	SIM_NAIVE,
+	/* Shortest true queue over all hosts' work; stragglers are ordinary. */
+	SIM_ORACLE
+};
+
+/* DEF(id, name): faults that a run can be given, alone or together. */
+#define SIM_FAULTS(DEF)                                  \
+	DEF(SIM_STRAGGLE, "straggle")                    \
+	DEF(SIM_FAIL, "failed answers")                  \
+	DEF(SIM_LOSS, "lost answers")                    \
+	DEF(SIM_CROSS, "crossed and duplicate answers")  \
+	DEF(SIM_RESTART, "targets restart cold")         \
+	DEF(SIM_DOWN, "targets refuse connections")      \
+	DEF(SIM_SILENT, "targets are silent")            \
+	DEF(SIM_SNAPSHOT, "snapshot change")             \
+	DEF(SIM_DC_OUT, "data centre taken out")         \
+	DEF(SIM_HOST_DEATH, "host dies and is replaced") \
+	DEF(SIM_MEMBERS, "membership disagreement")      \
+	DEF(SIM_STORE, "store loses answers and fails")  \
+	DEF(SIM_GONE, "callers go away")                 \
+	DEF(SIM_FLOOD, "too many requests")
+
+enum sim_fault {
+#define DEF(id, name) id,
+	SIM_FAULTS(DEF)
+#undef DEF
+		SIM_FAULT_COUNT
+};
+
+#define SIM_LOST UINT64_MAX
+/* A shard had only replicas that R3 keeps from this host. */
+#define SIM_ALL_COLD (UINT64_MAX - 1)
+#define SIM_BIT(fault) (1U << (fault))
+
+/* Decisions that a run replaces by wrong ones, to try the checks. */
+enum sim_broken {
+	SIM_BROKEN_NONE,
+	/* Hedges and retries without a budget. */
+	SIM_BROKEN_BUDGET,
+	/* Every claim is granted. */
+	SIM_BROKEN_CLAIM,
+	/* Every host takes itself for the owner of every cold target. */
+	SIM_BROKEN_OWNER,
+	/* Answers are taken without a look at what they answer. */
+	SIM_BROKEN_MATCH
+};
+
+struct sim_customer {
+	/* Contract, for all hosts together. */
+	uint32_t rate_per_s;
+	/* What callers send. */
+	uint32_t offered_per_s;
+};
+
+struct sim_options {
+	uint64_t seed;
+	enum sim_policy policy;
+	/* SIM_BIT() of each fault. */
+	uint32_t faults;
+	enum sim_broken broken;
+	uint32_t hosts;
+	uint32_t shards;
+	uint32_t replicas;
+	uint32_t slots;
+	uint32_t connections;
+	uint32_t cold_slots;
+	/* Requests that wait at one target before it sheds; 0: no limit. */
+	uint32_t queue_max;
+	int64_t mean_us;
+	/* One way between host and target. */
+	int64_t net_us;
+	uint32_t straggle_permille;
+	uint32_t answer_ms;
+	uint32_t coverage_permille;
+	uint32_t extra_permille;
+	uint32_t target_share_permille;
+	uint32_t lookup_permille;
+	uint32_t customer_count;
+	struct sim_customer customers[SIM_CUSTOMERS_MAX];
+	int64_t duration_us;
+	/* Answers to requests sent before are not measured. */
+	int64_t warm_up_us;
+	/* Offered load is multiplied in this part of the run; 0 permille: no. */
+	int64_t surge_from_us;
+	int64_t surge_to_us;
+	uint32_t surge_permille;
+	/* Replica that is out of service in every shard from this time; 0: no. */
+	int64_t lost_from_us;
+	/* Replica that restarts cold in every shard at this time; 0: no. */
+	int64_t cold_at_us;
+	/* Mean time between two strikes of a fault; how long one lasts. */
+	int64_t fault_every_us;
+	int64_t fault_lasts_us;
+	/* Width of the parts that answered_by_part counts. */
+	int64_t part_us;
+};
+
+struct sim_result {
+	/* Complete or partial answers, and their time in us, sorted. */
+	GArray *latency_us[SIM_CUSTOMERS_MAX];
+	uint64_t requests[SIM_CUSTOMERS_MAX];
+	uint64_t complete[SIM_CUSTOMERS_MAX];
+	uint64_t partial[SIM_CUSTOMERS_MAX];
+	uint64_t refused[SIM_CUSTOMERS_MAX];
+	uint64_t refused_code[1024];
+	uint64_t shards_wanted;
+	uint64_t shards_answered;
+	/* Sub-requests that reached a target: first of each shard, and others. */
+	uint64_t first;
+	uint64_t extra;
+	uint64_t warm_ups;
+	/* Requests and complete answers by part of the run. */
+	GArray *requests_by_part;
+	GArray *complete_by_part;
+	/* Complete answers of each request in order of arrival: 1 or 0. */
+	GArray *complete_by_request;
+	/* Shards answered, SIM_LOST when the host died, or SIM_ALL_COLD. */
+	GArray *shards_by_request;
+	uint64_t violations;
+	char *violation;
+};
+
+/* Small deployment with 100 ms answers, for checks. */
+void sim_options_init(struct sim_options *o, uint64_t seed);
+struct sim_result *sim_run(const struct sim_options *o);
+void sim_result_free(struct sim_result *r);
+/* Time in us below which @permille10 of 10000 answers stay. */
+int64_t sim_quantile_us(const struct sim_result *r, uint32_t customer,
+			uint32_t permille10);
+const char *sim_fault_name(enum sim_fault fault);
+
+#endif
--- /dev/null
+++ b/tests/sim_host.c
@@ -0,0 +1,539 @@
+/* Simulated hosts: one request path each, with its views and its clock. */
+#include <stdio.h>
+#include <string.h>
+
+#include "decide/hrw.h"
+#include "filter/req.h"
+#include "sim_impl.h"
+
+#define EVIDENCE_US (100 * US_PER_MS)
+/* Notices travel in heartbeats; faster here so that short runs have some. */
+#define NOTICE_US (100 * US_PER_MS)
+#define NOTICE_LOSS_PERMILLE 100
+/* The target duty ends a call this long after its deadline. */
+#define GIVE_UP_US (5 * US_PER_MS)
+#define COLD_GOOD_RUN 10
+
+static void target_name(char *out, uint32_t target)
+{
+	snprintf(out, NAME_BYTES, "t%u", target);
+}
+
+static uint32_t shard_of_target(const struct sim *s, uint32_t target)
+{
+	return target / s->o.replicas;
+}
+
+/* By the membership that the host was given. */
+static int is_owner(const struct sim *s, uint32_t no, uint32_t target)
+{
+	char hosts[SIM_HOSTS_MAX][NAME_BYTES];
+	char name[NAME_BYTES];
+	uint32_t count = 0;
+	uint32_t i;
+
+	target_name(name, target);
+	for (i = 0; i < SIM_HOSTS_MAX; i++) {
+		if (s->hosts[no].members_seen >> i & 1)
+			cu_copy(hosts[count++], NAME_BYTES, s->hosts[i].name);
+	}
+	return hrw_is_owner(name, s->hosts[no].name, hosts, count);
+}
+
+/*
+ * R3: a host that knows a target as cold sends to it only as its owner, and no
+ * more than the ramp allows. One membership has one owner, so together the
+ * hosts stay within the ramp too, except while an owner hands over.
+ */
+static void check_cold(struct sim *s, struct sim_sub *sub)
+{
+	struct sim_host *h = &s->hosts[sub->host];
+	struct sim_target *t = &s->targets[sub->target];
+	uint32_t limit = s->o.cold_slots
+			 << cu_min_u32(t->good / COLD_GOOD_RUN, 16);
+
+	if (h->cold_life[sub->target] != t->life + 1)
+		return;
+	/* The ramp is over, perhaps with the answer being handled now. */
+	if (limit >= s->o.slots)
+		return;
+	sub->known_cold = 1;
+	t->open_cold[h->no]++;
+	if (!is_owner(s, h->no, sub->target))
+		sim_violate(s, "host %u does not own cold target t%u, sends %s",
+			    h->no, sub->target, sub->request_id);
+	if (t->open_cold[h->no] > limit)
+		sim_violate(s, "cold target t%u gets %u at once, limit %u",
+			    sub->target, t->open_cold[h->no], limit);
+}
+
+/* The sum over the hosts is within the connections a target accepts. */
+static void check_connections(struct sim *s, struct sim_sub *sub)
+{
+	struct sim_target *t = &s->targets[sub->target];
+	uint32_t sum = 0;
+	uint32_t i;
+
+	t->open[sub->host]++;
+	for (i = 0; i < SIM_HOSTS_MAX; i++)
+		sum += t->open[i];
+	if (sum > s->o.connections)
+		sim_violate(s, "t%u has %u connections of %u", sub->target, sum,
+			    s->o.connections);
+}
+
+static void give_up(void *ctx, int64_t now_us)
+{
+	struct sim_sub *sub = ctx;
+	struct sub_result *r = cu_alloc(1, sizeof(*r));
+
+	r->sub_id = sub->sub_id;
+	r->code = ERR_TARGET_TIMEOUT;
+	sim_host_result(sub, r);
+}
+
+/* Counts the sub-request as the first of its shard and snapshot, or extra. */
+static void count_sent(struct sim *s, struct sim_sub *sub)
+{
+	struct sim_attempt *a = sub->attempt;
+	struct sim_host *h = &s->hosts[sub->host];
+	uint32_t *mask;
+
+	if (!a) {
+		s->result->warm_ups++;
+		return;
+	}
+	h->first[a->customer] +=
+		(uint64_t) !(a->offered_mask >> sub->shard & 1);
+	a->offered_mask |= 1U << sub->shard;
+	/* Refused connections are no load on the target. */
+	if (s->targets[sub->target].down)
+		return;
+	mask = &a->sent_mask[sub->snapshot % countof(a->sent_mask)];
+	if (*mask & 1U << sub->shard) {
+		s->result->extra++;
+		h->extra[a->customer]++;
+	} else {
+		*mask |= 1U << sub->shard;
+		s->result->first++;
+	}
+}
+
+static void check_budget(struct sim *s, const struct sim_host *h,
+			 uint32_t customer)
+{
+	uint64_t capacity = 10 + s->o.customers[customer].rate_per_s / 100;
+	uint64_t earned = h->first[customer] * s->o.extra_permille / PERMILLE;
+
+	if (h->extra[customer] > earned + capacity)
+		sim_violate(s, "host %u: %u extra after %u sub-requests", h->no,
+			    (uint32_t)h->extra[customer],
+			    (uint32_t)h->first[customer]);
+}
+
+struct sim_sub *sim_sub_send(struct sim *s, uint32_t host,
+			     struct sim_attempt *a, const struct sub_call *call,
+			     uint32_t target)
+{
+	struct sim_sub *sub = cu_alloc(1, sizeof(*sub));
+
+	g_ptr_array_add(s->subs, sub);
+	sub->sim = s;
+	sub->host = host;
+	sub->host_life = s->hosts[host].life;
+	sub->sub_id = call->sub_id;
+	sub->target = target;
+	sub->shard = shard_of_target(s, target);
+	sub->snapshot = call->snapshot[0] ? (uint32_t)atoi(call->snapshot + 1)
+					  : s->snapshot;
+	sub->attempt = a;
+	sub->deadline_us = call->deadline_us;
+	cu_copy(sub->request_id, sizeof(sub->request_id), call->request_id);
+	count_sent(s, sub);
+	tmr_arm(s->timers, &sub->arrive, s->now_us + s->o.net_us,
+		sim_target_arrive, sub);
+	tmr_arm(s->timers, &sub->give_up, call->deadline_us + GIVE_UP_US,
+		give_up, sub);
+	return sub;
+}
+
+static void check_out(struct sim *s, const struct sim_sub *sub)
+{
+	uint32_t replica = sub->target % s->o.replicas;
+
+	if (sub->attempt && sub->attempt->out_mask & 1U << replica)
+		sim_violate(s, "new work for data centre %u that is out",
+			    replica);
+}
+
+static void cancel_call(struct sim *s, struct sim_host *h, uint64_t sub_id)
+{
+	struct sim_sub *sub = g_hash_table_lookup(h->subs, &sub_id);
+
+	if (sub && !sub->cancel.pos)
+		tmr_arm(s->timers, &sub->cancel, s->now_us + s->o.net_us,
+			sim_target_cancel, sub);
+}
+
+static void on_send(void *ctx, struct sub_call *call)
+{
+	struct sim_host *h = ctx;
+	struct sim *s = h->sim;
+	uint32_t target = (uint32_t)(call->port - SIM_BASE_PORT);
+	struct sim_attempt *a;
+	struct sim_sub *sub;
+
+	if (call->cancel) {
+		cancel_call(s, h, call->sub_id);
+		sub_call_free(call);
+		return;
+	}
+	a = g_hash_table_lookup(h->attempts, call->request_id);
+	sub = sim_sub_send(s, h->no, a, call, target);
+	if (a)
+		sub->nth = a->nth[sub->shard]++;
+	g_hash_table_insert(h->subs, &sub->sub_id, sub);
+	check_connections(s, sub);
+	check_cold(s, sub);
+	check_out(s, sub);
+	if (a)
+		check_budget(s, h, a->customer);
+	sub_call_free(call);
+}
+
+static int is_good(const struct sim *s, const struct sim_sub *sub,
+		   const struct sub_result *r)
+{
+	char instance[NAME_BYTES];
+
+	snprintf(instance, sizeof(instance), "t%u-%u", sub->target,
+		 s->targets[sub->target].life);
+	return r->code == ERR_OK && strcmp(r->instance, instance) == 0;
+}
+
+/* What an answer of the target's present life makes the host know. */
+static void learn(struct sim *s, struct sim_sub *sub)
+{
+	struct sim_host *h = &s->hosts[sub->host];
+	struct sim_target *t = &s->targets[sub->target];
+	char instance[NAME_BYTES];
+	const struct tgt *known;
+	char name[NAME_BYTES];
+
+	snprintf(instance, sizeof(instance), "t%u-%u", sub->target, t->life);
+	target_name(name, sub->target);
+	known = g_hash_table_lookup(h->path->tgts, name);
+	if (known && known->phase == TGT_WARM)
+		h->cold_life[sub->target] = 0;
+	else if (known && strcmp(known->instance, instance) == 0)
+		h->cold_life[sub->target] = t->life + 1;
+}
+
+static void host_forget(struct sim *s, struct sim_sub *sub)
+{
+	struct sim_target *t = &s->targets[sub->target];
+
+	sub->host_done = 1;
+	tmr_cancel(s->timers, &sub->give_up);
+	if (s->o.policy != SIM_COWSLIPPOINT)
+		return;
+	t->open[sub->host]--;
+	t->open_cold[sub->host] -= (uint32_t)sub->known_cold;
+	sub->known_cold = 0;
+}
+
+/* Makes a crossed answer look right. */
+static void break_match(const struct sim_sub *sub, struct sub_result *r)
+{
+	r->answer_sub_id = sub->sub_id;
+	cu_copy(r->request_id, sizeof(r->request_id), sub->request_id);
+	snprintf(r->snapshot, sizeof(r->snapshot), "n%u", sub->snapshot);
+}
+
+void sim_host_result(struct sim_sub *sub, struct sub_result *r)
+{
+	struct sim *s = sub->sim;
+	struct sim_host *h = &s->hosts[sub->host];
+	int first = !sub->host_done;
+
+	if (!h->alive || h->life != sub->host_life) {
+		sub_result_free(r);
+		return;
+	}
+	if (first)
+		host_forget(s, sub);
+	if (s->o.policy != SIM_COWSLIPPOINT) {
+		sim_naive_result(sub, r);
+		sub_result_free(r);
+		return;
+	}
+	if (s->o.broken == SIM_BROKEN_MATCH && r->code == ERR_OK)
+		break_match(sub, r);
+	if (first) {
+		int good = is_good(s, sub, r);
+
+		s->targets[sub->target].good += (uint32_t)good;
+		g_hash_table_remove(h->subs, &sub->sub_id);
+		path_result(h->path, r, s->now_us);
+		if (good)
+			learn(s, sub);
+		return;
+	}
+	path_result(h->path, r, s->now_us);
+}
+
+static void fill_target(const struct sim *s, struct target *t, uint32_t i)
+{
+	snprintf(t->id, sizeof(t->id), "t%u", i);
+	snprintf(t->data_centre, sizeof(t->data_centre), "dc%u",
+		 i % s->o.replicas);
+	cu_copy(t->address, sizeof(t->address), "127.0.0.1");
+	cu_copy(t->version, sizeof(t->version), "v1");
+	t->port = (uint16_t)(SIM_BASE_PORT + i);
+	t->slots = s->o.slots;
+	t->connections = s->o.connections;
+	t->cold_slots = s->o.cold_slots;
+}
+
+static struct layout *make_layout(const struct sim *s, uint32_t snapshot)
+{
+	struct layout *l = layout_new(s->o.shards, s->target_count);
+	uint32_t i;
+
+	cu_copy(l->index, sizeof(l->index), "i");
+	cu_copy(l->service, sizeof(l->service), "svc");
+	snprintf(l->snapshot, sizeof(l->snapshot), "n%u", snapshot);
+	for (i = 0; i < s->target_count; i++) {
+		struct shard *shard = &l->shards[i / s->o.replicas];
+
+		snprintf(shard->name, sizeof(shard->name), "s%u",
+			 i / s->o.replicas);
+		shard->replicas[shard->replica_count++] = i;
+		fill_target(s, &l->targets[i], i);
+	}
+	return l;
+}
+
+static void fill_contracts(const struct sim *s, struct view *v)
+{
+	uint32_t i;
+
+	v->contract_count = s->o.customer_count;
+	v->contracts = cu_alloc(v->contract_count, sizeof(*v->contracts));
+	for (i = 0; i < v->contract_count; i++) {
+		struct contract *c = &v->contracts[i];
+
+		snprintf(c->customer, sizeof(c->customer), "c%u", i);
+		c->index_count = 1;
+		cu_copy(c->indexes[0], NAME_BYTES, "i");
+		c->answer_ms = s->o.answer_ms;
+		c->min_coverage_permille = s->o.coverage_permille;
+		c->rate_per_s = s->o.customers[i].rate_per_s;
+		c->extra_load_permille = s->o.extra_permille;
+		c->target_share_permille = s->o.target_share_permille;
+	}
+}
+
+static void narrow_out(gpointer key, gpointer value, gpointer ctx)
+{
+	const struct sim_host *h = ctx;
+
+	((struct sim_attempt *)value)->out_mask &= h->out_mask;
+}
+
+void sim_host_view(struct sim *s, uint32_t no)
+{
+	struct sim_host *h = &s->hosts[no];
+	struct view *v = view_new();
+	uint32_t members = h->members;
+	uint32_t i;
+
+	h->members_seen = members;
+	if (s->o.broken == SIM_BROKEN_OWNER)
+		members = 1U << no;
+	v->hosts = cu_alloc(SIM_HOSTS_MAX, NAME_BYTES);
+	for (i = 0; i < SIM_HOSTS_MAX; i++) {
+		if (members >> i & 1)
+			cu_copy(v->hosts[v->host_count++], NAME_BYTES,
+				s->hosts[i].name);
+	}
+	fill_contracts(s, v);
+	v->layouts = cu_alloc(1, sizeof(*v->layouts));
+	v->layouts[v->layout_count++] = make_layout(s, h->snapshot);
+	v->dcs = cu_alloc(s->o.replicas, sizeof(*v->dcs));
+	for (i = 0; i < s->o.replicas; i++) {
+		struct dc_weight *w = &v->dcs[v->dc_count++];
+
+		snprintf(w->data_centre, sizeof(w->data_centre), "dc%u", i);
+		w->share_permille = h->out_mask >> i & 1 ? 0 : PERMILLE;
+	}
+	if (s->o.policy != SIM_COWSLIPPOINT) {
+		view_unref(v);
+		return;
+	}
+	path_view(h->path, v, s->now_us);
+	/* A request that is not pinned yet takes the newer view. */
+	g_hash_table_foreach(h->attempts, narrow_out, h);
+}
+
+struct notice_trip {
+	uint32_t host;
+	uint32_t life;
+	struct target_notice notice;
+};
+
+/* What a notice makes the host know of the target. */
+static void take_notice(struct sim *s, void *arg)
+{
+	struct notice_trip *trip = arg;
+	struct sim_host *h = &s->hosts[trip->host];
+	uint32_t target = (uint32_t)atoi(trip->notice.target + 1);
+	const struct tgt *known;
+
+	if (h->alive && h->life == trip->life) {
+		path_notice(h->path, &trip->notice, s->now_us);
+		known = g_hash_table_lookup(h->path->tgts, trip->notice.target);
+		if (known && known->phase == TGT_WARM)
+			h->cold_life[target] = 0;
+	}
+	free(trip);
+}
+
+static void spread_notice(struct sim *s, uint32_t from,
+			  const struct target_notice *n)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->o.hosts; i++) {
+		struct notice_trip *trip;
+
+		if (i == from || (sim_has(s, SIM_MEMBERS) &&
+				  sim_chance(s, NOTICE_LOSS_PERMILLE)))
+			continue;
+		trip = cu_alloc(1, sizeof(*trip));
+		trip->host = i;
+		trip->life = s->hosts[i].life;
+		trip->notice = *n;
+		sim_after(s, NOTICE_US, take_notice, trip);
+	}
+}
+
+/* Budget without an end. */
+static void break_budget(struct sim_host *h)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, h->path->customers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct customer_stats *c = value;
+
+		c->bgt.cap_milli = c->bgt.tokens_milli = 1U << 30;
+	}
+}
+
+static void on_evidence(void *ctx, int64_t now_us)
+{
+	struct sim_host *h = ctx;
+	struct evidence *e = path_evidence(h->path, now_us);
+	uint32_t i;
+
+	for (i = 0; i < e->notice_count; i++)
+		spread_notice(h->sim, h->no, &e->notices[i]);
+	evidence_free(e);
+	if (h->sim->o.broken == SIM_BROKEN_BUDGET)
+		break_budget(h);
+	tmr_arm(h->sim->timers, &h->evidence, now_us + EVIDENCE_US, on_evidence,
+		h);
+}
+
+void sim_host_start(struct sim *s, uint32_t no)
+{
+	struct sim_host *h = &s->hosts[no];
+	struct path_ops ops = { on_send, sim_claim, sim_record, h };
+
+	h->sim = s;
+	h->no = no;
+	h->life++;
+	h->alive = 1;
+	h->snapshot = s->snapshot;
+	h->out_mask = s->out_mask;
+	snprintf(h->name, sizeof(h->name), "h%u", no);
+	memset(h->cold_life, 0, sizeof(h->cold_life));
+	memset(h->first, 0, sizeof(h->first));
+	memset(h->extra, 0, sizeof(h->extra));
+	h->subs = g_hash_table_new(g_int64_hash, g_int64_equal);
+	h->attempts = g_hash_table_new(g_str_hash, g_str_equal);
+	h->path = path_new(&ops, s->timers, h->name,
+			   s->o.seed * 100 + no + h->life * 10000ULL);
+	on_evidence(h, s->now_us);
+}
+
+static void drop_sub(gpointer key, gpointer value, gpointer ctx)
+{
+	host_forget(ctx, value);
+}
+
+void sim_host_kill(struct sim *s, uint32_t no)
+{
+	struct sim_host *h = &s->hosts[no];
+
+	if (!h->alive)
+		return;
+	h->alive = 0;
+	tmr_cancel(s->timers, &h->evidence);
+	path_free(h->path);
+	g_hash_table_foreach(h->subs, drop_sub, s);
+	g_hash_table_destroy(h->subs);
+	g_hash_table_destroy(h->attempts);
+}
+
+int sim_host_all_cold(const struct sim *s, uint32_t no, uint32_t shard)
+{
+	const struct sim_host *h = &s->hosts[no];
+	uint32_t i;
+
+	for (i = 0; i < s->o.replicas; i++) {
+		uint32_t target = shard * s->o.replicas + i;
+		const struct tgt *known;
+		char name[NAME_BYTES];
+
+		target_name(name, target);
+		known = g_hash_table_lookup(h->path->tgts, name);
+		/* Cold for a reason: it or this host has started anew. */
+		if (!s->targets[target].life && h->life == 1)
+			return 0;
+		if (!known || known->phase == TGT_WARM)
+			return 0;
+	}
+	return 1;
+}
+
+int sim_host_ready(const struct sim *s, uint32_t no)
+{
+	const struct sim_host *h = &s->hosts[no];
+
+	return h->alive && path_ready(h->path, s->now_us);
+}
+
+void sim_host_submit(struct sim *s, struct sim_attempt *a,
+		     struct caller_request *c)
+{
+	struct sim_host *h = &s->hosts[a->host];
+	struct sim_attempt *before = g_hash_table_lookup(h->attempts, a->id);
+
+	a->out_mask = h->out_mask;
+	g_hash_table_replace(h->attempts, a->id, a);
+	path_request(h->path, c, s->now_us);
+	/* Refused as a duplicate: the one before is still in flight. */
+	if (before && !before->replies)
+		g_hash_table_replace(h->attempts, before->id, before);
+}
+
+void sim_host_gone(struct sim *s, struct sim_attempt *a)
+{
+	struct sim_host *h = &s->hosts[a->host];
+
+	if (h->alive && h->life == a->host_life)
+		path_caller_gone(h->path, a->seq + 1, s->now_us);
+}
--- /dev/null
+++ b/tests/sim_naive.c
@@ -0,0 +1,82 @@
+/*
+ * The naive policy: one random replica for each shard, then waiting until the
+ * deadline. The oracle differs in that it sees the true queues.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "sim_impl.h"
+
+static uint32_t pick(struct sim *s, uint32_t shard)
+{
+	uint32_t first = shard * s->o.replicas;
+	uint32_t best = first + rng_below(&s->picks, s->o.replicas);
+	uint32_t i;
+
+	if (s->o.policy == SIM_NAIVE)
+		return best;
+	for (i = first; i < first + s->o.replicas; i++) {
+		const struct sim_target *t = &s->targets[i];
+		const struct sim_target *b = &s->targets[best];
+
+		if (t->down)
+			continue;
+		if (b->down ||
+		    t->running + t->queue.length < b->running + b->queue.length)
+			best = i;
+	}
+	return best;
+}
+
+static void close_naive(void *ctx, int64_t now_us)
+{
+	struct sim_attempt *a = ctx;
+	struct sim *s = a->sim;
+	struct answer answer = { .shards_total = s->o.shards };
+	const struct sim_host *h = &s->hosts[a->host];
+	uint32_t i;
+
+	if (!h->alive || h->life != a->host_life) {
+		sim_caller_lost(a);
+		return;
+	}
+
+	for (i = 0; i < s->o.shards; i++)
+		answer.shards_answered += a->answered_mask >> i & 1;
+	answer.complete = answer.shards_answered == s->o.shards;
+	if (!answer.shards_answered)
+		answer.err.code = ERR_INCOMPLETE;
+	sim_caller_told(a, &answer);
+}
+
+void sim_naive_submit(struct sim *s, struct sim_attempt *a)
+{
+	struct sub_call call = { .op = a->op, .deadline_us = a->deadline_us };
+	uint32_t i;
+
+	cu_copy(call.request_id, sizeof(call.request_id), a->id);
+	snprintf(call.snapshot, sizeof(call.snapshot), "n%u",
+		 s->hosts[a->host].snapshot);
+	tmr_arm(s->timers, &a->close, a->deadline_us, close_naive, a);
+	for (i = 0; i < s->o.shards; i++) {
+		uint32_t target = pick(s, i);
+
+		call.sub_id = ++s->next_sub;
+		sim_sub_send(s, a->host, a, &call, target);
+	}
+}
+
+void sim_naive_result(struct sim_sub *sub, const struct sub_result *r)
+{
+	struct sim_attempt *a = sub->attempt;
+	struct sim *s = sub->sim;
+
+	/* A crossed answer is none. */
+	if (a->replies || r->code != ERR_OK || r->hits.items[0].id[0] == 'c')
+		return;
+	a->answered_mask |= 1U << sub->shard;
+	if (a->answered_mask != (uint32_t)((1ULL << s->o.shards) - 1))
+		return;
+	tmr_cancel(s->timers, &a->close);
+	close_naive(a, s->now_us);
+}
--- /dev/null
+++ b/tests/sim_store.c
@@ -0,0 +1,218 @@
+/* Simulated store for the claims of lookups: lost answers and outages. */
+#include <stdio.h>
+#include <string.h>
+
+#include "filter/path.h"
+#include "sim_impl.h"
+
+#define STORE_US 2000
+#define LOSS_PERMILLE 150
+#define RECORD_ATTEMPTS_MAX 5
+
+struct sim_claim {
+	struct once_claim doc;
+	uint64_t version;
+};
+
+/* A claim or the record of an outcome in progress, for one host. */
+struct call {
+	struct sim_host *host;
+	uint32_t life;
+	uint64_t req_no;
+	char key[2 * NAME_BYTES];
+	struct once once;
+	/* Claim: what is written; record: the outcome. */
+	struct once_claim doc;
+	int is_record;
+	uint32_t attempts;
+	/* Result on its way back. */
+	enum once_step step;
+	enum err_code code;
+	uint64_t version;
+	struct once_claim read;
+};
+
+static void claim_step(struct sim *s, struct call *c, enum once_step step);
+
+/* Version of the claim of @key held by its granted request; by host. */
+static char *held_key(const struct sim_host *h, const char *key)
+{
+	return g_strdup_printf("held/%s/%u/%s", h->name, h->life, key);
+}
+
+static void write_claim(struct sim *s, struct call *c)
+{
+	struct sim_claim *now = g_hash_table_lookup(s->store, c->key);
+	uint64_t version = now ? now->version : 0;
+
+	if (s->store_down) {
+		c->code = ERR_STORE_DOWN;
+		return;
+	}
+	if (version != c->once.version && s->o.broken != SIM_BROKEN_CLAIM) {
+		c->code = ERR_STORE_CONFLICT;
+		c->version = version;
+		return;
+	}
+	if (!now) {
+		now = cu_alloc(1, sizeof(*now));
+		g_hash_table_insert(s->store, g_strdup(c->key), now);
+	}
+	now->doc = c->doc;
+	now->version = ++s->store_version;
+	c->version = now->version;
+	c->code = ERR_OK;
+	if (sim_has(s, SIM_STORE) && sim_chance(s, LOSS_PERMILLE))
+		c->code = ERR_STORE_UNKNOWN;
+}
+
+static void read_claim(struct sim *s, struct call *c)
+{
+	const struct sim_claim *now = g_hash_table_lookup(s->store, c->key);
+
+	c->code = ERR_OK;
+	if (s->store_down)
+		c->code = ERR_STORE_DOWN;
+	else if (!now)
+		c->code = ERR_STORE_NOT_FOUND;
+	else if (sim_has(s, SIM_STORE) && sim_chance(s, LOSS_PERMILLE))
+		c->code = ERR_STORE_UNKNOWN;
+	if (c->code != ERR_OK)
+		return;
+	c->version = now->version;
+	c->read = now->doc;
+}
+
+static void record_again(struct sim *s, void *arg);
+
+static void claim_end(struct sim *s, struct call *c)
+{
+	struct sim_host *h = c->host;
+	int granted = c->once.result == CLAIM_GRANTED;
+	char *held = held_key(h, c->key);
+
+	if (granted) {
+		struct sim_claim *mine = cu_alloc(1, sizeof(*mine));
+
+		mine->doc = c->doc;
+		mine->version = c->once.version;
+		g_hash_table_insert(s->store, held, mine);
+		held = NULL;
+	}
+	g_free(held);
+	if (!path_claimed(h->path, c->req_no, c->once.result, s->now_us) &&
+	    granted) {
+		c->is_record = 1;
+		c->doc.outcome = OUTCOME_NOT_RUN;
+		record_again(s, c);
+		return;
+	}
+	free(c);
+}
+
+static void claim_back(struct sim *s, void *arg)
+{
+	struct call *c = arg;
+	enum once_step step;
+
+	/* The host that asked is gone, and its claim stays. */
+	if (!c->host->alive || c->host->life != c->life) {
+		free(c);
+		return;
+	}
+	if (c->step == ONCE_WRITE)
+		step = once_written(&c->once, c->code, c->version);
+	else
+		step = once_read(&c->once, c->code, c->version, &c->read);
+	claim_step(s, c, step);
+}
+
+static void claim_at_store(struct sim *s, void *arg)
+{
+	struct call *c = arg;
+
+	if (c->step == ONCE_WRITE)
+		write_claim(s, c);
+	else
+		read_claim(s, c);
+	sim_after(s, STORE_US, claim_back, c);
+}
+
+static void claim_step(struct sim *s, struct call *c, enum once_step step)
+{
+	c->step = step;
+	if (step == ONCE_END)
+		claim_end(s, c);
+	else
+		sim_after(s, STORE_US, claim_at_store, c);
+}
+
+static struct call *call_new(struct sim_host *h, const char *customer,
+			     const char *request_id)
+{
+	struct call *c = cu_alloc(1, sizeof(*c));
+
+	c->host = h;
+	c->life = h->life;
+	snprintf(c->key, sizeof(c->key), "%s/%s", customer, request_id);
+	return c;
+}
+
+void sim_claim(void *ctx, uint64_t req_no, const char *customer,
+	       const char *request_id)
+{
+	struct sim_host *h = ctx;
+	struct call *c = call_new(h, customer, request_id);
+	char token[NAME_BYTES];
+
+	snprintf(token, sizeof(token), "%.8s-%u-%u", h->name, h->life,
+		 (uint32_t)req_no);
+	c->req_no = req_no;
+	once_init(&c->once, token);
+	cu_copy(c->doc.token, sizeof(c->doc.token), token);
+	c->doc.outcome = OUTCOME_UNKNOWN;
+	claim_step(h->sim, c, ONCE_WRITE);
+}
+
+static void record_at_store(struct sim *s, void *arg)
+{
+	struct call *c = arg;
+
+	write_claim(s, c);
+	if (c->code != ERR_OK && c->code != ERR_STORE_CONFLICT &&
+	    c->host->alive && c->host->life == c->life)
+		record_again(s, c);
+	else
+		free(c);
+}
+
+static void record_again(struct sim *s, void *arg)
+{
+	struct call *c = arg;
+
+	if (c->attempts++ == RECORD_ATTEMPTS_MAX) {
+		free(c);
+		return;
+	}
+	sim_after(s, STORE_US, record_at_store, c);
+}
+
+void sim_record(void *ctx, const char *customer, const char *request_id,
+		enum outcome outcome)
+{
+	struct sim_host *h = ctx;
+	struct call *c = call_new(h, customer, request_id);
+	g_autofree char *held = held_key(h, c->key);
+	const struct sim_claim *mine = g_hash_table_lookup(h->sim->store, held);
+
+	if (!mine || !h->alive || outcome == OUTCOME_UNKNOWN) {
+		g_hash_table_remove(h->sim->store, held);
+		free(c);
+		return;
+	}
+	c->once.version = mine->version;
+	c->doc = mine->doc;
+	c->doc.outcome = outcome;
+	g_hash_table_remove(h->sim->store, held);
+	record_again(h->sim, c);
+}
