--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # make deps     install the declared Debian packages
 # make          build build/cowslippoint
 # make check    format, lint, build, all tests, sanitizers
+# make bench-sim  latency and goodput of the request path, simulated
 # make demo     the whole system on loopback
 # VARIANT=asan|tsan builds into build/asan or build/tsan.
 
@@ -33,6 +34,8 @@
 TEST_BIN = $(patsubst tests/%.c,$(OUT)/%,$(TEST_SRC))
 STANDIN_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/standin/*.c)))
 BENCH_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/bench/*.c)))
+BENCH_SIM_OBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard tests/bench_sim/*.c) \
+	$(wildcard tests/sim*.c))
 PROGRAMS = $(OUT)/cowslippoint $(if $(STANDIN_OBJ),$(OUT)/standin) \
 	$(if $(BENCH_OBJ),$(OUT)/bench)
 FORMATTED = $(filter-out src/codec/peer%,$(shell find src tests -name '*.[ch]'))
@@ -66,6 +69,14 @@
 	@echo "LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
+# Simulation of the request path; not part of check.
+$(OUT)/bench-sim: $(BENCH_SIM_OBJ) $(OUT)/libcowslippoint.a
+	@echo "LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+bench-sim: $(OUT)/bench-sim
+	$(OUT)/bench-sim
+
 $(TEST_BIN): $(OUT)/%: $(OUT)/tests/%.o \
 		$(patsubst %.c,$(OUT)/%.o,$(TEST_SHARED)) \
 		$(OUT)/libcowslippoint.a
@@ -96,4 +107,4 @@
 	rm -rf build
 
 -include $(shell find build -name '*.d' 2>/dev/null)
-.PHONY: all deps tests format format-check lint check clean
+.PHONY: bench-sim all deps tests format format-check lint check clean
