Tell a cold target from a queue

Cause: a target whose smoothed time rose to four times its base counted as cold. At high load a queue behind two slow answers does that too, and the target then got almost no work: the others queued up in turn.

Change: 16 answers in a row have to be slow; a queue empties within that because other replicas are preferred meanwhile.

--- a/src/decide/tgt.c
+++ b/src/decide/tgt.c
@@ -19,6 +19,11 @@
 #define COLD_FACTOR 4
 /* Slow enough that a run of slow answers does not become the new base. */
 #define BASE_SMOOTHING 256
+/*
+ * A queue behind slow answers empties within this many because other replicas
+ * are preferred meanwhile; a cold target stays slow.
+ */
+#define SLOW_RUN 16
 /* Twice the arrivals explain slower answers by queueing. */
 #define GAP_FACTOR 2
 /* Two heartbeats: a notice sent before this host's own observation. */
@@ -75,6 +80,7 @@
 	t->cold_us = now_us;
 	t->cold_limit = cu_max_u32(1, t->def.cold_slots);
 	t->cold_good = 0;
+	t->slow_in_row = 0;
 }
 
 static void ramp(struct tgt *t)
@@ -92,12 +98,15 @@
 }
 
 /* Slower than before and than its peers, and not for more arrivals. */
-static int suddenly_slow(const struct tgt *t, int64_t peers_us)
+static int suddenly_slow(struct tgt *t, int64_t service_us, int64_t peers_us)
 {
-	return t->phase == TGT_WARM && peers_us > 0 &&
-	       t->latency_us >= t->base_us * COLD_FACTOR &&
-	       t->latency_us >= peers_us * (COLD_FACTOR / 2) &&
-	       t->gap_us * GAP_FACTOR >= t->gap_base_us;
+	int is_slow = t->phase == TGT_WARM && peers_us > 0 &&
+		      service_us >= t->base_us * COLD_FACTOR &&
+		      service_us >= peers_us * (COLD_FACTOR / 2) &&
+		      t->gap_us * GAP_FACTOR >= t->gap_base_us;
+
+	t->slow_in_row = is_slow ? t->slow_in_row + 1 : 0;
+	return t->slow_in_row >= SLOW_RUN;
 }
 
 static void smooth(struct tgt *t, int64_t sample_us)
@@ -134,7 +143,7 @@
 		t->latency_us = t->base_us = cu_max_i64(service_us, 1);
 	smooth(t, service_us);
 	t->answered_us = t->latency_us;
-	if (suddenly_slow(t, peers_us))
+	if (suddenly_slow(t, service_us, peers_us))
 		become_cold(t, now_us);
 	if (now_us - service_us >= t->cold_us)
 		ramp(t);
--- a/src/decide/tgt.h
+++ b/src/decide/tgt.h
@@ -34,6 +34,8 @@
 	int64_t gap_us;
 	int64_t gap_base_us;
 	uint32_t failures_in_row;
+	/* Answers much slower than before and than those of its peers. */
+	uint32_t slow_in_row;
 	/* Sub-requests abandoned for a faster replica since the last answer. */
 	uint32_t abandoned_in_row;
 	/* Nothing is sent before this time, then one probe at a time. */
