Hedge a slow hedge

Cause: p99.9 stayed at the time of a slow answer, because in one request of 1000 the hedge is slow as well.

Change: up to three sub-requests of a shard in flight; the budget limits them as before.

--- a/src/filter/6_scatter.c
+++ b/src/filter/6_scatter.c
@@ -170,7 +170,7 @@
 	tgt_sent(sub->tgt, now_us);
 	customer_open(sub->customer, sub->tgt, 1);
 	metric_add(M_SUBS_SENT, 1);
-	if (!is_hedge && !is_once(r))
+	if (!is_once(r))
 		tmr_arm(p->timers, &sub->hedge_timer, now_us + delay_us,
 			hedge_due, sub);
 	p->ops.send(p->ops.ctx, make_call(r, shard, sub));
--- a/src/filter/req.h
+++ b/src/filter/req.h
@@ -16,8 +16,11 @@
 #include "filter/chain.h"
 #include "filter/path.h"
 
-/* Sub-requests of one shard in flight at once: the first and one hedge. */
-#define SHARD_SUBS_MAX 2
+/*
+ * Sub-requests of one shard in flight at once: the first and two hedges. With
+ * ten shards and 1% slow answers, both of two are slow in one request of 1000.
+ */
+#define SHARD_SUBS_MAX 3
 /* Sub-requests of one shard in total, first attempt included. */
 #define SHARD_ATTEMPTS_MAX 4
 
