Admit a host's part of a contract's rate

Cause: each of several hosts admitted 1.25 / hosts of the rate with a burst of 8 requests: a flooding customer got a quarter more than its contract, and one within its contract was refused by chance.

Change: 1.1 / hosts, burst of one second of that part.

--- a/src/decide/adm.c
+++ b/src/decide/adm.c
@@ -6,8 +6,13 @@
 /* Callers send in bursts; 100 ms of the rate, at least one sweep of 8. */
 #define BURST_DIVISOR 10
 #define BURST_MIN 8
-/* Callers are spread over the hosts within a quarter of the mean. */
-#define SPREAD_PERMILLE 1250
+/*
+ * Callers are spread over the hosts within a tenth of the mean. More would let
+ * a customer exceed its contract by as much through all hosts.
+ */
+#define SPREAD_PERMILLE 1100
+/* A host sees a small part of the rate, with larger fluctuations: 1 s of it. */
+#define BURST_DIVISOR_SHARED 1
 #define LIMIT_START_MILLI (64 * 1000)
 #define LIMIT_MIN_MILLI (2 * 1000)
 #define LIMIT_MAX_MILLI (65536 * 1000)
@@ -28,7 +33,9 @@
 		   int64_t now_us)
 {
 	uint32_t rate_per_s = host_rate_per_s(c, host_count);
-	int64_t burst = cu_max_i64(BURST_MIN, rate_per_s / BURST_DIVISOR);
+	uint32_t divisor = host_count > 1 ? BURST_DIVISOR_SHARED :
+					    BURST_DIVISOR;
+	int64_t burst = cu_max_i64(BURST_MIN, rate_per_s / divisor);
 	int is_new = a->rate_per_s == 0;
 
 	a->rate_per_s = rate_per_s;
--- a/src/decide/adm.h
+++ b/src/decide/adm.h
@@ -34,7 +34,7 @@
 
 /*
  * Also called when the contract or the number of live hosts changes; keeps the
- * learned limit then. Each host admits its part of the rate and a quarter
+ * learned limit then. Each host admits its part of the rate and a tenth
  * more, because callers are not spread evenly.
  */
 void adm_configure(struct adm *a, const struct contract *c, uint32_t host_count,
--- a/tests/bench_sim/main.c
+++ b/tests/bench_sim/main.c
@@ -194,7 +194,7 @@
 	o.customer_count = 2;
 	o.target_share_permille = 500;
 	o.customers[0] = (struct sim_customer){ rate, rate * 9 / 10 };
-	o.customers[1] = (struct sim_customer){ rate, rate * 9 / 10 };
+	o.customers[1] = (struct sim_customer){ rate, rate };
 	r = sim_run(&o);
 	print_row("neighbour within its contract", &o, r, 0);
 	sim_result_free(r);
