Make the property tests reach connection limits and long ramps

Cause: two wrong decisions, one connection too many and a ramp that ends after its first step, passed the property tests.

Change: every fourth run has 900 requests per second through ten hosts with one connection each, every third run targets with eight slots; the check of cold targets counts answers itself instead of trusting the path.

--- a/tests/prop_path.c
+++ b/tests/prop_path.c
@@ -22,10 +22,14 @@
 
 	sim_options_init(&o, seed);
 	o.faults = faults;
+	/* A ramp of three steps. */
+	if (seed % 3 == 0)
+		o.slots = 8;
 	/* Every host that a cell may have, each with one connection. */
 	if (seed % 4 == 0) {
 		o.hosts = SIM_HOSTS_MAX;
 		o.connections = SIM_HOSTS_MAX;
+		o.customers[0] = (struct sim_customer){ 10000, 900 };
 	}
 	o.broken = broken;
 	o.extra_permille = extra_permille;
--- a/tests/sim_host.c
+++ b/tests/sim_host.c
@@ -40,6 +40,15 @@
 	return hrw_is_owner(name, s->hosts[no].name, hosts, count);
 }
 
+/* Requests at once that the good answers of this life allow. */
+static uint32_t ramp_limit(const struct sim *s, const struct sim_target *t)
+{
+	/* Targets are warm when the run begins. */
+	if (!t->life)
+		return s->o.slots;
+	return s->o.cold_slots << cu_min_u32(t->good / COLD_GOOD_RUN, 16);
+}
+
 /*
  * R3: a host that knows a target as cold sends to it only as its owner, and no
  * more than the ramp allows. One membership has one owner, so together the
@@ -49,8 +58,7 @@
 {
 	struct sim_host *h = &s->hosts[sub->host];
 	struct sim_target *t = &s->targets[sub->target];
-	uint32_t limit = s->o.cold_slots
-			 << cu_min_u32(t->good / COLD_GOOD_RUN, 16);
+	uint32_t limit = ramp_limit(s, t);
 
 	if (h->cold_life[sub->target] != t->life + 1)
 		return;
@@ -223,7 +231,7 @@
 	snprintf(instance, sizeof(instance), "t%u-%u", sub->target, t->life);
 	target_name(name, sub->target);
 	known = g_hash_table_lookup(h->path->tgts, name);
-	if (known && known->phase == TGT_WARM)
+	if (known && known->phase == TGT_WARM && ramp_limit(s, t) >= s->o.slots)
 		h->cold_life[sub->target] = 0;
 	else if (known && strcmp(known->instance, instance) == 0)
 		h->cold_life[sub->target] = t->life + 1;
@@ -388,8 +396,15 @@
 	struct notice_trip *trip = arg;
 	struct sim_host *h = &s->hosts[trip->host];
 	uint32_t target = (uint32_t)atoi(trip->notice.target + 1);
+	const struct sim_target *t = &s->targets[target];
 	const struct tgt *known;
+	char instance[NAME_BYTES];
 
+	snprintf(instance, sizeof(instance), "t%u-%u", target, t->life);
+	if (trip->notice.kind == NOTICE_WARM &&
+	    strcmp(trip->notice.instance, instance) == 0 && t->life &&
+	    ramp_limit(s, t) < s->o.slots)
+		sim_violate(s, "t%u is warm after %u answers", target, t->good);
 	if (h->alive && h->life == trip->life) {
 		path_notice(h->path, &trip->notice, s->now_us);
 		known = g_hash_table_lookup(h->path->tgts, trip->notice.target);
