--- a/src/decide/tgt.h
+++ b/src/decide/tgt.h
@@ -22,14 +22,20 @@
 	uint32_t refs;
 	struct target def;
 	uint32_t outstanding;
+	/* This host ramps the target while it is cold, by the latest view. */
+	int is_owner;
 	int64_t sent_us;
 	/* Smoothed time from sending to the answer; base follows slowly. */
 	int64_t latency_us;
 	int64_t base_us;
+	/* Smoothed time at the last answer, without what was abandoned since. */
+	int64_t answered_us;
 	/* Smoothed time between sub-requests, fast and slow. */
 	int64_t gap_us;
 	int64_t gap_base_us;
 	uint32_t failures_in_row;
+	/* Answers much slower than before and than those of its peers. */
+	uint32_t slow_in_row;
 	/* Sub-requests abandoned for a faster replica since the last answer. */
 	uint32_t abandoned_in_row;
 	/* Nothing is sent before this time, then one probe at a time. */
@@ -78,8 +84,8 @@
 
 /*
  * 1 if one more sub-request may be sent. @is_owner: this host ramps the target
- * while it is cold and probes it after failures; other hosts wait for the
- * owner's announcement, so that together they send no more than it tolerates.
+ * while it is cold; other hosts wait for the owner's announcement, so that
+ * together they send no more than it tolerates.
  */
 int tgt_usable(const struct tgt *t, int64_t now_us, int is_owner);
 /* 1 if sub-requests are sent at all, now or once others are answered. */
--- a/src/duty/request.h
+++ b/src/duty/request.h
@@ -19,7 +19,7 @@
 	struct ring *target;
 	struct ring *store;
 	struct ring *control;
-	/* Called once on the request duty, with the first view; may be NULL. */
+	/* Called once on the request duty when callers may come; may be NULL. */
 	void (*ready)(void *ctx);
 	void *ready_ctx;
 };
