--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -19,8 +19,8 @@
 #define SERVICE_SPREAD_PERMILLE 200
 /* 25 mean service times; one straggler takes 20. */
 #define ANSWER_MS 500
-/* Hosts ramp every target up in this time; not counted. */
-#define WARM_UP_US (4 * US_PER_S)
+/* Estimates settle in this time; not counted. */
+#define WARM_UP_US (3 * US_PER_S)
 #define MEASURED_US (12 * US_PER_S)
 /* A request without any reply so long after its deadline is lost. */
 #define LOST_AFTER_MS 1000
@@ -30,6 +30,7 @@
 #define HOSTS_DEFAULT 8
 #define HOSTS_MAX 20
 #define REFUSAL_CODES_MAX 16
+#define SECONDS_MAX ((WARM_UP_US + MEASURED_US) / US_PER_S)
 
 enum bench_event { EVENT_NONE, EVENT_KILL, EVENT_COLD, EVENT_SILENT };
 
@@ -114,6 +115,15 @@
 	uint32_t count;
 };
 
+/* Requests that were due in one second, warm-up included. */
+struct second {
+	uint32_t requests;
+	uint32_t answered;
+	uint64_t shards_total;
+	uint64_t shards_answered;
+	int64_t latency_us_sum;
+};
+
 struct result {
 	const char *policy;
 	uint32_t requests;
@@ -134,6 +144,9 @@
 	uint32_t refused_connections;
 	/* CPU time of all hosts per sub-request; 0 without hosts. */
 	double host_us_per_sub;
+	/* From the first start until each host gave a complete answer. */
+	double startup_ms;
+	struct second seconds[SECONDS_MAX];
 };
 
 /* Latency, coverage and refusals of the measured part. */
--- a/tests/bench/report.c
+++ b/tests/bench/report.c
@@ -23,6 +23,8 @@
 	for (i = 0; i < r->refusal_kinds; i++)
 		printf(" %s:%u", err_name(r->refusals[i].code),
 		       r->refusals[i].count);
+	if (r->startup_ms > 0)
+		printf(" startup:%.1fs", r->startup_ms / MS_PER_S);
 	if (r->cold_exceeded)
 		printf(" cold-targets-over-limit:%u", r->cold_exceeded);
 	if (r->refused_connections)
@@ -31,6 +33,29 @@
 	fflush(stdout);
 }
 
+/* Searches only: requests, answers, coverage and mean latency. */
+static json_t *seconds_json(const struct result *r)
+{
+	json_t *all = json_array();
+	uint32_t i;
+
+	for (i = 0; i < SECONDS_MAX; i++) {
+		const struct second *s = &r->seconds[i];
+		double total = s->shards_total ? (double)s->shards_total : 1;
+		double answered = s->answered ? s->answered : 1;
+
+		json_array_append_new(
+			all,
+			json_pack("{s:I,s:I,s:f,s:f}", "requests",
+				  (json_int_t)s->requests, "answered",
+				  (json_int_t)s->answered, "coverage",
+				  (double)s->shards_answered / total, "mean_ms",
+				  (double)s->latency_us_sum / answered /
+					  US_PER_MS));
+	}
+	return all;
+}
+
 void report_add(json_t *all, const char *scenario, const struct result *r)
 {
 	json_t *policies = json_object_get(all, scenario);
@@ -47,7 +72,7 @@
 	json_object_set_new(
 		policies, r->policy,
 		json_pack("{s:I,s:f,s:f,s:f,s:f,s:f,s:I,s:I,s:I,s:I,s:I,s:I,"
-			  "s:f,s:o}",
+			  "s:f,s:f,s:o,s:o}",
 			  "requests", (json_int_t)r->requests, "p50_ms",
 			  r->p50_ms, "p99_ms", r->p99_ms, "p999_ms", r->p999_ms,
 			  "coverage", r->coverage, "extra_load", r->extra_load,
@@ -56,7 +81,8 @@
 			  "doubled", (json_int_t)r->doubled, "cold_exceeded",
 			  (json_int_t)r->cold_exceeded, "refused_connections",
 			  (json_int_t)r->refused_connections, "host_us_per_sub",
-			  r->host_us_per_sub, "refusals", refusals));
+			  r->host_us_per_sub, "startup_ms", r->startup_ms,
+			  "refusals", refusals, "seconds", seconds_json(r)));
 }
 
 enum err_code report_write(json_t *all, const char *path, struct err *err)
--- a/tests/bench/run.c
+++ b/tests/bench/run.c
@@ -106,6 +106,21 @@
 	return code == ERR_OK || code == ERR_DEADLINE || code == ERR_INCOMPLETE;
 }
 
+static void count_second(struct result *out, const struct sample *s)
+{
+	struct second *x = &out->seconds[s->at_us / US_PER_S];
+
+	if (s->is_lookup)
+		return;
+	x->requests++;
+	if (!s->replied || s->code != ERR_OK)
+		return;
+	x->answered++;
+	x->shards_total += s->shards_total;
+	x->shards_answered += s->shards_answered;
+	x->latency_us_sum += s->end_us - s->at_us;
+}
+
 void result_fill(struct result *out, const struct run *r)
 {
 	int64_t *latencies_us = cu_alloc(r->all.count + 1, sizeof(int64_t));
@@ -117,6 +132,7 @@
 	for (i = 0; i < r->all.count; i++) {
 		const struct sample *s = &r->all.items[i];
 
+		count_second(out, s);
 		if (was_sent(s->code))
 			out->asked += s->is_lookup ? 1 : r->scenario->shards;
 		if (s->at_us < WARM_UP_US)
--- a/tests/bench/stage.c
+++ b/tests/bench/stage.c
@@ -298,7 +298,7 @@
 					  "/v1/search", body, CONTROL_WAIT_US,
 					  &b);
 
-		if (status == 200)
+		if (status == 200 && strstr(b.data, "\"complete\":true"))
 			return ERR_OK;
 		hc_run(st->client, &never, clock_now_us() + READY_STEP_US);
 	}
@@ -308,6 +308,7 @@
 static enum err_code start_hosts(struct stage *st,
 				 const struct stage_options *o, struct err *err)
 {
+	int64_t start_us;
 	uint32_t i;
 
 	if (start_store(st, err) != ERR_OK)
@@ -320,6 +321,7 @@
 	if (err->code != ERR_OK || put_config(st, err) != ERR_OK ||
 	    put_hosts(st, err) != ERR_OK || write_documents(st, err) != ERR_OK)
 		return err->code;
+	start_us = clock_now_us();
 	for (i = 0; i < o->hosts && err->code == ERR_OK; i++) {
 		if (o->whole_host)
 			start_serve(st, i, o->seed, err);
@@ -328,6 +330,7 @@
 	}
 	for (i = 0; i < o->hosts && err->code == ERR_OK; i++)
 		wait_ready(st, st->host_ports[i], err);
+	st->startup_us = clock_now_us() - start_us;
 	return err->code;
 }
 
--- a/tests/bench/stage.h
+++ b/tests/bench/stage.h
@@ -26,6 +26,8 @@
 	struct proc *hosts[HOSTS_MAX];
 	uint16_t host_ports[HOSTS_MAX];
 	uint16_t peer_ports[HOSTS_MAX];
+	/* From the first start until each host gave a complete answer. */
+	int64_t startup_us;
 };
 
 /* Counters of the target stand-ins. */
