--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -124,6 +124,24 @@
 	int64_t latency_us_sum;
 };
 
+/* DEF(field, metric of the hosts) */
+#define HOST_COUNTS(DEF)                         \
+	DEF(shards_asked, "shards_asked_total")  \
+	DEF(subs_sent, "subrequests_sent_total") \
+	DEF(hedges, "hedges_total")              \
+	DEF(retries, "retries_total")            \
+	DEF(cancels, "cancels_total")            \
+	DEF(connects, "target_connects_total")   \
+	DEF(silent, "silent_connections_total")  \
+	DEF(store_calls, "store_calls_total")    \
+	DEF(peer_bytes, "peer_sent_bytes_total")
+
+struct host_counts {
+#define DEF(field, metric) uint64_t field;
+	HOST_COUNTS(DEF)
+#undef DEF
+};
+
 struct result {
 	const char *policy;
 	uint32_t requests;
@@ -146,6 +164,7 @@
 	double host_us_per_sub;
 	/* From the first start until each host gave a complete answer. */
 	double startup_ms;
+	struct host_counts hosts;
 	struct second seconds[SECONDS_MAX];
 };
 
--- a/tests/bench/main.c
+++ b/tests/bench/main.c
@@ -82,6 +82,7 @@
 	samples_init(&r.all, s, b->seed);
 	offer(b, &r, policy);
 	stage_counts(r.stage, &counts, err);
+	stage_host_counts(r.stage, &out->hosts);
 	out->startup_ms = (double)r.stage->startup_us / US_PER_MS;
 	stage_free(r.stage, &cpu_us);
 	result_fill(out, &r);
--- a/tests/bench/report.c
+++ b/tests/bench/report.c
@@ -33,6 +33,18 @@
 	fflush(stdout);
 }
 
+static json_t *hosts_json(const struct result *r)
+{
+	json_t *all = json_object();
+
+#define DEF(field, metric)               \
+	json_object_set_new(all, #field, \
+			    json_integer((json_int_t)r->hosts.field));
+	HOST_COUNTS(DEF)
+#undef DEF
+	return all;
+}
+
 /* Searches only: requests, answers, coverage and mean latency. */
 static json_t *seconds_json(const struct result *r)
 {
@@ -72,7 +84,7 @@
 	json_object_set_new(
 		policies, r->policy,
 		json_pack("{s:I,s:f,s:f,s:f,s:f,s:f,s:I,s:I,s:I,s:I,s:I,s:I,"
-			  "s:f,s:f,s:o,s:o}",
+			  "s:f,s:f,s:o,s:o,s:o}",
 			  "requests", (json_int_t)r->requests, "p50_ms",
 			  r->p50_ms, "p99_ms", r->p99_ms, "p999_ms", r->p999_ms,
 			  "coverage", r->coverage, "extra_load", r->extra_load,
@@ -82,7 +94,8 @@
 			  (json_int_t)r->cold_exceeded, "refused_connections",
 			  (json_int_t)r->refused_connections, "host_us_per_sub",
 			  r->host_us_per_sub, "startup_ms", r->startup_ms,
-			  "refusals", refusals, "seconds", seconds_json(r)));
+			  "refusals", refusals, "hosts", hosts_json(r),
+			  "seconds", seconds_json(r)));
 }
 
 enum err_code report_write(json_t *all, const char *path, struct err *err)
--- a/tests/bench/stage.c
+++ b/tests/bench/stage.c
@@ -205,27 +205,26 @@
 	char peer[8];
 	char store[8];
 	char seed_text[24];
-	const char *args[] = {
-		SERVE,
-		"serve",
-		"--host",
-		host,
-		"--data-centre",
-		dc,
-		"--caller-port",
-		number(caller, sizeof(caller), st->host_ports[i]),
-		"--admin-port",
-		number(admin, sizeof(admin), proc_free_port(err)),
-		"--peer-port",
-		number(peer, sizeof(peer), st->peer_ports[i]),
-		"--store-port",
-		number(store, sizeof(store), st->store_port),
-		"--drain-ms",
-		"0",
-		"--seed",
-		number(seed_text, sizeof(seed_text), seed + i),
-		NULL
-	};
+	const char *args[] = { SERVE,
+			       "serve",
+			       "--host",
+			       host,
+			       "--data-centre",
+			       dc,
+			       "--caller-port",
+			       number(caller, sizeof(caller),
+				      st->host_ports[i]),
+			       "--admin-port",
+			       number(admin, sizeof(admin), st->admin_ports[i]),
+			       "--peer-port",
+			       number(peer, sizeof(peer), st->peer_ports[i]),
+			       "--store-port",
+			       number(store, sizeof(store), st->store_port),
+			       "--drain-ms",
+			       "0",
+			       "--seed",
+			       number(seed_text, sizeof(seed_text), seed + i),
+			       NULL };
 
 	snprintf(host, sizeof(host), "h%u", i + 1);
 	st->hosts[i] = proc_start(args, err);
@@ -281,28 +280,69 @@
 	return err->code;
 }
 
-/* Searches until @port answers with all shards. */
-static enum err_code wait_ready(struct stage *st, uint16_t port,
-				struct err *err)
+struct round {
+	uint32_t open;
+	int running;
+	uint32_t complete;
+};
+
+struct ready_call {
+	struct round *round;
+	/* NULL once answered. */
+	struct hc_call *call;
+};
+
+static void on_ready_answer(void *ctx, uint32_t status, const char *body,
+			    size_t body_bytes, int64_t now_us)
+{
+	struct ready_call *call = ctx;
+	struct round *r = call->round;
+
+	call->call = NULL;
+	if (status == 200 &&
+	    g_strstr_len(body, (gssize)body_bytes, "\"complete\":true"))
+		r->complete++;
+	if (--r->open == 0)
+		r->running = 0;
+}
+
+/* One search to each host; returns the number of complete answers. */
+static uint32_t search_all(struct stage *st, const char *body)
+{
+	struct round r = { st->host_count, 1, 0 };
+	struct ready_call calls[HOSTS_MAX];
+	uint32_t i;
+
+	for (i = 0; i < st->host_count; i++) {
+		calls[i].round = &r;
+		calls[i].call = hc_send(st->client, st->host_ports[i], "POST",
+					"/v1/search", body, on_ready_answer,
+					&calls[i]);
+	}
+	hc_run(st->client, &r.running, clock_now_us() + CONTROL_WAIT_US);
+	for (i = 0; i < st->host_count; i++) {
+		if (calls[i].call)
+			hc_abort(calls[i].call);
+	}
+	return r.complete;
+}
+
+/* Searches until all hosts answer with all shards. */
+static enum err_code wait_ready(struct stage *st, struct err *err)
 {
 	int64_t until_us = clock_now_us() + READY_WAIT_US;
-	int never = 1;
+	int always = 1;
 	g_autofree char *body =
 		g_strdup_printf("{\"customer\":\"%s\",\"index\":\"%s\","
 				"\"query\":\"ready\"}",
 				st->scenario->customer, st->scenario->index);
 
 	while (clock_now_us() < until_us && !proc_interrupted()) {
-		struct buf b CLEANUP_BUF = { 0 };
-		uint32_t status = hc_wait(st->client, port, "POST",
-					  "/v1/search", body, CONTROL_WAIT_US,
-					  &b);
-
-		if (status == 200 && strstr(b.data, "\"complete\":true"))
+		if (search_all(st, body) == st->host_count)
 			return ERR_OK;
-		hc_run(st->client, &never, clock_now_us() + READY_STEP_US);
+		hc_run(st->client, &always, clock_now_us() + READY_STEP_US);
 	}
-	return err_set(err, ERR_IO, "host on port %u does not answer", port);
+	return err_set(err, ERR_IO, "not all hosts answer completely");
 }
 
 static enum err_code start_hosts(struct stage *st,
@@ -317,6 +357,8 @@
 	for (i = 0; i < o->hosts; i++) {
 		st->host_ports[i] = proc_free_port(err);
 		st->peer_ports[i] = proc_free_port(err);
+		if (o->whole_host)
+			st->admin_ports[i] = proc_free_port(err);
 	}
 	if (err->code != ERR_OK || put_config(st, err) != ERR_OK ||
 	    put_hosts(st, err) != ERR_OK || write_documents(st, err) != ERR_OK)
@@ -328,8 +370,8 @@
 		else
 			start_path_host(st, i, o->seed, err);
 	}
-	for (i = 0; i < o->hosts && err->code == ERR_OK; i++)
-		wait_ready(st, st->host_ports[i], err);
+	if (err->code == ERR_OK)
+		wait_ready(st, err);
 	st->startup_us = clock_now_us() - start_us;
 	return err->code;
 }
@@ -427,6 +469,31 @@
 		ignore, NULL);
 }
 
+/* Value of counter cowslippoint_@name in @text, or 0. */
+static uint64_t metric_value(const char *text, const char *name)
+{
+	g_autofree char *line = g_strdup_printf("\ncowslippoint_%s ", name);
+	const char *at = text ? strstr(text, line) : NULL;
+
+	return at ? strtoull(at + strlen(line), NULL, 10) : 0;
+}
+
+void stage_host_counts(struct stage *st, struct host_counts *out)
+{
+	uint32_t i;
+
+	memset(out, 0, sizeof(*out));
+	for (i = 0; i < st->host_count && st->admin_ports[i]; i++) {
+		struct buf b CLEANUP_BUF = { 0 };
+
+		hc_wait(st->client, st->admin_ports[i], "GET", "/metrics", NULL,
+			CONTROL_WAIT_US, &b);
+#define DEF(field, metric) out->field += metric_value(b.data, metric);
+		HOST_COUNTS(DEF)
+#undef DEF
+	}
+}
+
 enum err_code stage_counts(struct stage *st, struct stage_counts *out,
 			   struct err *err)
 {
--- a/tests/bench/stage.h
+++ b/tests/bench/stage.h
@@ -25,6 +25,7 @@
 	uint32_t host_count;
 	struct proc *hosts[HOSTS_MAX];
 	uint16_t host_ports[HOSTS_MAX];
+	uint16_t admin_ports[HOSTS_MAX];
 	uint16_t peer_ports[HOSTS_MAX];
 	/* From the first start until each host gave a complete answer. */
 	int64_t startup_us;
@@ -46,6 +47,8 @@
 void stage_event(struct stage *st, enum bench_event event);
 enum err_code stage_counts(struct stage *st, struct stage_counts *out,
 			   struct err *err);
+/* Sums of the hosts' own counters; zeros for path hosts. */
+void stage_host_counts(struct stage *st, struct host_counts *out);
 /* 1 if "cowslippoint serve" exists. */
 int stage_has_serve(void);
 
