--- a/Makefile
+++ b/Makefile
@@ -92,8 +92,12 @@
 bench-sim: $(OUT)/bench-sim
 	$(OUT)/bench-sim
 
-$(TEST_BIN): $(OUT)/%: $(OUT)/tests/%.o \
-		$(patsubst %.c,$(OUT)/%.o,$(TEST_SHARED)) \
+$(OUT)/libtests.a: $(patsubst %.c,$(OUT)/%.o,$(TEST_SHARED)) \
+		$(OUT)/tests/standin/corpus.o
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(TEST_BIN): $(OUT)/%: $(OUT)/tests/%.o $(OUT)/libtests.a \
 		$(OUT)/libcowslippoint.a
 	@echo "LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
--- a/tests/cfg_sim.c
+++ b/tests/cfg_sim.c
@@ -20,9 +20,9 @@
 struct event {
 	struct tmr_sub sub;
 	struct sim *sim;
-	struct sim_host *host;
+	struct csim_host *host;
 	uint32_t life;
-	sim_event_fn *fn;
+	csim_event_fn *fn;
 	void *ctx;
 	void (*ctx_free)(void *ctx);
 };
@@ -53,8 +53,8 @@
 	g_hash_table_remove(s->events, e);
 }
 
-void sim_after(struct sim *s, struct sim_host *host, int64_t delay_us,
-	       sim_event_fn *fn, void *ctx, void (*ctx_free)(void *ctx))
+void csim_after(struct sim *s, struct csim_host *host, int64_t delay_us,
+		csim_event_fn *fn, void *ctx, void (*ctx_free)(void *ctx))
 {
 	struct event *e = cu_alloc(1, sizeof(*e));
 
@@ -68,7 +68,7 @@
 	tmr_arm(s->timers, &e->sub, s->now_us + delay_us, event_due, e);
 }
 
-void sim_trace(struct sim *s, const char *fmt, ...)
+void csim_trace(struct sim *s, const char *fmt, ...)
 {
 	char text[256];
 	va_list ap;
@@ -81,7 +81,7 @@
 	buf_addf(s->out, "%" PRId64 " %s\n", s->now_us / US_PER_MS, text);
 }
 
-void sim_fail(struct sim *s, const char *fmt, ...)
+void csim_fail(struct sim *s, const char *fmt, ...)
 {
 	va_list ap;
 
@@ -90,7 +90,7 @@
 	va_start(ap, fmt);
 	vsnprintf(s->violation, sizeof(s->violation), fmt, ap);
 	va_end(ap);
-	sim_trace(s, "VIOLATION %s", s->violation);
+	csim_trace(s, "VIOLATION %s", s->violation);
 }
 
 static int64_t peer_us(struct sim *s)
@@ -98,15 +98,15 @@
 	return PEER_MIN_US + rng_below(&s->rng, PEER_SPREAD_US);
 }
 
-static int reachable(const struct sim_host *a, const struct sim_host *b)
+static int reachable(const struct csim_host *a, const struct csim_host *b)
 {
 	return a != b && a->group == b->group;
 }
 
 /* Message between two hosts. */
 struct peer_message {
-	struct sim_host *from;
-	struct sim_host *to;
+	struct csim_host *from;
+	struct csim_host *to;
 	uint64_t rev;
 	uint64_t change;
 	uint64_t after_rev;
@@ -122,8 +122,8 @@
 	free(m);
 }
 
-static struct peer_message *new_message(struct sim_host *from,
-					struct sim_host *to)
+static struct peer_message *new_message(struct csim_host *from,
+					struct csim_host *to)
 {
 	struct peer_message *m = cu_alloc(1, sizeof(*m));
 
@@ -142,7 +142,7 @@
 	cfg_on_peer(m->to->cfg, m->to->sim->now_us, name, m->rev, m->change);
 }
 
-static void send_heartbeats(struct sim_host *h)
+static void send_heartbeats(struct csim_host *h)
 {
 	struct sim *s = h->sim;
 	uint32_t i;
@@ -156,7 +156,7 @@
 		m = new_message(h, &s->hosts[i]);
 		m->rev = cfg_rev(h->cfg);
 		m->change = cfg_change(h->cfg);
-		sim_after(s, m->to, peer_us(s), hear, m, message_free);
+		csim_after(s, m->to, peer_us(s), hear, m, message_free);
 	}
 }
 
@@ -164,7 +164,7 @@
 static void pull_answer(void *ctx)
 {
 	struct peer_message *m = ctx;
-	struct sim_host *h = m->from;
+	struct csim_host *h = m->from;
 
 	if (m->token != h->pull_token)
 		return;
@@ -184,15 +184,15 @@
 	reply->token = m->token;
 	reply->delta = cfg_set_delta(cfg_current(m->to->cfg), m->rev, m->change,
 				     m->after_rev, PAGE_BYTES);
-	sim_after(s, m->from, peer_us(s), pull_answer, reply, message_free);
+	csim_after(s, m->from, peer_us(s), pull_answer, reply, message_free);
 }
 
 static void on_pull(void *ctx, const char *host, uint64_t rev, uint64_t change,
 		    uint64_t after_rev)
 {
-	struct sim_host *h = ctx;
+	struct csim_host *h = ctx;
 	struct sim *s = h->sim;
-	struct sim_host *to = &s->hosts[atoi(host + 1)];
+	struct csim_host *to = &s->hosts[atoi(host + 1)];
 	struct peer_message *request = new_message(h, to);
 	struct peer_message *timeout = new_message(h, to);
 
@@ -200,8 +200,8 @@
 	request->change = change;
 	request->after_rev = after_rev;
 	request->token = timeout->token = ++h->pull_token;
-	sim_after(s, to, peer_us(s), pull_arrives, request, message_free);
-	sim_after(s, h, PULL_TIMEOUT_US, pull_answer, timeout, message_free);
+	csim_after(s, to, peer_us(s), pull_arrives, request, message_free);
+	csim_after(s, h, PULL_TIMEOUT_US, pull_answer, timeout, message_free);
 }
 
 static enum err_code on_check(void *ctx, const char *name, const char *json,
@@ -214,19 +214,19 @@
 
 static void on_item(void *ctx, const struct cfg_item *item)
 {
-	struct sim_host *h = ctx;
+	struct csim_host *h = ctx;
 
-	sim_trace(h->sim, "h%u %s is %s", h->number, item->name,
-		  item->json ? item->json : "deleted");
+	csim_trace(h->sim, "h%u %s is %s", h->number, item->name,
+		   item->json ? item->json : "deleted");
 }
 
 static void on_refused(void *ctx, const struct cfg_item *item,
 		       const struct err *err)
 {
-	struct sim_host *h = ctx;
+	struct csim_host *h = ctx;
 
-	sim_trace(h->sim, "h%u refuses %s revision %" PRIu64 ": %s", h->number,
-		  item->name, item->rev, err->detail);
+	csim_trace(h->sim, "h%u refuses %s revision %" PRIu64 ": %s", h->number,
+		   item->name, item->rev, err->detail);
 }
 
 static void check_recent(struct sim *s, const struct cfg_head *head)
@@ -237,8 +237,8 @@
 	for (i = 0; i < head->recent_count; i++) {
 		for (k = i + 1; k < head->recent_count; k++) {
 			if (head->recent[i] == head->recent[k])
-				sim_fail(s, "change applied twice in %" PRIu64,
-					 head->rev);
+				csim_fail(s, "change applied twice in %" PRIu64,
+					  head->rev);
 		}
 	}
 }
@@ -250,49 +250,49 @@
 
 static void on_adopted(void *ctx, struct cfg_set *set)
 {
-	struct sim_host *h = ctx;
+	struct csim_host *h = ctx;
 	struct sim *s = h->sim;
 	uint64_t rev = set->head->rev;
 	uint64_t change = cfg_head_change(set->head);
 
-	sim_trace(s, "h%u adopts %" PRIu64, h->number, rev);
+	csim_trace(s, "h%u adopts %" PRIu64, h->number, rev);
 	if (cfg_compare(rev, change, h->rev, h->change) <= 0)
-		sim_fail(s, "h%u went from revision %" PRIu64 " to %" PRIu64,
-			 h->number, h->rev, rev);
+		csim_fail(s, "h%u went from revision %" PRIu64 " to %" PRIu64,
+			  h->number, h->rev, rev);
 	h->rev = rev;
 	h->change = change;
 	check_recent(s, set->head);
-	sim_after(s, h, SOON_US, soon, h, NULL);
+	csim_after(s, h, SOON_US, soon, h, NULL);
 }
 
 static void on_note(void *ctx, const char *event, const char *text)
 {
-	struct sim_host *h = ctx;
+	struct csim_host *h = ctx;
 
-	sim_trace(h->sim, "h%u %s: %s", h->number, event, text);
+	csim_trace(h->sim, "h%u %s: %s", h->number, event, text);
 }
 
 static void tick(void *ctx)
 {
-	struct sim_host *h = ctx;
+	struct csim_host *h = ctx;
 	struct sim *s = h->sim;
 
 	cfg_tick(h->cfg, s->now_us);
 	if (s->now_us - h->heartbeat_us >= HEARTBEAT_US)
 		send_heartbeats(h);
-	sim_after(s, h, TICK_US, tick, h, NULL);
+	csim_after(s, h, TICK_US, tick, h, NULL);
 }
 
 static void refresh(void *ctx)
 {
-	struct sim_host *h = ctx;
-	int64_t period_us = h->number < SIM_WATCHERS ? WATCH_US : REFRESH_US;
+	struct csim_host *h = ctx;
+	int64_t period_us = h->number < CSIM_WATCHERS ? WATCH_US : REFRESH_US;
 
 	cfg_refresh(h->cfg, h->sim->now_us);
-	sim_after(h->sim, h, period_us, refresh, h, NULL);
+	csim_after(h->sim, h, period_us, refresh, h, NULL);
 }
 
-static void start_host(struct sim_host *h)
+static void start_host(struct csim_host *h)
 {
 	struct sim *s = h->sim;
 	struct cfg_actions a = {
@@ -305,19 +305,19 @@
 		.ctx = h,
 	};
 
-	sim_store_actions(&a);
+	csim_store_actions(&a);
 	h->rev = 0;
 	h->change = 0;
 	h->heartbeat_us = s->now_us - HEARTBEAT_US;
 	h->cfg = cfg_new(&a, rng_u64(&s->rng));
 	if (s->compare)
 		cfg_set_compare_internal(h->cfg, s->compare);
-	sim_after(s, h, 0, tick, h, NULL);
-	sim_after(s, h, 0, refresh, h, NULL);
+	csim_after(s, h, 0, tick, h, NULL);
+	csim_after(s, h, 0, refresh, h, NULL);
 }
 
-void sim_init(struct sim *s, uint32_t host_count, uint64_t seed,
-	      cfg_compare_fn *compare, struct buf *out)
+void csim_init(struct sim *s, uint32_t host_count, uint64_t seed,
+	       cfg_compare_fn *compare, struct buf *out)
 {
 	uint32_t i;
 
@@ -327,8 +327,8 @@
 	s->host_count = host_count;
 	s->compare = compare;
 	s->out = out;
-	sim_store_init(&s->store);
-	sim_store_init(&s->saved);
+	csim_store_init(&s->store);
+	csim_store_init(&s->saved);
 	s->commits = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					   NULL);
 	s->acknowledged = g_hash_table_new(NULL, NULL);
@@ -342,7 +342,7 @@
 	}
 }
 
-void sim_clear(struct sim *s)
+void csim_clear(struct sim *s)
 {
 	uint32_t i;
 
@@ -353,12 +353,12 @@
 	g_hash_table_destroy(s->acknowledged);
 	g_hash_table_destroy(s->edit_commits);
 	g_hash_table_destroy(s->refused);
-	sim_store_clear(&s->store);
-	sim_store_clear(&s->saved);
+	csim_store_clear(&s->store);
+	csim_store_clear(&s->saved);
 	tmr_free(s->timers);
 }
 
-void sim_run(struct sim *s, int64_t until_us)
+void csim_run(struct sim *s, int64_t until_us)
 {
 	int64_t next_us = tmr_next_us(s->timers);
 
@@ -370,9 +370,9 @@
 	s->now_us = until_us;
 }
 
-void sim_restart(struct sim *s, uint32_t host)
+void csim_restart(struct sim *s, uint32_t host)
 {
-	struct sim_host *h = &s->hosts[host];
+	struct csim_host *h = &s->hosts[host];
 
 	cfg_free(h->cfg);
 	h->life++;
@@ -380,19 +380,19 @@
 	start_host(h);
 }
 
-void sim_pause(struct sim *s, uint32_t host, uint32_t paused)
+void csim_pause(struct sim *s, uint32_t host, uint32_t paused)
 {
 	s->hosts[host].paused = paused;
 }
 
-void sim_save(struct sim *s)
+void csim_save(struct sim *s)
 {
-	sim_store_copy(&s->saved, &s->store);
+	csim_store_copy(&s->saved, &s->store);
 }
 
-void sim_restore(struct sim *s)
+void csim_restore(struct sim *s)
 {
-	sim_store_copy(&s->store, &s->saved);
+	csim_store_copy(&s->store, &s->saved);
 	s->restored = 1;
 }
 
@@ -406,8 +406,9 @@
 {
 	struct edit *e = ctx;
 
-	sim_trace(e->sim, "h%u edit %u %s%s%s", e->host, e->number,
-		  err_name(err->code), err->detail[0] ? ": " : "", err->detail);
+	csim_trace(e->sim, "h%u edit %u %s%s%s", e->host, e->number,
+		   err_name(err->code), err->detail[0] ? ": " : "",
+		   err->detail);
 	if (err->code == ERR_OK)
 		g_hash_table_insert(e->sim->acknowledged,
 				    GUINT_TO_POINTER(e->number),
@@ -417,14 +418,14 @@
 	free(e);
 }
 
-uint32_t sim_edit(struct sim *s, uint32_t host, const char *name,
-		  uint32_t deletes)
+uint32_t csim_edit(struct sim *s, uint32_t host, const char *name,
+		   uint32_t deletes)
 {
-	return sim_edit_if(s, host, name, deletes, 0);
+	return csim_edit_if(s, host, name, deletes, 0);
 }
 
-uint32_t sim_edit_if(struct sim *s, uint32_t host, const char *name,
-		     uint32_t deletes, uint64_t if_rev)
+uint32_t csim_edit_if(struct sim *s, uint32_t host, const char *name,
+		      uint32_t deletes, uint64_t if_rev)
 {
 	struct edit *e = cu_alloc(1, sizeof(*e));
 	struct err err = { 0 };
@@ -453,7 +454,7 @@
 		const struct cfg_item *y = cfg_item_in_effect(b, name);
 
 		if (!x != !y || (x && strcmp(x->json, y->json) != 0))
-			sim_fail(s, "%s differs between hosts", name);
+			csim_fail(s, "%s differs between hosts", name);
 	}
 }
 
@@ -468,14 +469,14 @@
 		gpointer stored = g_hash_table_lookup(s->edit_commits, number);
 
 		if (stored && stored != rev)
-			sim_fail(s, "edit %u reported at %u, stored at %u",
-				 GPOINTER_TO_UINT(number),
-				 GPOINTER_TO_UINT(rev),
-				 GPOINTER_TO_UINT(stored));
+			csim_fail(s, "edit %u reported at %u, stored at %u",
+				  GPOINTER_TO_UINT(number),
+				  GPOINTER_TO_UINT(rev),
+				  GPOINTER_TO_UINT(stored));
 		if (GPOINTER_TO_UINT(rev) > s->hosts[0].rev)
-			sim_fail(s, "edit %u reported at %u got lost",
-				 GPOINTER_TO_UINT(number),
-				 GPOINTER_TO_UINT(rev));
+			csim_fail(s, "edit %u reported at %u got lost",
+				  GPOINTER_TO_UINT(number),
+				  GPOINTER_TO_UINT(rev));
 	}
 }
 
@@ -489,13 +490,14 @@
 		gpointer rev = g_hash_table_lookup(s->edit_commits, number);
 
 		if (rev)
-			sim_fail(s, "edit %u reported as refused, stored at %u",
-				 GPOINTER_TO_UINT(number),
-				 GPOINTER_TO_UINT(rev));
+			csim_fail(s,
+				  "edit %u reported as refused, stored at %u",
+				  GPOINTER_TO_UINT(number),
+				  GPOINTER_TO_UINT(rev));
 	}
 }
 
-void sim_check_converged(struct sim *s)
+void csim_check_converged(struct sim *s)
 {
 	const struct cfg_head *stored = s->store.head;
 	uint64_t rev = stored ? stored->rev : 0;
@@ -503,13 +505,14 @@
 	uint32_t i;
 
 	for (i = 0; i < s->host_count; i++) {
-		const struct sim_host *h = &s->hosts[i];
+		const struct csim_host *h = &s->hosts[i];
 
 		if (h->rev != rev || h->change != change)
-			sim_fail(s,
-				 "h%u is at revision %" PRIu64 ", the store at "
-				 "%" PRIu64,
-				 i, h->rev, rev);
+			csim_fail(s,
+				  "h%u is at revision %" PRIu64 ", the store "
+								"at "
+				  "%" PRIu64,
+				  i, h->rev, rev);
 		check_same_items(s, s->hosts[0].cfg, h->cfg);
 	}
 	if (s->restored)
--- a/tests/cfg_sim.h
+++ b/tests/cfg_sim.h
@@ -13,11 +13,11 @@
 #include "base/tmr.h"
 #include "controller/cfg.h"
 
-#define SIM_HOSTS_MAX 8
+#define CSIM_HOSTS_MAX 8
 /* Hosts that watch the store: the first ones. */
-#define SIM_WATCHERS 2
+#define CSIM_WATCHERS 2
 
-struct sim_store {
+struct csim_store {
 	uint64_t revision;
 	uint64_t head_version;
 	struct cfg_head *head;
@@ -25,7 +25,7 @@
 	GHashTable *items;
 };
 
-struct sim_faults {
+struct csim_faults {
 	/* The store refuses every call. */
 	uint32_t down;
 	/* Permille of writes whose answer is lost after they took effect. */
@@ -43,7 +43,7 @@
 	uint32_t lost_watch;
 };
 
-struct sim_host {
+struct csim_host {
 	struct sim *sim;
 	uint32_t number;
 	struct cfg *cfg;
@@ -66,10 +66,10 @@
 	struct tmr *timers;
 	int64_t now_us;
 	uint32_t host_count;
-	struct sim_host hosts[SIM_HOSTS_MAX];
-	struct sim_store store;
-	struct sim_store saved;
-	struct sim_faults faults;
+	struct csim_host hosts[CSIM_HOSTS_MAX];
+	struct csim_store store;
+	struct csim_store saved;
+	struct csim_faults faults;
 	/* Replaces the order of revisions in every host; NULL: the real one. */
 	cfg_compare_fn *compare;
 	/* 1 once the store was restored: committed changes may be lost. */
@@ -92,50 +92,50 @@
 };
 
 /* Starts @host_count hosts with an empty store. */
-void sim_init(struct sim *s, uint32_t host_count, uint64_t seed,
-	      cfg_compare_fn *compare, struct buf *out);
-void sim_clear(struct sim *s);
+void csim_init(struct sim *s, uint32_t host_count, uint64_t seed,
+	       cfg_compare_fn *compare, struct buf *out);
+void csim_clear(struct sim *s);
 /* Runs the events up to @until_us. */
-void sim_run(struct sim *s, int64_t until_us);
+void csim_run(struct sim *s, int64_t until_us);
 
 /* Ends the process of a host and starts it with empty memory. */
-void sim_restart(struct sim *s, uint32_t host);
-void sim_pause(struct sim *s, uint32_t host, uint32_t paused);
+void csim_restart(struct sim *s, uint32_t host);
+void csim_pause(struct sim *s, uint32_t host, uint32_t paused);
 /* Copies the store's state, for a later restore or for stale reads. */
-void sim_save(struct sim *s);
-void sim_restore(struct sim *s);
+void csim_save(struct sim *s);
+void csim_restore(struct sim *s);
 /*
  * Submits an edit through @host; the document is {"edit":N} with a new N, or
  * a deletion. Returns N.
  */
-uint32_t sim_edit(struct sim *s, uint32_t host, const char *name,
-		  uint32_t deletes);
+uint32_t csim_edit(struct sim *s, uint32_t host, const char *name,
+		   uint32_t deletes);
 /* The same for an edit that is based on item revision @if_rev. */
-uint32_t sim_edit_if(struct sim *s, uint32_t host, const char *name,
-		     uint32_t deletes, uint64_t if_rev);
+uint32_t csim_edit_if(struct sim *s, uint32_t host, const char *name,
+		      uint32_t deletes, uint64_t if_rev);
 /*
  * Writes a new head with @json for @name past all checks, as a program of
  * another version could; @lose: without its item.
  */
-void sim_inject(struct sim *s, const char *name, const char *json,
-		uint64_t change, uint32_t lose);
+void csim_inject(struct sim *s, const char *name, const char *json,
+		 uint64_t change, uint32_t lose);
 /* Checks that all hosts and the store have the same revision and items. */
-void sim_check_converged(struct sim *s);
-void sim_fail(struct sim *s, const char *fmt, ...) PRINTF_LIKE(2, 3);
-void sim_trace(struct sim *s, const char *fmt, ...) PRINTF_LIKE(2, 3);
+void csim_check_converged(struct sim *s);
+void csim_fail(struct sim *s, const char *fmt, ...) PRINTF_LIKE(2, 3);
+void csim_trace(struct sim *s, const char *fmt, ...) PRINTF_LIKE(2, 3);
 
 /* Used by the parts of the simulation. */
-typedef void sim_event_fn(void *ctx);
+typedef void csim_event_fn(void *ctx);
 /*
  * Runs @fn after @delay_us unless @host restarted; while it is paused, when it
  * continues. @host NULL: in any case. @ctx is freed by @ctx_free in any case.
  */
-void sim_after(struct sim *s, struct sim_host *host, int64_t delay_us,
-	       sim_event_fn *fn, void *ctx, void (*ctx_free)(void *ctx));
+void csim_after(struct sim *s, struct csim_host *host, int64_t delay_us,
+		csim_event_fn *fn, void *ctx, void (*ctx_free)(void *ctx));
 /* Store side of the controller's callbacks. */
-void sim_store_actions(struct cfg_actions *a);
-void sim_store_init(struct sim_store *s);
-void sim_store_clear(struct sim_store *s);
-void sim_store_copy(struct sim_store *to, const struct sim_store *from);
+void csim_store_actions(struct cfg_actions *a);
+void csim_store_init(struct csim_store *s);
+void csim_store_clear(struct csim_store *s);
+void csim_store_copy(struct csim_store *to, const struct csim_store *from);
 
 #endif
--- a/tests/cfg_sim_store.c
+++ b/tests/cfg_sim_store.c
@@ -17,27 +17,27 @@
 	cfg_item_unref(item);
 }
 
-void sim_store_init(struct sim_store *s)
+void csim_store_init(struct csim_store *s)
 {
 	memset(s, 0, sizeof(*s));
 	s->items = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 free_ref);
 }
 
-void sim_store_clear(struct sim_store *s)
+void csim_store_clear(struct csim_store *s)
 {
 	cfg_head_free(s->head);
 	g_hash_table_destroy(s->items);
 }
 
-void sim_store_copy(struct sim_store *to, const struct sim_store *from)
+void csim_store_copy(struct csim_store *to, const struct csim_store *from)
 {
 	GHashTableIter it;
 	gpointer key;
 	gpointer item;
 
-	sim_store_clear(to);
-	sim_store_init(to);
+	csim_store_clear(to);
+	csim_store_init(to);
 	to->revision = from->revision;
 	to->head_version = from->head_version;
 	to->head = from->head ? cfg_head_copy(from->head) : NULL;
@@ -59,7 +59,7 @@
 					  "delete_item" };
 
 struct call {
-	struct sim_host *host;
+	struct csim_host *host;
 	enum call_kind kind;
 	struct head_entry entry;
 	struct cfg_item *item;
@@ -102,8 +102,8 @@
 	struct cfg_head *head = c->head;
 
 	if (c->code != ERR_OK)
-		sim_trace(s, "h%u %s %s", c->host->number, kind_names[c->kind],
-			  err_name(c->code));
+		csim_trace(s, "h%u %s %s", c->host->number, kind_names[c->kind],
+			   err_name(c->code));
 	switch (c->kind) {
 	case READ_HEAD:
 		c->head = NULL;
@@ -126,7 +126,7 @@
 static void answer(struct call *c, enum err_code code, int64_t delay_us)
 {
 	c->code = code;
-	sim_after(c->host->sim, c->host, delay_us, deliver, c, call_free);
+	csim_after(c->host->sim, c->host, delay_us, deliver, c, call_free);
 }
 
 static struct call *copy_call(const struct call *c)
@@ -139,7 +139,7 @@
 	return copy;
 }
 
-static enum err_code read_head(struct call *c, const struct sim_store *from)
+static enum err_code read_head(struct call *c, const struct csim_store *from)
 {
 	if (!from->head)
 		return ERR_STORE_NOT_FOUND;
@@ -148,7 +148,7 @@
 	return ERR_OK;
 }
 
-static enum err_code read_item(struct call *c, const struct sim_store *from)
+static enum err_code read_item(struct call *c, const struct csim_store *from)
 {
 	g_autofree char *key =
 		item_key(c->entry.name, c->entry.rev, c->entry.change);
@@ -160,7 +160,7 @@
 	return ERR_OK;
 }
 
-static enum err_code write_item(struct call *c, struct sim_store *to)
+static enum err_code write_item(struct call *c, struct csim_store *to)
 {
 	char *key;
 
@@ -193,8 +193,8 @@
 	uint32_t i;
 
 	if (before && before != rev && !s->restored)
-		sim_fail(s, "change committed at revision %u and %" PRIu64,
-			 GPOINTER_TO_UINT(before), h->rev);
+		csim_fail(s, "change committed at revision %u and %" PRIu64,
+			  GPOINTER_TO_UINT(before), h->rev);
 	if (!before)
 		g_hash_table_insert(s->commits,
 				    g_memdup2(&change, sizeof(change)), rev);
@@ -210,8 +210,8 @@
 		 * adopts it, and newer heads are written back.
 		 */
 		if (!e->deleted && !item && !s->restored)
-			sim_fail(s, "head %" PRIu64 " names %s, not stored",
-				 h->rev, key);
+			csim_fail(s, "head %" PRIu64 " names %s, not stored",
+				  h->rev, key);
 		if (edit_number(item))
 			g_hash_table_insert(s->edit_commits,
 					    GUINT_TO_POINTER(edit_number(item)),
@@ -220,7 +220,7 @@
 }
 
 struct notice {
-	struct sim_host *host;
+	struct csim_host *host;
 	struct cfg_head *head;
 	uint64_t version;
 };
@@ -246,8 +246,8 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < SIM_WATCHERS && i < s->host_count; i++) {
-		struct sim_host *h = &s->hosts[i];
+	for (i = 0; i < CSIM_WATCHERS && i < s->host_count; i++) {
+		struct csim_host *h = &s->hosts[i];
 		struct notice *n;
 
 		if (h->cut_off || happens(s, s->faults.lost_watch))
@@ -256,14 +256,14 @@
 		n->host = h;
 		n->head = cfg_head_copy(s->store.head);
 		n->version = s->store.head_version;
-		sim_after(s, h, latency_us(s), notify, n, notice_free);
+		csim_after(s, h, latency_us(s), notify, n, notice_free);
 	}
 }
 
-void sim_inject(struct sim *s, const char *name, const char *json,
-		uint64_t change, uint32_t lose)
+void csim_inject(struct sim *s, const char *name, const char *json,
+		 uint64_t change, uint32_t lose)
 {
-	struct sim_store *to = &s->store;
+	struct csim_store *to = &s->store;
 	struct cfg_head *h = to->head ? cfg_head_copy(to->head)
 				      : cfg_head_new();
 	struct head_entry e = { .rev = h->rev + 1, .change = change };
@@ -281,7 +281,7 @@
 	notify_watchers(s);
 }
 
-static enum err_code write_head(struct call *c, struct sim_store *to)
+static enum err_code write_head(struct call *c, struct csim_store *to)
 {
 	struct sim *s = c->host->sim;
 	uint64_t version = to->head ? to->head_version : 0;
@@ -292,8 +292,8 @@
 	cfg_head_free(to->head);
 	to->head = cfg_head_copy(c->head);
 	to->head_version = ++to->revision;
-	sim_trace(s, "store head %" PRIu64 " by h%u", c->head->rev,
-		  c->host->number);
+	csim_trace(s, "store head %" PRIu64 " by h%u", c->head->rev,
+		   c->host->number);
 	note_commit(s, c->head);
 	notify_watchers(s);
 	return ERR_OK;
@@ -302,7 +302,7 @@
 static enum err_code execute(struct call *c)
 {
 	struct sim *s = c->host->sim;
-	const struct sim_store *from = &s->store;
+	const struct csim_store *from = &s->store;
 
 	if (happens(s, s->faults.stale_read))
 		from = &s->saved;
@@ -367,8 +367,8 @@
 		return;
 	}
 	if (is_write(c) && happens(s, s->faults.late_write)) {
-		sim_after(s, NULL, rng_below(&s->rng, LATE_US), late_arrival,
-			  copy_call(c), call_free);
+		csim_after(s, NULL, rng_below(&s->rng, LATE_US), late_arrival,
+			   copy_call(c), call_free);
 		answer(c, ERR_STORE_UNKNOWN, CALL_TIMEOUT_US);
 		return;
 	}
@@ -379,7 +379,7 @@
 		answer(c, c->code, latency_us(s));
 }
 
-static void submit(struct sim_host *h, struct call *c)
+static void submit(struct csim_host *h, struct call *c)
 {
 	struct sim *s = h->sim;
 
@@ -390,7 +390,7 @@
 		answer(c, is_write(c) ? ERR_STORE_UNKNOWN : ERR_STORE_DOWN,
 		       CALL_TIMEOUT_US);
 	else
-		sim_after(s, NULL, latency_us(s), arrive, c, call_free);
+		csim_after(s, NULL, latency_us(s), arrive, c, call_free);
 }
 
 static struct call *new_call(enum call_kind kind)
@@ -441,7 +441,7 @@
 	submit(ctx, c);
 }
 
-void sim_store_actions(struct cfg_actions *a)
+void csim_store_actions(struct cfg_actions *a)
 {
 	a->read_head = on_read_head;
 	a->read_item = on_read_item;
--- a/tests/control_cfg.c
+++ b/tests/control_cfg.c
@@ -20,7 +20,7 @@
 	struct cfg_ctx *c = ctx;
 
 	if (c->started)
-		sim_clear(&c->sim);
+		csim_clear(&c->sim);
 	free(c);
 }
 
@@ -37,7 +37,7 @@
 {
 	struct cfg_ctx *c = ctx;
 
-	sim_init(&c->sim, (uint32_t)script_int(argc, argv, "n", 3),
+	csim_init(&c->sim, (uint32_t)script_int(argc, argv, "n", 3),
 		 (uint64_t)script_int(argc, argv, "seed", 1), NULL, out);
 	c->started = 1;
 }
@@ -46,12 +46,12 @@
 {
 	struct sim *s = use(ctx, out);
 
-	sim_run(s, s->now_us + script_int(argc, argv, "ms", 0) * US_PER_MS);
+	csim_run(s, s->now_us + script_int(argc, argv, "ms", 0) * US_PER_MS);
 }
 
 static void cmd_edit(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
-	sim_edit_if(use(ctx, out), (uint32_t)script_int(argc, argv, "host", 0),
+	csim_edit_if(use(ctx, out), (uint32_t)script_int(argc, argv, "host", 0),
 		    script_arg(argc, argv, "name", "contract/a"),
 		    (uint32_t)script_int(argc, argv, "delete", 0),
 		    (uint64_t)script_int(argc, argv, "if", 0));
@@ -59,7 +59,7 @@
 
 static void cmd_fault(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
-	struct sim_faults *f = &use(ctx, out)->faults;
+	struct csim_faults *f = &use(ctx, out)->faults;
 
 	f->down = (uint32_t)script_int(argc, argv, "down", f->down);
 	f->lost_answer =
@@ -82,7 +82,7 @@
 {
 	struct sim *s = use(ctx, out);
 	uint32_t n = (uint32_t)script_int(argc, argv, "n", 0);
-	struct sim_host *h = &s->hosts[n];
+	struct csim_host *h = &s->hosts[n];
 
 	h->group = (uint32_t)script_int(argc, argv, "group", h->group);
 	h->cut_off = (uint32_t)script_int(argc, argv, "cut_off", h->cut_off);
@@ -91,22 +91,22 @@
 
 static void cmd_restart(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
-	sim_restart(use(ctx, out), (uint32_t)script_int(argc, argv, "n", 0));
+	csim_restart(use(ctx, out), (uint32_t)script_int(argc, argv, "n", 0));
 }
 
 static void cmd_save(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
-	sim_save(use(ctx, out));
+	csim_save(use(ctx, out));
 }
 
 static void cmd_restore(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
-	sim_restore(use(ctx, out));
+	csim_restore(use(ctx, out));
 }
 
 static void cmd_inject(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
-	sim_inject(use(ctx, out), script_arg(argc, argv, "name", "contract/a"),
+	csim_inject(use(ctx, out), script_arg(argc, argv, "name", "contract/a"),
 		   script_arg(argc, argv, "json", "bad"),
 		   (uint64_t)script_int(argc, argv, "change", 77),
 		   (uint32_t)script_int(argc, argv, "lose", 0));
@@ -134,7 +134,7 @@
 {
 	struct sim *s = use(ctx, out);
 
-	sim_check_converged(s);
+	csim_check_converged(s);
 	buf_addf(out, "%s\n", s->violation[0] ? s->violation : "converged");
 }
 
--- a/tests/prop_control.c
+++ b/tests/prop_control.c
@@ -94,7 +94,7 @@
 		break;
 	case FAULT_STALE_READS:
 		if (on)
-			sim_save(s);
+			csim_save(s);
 		s->faults.stale_read = permille;
 		break;
 	case FAULT_LOST_WATCHES:
@@ -107,17 +107,17 @@
 		cut_off(s, f, on);
 		break;
 	case FAULT_PAUSE:
-		sim_pause(s, f->host, on);
+		csim_pause(s, f->host, on);
 		break;
 	case FAULT_RESTART:
 		if (on)
-			sim_restart(s, f->host);
+			csim_restart(s, f->host);
 		break;
 	case FAULT_RESTORE:
 		if (on)
-			sim_save(s);
+			csim_save(s);
 		else
-			sim_restore(s);
+			csim_restore(s);
 		break;
 	case FAULT_COUNT:
 		break;
@@ -145,14 +145,14 @@
 
 		if (!f->started && s->now_us >= f->start_us) {
 			f->started = 1;
-			sim_trace(s, "%s on",
-				  fault_names[f->kind % FAULT_COUNT]);
+			csim_trace(s, "%s on",
+				   fault_names[f->kind % FAULT_COUNT]);
 			set_fault(s, f, 1);
 		}
 		if (f->started && !f->ended && s->now_us >= f->end_us) {
 			f->ended = 1;
-			sim_trace(s, "%s off",
-				  fault_names[f->kind % FAULT_COUNT]);
+			csim_trace(s, "%s off",
+				   fault_names[f->kind % FAULT_COUNT]);
 			set_fault(s, f, 0);
 		}
 	}
@@ -166,8 +166,8 @@
 
 	if (s->hosts[host].paused)
 		return;
-	sim_edit(s, host, names[rng_below(r, countof(names))],
-		 rng_below(r, 6) == 0);
+	csim_edit(s, host, names[rng_below(r, countof(names))],
+		  rng_below(r, 6) == 0);
 }
 
 /* Returns 1 if the invariants held; else prints the seed and the faults. */
@@ -187,23 +187,23 @@
 	} while (faults[1].kind == faults[0].kind);
 	edits_end_us = EDITS_END_MIN_US +
 		       rng_below(&r, EDITS_END_MAX_US - EDITS_END_MIN_US);
-	sim_init(&s, HOSTS, rng_u64(&r), compare, out);
+	csim_init(&s, HOSTS, rng_u64(&r), compare, out);
 	while (s.now_us < HEAL_US) {
 		step_faults(&s, faults, countof(faults));
 		if (s.now_us >= next_edit_us && s.now_us < edits_end_us) {
 			random_edit(&s, &r);
 			next_edit_us = s.now_us + rng_below(&r, 500000);
 		}
-		sim_run(&s, s.now_us + 10 * US_PER_MS);
+		csim_run(&s, s.now_us + 10 * US_PER_MS);
 	}
-	sim_run(&s, HEAL_US + CONVERGE_US);
-	sim_check_converged(&s);
+	csim_run(&s, HEAL_US + CONVERGE_US);
+	csim_check_converged(&s);
 	ok = s.violation[0] == '\0';
 	if (!ok && report)
 		g_test_message("seed %" G_GUINT64_FORMAT " %s %s: %s", seed,
 			       fault_names[faults[0].kind],
 			       fault_names[faults[1].kind], s.violation);
-	sim_clear(&s);
+	csim_clear(&s);
 	return ok;
 }
 
