--- a/Makefile
+++ b/Makefile
@@ -113,10 +113,10 @@
 	$(OUT)/capacity
 
 format:
-	clang-format -i $(FORMATTED)
+	@clang-format -i $(FORMATTED)
 
 format-check:
-	clang-format --dry-run --Werror $(FORMATTED)
+	@clang-format --dry-run --Werror $(FORMATTED)
 
 lint:
 	@printf '%s\n' $(filter-out src/codec/peer_%,$(SRC)) \
--- a/tests/cfg_sim.c
+++ b/tests/cfg_sim.c
@@ -510,7 +510,7 @@
 		if (h->rev != rev || h->change != change)
 			csim_fail(s,
 				  "h%u is at revision %" PRIu64 ", the store "
-								"at "
+				  "at "
 				  "%" PRIu64,
 				  i, h->rev, rev);
 		check_same_items(s, s->hosts[0].cfg, h->cfg);
--- a/tests/control_cfg.c
+++ b/tests/control_cfg.c
@@ -38,7 +38,7 @@
 	struct cfg_ctx *c = ctx;
 
 	csim_init(&c->sim, (uint32_t)script_int(argc, argv, "n", 3),
-		 (uint64_t)script_int(argc, argv, "seed", 1), NULL, out);
+		  (uint64_t)script_int(argc, argv, "seed", 1), NULL, out);
 	c->started = 1;
 }
 
@@ -52,9 +52,9 @@
 static void cmd_edit(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	csim_edit_if(use(ctx, out), (uint32_t)script_int(argc, argv, "host", 0),
-		    script_arg(argc, argv, "name", "contract/a"),
-		    (uint32_t)script_int(argc, argv, "delete", 0),
-		    (uint64_t)script_int(argc, argv, "if", 0));
+		     script_arg(argc, argv, "name", "contract/a"),
+		     (uint32_t)script_int(argc, argv, "delete", 0),
+		     (uint64_t)script_int(argc, argv, "if", 0));
 }
 
 static void cmd_fault(void *ctx, uint32_t argc, char **argv, struct buf *out)
@@ -107,9 +107,9 @@
 static void cmd_inject(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	csim_inject(use(ctx, out), script_arg(argc, argv, "name", "contract/a"),
-		   script_arg(argc, argv, "json", "bad"),
-		   (uint64_t)script_int(argc, argv, "change", 77),
-		   (uint32_t)script_int(argc, argv, "lose", 0));
+		    script_arg(argc, argv, "json", "bad"),
+		    (uint64_t)script_int(argc, argv, "change", 77),
+		    (uint32_t)script_int(argc, argv, "lose", 0));
 }
 
 static void cmd_show(void *ctx, uint32_t argc, char **argv, struct buf *out)
--- a/tests/demo/demo.c
+++ b/tests/demo/demo.c
@@ -35,6 +35,8 @@
 #define OUT_BOUND_US (3 * US_PER_S)
 #define HITS_WANTED 10
 
+static const char targets_file[] = DIR "/targets";
+
 struct demo {
 	struct proc store;
 	struct proc targets;
@@ -85,7 +87,7 @@
 			       "--admin-port",
 			       "0",
 			       "--targets",
-			       DIR "/targets",
+			       targets_file,
 			       "--instance",
 			       "demo",
 			       "--port",
@@ -96,7 +98,7 @@
 	/* The range must be free; others are tried. */
 	for (i = 0; i < 40; i++) {
 		d->first_target_port = (uint16_t)(20000 + i * 1000);
-		if (world_write_targets(DIR "/targets", d->first_target_port) !=
+		if (world_write_targets(targets_file, d->first_target_port) !=
 		    0)
 			return -1;
 		if (proc_start(&d->targets, argv, DIR "/targets.log",
