--- a/src/duty/control_peer.c
+++ b/src/duty/control_peer.c
@@ -149,6 +149,7 @@
 	enum mbr_heard heard = mbr_on_heartbeat(c->mbr, now_us, h);
 
 	if (heard != MBR_IGNORED) {
+		c->heard_us = now_us;
 		pass_notices(c, h);
 		call_heartbeat_hooks(c, now_us, h);
 		cfg_allow_edits(c->cfg);
--- a/src/duty/control_state.h
+++ b/src/duty/control_state.h
@@ -38,11 +38,15 @@
 	uint32_t watching;
 	uint64_t watch_version;
 	struct tmr_sub watch_timer;
+	/* Last reading of the head without a cause; 0 for none. */
+	int64_t refreshed_us;
 	struct tmr_sub refresh_timer;
 	struct tmr_sub list_timer;
 
 	struct tmr_sub heartbeat_timer;
 	int64_t heartbeat_us;
+	/* Last heartbeat of another host. */
+	int64_t heard_us;
 	uint64_t pull_token;
 	uint32_t pull_open;
 	struct tmr_sub pull_timer;
--- a/src/duty/control_store.c
+++ b/src/duty/control_store.c
@@ -15,8 +15,13 @@
 #define WATCH_WAIT_MS 4000
 #define WATCH_MS 20000
 #define WATCH_RETRY_US (500 * US_PER_MS)
-/* Hosts that do not watch read the head this often, in case news got lost. */
+/* A host that hears no peer and does not watch reads the head this often. */
 #define REFRESH_US (30 * (int64_t)US_PER_S)
+/*
+ * The others read it this often, in case news got lost: a head of 2,000 items
+ * has about 100 KB, which would be a third of the control traffic otherwise.
+ */
+#define REFRESH_RARE_US (600 * (int64_t)US_PER_S)
 #define LIST_MS 3000
 #define LIST_MIN_US (5 * (int64_t)US_PER_S)
 #define LIST_MAX_US (1800 * (int64_t)US_PER_S)
@@ -309,8 +314,13 @@
 {
 	struct control *c = ctx;
 	int64_t jitter_us = rng_below(&c->rng, REFRESH_US / 4);
+	int hears_news = c->watching || now_us - c->heard_us < REFRESH_US;
 
-	cfg_refresh(c->cfg, now_us);
+	if (!c->refreshed_us || !hears_news ||
+	    now_us - c->refreshed_us >= REFRESH_RARE_US) {
+		c->refreshed_us = now_us;
+		cfg_refresh(c->cfg, now_us);
+	}
 	tmr_arm(duty_timers(c->duty), &c->refresh_timer,
 		now_us + REFRESH_US - jitter_us, refresh_due, c);
 }
