--- a/src/controller/rol_judge.c
+++ b/src/controller/rol_judge.c
@@ -186,6 +186,18 @@
 	add_window(r, entry, entry->all, &now, &old, "all hosts");
 }
 
+/*
+ * A mark on the version that a rollout goes back to would leave the service
+ * without any version; a peer repeats one that belongs to a newer rollout.
+ */
+static int mark_applies(const struct rol *r, const struct rollout_evidence *e)
+{
+	const struct rol_entry *entry = rol_entry_internal(r, e->service);
+
+	return e->bad && (!entry || entry->deleted ||
+			  strcmp(entry->item.from, e->version) != 0);
+}
+
 void rol_peer(struct rol *r, int64_t now_us, const char *host,
 	      const struct rollout_evidence *e, uint32_t count)
 {
@@ -194,7 +206,7 @@
 
 	snprintf(reason, sizeof(reason), "reported as bad by host %s", host);
 	for (i = 0; i < count; i++) {
-		if (e[i].bad)
+		if (mark_applies(r, &e[i]))
 			rol_mark_bad_internal(r, e[i].service, e[i].version,
 					      reason);
 	}
--- a/src/ctl/ctl_report.c
+++ b/src/ctl/ctl_report.c
@@ -5,9 +5,11 @@
 #include "ctl/ctl_internal.h"
 
 /* Sizes of the plot in pixels. */
-#define PLOT_WIDTH 900
-#define PLOT_LEFT 190
-#define PLOT_RIGHT 130
+#define PLOT_WIDTH 980
+#define PLOT_LEFT 230
+#define PLOT_RIGHT 190
+/* Longer names would run into the bars. */
+#define NAME_SHOWN 28
 #define PLOT_TOP 90
 #define ROW_HEIGHT 74
 #define BAR_HEIGHT 14
@@ -61,8 +63,13 @@
 
 	json_array_foreach(json_object_get(answer, "customers"), i, c)
 	{
-		struct slo_report *s = customer(r, ctl_text(c, "customer"));
+		const char *name = ctl_text(c, "customer");
+		struct slo_report *s;
 
+		/* Such a name cannot have a contract and is no valid XML. */
+		if (!cu_name_ok(name, NAME_BYTES - 1))
+			continue;
+		s = customer(r, name);
 		add_counts(&s->fast, json_object_get(c, "fast"));
 		add_counts(&s->slow, json_object_get(c, "slow"));
 	}
@@ -198,9 +205,10 @@
 	uint32_t y = PLOT_TOP + row * ROW_HEIGHT;
 
 	buf_addf(out,
-		 "<text x='10' y='%u' font-weight='bold'>%s</text>\n"
+		 "<text x='10' y='%u' font-weight='bold'>%.*s</text>\n"
 		 "<text x='10' y='%u'>budget left %u%%</text>\n",
-		 y + 14, r->customer, y + 32, r->budget_left_permille / 10);
+		 y + 14, NAME_SHOWN, r->customer, y + 32,
+		 r->budget_left_permille / 10);
 	svg_bar(out, y, r->fast_burn_milli, r->alarm ? "#b00020" : "#3b6ea5",
 		"5 min");
 	svg_bar(out, y + BAR_HEIGHT + 4, r->slow_burn_milli, "#9dbbd8", "1 h");
--- a/src/duty/control_admin_state.c
+++ b/src/duty/control_admin_state.c
@@ -76,7 +76,9 @@
 	const char *name;
 	/* The name exists. */
 	uint32_t found;
-	/* Another data centre that is in, with a host in contact. */
+	/* The name is an entry host's. */
+	uint32_t is_entry;
+	/* A live entry host that is in, outside of what @name names. */
 	uint32_t other_in;
 };
 
@@ -93,9 +95,12 @@
 	struct control_admin *a = k->admin;
 	const char *name = k->kind == DCS_HOST ? h->host : h->data_centre;
 
-	k->found |= strcmp(name, k->name) == 0;
-	k->other_in |= strcmp(h->data_centre, k->name) != 0 &&
-		       h->contact == DCS_CONTACT_LIVE &&
+	if (strcmp(name, k->name) == 0) {
+		k->found = k->is_entry = 1;
+		return;
+	}
+	k->other_in |= h->contact == DCS_CONTACT_LIVE &&
+		       !dcs_host_out(a->dcs, h->host) &&
 		       dcs_share_permille(a->dcs, h->data_centre,
 					  a->ops->now_us(a->ctx)) > 0;
 }
@@ -210,6 +215,11 @@
 	code = not_known(&k, err);
 	if (code != ERR_OK)
 		return code;
+	if (h.out && k.is_entry && !k.other_in)
+		return err_set(err, ERR_CFG_FIELD,
+			       "state of %s is out, accepted while another "
+			       "entry host is live and in",
+			       p->name);
 	cu_copy(h.host, sizeof(h.host), p->name);
 	json = sjson_host_text(&h);
 	snprintf(item, sizeof(item), "host/%s", p->name);
