--- a/tests/prop_rollout.c
+++ b/tests/prop_rollout.c
@@ -7,6 +7,8 @@
 #include <inttypes.h>
 
 #include "base/cutil.h"
+#include "base/rng.h"
+#include "controller/sqt.h"
 #include "sim_rollout.h"
 
 #define GOOD_RUNS 2000
@@ -103,12 +105,80 @@
 	g_assert_cmpuint(t.late_stops, ==, 0);
 }
 
+/* Windows of one run, and the rate at which false alarms are accepted. */
+#define SQT_RUNS 400
+#define SQT_WINDOWS 2000
+#define SQT_ALPHA 0.2
+
+static uint32_t draw(struct rng *r, uint32_t n, double p)
+{
+	uint32_t hits = 0;
+
+	while (n-- > 0)
+		hits += rng_unit(r) < p;
+	return hits;
+}
+
+/*
+ * One run of windows whose load and share of bad requests change; 1 when the
+ * test alarms. @factor: how much more often the new version is bad.
+ */
+static uint32_t run_sqt(uint64_t seed, double factor)
+{
+	double threshold =
+		sqt_threshold(SQT_RATIOS + 1, SQT_WINDOWS, SQT_ALPHA);
+	struct rng r = { .state = seed };
+	double share = 0.01 + 0.5 * rng_unit(&r);
+	double base = 0.05 * rng_unit(&r) + 0.002;
+	struct sqt s = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < SQT_WINDOWS; i++) {
+		uint32_t total = 1 + rng_below(&r, 60);
+		uint32_t fresh = draw(&r, total, share);
+		double bad = base * (1.0 + 4.0 * (i % 100 > 80));
+		struct sqt_window w = {
+			.new_requests = fresh,
+			.new_bad = draw(&r, fresh, bad * factor),
+			.old_requests = total - fresh,
+			.old_bad = draw(&r, total - fresh, bad),
+		};
+
+		sqt_add(&s, &w, 0.1);
+		if (sqt_score(&s) >= threshold)
+			return 1;
+	}
+	return 0;
+}
+
+/*
+ * Guards against a test of versions that alarms more often than it states
+ * under a load that changes, or that has no power.
+ */
+static void test_false_alarms(void)
+{
+	uint32_t alarms = 0;
+	uint32_t found = 0;
+	uint64_t seed;
+
+	for (seed = 1; seed <= SQT_RUNS; seed++) {
+		alarms += run_sqt(seed, 1.0);
+		found += run_sqt(seed, 4.0);
+	}
+	g_test_message("%u of %u runs of equal versions alarm, stated at most "
+		       "%.0f; %u of %u with four times as many bad requests",
+		       alarms, SQT_RUNS, SQT_ALPHA * SQT_RUNS, found, SQT_RUNS);
+	g_assert_cmpuint(alarms, <=, (uint32_t)(SQT_ALPHA * SQT_RUNS));
+	g_assert_cmpuint(found, >, alarms);
+}
+
 int main(int argc, char **argv)
 {
 	int32_t fault;
 
 	apr_initialize();
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/rollout/false-alarms", test_false_alarms);
 	g_test_add_func("/rollout/good", test_good);
 	for (fault = SIM_GOOD + 1; fault < SIM_FAULT_COUNT; fault++) {
 		g_autofree char *path =
