--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -40,7 +40,8 @@
 			    "admin token (" TOKEN_VARIABLE ")");
 	t->wait = arg_lit0(NULL, "wait", "wait until the change has ended");
 	t->timeout = arg_int0(NULL, "timeout", "SECONDS",
-			      "longest wait (default 120)");
+			      "longest wait (default 120, and a rollout's "
+			      "time)");
 	t->from = arg_str0(NULL, "from", "VERSION", "version that serves now");
 	t->to = arg_str0(NULL, "to", "VERSION", "version to roll out");
 	t->finish = arg_int0(NULL, "finish-in", "SECONDS",
@@ -156,11 +157,18 @@
 {
 	char *end = NULL;
 
-	c->args.timeout_s = t->timeout->count ? t->timeout->ival[0] : TIMEOUT_S;
+	c->args.finish_in_s = t->finish->count ? t->finish->ival[0] : 0;
+	c->args.timeout_s = TIMEOUT_S;
+	/* A rollout is over by then. */
+	if (c->args.finish_in_s > 0)
+		c->args.timeout_s = (int32_t)cu_min_i64(
+			TIMEOUT_MAX_S,
+			(int64_t)TIMEOUT_S + c->args.finish_in_s);
+	if (t->timeout->count)
+		c->args.timeout_s = t->timeout->ival[0];
 	if (c->args.timeout_s < 1 || c->args.timeout_s > TIMEOUT_MAX_S)
 		return usage(c, "is out of range, accepted 1 to 604800",
 			     "--timeout");
-	c->args.finish_in_s = t->finish->count ? t->finish->ival[0] : 0;
 	if (!t->if_rev->count)
 		return CTL_DONE;
 	c->args.if_rev = strtoll(t->if_rev->sval[0], &end, 10);
