--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # make deps     install the declared Debian packages
 # make          build build/cowslippoint
 # make check    format, lint, build, all tests, sanitizers
+# make bench-sim  latency and goodput of the request path, simulated
 # make demo     the whole system on loopback
 # make bench    load bench (SCENARIO=name: one scenario)
 # make capacity slopes of cost for docs/CAPACITY.md
@@ -38,6 +39,8 @@
 BENCH_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/bench/*.c)))
 DEMO_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/demo/*.c)) \
 	tests/proc.c tests/client.c tests/standin/corpus.c)
+BENCH_SIM_OBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard tests/bench_sim/*.c) \
+	$(wildcard tests/sim*.c))
 PROGRAMS = $(OUT)/cowslippoint $(if $(STANDIN_OBJ),$(OUT)/standin) \
 	$(if $(BENCH_OBJ),$(OUT)/bench)
 FORMATTED = $(filter-out src/codec/peer%,$(shell find src tests -name '*.[ch]'))
@@ -81,9 +84,20 @@
 
 demo: $(OUT)/cowslippoint $(OUT)/standin $(OUT)/demo-run
 	$(OUT)/demo-run
+# Simulation of the request path; not part of check.
+$(OUT)/bench-sim: $(BENCH_SIM_OBJ) $(OUT)/libcowslippoint.a
+	@echo "LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+bench-sim: $(OUT)/bench-sim
+	$(OUT)/bench-sim
+
+$(OUT)/libtests.a: $(patsubst %.c,$(OUT)/%.o,$(TEST_SHARED)) \
+		$(OUT)/tests/standin/corpus.o
+	@rm -f $@
+	@ar rcs $@ $^
 
-$(TEST_BIN): $(OUT)/%: $(OUT)/tests/%.o \
-		$(patsubst %.c,$(OUT)/%.o,$(TEST_SHARED)) \
+$(TEST_BIN): $(OUT)/%: $(OUT)/tests/%.o $(OUT)/libtests.a \
 		$(OUT)/libcowslippoint.a
 	@echo "LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
@@ -120,4 +134,5 @@
 	rm -rf build
 
 -include $(shell find build -name '*.d' 2>/dev/null)
-.PHONY: all demo deps tests bench capacity format format-check lint check clean
+.PHONY: all demo deps tests bench bench-sim capacity format format-check lint \
+	check clean
