--- a/tests/capacity/cap_codec.c
+++ b/tests/capacity/cap_codec.c
@@ -207,6 +207,33 @@
 	return (cap_cpu_us() - start_us) / REPEATS;
 }
 
+/* The answer to a caller, with the hits of all shards merged. */
+static double caller_answer_cpu(void *ctx)
+{
+	uint32_t hits = *(uint32_t *)ctx;
+	struct answer a = { .shards_total = 600,
+			    .shards_answered = 600,
+			    .complete = 1 };
+	double start_us;
+	uint32_t i;
+
+	cu_copy(a.request_id, sizeof(a.request_id), "c1-4711");
+	cu_copy(a.snapshot, sizeof(a.snapshot), "s1");
+	for (i = 0; i < hits; i++) {
+		char id[NAME_BYTES];
+
+		snprintf(id, sizeof(id), "document-%u", i);
+		hits_add(&a.hits, id, 10.0 / (i + 1),
+			 cu_strdup("{\"title\":\"heron\"}"));
+	}
+	start_us = cap_cpu_us();
+	for (i = 0; i < REPEATS; i++)
+		free(cjson_encode(&a));
+	start_us = (cap_cpu_us() - start_us) / REPEATS;
+	hits_free(&a.hits);
+	return start_us;
+}
+
 static void measure(struct cap *c, const char *name, const char *x_unit,
 		    const char *y_unit, const uint32_t *sizes, uint32_t count,
 		    cap_run_fn *run)
@@ -242,6 +269,8 @@
 		batches, countof(batches), answer_cpu);
 	measure(c, "sub-request JSON encoding", "query byte", "us", texts,
 		countof(texts), encode_cpu);
+	measure(c, "caller answer JSON encoding", "hit", "us", hits,
+		countof(hits), caller_answer_cpu);
 	measure(c, "sub-request JSON decoding", "hit", "us", hits,
 		countof(hits), decode_cpu);
 }
