--- a/tests/bench/naive.c
+++ b/tests/bench/naive.c
@@ -53,10 +53,13 @@
 void naive_free(void *naive)
 {
 	struct naive *n = naive;
+	struct query *q;
+	struct query *next;
 
-	while (n->open) {
-		tmr_cancel(hc_timers(n->open->run->client), &n->open->deadline);
-		query_free(n->open);
+	for (q = n->open; q; q = next) {
+		next = q->next;
+		tmr_cancel(hc_timers(q->run->client), &q->deadline);
+		free(q);
 	}
 	free(n);
 }
--- a/tests/bench/remote.c
+++ b/tests/bench/remote.c
@@ -39,9 +39,14 @@
 void remote_free(void *remote)
 {
 	struct remote *m = remote;
+	struct ask *a;
+	struct ask *next;
 
-	while (m->open)
-		ask_free(m->open);
+	for (a = m->open; a; a = next) {
+		next = a->next;
+		tmr_cancel(hc_timers(a->run->client), &a->limit);
+		free(a);
+	}
 	free(m);
 }
 
--- a/tests/capacity/cap_write.c
+++ b/tests/capacity/cap_write.c
@@ -55,7 +55,8 @@
 static void plot(FILE *f, const struct cap_series *s, uint32_t at)
 {
 	double left = at % COLUMNS * (PLOT_WIDTH + MARGIN) + MARGIN;
-	double bottom = (at / COLUMNS + 1) * (double)(PLOT_HEIGHT + MARGIN);
+	uint32_t row = at / COLUMNS + 1;
+	double bottom = row * (double)(PLOT_HEIGHT + MARGIN);
 	double x_scale = PLOT_WIDTH / s->x[s->count - 1];
 	double y_scale = (PLOT_HEIGHT - MARGIN) / top(s);
 	double end = s->intercept + s->slope * s->x[s->count - 1];
