--- a/tests/bench/stage.h
+++ b/tests/bench/stage.h
@@ -5,6 +5,9 @@
 #include "bench.h"
 #include "hc.h"
 
+/* Longest wait for a control port or the store. */
+#define STAGE_CONTROL_WAIT_US (2 * US_PER_S)
+
 struct stage_options {
 	/* 0: targets only. */
 	uint32_t hosts;
@@ -49,6 +52,11 @@
 			   struct err *err);
 /* Sums of the hosts' own counters; zeros for path hosts. */
 void stage_host_counts(struct stage *st, struct host_counts *out);
+/* Writes items and head to the store, as hosts read them. */
+enum err_code stage_put_config(struct stage *st, struct err *err);
+enum err_code stage_put_hosts(struct stage *st, struct err *err);
+/* Writes contract and layout to the files that path hosts read. */
+enum err_code stage_write_documents(struct stage *st, struct err *err);
 /* 1 if "cowslippoint serve" exists. */
 int stage_has_serve(void);
 
