Test whole hosts as processes under kills, pauses, outages and silent connections

Cause: nothing ran several hosts together with faults. Found and fixed: SIGCONT after a pause interrupted the wait for a stop signal, so a paused host shut down when it went on. Settings get a script of their own; an empty value is named with its flag.

--- a/src/base/opt.c
+++ b/src/base/opt.c
@@ -87,31 +87,46 @@
 	return take_value(def, text, value, err);
 }
 
+/* Position of the definition that @flag names; @count when there is none. */
+static uint32_t find_flag(const struct opt_def *defs, uint32_t count,
+			  const char *flag)
+{
+	size_t len = strcspn(flag, "=");
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (strlen(defs[i].flag) == len &&
+		    strncmp(defs[i].flag, flag, len) == 0)
+			break;
+	}
+	return i;
+}
+
+/* argtable reports an error without the argument's name: finds it again. */
 static void name_bad_argument(int argc, char **argv, const struct opt_def *defs,
 			      uint32_t count, struct err *err)
 {
 	int i;
-	uint32_t j;
 
 	for (i = 1; i < argc; i++) {
 		const char *flag = argv[i] + strspn(argv[i], "-");
-		size_t len = strcspn(flag, "=");
+		const char *value = strchr(flag, '=');
+		uint32_t at = find_flag(defs, count, flag);
 
-		for (j = 0; j < count; j++) {
-			if (strlen(defs[j].flag) == len &&
-			    strncmp(defs[j].flag, flag, len) == 0)
-				break;
-		}
-		if (j < count && !strchr(argv[i], '='))
-			i++;
-		if (j == count) {
+		if (at == count) {
 			err_set(err, ERR_USAGE,
 				"\"%.60s\" is not an option; see --help",
 				argv[i]);
 			return;
 		}
+		value = value ? value + 1 : argv[++i];
+		if (!value || !value[0]) {
+			err_set(err, ERR_USAGE, "--%s has no value",
+				defs[at].flag);
+			return;
+		}
 	}
-	err_set(err, ERR_USAGE, "an option lacks its value or is given twice");
+	err_set(err, ERR_USAGE, "an option is given twice");
 }
 
 enum opt_result opt_parse(const struct opt_def *defs, uint32_t count, int argc,
--- a/src/duty/serve.c
+++ b/src/duty/serve.c
@@ -272,6 +272,13 @@
 	return sigtimedwait(signals, NULL, &ts) > 0;
 }
 
+static void wait_stop(const sigset_t *signals)
+{
+	/* SIGCONT after a pause interrupts the call. */
+	while (sigwaitinfo(signals, NULL) < 0)
+		;
+}
+
 static uint32_t open_requests(struct server *s)
 {
 	return request_duty_open(s->request) + caller_duty_open(s->caller);
@@ -361,7 +368,7 @@
 		return 1;
 	}
 	print_ready(s);
-	wait_signal(&signals, INT32_MAX);
+	wait_stop(&signals);
 	leave(s, &signals);
 	stop(s);
 	return 0;
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -6,6 +6,7 @@
 
 #include "base/ring.h"
 #include "base/tmr.h"
+#include "duty/settings.h"
 #include "script.h"
 
 #define TIMERS_MAX 8
@@ -110,10 +111,46 @@
 	buf_addf(out, "next %" PRId64 "\n", tmr_next_us(c->timers));
 }
 
+/* env NAME VALUE: sets a variable for the following "settings". */
+static void cmd_env(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	if (argc > 1)
+		g_setenv(argv[0], argv[1], TRUE);
+	else
+		g_unsetenv(argv[0]);
+}
+
+/* settings ARG...: parses a command line of "cowslippoint serve". */
+static void cmd_settings(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct opt_value values[SERVE_OPTION_COUNT] = { 0 };
+	char *args[SCRIPT_WORDS_MAX + 2] = { "serve" };
+	struct err err = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < argc; i++)
+		args[i + 1] = strcmp(argv[i], "''") == 0 ? "" : argv[i];
+	switch (opt_parse(serve_option_defs, SERVE_OPTION_COUNT, (int)argc + 1,
+			  args, values, &err)) {
+	case OPT_HELP:
+		buf_addf(out, "help\n");
+		break;
+	case OPT_BAD:
+		buf_addf(out, "%s %s\n", err_name(err.code), err.detail);
+		break;
+	case OPT_RUN:
+		buf_addf(out, "host %s caller-port %" PRId64 "\n",
+			 values[SET_HOST].text, values[SET_CALLER_PORT].number);
+		break;
+	}
+}
+
 static const struct script_command commands[] = {
-	{ "ring", cmd_ring },	{ "push", cmd_push }, { "wait", cmd_wait },
-	{ "close", cmd_close }, { "arm", cmd_arm },   { "cancel", cmd_cancel },
-	{ "run", cmd_run },
+	{ "ring", cmd_ring },	      { "push", cmd_push },
+	{ "wait", cmd_wait },	      { "close", cmd_close },
+	{ "arm", cmd_arm },	      { "cancel", cmd_cancel },
+	{ "run", cmd_run },	      { "env", cmd_env },
+	{ "settings", cmd_settings },
 };
 
 static const struct script_area area = {
--- /dev/null
+++ b/tests/test_serve.c
@@ -0,0 +1,406 @@
+/*
+ * Scripted runs of whole hosts ("cowslippoint serve") as processes against the
+ * stand-ins: kills, pauses, outages and silent connections. Output names no
+ * times; commands that wait do so for an event with a bound.
+ */
+#include <apr_general.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "cluster.h"
+#include "script.h"
+
+#define WAIT_US (30 * US_PER_S)
+#define POLL_US (20 * US_PER_MS)
+#define ANSWER_MS 3000
+
+struct serve {
+	struct cluster cluster;
+	/* Lookup that runs beside the script. */
+	GThread *beside;
+	struct client_answer beside_answer;
+	char *beside_body;
+	uint16_t beside_port;
+};
+
+static void *serve_new(void)
+{
+	return cu_alloc(1, sizeof(struct serve));
+}
+
+static void serve_free(void *ctx)
+{
+	struct serve *s = ctx;
+
+	cluster_stop(&s->cluster);
+	if (s->beside)
+		g_thread_join(s->beside);
+	client_clear(&s->beside_answer);
+	g_free(s->beside_body);
+	free(s);
+}
+
+static uint32_t host_arg(uint32_t argc, char **argv)
+{
+	return (uint32_t)script_int(argc, argv, "host", 1) - 1;
+}
+
+static int64_t status_rev(struct serve *s, uint32_t host)
+{
+	struct client_answer a;
+	int64_t rev;
+
+	client_call(&a, "GET", cluster_admin_port(&s->cluster, host),
+		    "/admin/v1/status", NULL, CLUSTER_TIMEOUT_MS);
+	rev = client_int(&a, "revision");
+	client_clear(&a);
+	return rev;
+}
+
+static int is_healthy(struct serve *s, uint32_t host)
+{
+	struct client_answer a;
+	int healthy;
+
+	client_call(&a, "GET", cluster_admin_port(&s->cluster, host),
+		    "/healthz", NULL, CLUSTER_TIMEOUT_MS);
+	healthy = a.status == 200;
+	client_clear(&a);
+	return healthy;
+}
+
+/* wait host=N rev=R: until the host has put revision R into effect. */
+static void cmd_wait(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+	int64_t rev = script_int(argc, argv, "rev", 1);
+	int64_t until_us = clock_now_us() + WAIT_US;
+
+	while (clock_now_us() < until_us) {
+		if (status_rev(s, host_arg(argc, argv)) >= rev &&
+		    is_healthy(s, host_arg(argc, argv))) {
+			buf_addf(out, "in effect\n");
+			return;
+		}
+		g_usleep(POLL_US);
+	}
+	buf_addf(out, "not in effect\n");
+}
+
+static void put(struct serve *s, uint32_t host, const char *path,
+		const char *body, struct buf *out)
+{
+	struct client_answer a;
+
+	client_call(&a, "PUT", cluster_admin_port(&s->cluster, host), path,
+		    body, CLUSTER_TIMEOUT_MS);
+	buf_addf(out, "%s revision %d\n", client_text(&a, "error"),
+		 (int)client_int(&a, "revision"));
+	client_clear(&a);
+}
+
+/* layout host=N snapshot=S [if_rev=R] */
+static void cmd_layout(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+	const char *if_rev = script_arg(argc, argv, "if_rev", NULL);
+	g_autofree char *path = g_strdup_printf("/admin/v1/indexes/parts%s%s",
+						if_rev ? "?if_rev=" : "",
+						if_rev ? if_rev : "");
+	char *body CLEANUP_FREE = cluster_layout(
+		&s->cluster, script_arg(argc, argv, "snapshot", "s1"));
+
+	put(s, host_arg(argc, argv), path, body, out);
+}
+
+/* contract host=N [coverage=PERMILLE] [answer_ms=MS] */
+static void cmd_contract(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+	char *body CLEANUP_FREE = cluster_contract(
+		(uint32_t)script_int(argc, argv, "answer_ms", ANSWER_MS),
+		(uint32_t)script_int(argc, argv, "coverage", 1000));
+
+	put(s, host_arg(argc, argv), "/admin/v1/contracts/acme", body, out);
+}
+
+/* A host that just started refuses edits until it has asked its peers. */
+static void until_accepted(struct serve *s, script_fn *edit)
+{
+	int64_t until_us = clock_now_us() + WAIT_US;
+
+	while (clock_now_us() < until_us) {
+		struct buf out CLEANUP_BUF = { 0 };
+
+		edit(s, 0, NULL, &out);
+		if (strncmp(out.data, "OK", 2) == 0)
+			return;
+		g_usleep(POLL_US);
+	}
+	g_error("no edit accepted");
+}
+
+/* start hosts=N shards=N replicas=N: all processes and the configuration. */
+static void cmd_start(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+	uint32_t hosts = (uint32_t)script_int(argc, argv, "hosts", 2);
+	char rev[] = "rev=2";
+	char host[16];
+	char *wait_argv[] = { rev, host };
+	uint32_t i;
+
+	cluster_start_store(&s->cluster);
+	cluster_start_targets(&s->cluster,
+			      (uint32_t)script_int(argc, argv, "shards", 2),
+			      (uint32_t)script_int(argc, argv, "replicas", 3));
+	for (i = 0; i < hosts; i++)
+		cluster_start_host(&s->cluster, i);
+	cluster_list_hosts(&s->cluster);
+	until_accepted(s, cmd_layout);
+	until_accepted(s, cmd_contract);
+	for (i = 0; i < hosts; i++) {
+		snprintf(host, sizeof(host), "host=%u", i + 1);
+		cmd_wait(s, 2, wait_argv, out);
+	}
+}
+
+static void print_answer(const struct client_answer *a, struct buf *out)
+{
+	if (!a->status) {
+		buf_addf(out, "no answer\n");
+		return;
+	}
+	buf_addf(out, "%s %s", client_text(a, "error"),
+		 client_text(a, "outcome"));
+	if (client_int(a, "shards_total") >= 0)
+		buf_addf(out, " %s %d/%d", client_text(a, "snapshot"),
+			 (int)client_int(a, "shards_answered"),
+			 (int)client_int(a, "shards_total"));
+	buf_addf(out, "\n");
+}
+
+static void cmd_search(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+	struct client_answer a;
+
+	client_call(&a, "POST",
+		    cluster_caller_port(&s->cluster, host_arg(argc, argv)),
+		    "/v1/search",
+		    "{\"customer\":\"acme\",\"index\":\"parts\","
+		    "\"query\":\"heron\"}",
+		    CLUSTER_TIMEOUT_MS);
+	print_answer(&a, out);
+	client_clear(&a);
+}
+
+static char *lookup_body(uint32_t argc, char **argv)
+{
+	return g_strdup_printf("{\"customer\":\"acme\",\"index\":\"parts\","
+			       "\"record\":\"r1\",\"idempotent\":false,"
+			       "\"request_id\":\"%s\"}",
+			       script_arg(argc, argv, "id", "q1"));
+}
+
+/* lookup host=N id=ID: non-idempotent. */
+static void cmd_lookup(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+	g_autofree char *body = lookup_body(argc, argv);
+	struct client_answer a;
+
+	client_call(&a, "POST",
+		    cluster_caller_port(&s->cluster, host_arg(argc, argv)),
+		    "/v1/lookup", body, CLUSTER_TIMEOUT_MS);
+	print_answer(&a, out);
+	client_clear(&a);
+}
+
+static gpointer run_beside(gpointer data)
+{
+	struct serve *s = data;
+
+	client_call(&s->beside_answer, "POST", s->beside_port, "/v1/lookup",
+		    s->beside_body, CLUSTER_TIMEOUT_MS);
+	return NULL;
+}
+
+/* lookup_beside host=N id=ID: goes on while the script continues. */
+static void cmd_lookup_beside(void *ctx, uint32_t argc, char **argv,
+			      struct buf *out)
+{
+	struct serve *s = ctx;
+
+	s->beside_body = lookup_body(argc, argv);
+	s->beside_port = cluster_caller_port(&s->cluster, host_arg(argc, argv));
+	s->beside = g_thread_new("beside", run_beside, s);
+}
+
+/* join: prints the answer to lookup_beside. */
+static void cmd_join(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+
+	g_thread_join(s->beside);
+	s->beside = NULL;
+	print_answer(&s->beside_answer, out);
+	client_clear(&s->beside_answer);
+	g_clear_pointer(&s->beside_body, g_free);
+}
+
+static void cmd_outcome(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+	g_autofree char *path = g_strdup_printf(
+		"/v1/outcome/acme/%s", script_arg(argc, argv, "id", "q1"));
+	struct client_answer a;
+
+	client_call(&a, "GET",
+		    cluster_caller_port(&s->cluster, host_arg(argc, argv)),
+		    path, NULL, CLUSTER_TIMEOUT_MS);
+	print_answer(&a, out);
+	client_clear(&a);
+}
+
+/* executions id=ID: how often the targets ran the request. */
+static void cmd_executions(void *ctx, uint32_t argc, char **argv,
+			   struct buf *out)
+{
+	struct serve *s = ctx;
+	g_autofree char *path =
+		g_strdup_printf("/control/once?request_id=%s",
+				script_arg(argc, argv, "id", "q1"));
+	struct client_answer a;
+
+	client_call(&a, "GET", cluster_target_control(&s->cluster), path, NULL,
+		    CLUSTER_TIMEOUT_MS);
+	buf_addf(out, "%d\n", (int)client_int(&a, "executions"));
+	client_clear(&a);
+}
+
+static void control(uint16_t port, const char *body, struct buf *out)
+{
+	struct client_answer a;
+
+	client_call(&a, "POST", port, "/control", body, CLUSTER_TIMEOUT_MS);
+	buf_addf(out, "%s\n", client_text(&a, "error"));
+	client_clear(&a);
+}
+
+/* store JSON, targets JSON: switch faults. */
+static void cmd_store(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+
+	control(cluster_store_control(&s->cluster), argv[0], out);
+}
+
+static void cmd_targets(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+
+	control(cluster_target_control(&s->cluster), argv[0], out);
+}
+
+/* await QUERY: waits for a counter of the targets, see /control/wait. */
+static void cmd_await(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+	g_autofree char *path = g_strdup_printf("/control/wait?%s", argv[0]);
+	struct client_answer a;
+
+	client_call(&a, "GET", cluster_target_control(&s->cluster), path, NULL,
+		    CLUSTER_TIMEOUT_MS);
+	buf_addf(out, "%s\n", a.status == 200 ? "reached" : "not reached");
+	client_clear(&a);
+}
+
+static void cmd_kill(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+
+	proc_kill(&s->cluster.hosts[host_arg(argc, argv)]);
+}
+
+static void cmd_pause(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+
+	proc_signal(&s->cluster.hosts[host_arg(argc, argv)], SIGSTOP);
+}
+
+static void cmd_continue(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+
+	proc_signal(&s->cluster.hosts[host_arg(argc, argv)], SIGCONT);
+}
+
+static void cmd_restart(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+
+	cluster_start_host(&s->cluster, host_arg(argc, argv));
+}
+
+/* terminate host=N: SIGTERM; exited host=N: waits and prints the status. */
+static void cmd_terminate(void *ctx, uint32_t argc, char **argv,
+			  struct buf *out)
+{
+	struct serve *s = ctx;
+
+	proc_signal(&s->cluster.hosts[host_arg(argc, argv)], SIGTERM);
+}
+
+static void cmd_exited(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+
+	buf_addf(out, "exit status %d\n",
+		 proc_wait(&s->cluster.hosts[host_arg(argc, argv)]));
+}
+
+static const struct script_command commands[] = {
+	{ "start", cmd_start },
+	{ "wait", cmd_wait },
+	{ "layout", cmd_layout },
+	{ "contract", cmd_contract },
+	{ "search", cmd_search },
+	{ "lookup", cmd_lookup },
+	{ "lookup_beside", cmd_lookup_beside },
+	{ "join", cmd_join },
+	{ "outcome", cmd_outcome },
+	{ "executions", cmd_executions },
+	{ "store", cmd_store },
+	{ "targets", cmd_targets },
+	{ "await", cmd_await },
+	{ "kill", cmd_kill },
+	{ "pause", cmd_pause },
+	{ "continue", cmd_continue },
+	{ "restart", cmd_restart },
+	{ "terminate", cmd_terminate },
+	{ "exited", cmd_exited },
+};
+
+static const struct script_area area = {
+	.name = "serve",
+	.ctx_new = serve_new,
+	.ctx_free = serve_free,
+	.command_count = countof(commands),
+	.commands = commands,
+};
+
+int main(int argc, char **argv)
+{
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_ALL);
+	cluster_init(argv[0]);
+	g_test_init(&argc, &argv, NULL);
+	script_register(&area, "tests/scripts");
+	return g_test_run();
+}
