Start the admission limit from rate and deadline

Cause: a host began with 64 requests in flight for each customer; in the first seconds of an overload most answers ran into the deadline.

Change: the limit begins at an eighth of rate times deadline, at least 32.

--- a/src/decide/adm.c
+++ b/src/decide/adm.c
@@ -13,7 +13,9 @@
 #define SPREAD_PERMILLE 1100
 /* A host sees a small part of the rate, with larger fluctuations: 1 s of it. */
 #define BURST_DIVISOR_SHARED 1
-#define LIMIT_START_MILLI (64 * 1000)
+/* Requests in flight until answers have told more; slow answers need more. */
+#define LIMIT_START_MILLI (32 * 1000)
+#define LIMIT_START_DIVISOR 8
 #define LIMIT_MIN_MILLI (2 * 1000)
 #define LIMIT_MAX_MILLI (65536 * 1000)
 /* Answers slower than this share of the deadline lower the limit. */
@@ -29,6 +31,18 @@
 	return cu_max_u32(1, (uint32_t)(spread / host_count));
 }
 
+/* An eighth of what may be in flight at the contract's rate and deadline. */
+static uint64_t start_milli(const struct adm *a)
+{
+	uint64_t most_milli =
+		(uint64_t)a->rate_per_s * (uint64_t)a->answer_us / US_PER_MS;
+	uint64_t start = most_milli / LIMIT_START_DIVISOR;
+
+	if (start < LIMIT_START_MILLI)
+		return LIMIT_START_MILLI;
+	return start < LIMIT_MAX_MILLI ? start : LIMIT_MAX_MILLI;
+}
+
 void adm_configure(struct adm *a, const struct contract *c, uint32_t host_count,
 		   int64_t now_us)
 {
@@ -44,7 +58,7 @@
 	if (is_new) {
 		a->tokens_micro = a->tokens_cap_micro;
 		a->refill_us = now_us;
-		a->limit_milli = LIMIT_START_MILLI;
+		a->limit_milli = start_milli(a);
 	}
 	a->tokens_micro = cu_min_i64(a->tokens_micro, a->tokens_cap_micro);
 }
