--- a/src/filter/path.c
+++ b/src/filter/path.c
@@ -5,9 +5,6 @@
 #include "base/metric.h"
 #include "filter/req.h"
 
-/* Owners repeat which targets are warm for hosts that started since. */
-#define ANNOUNCE_PERIOD_US (5 * US_PER_S)
-
 /* Two heartbeats and the ramp of a target that nobody has used yet. */
 #define READY_WAIT_US (3 * US_PER_S)
 
@@ -458,61 +455,3 @@
 {
 	return g_hash_table_size(p->reqs);
 }
-
-/* Repeats which of this host's own targets are warm. */
-static void announce(struct path *p, int64_t now_us)
-{
-	uint32_t i;
-	uint32_t j;
-
-	if (!p->bound || now_us < p->announce_at_us)
-		return;
-	p->announce_at_us = now_us + ANNOUNCE_PERIOD_US;
-	for (i = 0; i < p->bound->view->layout_count; i++) {
-		struct bound_index *b = &p->bound->indexes[i];
-
-		for (j = 0; j < b->layout->target_count; j++) {
-			struct bound_target *t = &b->targets[j];
-
-			if (t->tgt->is_owner && t->tgt->phase == TGT_WARM &&
-			    !t->tgt->avoid_until_us)
-				evidence_notice(p, t->tgt, NOTICE_WARM);
-		}
-	}
-}
-
-struct evidence *path_evidence(struct path *p, int64_t now_us)
-{
-	struct evidence *e = cu_alloc(1, sizeof(*e));
-	GHashTableIter iter;
-	gpointer value;
-	uint32_t i;
-
-	announce(p, now_us);
-	e->version_count = p->version_evidence->len;
-	e->versions = cu_alloc(e->version_count, sizeof(*e->versions));
-	if (e->version_count)
-		memcpy(e->versions, p->version_evidence->data,
-		       e->version_count * sizeof(*e->versions));
-	g_array_set_size(p->version_evidence, 0);
-	e->customers = cu_alloc(g_hash_table_size(p->customers),
-				sizeof(*e->customers));
-	g_hash_table_iter_init(&iter, p->customers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct customer_stats *s = value;
-		struct customer_evidence *seen = &s->seen;
-
-		if (!(seen->good | seen->late | seen->partial | seen->refused |
-		      seen->lost))
-			continue;
-		e->customers[e->customer_count++] = *seen;
-		seen->good = seen->late = seen->partial = 0;
-		seen->refused = seen->lost = 0;
-	}
-	e->notices = cu_alloc(p->notices->len, sizeof(*e->notices));
-	for (i = 0; i < p->notices->len; i++)
-		e->notices[e->notice_count++] =
-			*(struct target_notice *)p->notices->pdata[i];
-	g_ptr_array_set_size(p->notices, 0);
-	return e;
-}
--- /dev/null
+++ b/tests/path_setup.c
@@ -0,0 +1,172 @@
+#include "path_setup.h"
+
+#include <stdio.h>
+#include <string.h>
+
+void path_cmd_contract(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+	const char *name = script_arg(argc, argv, "customer", "c");
+	struct contract *k = NULL;
+	uint32_t i;
+
+	for (i = 0; i < c->next->contract_count; i++) {
+		if (strcmp(c->next->contracts[i].customer, name) == 0)
+			k = &c->next->contracts[i];
+	}
+	if (!k) {
+		c->next->contracts = cu_grow(c->next->contracts,
+					     c->next->contract_count + 1,
+					     sizeof(*k));
+		k = &c->next->contracts[c->next->contract_count++];
+	}
+	memset(k, 0, sizeof(*k));
+	cu_copy(k->customer, NAME_BYTES, name);
+	k->index_count = 1;
+	cu_copy(k->indexes[0], NAME_BYTES,
+		script_arg(argc, argv, "index", "i"));
+	k->answer_ms = script_u32(argc, argv, "answer_ms", 100);
+	k->min_coverage_permille = script_u32(argc, argv, "coverage", 1000);
+	k->rate_per_s = script_u32(argc, argv, "rate", 1000);
+	k->target_share_permille = script_u32(argc, argv, "share", 1000);
+	k->extra_load_permille = script_u32(argc, argv, "extra", 50);
+}
+
+/* Target ID: shard position and a letter for the replica, such as "s0b". */
+static void set_target(struct target *t, uint32_t shard, uint32_t replica,
+		       uint32_t port, uint32_t argc, char **argv)
+{
+	g_auto(GStrv) versions =
+		g_strsplit(script_arg(argc, argv, "versions", ""), ",", -1);
+	char letter = (char)('a' + replica);
+
+	snprintf(t->id, sizeof(t->id), "s%u%c", shard, letter);
+	snprintf(t->data_centre, sizeof(t->data_centre), "%c", letter);
+	cu_copy(t->address, sizeof(t->address), "127.0.0.1");
+	cu_copy(t->version, sizeof(t->version),
+		replica < g_strv_length(versions) ? versions[replica] : "v1");
+	t->port = (uint16_t)port;
+	t->slots = script_u32(argc, argv, "slots", 2);
+	t->connections = script_u32(argc, argv, "connections", 40);
+	t->cold_slots = script_u32(argc, argv, "cold_slots", 1);
+}
+
+void path_cmd_layout(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+	uint32_t shards = script_u32(argc, argv, "shards", 1);
+	uint32_t replicas = script_u32(argc, argv, "replicas", 3);
+	struct layout *l = layout_new(shards, shards * replicas);
+	uint32_t i;
+
+	cu_copy(l->index, NAME_BYTES, script_arg(argc, argv, "index", "i"));
+	cu_copy(l->snapshot, NAME_BYTES,
+		script_arg(argc, argv, "snapshot", "n1"));
+	cu_copy(l->service, NAME_BYTES, "svc");
+	for (i = 0; i < shards * replicas; i++) {
+		struct shard *s = &l->shards[i / replicas];
+
+		snprintf(s->name, sizeof(s->name), "s%u", i / replicas);
+		s->replicas[s->replica_count++] = i;
+		set_target(&l->targets[i], i / replicas, i % replicas,
+			   TARGET_PORT + i, argc, argv);
+	}
+	if (c->next->layout_count)
+		layout_free(c->next->layouts[0]);
+	c->next->layouts = cu_grow(c->next->layouts, 1, sizeof(l));
+	c->next->layouts[0] = l;
+	c->next->layout_count = 1;
+}
+
+void path_cmd_dc(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct view *v = ((struct path_ctx *)ctx)->next;
+
+	v->dcs = cu_grow(v->dcs, v->dc_count + 1, sizeof(*v->dcs));
+	cu_copy(v->dcs[v->dc_count].data_centre, NAME_BYTES,
+		script_arg(argc, argv, "name", "a"));
+	v->dcs[v->dc_count++].share_permille =
+		script_u32(argc, argv, "share", 1000);
+}
+
+void path_cmd_version(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct view *v = ((struct path_ctx *)ctx)->next;
+	struct version_weight *w;
+
+	v->versions = cu_grow(v->versions, v->version_count + 1, sizeof(*w));
+	w = &v->versions[v->version_count++];
+	cu_copy(w->service, NAME_BYTES, "svc");
+	cu_copy(w->version, NAME_BYTES, script_arg(argc, argv, "name", "v1"));
+	w->share_permille = script_u32(argc, argv, "share", 1000);
+}
+
+void path_cmd_block(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct view *v = ((struct path_ctx *)ctx)->next;
+
+	v->blocks = cu_grow(v->blocks, v->block_count + 1, sizeof(*v->blocks));
+	cu_copy(v->blocks[v->block_count++].id, NAME_BYTES,
+		script_arg(argc, argv, "target", ""));
+}
+
+void path_cmd_hosts(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct view *v = ((struct path_ctx *)ctx)->next;
+	uint32_t i;
+
+	v->hosts = cu_grow(v->hosts, argc, NAME_BYTES);
+	v->host_count = argc;
+	for (i = 0; i < argc; i++)
+		cu_copy(v->hosts[i], NAME_BYTES, argv[i]);
+}
+
+static void *copy_of(const void *data, uint32_t count, size_t size_bytes)
+{
+	void *copy = cu_alloc(count, size_bytes);
+
+	if (count)
+		memcpy(copy, data, count * size_bytes);
+	return copy;
+}
+
+static struct layout *copy_layout(const struct layout *l)
+{
+	struct layout *copy = layout_new(l->shard_count, l->target_count);
+
+	cu_copy(copy->index, NAME_BYTES, l->index);
+	cu_copy(copy->snapshot, NAME_BYTES, l->snapshot);
+	cu_copy(copy->service, NAME_BYTES, l->service);
+	memcpy(copy->shards, l->shards, l->shard_count * sizeof(*l->shards));
+	memcpy(copy->targets, l->targets,
+	       l->target_count * sizeof(*l->targets));
+	return copy;
+}
+
+void path_cmd_view(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+	const struct view *from = c->next;
+	struct view *v = view_new();
+	uint32_t i;
+
+	v->host_count = from->host_count;
+	v->hosts = copy_of(from->hosts, from->host_count, NAME_BYTES);
+	v->contract_count = from->contract_count;
+	v->contracts = copy_of(from->contracts, from->contract_count,
+			       sizeof(*v->contracts));
+	v->dc_count = from->dc_count;
+	v->dcs = copy_of(from->dcs, from->dc_count, sizeof(*v->dcs));
+	v->version_count = from->version_count;
+	v->versions = copy_of(from->versions, from->version_count,
+			      sizeof(*v->versions));
+	v->block_count = from->block_count;
+	v->blocks =
+		copy_of(from->blocks, from->block_count, sizeof(*v->blocks));
+	v->layout_count = from->layout_count;
+	v->layouts = cu_alloc(from->layout_count, sizeof(*v->layouts));
+	for (i = 0; i < from->layout_count; i++)
+		v->layouts[i] = copy_layout(from->layouts[i]);
+	c->out = out;
+	path_view(c->path, v, c->now_us);
+}
--- a/tests/script.c
+++ b/tests/script.c
@@ -30,6 +30,12 @@
 	return text ? g_ascii_strtoll(text, NULL, 10) : fallback;
 }
 
+uint32_t script_u32(uint32_t argc, char **argv, const char *name,
+		    uint32_t fallback)
+{
+	return (uint32_t)script_int(argc, argv, name, fallback);
+}
+
 static const struct script_command *find_command(const struct script_area *area,
 						 const char *name)
 {
--- a/tests/script.h
+++ b/tests/script.h
@@ -37,6 +37,9 @@
 int64_t script_int(uint32_t argc, char **argv, const char *name,
 		   int64_t fallback);
 
+uint32_t script_u32(uint32_t argc, char **argv, const char *name,
+		    uint32_t fallback);
+
 /* Adds one GLib test for each script of @area below @dir. */
 void script_register(const struct script_area *area, const char *dir);
 
--- a/tests/sim_host.c
+++ b/tests/sim_host.c
@@ -2,7 +2,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "decide/hrw.h"
 #include "filter/req.h"
 #include "sim_impl.h"
 
@@ -12,84 +11,12 @@
 #define NOTICE_LOSS_PERMILLE 100
 /* The target duty ends a call this long after its deadline. */
 #define GIVE_UP_US (5 * US_PER_MS)
-#define COLD_GOOD_RUN 10
-
-static void target_name(char *out, uint32_t target)
-{
-	snprintf(out, NAME_BYTES, "t%u", target);
-}
 
 static uint32_t shard_of_target(const struct sim *s, uint32_t target)
 {
 	return target / s->o.replicas;
 }
 
-/* By the membership that the host was given. */
-static int is_owner(const struct sim *s, uint32_t no, uint32_t target)
-{
-	char hosts[SIM_HOSTS_MAX][NAME_BYTES];
-	char name[NAME_BYTES];
-	uint32_t count = 0;
-	uint32_t i;
-
-	target_name(name, target);
-	for (i = 0; i < SIM_HOSTS_MAX; i++) {
-		if (s->hosts[no].members_seen >> i & 1)
-			cu_copy(hosts[count++], NAME_BYTES, s->hosts[i].name);
-	}
-	return hrw_is_owner(name, s->hosts[no].name, hosts, count);
-}
-
-/* Requests at once that the good answers of this life allow. */
-static uint32_t ramp_limit(const struct sim *s, const struct sim_target *t)
-{
-	/* Targets are warm when the run begins. */
-	if (!t->life)
-		return s->o.slots;
-	return s->o.cold_slots << cu_min_u32(t->good / COLD_GOOD_RUN, 16);
-}
-
-/*
- * R3: a host that knows a target as cold sends to it only as its owner, and no
- * more than the ramp allows. One membership has one owner, so together the
- * hosts stay within the ramp too, except while an owner hands over.
- */
-static void check_cold(struct sim *s, struct sim_sub *sub)
-{
-	struct sim_host *h = &s->hosts[sub->host];
-	struct sim_target *t = &s->targets[sub->target];
-	uint32_t limit = ramp_limit(s, t);
-
-	if (h->cold_life[sub->target] != t->life + 1)
-		return;
-	/* The ramp is over, perhaps with the answer being handled now. */
-	if (limit >= s->o.slots)
-		return;
-	sub->known_cold = 1;
-	t->open_cold[h->no]++;
-	if (!is_owner(s, h->no, sub->target))
-		sim_violate(s, "host %u does not own cold target t%u, sends %s",
-			    h->no, sub->target, sub->request_id);
-	if (t->open_cold[h->no] > limit)
-		sim_violate(s, "cold target t%u gets %u at once, limit %u",
-			    sub->target, t->open_cold[h->no], limit);
-}
-
-/* The sum over the hosts is within the connections a target accepts. */
-static void check_connections(struct sim *s, struct sim_sub *sub)
-{
-	struct sim_target *t = &s->targets[sub->target];
-	uint32_t sum = 0;
-	uint32_t i;
-
-	t->open[sub->host]++;
-	for (i = 0; i < SIM_HOSTS_MAX; i++)
-		sum += t->open[i];
-	if (sum > s->o.connections)
-		sim_violate(s, "t%u has %u connections of %u", sub->target, sum,
-			    s->o.connections);
-}
-
 static void give_up(void *ctx, int64_t now_us)
 {
 	struct sim_sub *sub = ctx;
@@ -127,18 +54,6 @@
 	}
 }
 
-static void check_budget(struct sim *s, const struct sim_host *h,
-			 uint32_t customer)
-{
-	uint64_t capacity = 10 + s->o.customers[customer].rate_per_s / 100;
-	uint64_t earned = h->first[customer] * s->o.extra_permille / PERMILLE;
-
-	if (h->extra[customer] > earned + capacity)
-		sim_violate(s, "host %u: %u extra after %u sub-requests", h->no,
-			    (uint32_t)h->extra[customer],
-			    (uint32_t)h->first[customer]);
-}
-
 struct sim_sub *sim_sub_send(struct sim *s, uint32_t host,
 			     struct sim_attempt *a, const struct sub_call *call,
 			     uint32_t target)
@@ -165,15 +80,6 @@
 	return sub;
 }
 
-static void check_out(struct sim *s, const struct sim_sub *sub)
-{
-	uint32_t replica = sub->target % s->o.replicas;
-
-	if (sub->attempt && sub->attempt->out_mask & 1U << replica)
-		sim_violate(s, "new work for data centre %u that is out",
-			    replica);
-}
-
 static void cancel_call(struct sim *s, struct sim_host *h, uint64_t sub_id)
 {
 	struct sim_sub *sub = g_hash_table_lookup(h->subs, &sub_id);
@@ -201,11 +107,11 @@
 	if (a)
 		sub->nth = a->nth[sub->shard]++;
 	g_hash_table_insert(h->subs, &sub->sub_id, sub);
-	check_connections(s, sub);
-	check_cold(s, sub);
-	check_out(s, sub);
+	sim_check_connections(s, sub);
+	sim_check_cold(s, sub);
+	sim_check_out(s, sub);
 	if (a)
-		check_budget(s, h, a->customer);
+		sim_check_budget(s, h, a->customer);
 	sub_call_free(call);
 }
 
@@ -229,9 +135,10 @@
 	char name[NAME_BYTES];
 
 	snprintf(instance, sizeof(instance), "t%u-%u", sub->target, t->life);
-	target_name(name, sub->target);
+	sim_target_name(name, sub->target);
 	known = g_hash_table_lookup(h->path->tgts, name);
-	if (known && known->phase == TGT_WARM && ramp_limit(s, t) >= s->o.slots)
+	if (known && known->phase == TGT_WARM &&
+	    sim_ramp_limit(s, t) >= s->o.slots)
 		h->cold_life[sub->target] = 0;
 	else if (known && strcmp(known->instance, instance) == 0)
 		h->cold_life[sub->target] = t->life + 1;
@@ -403,7 +310,7 @@
 	snprintf(instance, sizeof(instance), "t%u-%u", target, t->life);
 	if (trip->notice.kind == NOTICE_WARM &&
 	    strcmp(trip->notice.instance, instance) == 0 && t->life &&
-	    ramp_limit(s, t) < s->o.slots)
+	    sim_ramp_limit(s, t) < s->o.slots)
 		sim_violate(s, "t%u is warm after %u answers", target, t->good);
 	if (h->alive && h->life == trip->life) {
 		path_notice(h->path, &trip->notice, s->now_us);
@@ -513,7 +420,7 @@
 		const struct tgt *known;
 		char name[NAME_BYTES];
 
-		target_name(name, target);
+		sim_target_name(name, target);
 		known = g_hash_table_lookup(h->path->tgts, name);
 		/* Cold for a reason: it or this host has started anew. */
 		if (!s->targets[target].life && h->life == 1)
--- a/tests/sim_impl.h
+++ b/tests/sim_impl.h
@@ -174,6 +174,16 @@
 void sim_naive_submit(struct sim *s, struct sim_attempt *a);
 void sim_naive_result(struct sim_sub *sub, const struct sub_result *r);
 
+/* Checks of what a host sends. */
+void sim_target_name(char *out, uint32_t target);
+/* Requests at once that the good answers of the target's life allow. */
+uint32_t sim_ramp_limit(const struct sim *s, const struct sim_target *t);
+void sim_check_cold(struct sim *s, struct sim_sub *sub);
+void sim_check_connections(struct sim *s, struct sim_sub *sub);
+void sim_check_budget(struct sim *s, const struct sim_host *h,
+		      uint32_t customer);
+void sim_check_out(struct sim *s, const struct sim_sub *sub);
+
 /* Targets. */
 void sim_target_arrive(void *ctx, int64_t now_us);
 void sim_target_cancel(void *ctx, int64_t now_us);
--- a/tests/test_decide.c
+++ b/tests/test_decide.c
@@ -47,12 +47,6 @@
 	free(c);
 }
 
-static uint32_t arg_u32(uint32_t argc, char **argv, const char *name,
-			uint32_t fallback)
-{
-	return (uint32_t)script_int(argc, argv, name, fallback);
-}
-
 static void cmd_wait(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct decide_ctx *c = ctx;
@@ -64,13 +58,13 @@
 static void cmd_budget(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct decide_ctx *c = ctx;
-	uint32_t spends = arg_u32(argc, argv, "spend", 0);
+	uint32_t spends = script_u32(argc, argv, "spend", 0);
 	uint32_t granted = 0;
 
 	if (script_arg(argc, argv, "extra", NULL))
-		bgt_init(&c->bgt, arg_u32(argc, argv, "extra", 0),
-			 arg_u32(argc, argv, "rate", 100));
-	bgt_earn(&c->bgt, arg_u32(argc, argv, "earn", 0));
+		bgt_init(&c->bgt, script_u32(argc, argv, "extra", 0),
+			 script_u32(argc, argv, "rate", 100));
+	bgt_earn(&c->bgt, script_u32(argc, argv, "earn", 0));
 	while (spends-- > 0)
 		granted += (uint32_t)bgt_spend(&c->bgt);
 	buf_addf(out, "granted %u fill %u\n", granted,
@@ -81,11 +75,12 @@
 {
 	struct decide_ctx *c = ctx;
 	struct contract k = {
-		.rate_per_s = arg_u32(argc, argv, "rate", 100),
-		.answer_ms = arg_u32(argc, argv, "answer_ms", 100),
+		.rate_per_s = script_u32(argc, argv, "rate", 100),
+		.answer_ms = script_u32(argc, argv, "answer_ms", 100),
 	};
 
-	adm_configure(&c->adm, &k, arg_u32(argc, argv, "hosts", 1), c->now_us);
+	adm_configure(&c->adm, &k, script_u32(argc, argv, "hosts", 1),
+		      c->now_us);
 	buf_addf(out, "rate %u burst %" PRId64 " limit %" PRIu64 "\n",
 		 c->adm.rate_per_s, c->adm.tokens_cap_micro / 1000000,
 		 c->adm.limit_milli / 1000);
@@ -94,7 +89,7 @@
 static void cmd_enter(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct decide_ctx *c = ctx;
-	uint32_t count = arg_u32(argc, argv, "count", 1);
+	uint32_t count = script_u32(argc, argv, "count", 1);
 	enum err_code last = ERR_OK;
 	uint32_t entered = 0;
 	struct err err;
@@ -112,7 +107,7 @@
 	static const char *const names[] = { "good", "loaded", "neutral" };
 	struct decide_ctx *c = ctx;
 	const char *result = script_arg(argc, argv, "result", "good");
-	uint32_t count = arg_u32(argc, argv, "count", 1);
+	uint32_t count = script_u32(argc, argv, "count", 1);
 	int64_t every_us = script_int(argc, argv, "every_us", 0);
 	uint32_t i;
 
@@ -134,15 +129,15 @@
 static void cmd_hedge(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct decide_ctx *c = ctx;
-	uint32_t samples = arg_u32(argc, argv, "samples", 0);
-	uint32_t adjusts = arg_u32(argc, argv, "adjusts", 0);
+	uint32_t samples = script_u32(argc, argv, "samples", 0);
+	uint32_t adjusts = script_u32(argc, argv, "adjusts", 0);
 
 	while (samples-- > 0)
 		hdg_sample(&c->hdg, script_int(argc, argv, "service_us", 1000));
 	while (adjusts-- > 0) {
 		c->now_us += 100 * US_PER_MS;
 		hdg_adjust(&c->hdg, c->now_us,
-			   arg_u32(argc, argv, "fill", 1000));
+			   script_u32(argc, argv, "fill", 1000));
 	}
 	buf_addf(out, "mean %" PRId64 " factor %u delay %" PRId64 "\n",
 		 c->hdg.mean_us, c->hdg.factor_milli, hdg_delay_us(&c->hdg));
@@ -150,7 +145,7 @@
 
 static struct tgt *target_of(struct decide_ctx *c, uint32_t argc, char **argv)
 {
-	struct tgt *t = c->tgts[arg_u32(argc, argv, "t", 0) % TARGETS_MAX];
+	struct tgt *t = c->tgts[script_u32(argc, argv, "t", 0) % TARGETS_MAX];
 
 	g_assert_nonnull(t);
 	return t;
@@ -169,11 +164,11 @@
 static void cmd_target(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct decide_ctx *c = ctx;
-	uint32_t i = arg_u32(argc, argv, "t", 0) % TARGETS_MAX;
+	uint32_t i = script_u32(argc, argv, "t", 0) % TARGETS_MAX;
 	struct target def = {
-		.slots = arg_u32(argc, argv, "slots", 2),
-		.connections = arg_u32(argc, argv, "connections", 40),
-		.cold_slots = arg_u32(argc, argv, "cold_slots", 1),
+		.slots = script_u32(argc, argv, "slots", 2),
+		.connections = script_u32(argc, argv, "connections", 40),
+		.cold_slots = script_u32(argc, argv, "cold_slots", 1),
 	};
 
 	snprintf(def.id, sizeof(def.id), "t%u", i);
@@ -186,7 +181,7 @@
 static void cmd_sent(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct decide_ctx *c = ctx;
-	uint32_t count = arg_u32(argc, argv, "count", 1);
+	uint32_t count = script_u32(argc, argv, "count", 1);
 
 	while (count-- > 0)
 		tgt_sent(target_of(c, argc, argv), c->now_us);
@@ -199,7 +194,7 @@
 	struct decide_ctx *c = ctx;
 	struct tgt *t = target_of(c, argc, argv);
 	int64_t service_us = script_int(argc, argv, "service_us", 1000);
-	uint32_t count = arg_u32(argc, argv, "count", 1);
+	uint32_t count = script_u32(argc, argv, "count", 1);
 
 	while (count-- > 0) {
 		tgt_sent(t, c->now_us);
@@ -216,7 +211,7 @@
 {
 	struct decide_ctx *c = ctx;
 	struct tgt *t = target_of(c, argc, argv);
-	uint32_t count = arg_u32(argc, argv, "count", 1);
+	uint32_t count = script_u32(argc, argv, "count", 1);
 
 	while (count-- > 0) {
 		tgt_sent(t, c->now_us);
@@ -249,7 +244,7 @@
 	struct decide_ctx *c = ctx;
 	struct bal_candidate candidates[TARGETS_MAX] = { 0 };
 	uint32_t picked[TARGETS_MAX + 1] = { 0 };
-	uint32_t draws = arg_u32(argc, argv, "draws", 1);
+	uint32_t draws = script_u32(argc, argv, "draws", 1);
 	uint32_t count = 0;
 	uint32_t i;
 
@@ -373,9 +368,9 @@
 static void cmd_decide(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	buf_addf(out, "%s\n",
-		 err_name(gth_decide(arg_u32(argc, argv, "total", 1),
-				     arg_u32(argc, argv, "answered", 0),
-				     arg_u32(argc, argv, "need", 1000))));
+		 err_name(gth_decide(script_u32(argc, argv, "total", 1),
+				     script_u32(argc, argv, "answered", 0),
+				     script_u32(argc, argv, "need", 1000))));
 }
 
 static const struct script_command commands[] = {
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -8,39 +8,11 @@
 #include <string.h>
 
 #include "filter/req.h"
+#include "path_setup.h"
 #include "script.h"
 
-#define SUBS_MAX 512
 #define SEED 7
 #define SELF "h1"
-#define TARGET_PORT 9000
-
-/* A sub-request as the target would see it; printed by its position. */
-struct sent {
-	struct sub_call *call;
-	char target[NAME_BYTES];
-};
-
-struct claim {
-	char request_id[REQUEST_ID_BYTES];
-	uint64_t req_no;
-};
-
-struct path_ctx {
-	struct path *path;
-	struct tmr *timers;
-	int64_t now_us;
-	/* What the next view is made of. */
-	struct view *next;
-	uint32_t sent_count;
-	struct sent sent[SUBS_MAX];
-	uint32_t claim_count;
-	struct claim claims[SUBS_MAX];
-	uint64_t next_handle;
-	struct buf *out;
-	/* Callers in flight, by handle. */
-	GHashTable *callers;
-};
 
 struct caller {
 	struct path_ctx *ctx;
@@ -167,180 +139,6 @@
 	free(c);
 }
 
-static uint32_t arg_u32(uint32_t argc, char **argv, const char *name,
-			uint32_t fallback)
-{
-	return (uint32_t)script_int(argc, argv, name, fallback);
-}
-
-static void cmd_contract(void *ctx, uint32_t argc, char **argv, struct buf *out)
-{
-	struct path_ctx *c = ctx;
-	const char *name = script_arg(argc, argv, "customer", "c");
-	struct contract *k = NULL;
-	uint32_t i;
-
-	for (i = 0; i < c->next->contract_count; i++) {
-		if (strcmp(c->next->contracts[i].customer, name) == 0)
-			k = &c->next->contracts[i];
-	}
-	if (!k) {
-		c->next->contracts = cu_grow(c->next->contracts,
-					     c->next->contract_count + 1,
-					     sizeof(*k));
-		k = &c->next->contracts[c->next->contract_count++];
-	}
-	memset(k, 0, sizeof(*k));
-	cu_copy(k->customer, NAME_BYTES, name);
-	k->index_count = 1;
-	cu_copy(k->indexes[0], NAME_BYTES,
-		script_arg(argc, argv, "index", "i"));
-	k->answer_ms = arg_u32(argc, argv, "answer_ms", 100);
-	k->min_coverage_permille = arg_u32(argc, argv, "coverage", 1000);
-	k->rate_per_s = arg_u32(argc, argv, "rate", 1000);
-	k->target_share_permille = arg_u32(argc, argv, "share", 1000);
-	k->extra_load_permille = arg_u32(argc, argv, "extra", 50);
-}
-
-/* Target ID: shard position and a letter for the replica, such as "s0b". */
-static void set_target(struct target *t, uint32_t shard, uint32_t replica,
-		       uint32_t port, uint32_t argc, char **argv)
-{
-	g_auto(GStrv) versions =
-		g_strsplit(script_arg(argc, argv, "versions", ""), ",", -1);
-	char letter = (char)('a' + replica);
-
-	snprintf(t->id, sizeof(t->id), "s%u%c", shard, letter);
-	snprintf(t->data_centre, sizeof(t->data_centre), "%c", letter);
-	cu_copy(t->address, sizeof(t->address), "127.0.0.1");
-	cu_copy(t->version, sizeof(t->version),
-		replica < g_strv_length(versions) ? versions[replica] : "v1");
-	t->port = (uint16_t)port;
-	t->slots = arg_u32(argc, argv, "slots", 2);
-	t->connections = arg_u32(argc, argv, "connections", 40);
-	t->cold_slots = arg_u32(argc, argv, "cold_slots", 1);
-}
-
-static void cmd_layout(void *ctx, uint32_t argc, char **argv, struct buf *out)
-{
-	struct path_ctx *c = ctx;
-	uint32_t shards = arg_u32(argc, argv, "shards", 1);
-	uint32_t replicas = arg_u32(argc, argv, "replicas", 3);
-	struct layout *l = layout_new(shards, shards * replicas);
-	uint32_t i;
-
-	cu_copy(l->index, NAME_BYTES, script_arg(argc, argv, "index", "i"));
-	cu_copy(l->snapshot, NAME_BYTES,
-		script_arg(argc, argv, "snapshot", "n1"));
-	cu_copy(l->service, NAME_BYTES, "svc");
-	for (i = 0; i < shards * replicas; i++) {
-		struct shard *s = &l->shards[i / replicas];
-
-		snprintf(s->name, sizeof(s->name), "s%u", i / replicas);
-		s->replicas[s->replica_count++] = i;
-		set_target(&l->targets[i], i / replicas, i % replicas,
-			   TARGET_PORT + i, argc, argv);
-	}
-	if (c->next->layout_count)
-		layout_free(c->next->layouts[0]);
-	c->next->layouts = cu_grow(c->next->layouts, 1, sizeof(l));
-	c->next->layouts[0] = l;
-	c->next->layout_count = 1;
-}
-
-static void cmd_dc(void *ctx, uint32_t argc, char **argv, struct buf *out)
-{
-	struct view *v = ((struct path_ctx *)ctx)->next;
-
-	v->dcs = cu_grow(v->dcs, v->dc_count + 1, sizeof(*v->dcs));
-	cu_copy(v->dcs[v->dc_count].data_centre, NAME_BYTES,
-		script_arg(argc, argv, "name", "a"));
-	v->dcs[v->dc_count++].share_permille =
-		arg_u32(argc, argv, "share", 1000);
-}
-
-static void cmd_version(void *ctx, uint32_t argc, char **argv, struct buf *out)
-{
-	struct view *v = ((struct path_ctx *)ctx)->next;
-	struct version_weight *w;
-
-	v->versions = cu_grow(v->versions, v->version_count + 1, sizeof(*w));
-	w = &v->versions[v->version_count++];
-	cu_copy(w->service, NAME_BYTES, "svc");
-	cu_copy(w->version, NAME_BYTES, script_arg(argc, argv, "name", "v1"));
-	w->share_permille = arg_u32(argc, argv, "share", 1000);
-}
-
-static void cmd_block(void *ctx, uint32_t argc, char **argv, struct buf *out)
-{
-	struct view *v = ((struct path_ctx *)ctx)->next;
-
-	v->blocks = cu_grow(v->blocks, v->block_count + 1, sizeof(*v->blocks));
-	cu_copy(v->blocks[v->block_count++].id, NAME_BYTES,
-		script_arg(argc, argv, "target", ""));
-}
-
-static void cmd_hosts(void *ctx, uint32_t argc, char **argv, struct buf *out)
-{
-	struct view *v = ((struct path_ctx *)ctx)->next;
-	uint32_t i;
-
-	v->hosts = cu_grow(v->hosts, argc, NAME_BYTES);
-	v->host_count = argc;
-	for (i = 0; i < argc; i++)
-		cu_copy(v->hosts[i], NAME_BYTES, argv[i]);
-}
-
-static void *copy_of(const void *data, uint32_t count, size_t size_bytes)
-{
-	void *copy = cu_alloc(count, size_bytes);
-
-	if (count)
-		memcpy(copy, data, count * size_bytes);
-	return copy;
-}
-
-static struct layout *copy_layout(const struct layout *l)
-{
-	struct layout *copy = layout_new(l->shard_count, l->target_count);
-
-	cu_copy(copy->index, NAME_BYTES, l->index);
-	cu_copy(copy->snapshot, NAME_BYTES, l->snapshot);
-	cu_copy(copy->service, NAME_BYTES, l->service);
-	memcpy(copy->shards, l->shards, l->shard_count * sizeof(*l->shards));
-	memcpy(copy->targets, l->targets,
-	       l->target_count * sizeof(*l->targets));
-	return copy;
-}
-
-static void cmd_view(void *ctx, uint32_t argc, char **argv, struct buf *out)
-{
-	struct path_ctx *c = ctx;
-	const struct view *from = c->next;
-	struct view *v = view_new();
-	uint32_t i;
-
-	v->host_count = from->host_count;
-	v->hosts = copy_of(from->hosts, from->host_count, NAME_BYTES);
-	v->contract_count = from->contract_count;
-	v->contracts = copy_of(from->contracts, from->contract_count,
-			       sizeof(*v->contracts));
-	v->dc_count = from->dc_count;
-	v->dcs = copy_of(from->dcs, from->dc_count, sizeof(*v->dcs));
-	v->version_count = from->version_count;
-	v->versions = copy_of(from->versions, from->version_count,
-			      sizeof(*v->versions));
-	v->block_count = from->block_count;
-	v->blocks =
-		copy_of(from->blocks, from->block_count, sizeof(*v->blocks));
-	v->layout_count = from->layout_count;
-	v->layouts = cu_alloc(from->layout_count, sizeof(*v->layouts));
-	for (i = 0; i < from->layout_count; i++)
-		v->layouts[i] = copy_layout(from->layouts[i]);
-	c->out = out;
-	path_view(c->path, v, c->now_us);
-}
-
 static void notice(struct path_ctx *c, const char *target, const char *instance,
 		   enum target_notice_kind kind)
 {
@@ -384,7 +182,7 @@
 		script_arg(argc, argv, "customer", "c"));
 	cu_copy(r->index, sizeof(r->index),
 		script_arg(argc, argv, "index", "i"));
-	r->timeout_ms = arg_u32(argc, argv, "timeout_ms", 0);
+	r->timeout_ms = script_u32(argc, argv, "timeout_ms", 0);
 	caller->ctx = c;
 	caller->handle = ++c->next_handle;
 	cu_copy(caller->id, sizeof(caller->id), r->id);
@@ -406,7 +204,7 @@
 	r->op = OP_SEARCH;
 	r->idempotent = 1;
 	r->text = cu_strdup("q");
-	r->limit = arg_u32(argc, argv, "limit", 10);
+	r->limit = script_u32(argc, argv, "limit", 10);
 	submit(c, r, argc, argv);
 }
 
@@ -417,7 +215,7 @@
 
 	c->out = out;
 	r->op = OP_LOOKUP;
-	r->idempotent = arg_u32(argc, argv, "idempotent", 0);
+	r->idempotent = script_u32(argc, argv, "idempotent", 0);
 	r->text = cu_strdup(script_arg(argc, argv, "record", "w"));
 	r->limit = 1;
 	submit(c, r, argc, argv);
@@ -427,7 +225,7 @@
 static struct sub_result *result_of(struct path_ctx *c, uint32_t argc,
 				    char **argv)
 {
-	uint32_t n = arg_u32(argc, argv, "sub", 1);
+	uint32_t n = script_u32(argc, argv, "sub", 1);
 	const struct sub_call *call;
 	struct sub_result *r = cu_alloc(1, sizeof(*r));
 
@@ -437,8 +235,8 @@
 	r->sub_id = call->sub_id;
 	r->answer_sub_id = call->sub_id;
 	if (script_arg(argc, argv, "as", NULL))
-		r->answer_sub_id =
-			c->sent[arg_u32(argc, argv, "as", 1) - 1].call->sub_id;
+		r->answer_sub_id = c->sent[script_u32(argc, argv, "as", 1) - 1]
+					   .call->sub_id;
 	cu_copy(r->request_id, sizeof(r->request_id),
 		script_arg(argc, argv, "id", call->request_id));
 	cu_copy(r->shard, sizeof(r->shard),
@@ -498,7 +296,7 @@
 	err_each(match_code, &s);
 	g_assert_cmpint(s.code, !=, ERR_OK);
 	r->code = s.code;
-	r->not_run = arg_u32(argc, argv, "not_run", 0);
+	r->not_run = script_u32(argc, argv, "not_run", 0);
 	c->out = out;
 	path_result(c->path, r, c->now_us);
 }
@@ -586,7 +384,7 @@
 static void cmd_spread(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct path_ctx *c = ctx;
-	uint32_t count = arg_u32(argc, argv, "count", 100);
+	uint32_t count = script_u32(argc, argv, "count", 100);
 	struct buf silent CLEANUP_BUF = { 0 };
 	uint32_t by_replica[SHARD_REPLICAS_MAX] = { 0 };
 	uint32_t i;
@@ -641,13 +439,13 @@
 }
 
 static const struct script_command commands[] = {
-	{ "contract", cmd_contract },
-	{ "layout", cmd_layout },
-	{ "dc", cmd_dc },
-	{ "version", cmd_version },
-	{ "block", cmd_block },
-	{ "hosts", cmd_hosts },
-	{ "view", cmd_view },
+	{ "contract", path_cmd_contract },
+	{ "layout", path_cmd_layout },
+	{ "dc", path_cmd_dc },
+	{ "version", path_cmd_version },
+	{ "block", path_cmd_block },
+	{ "hosts", path_cmd_hosts },
+	{ "view", path_cmd_view },
 	{ "notice", cmd_notice },
 	{ "warm", cmd_warm },
 	{ "search", cmd_search },
