Count abandoned sub-requests as slow in a version's evidence

Cause: sub-requests that a hedge replaced were not counted at all, so a slow version looked as good as the other one.

Change: one that was cancelled after at least the hedge delay counts as a slow request; one that was cancelled earlier does not count.

Measured (build/test_path): path-evidence-slow shows slow=1, before the version was not listed.

--- a/src/filter/6_scatter.c
+++ b/src/filter/6_scatter.c
@@ -271,6 +271,7 @@
 	s->req = NULL;
 	s->cancelled = 1;
 	tgt_abandoned(s->tgt, now_us, now_us - s->sent_us);
+	evidence_abandoned(p, s, now_us - s->sent_us);
 	if (!s->is_hedge)
 		hdg_sample(&s->index->hdg, now_us - s->sent_us);
 	c->sub_id = s->id;
--- a/src/filter/evidence.c
+++ b/src/filter/evidence.c
@@ -44,6 +44,19 @@
 	e->service_us_sum += (uint64_t)r->service_us;
 }
 
+void evidence_abandoned(struct path *p, const struct sub *s, int64_t waited_us)
+{
+	struct version_evidence *e;
+
+	/* Given up for another reason than being slow. */
+	if (waited_us < s->slow_us)
+		return;
+	e = find(p, s);
+	e->requests++;
+	e->slow++;
+	e->service_us_sum += (uint64_t)waited_us;
+}
+
 void evidence_answer(struct req *r, const struct answer *a, int64_t now_us)
 {
 	struct customer_evidence *seen;
--- a/src/filter/req.h
+++ b/src/filter/req.h
@@ -246,6 +246,8 @@
 /* Evidence. */
 void evidence_sub(struct path *p, const struct sub *s,
 		  const struct sub_result *r, int failed);
+/* Without it a slow version would look good, because hedges replace it. */
+void evidence_abandoned(struct path *p, const struct sub *s, int64_t waited_us);
 void evidence_answer(struct req *r, const struct answer *a, int64_t now_us);
 void evidence_notice(struct path *p, const struct tgt *t,
 		     enum target_notice_kind kind);
