--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -414,6 +414,13 @@
 		 by_replica[2]);
 }
 
+static void cmd_ready(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct path_ctx *c = ctx;
+
+	buf_addf(out, "ready %d\n", path_ready(c->path, c->now_us));
+}
+
 static void cmd_evidence(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	static const char *const kinds[] = { "cold", "warm", "leaving" };
@@ -459,6 +466,7 @@
 	{ "state", cmd_state },
 	{ "spread", cmd_spread },
 	{ "evidence", cmd_evidence },
+	{ "ready", cmd_ready },
 };
 
 static const struct script_area area = {
