--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -157,6 +157,9 @@
 	struct refusal_count refusals[REFUSAL_CODES_MAX];
 	uint32_t lost;
 	uint64_t doubled;
+	/* Sub-requests cancelled at the targets, and those that ran unread. */
+	uint64_t cancelled;
+	uint64_t abandoned;
 	/* Targets that got more at once while cold than they tolerate. */
 	uint32_t cold_exceeded;
 	uint32_t refused_connections;
--- a/tests/bench/main.c
+++ b/tests/bench/main.c
@@ -88,6 +88,8 @@
 	result_fill(out, &r);
 	out->sent = counts.received;
 	out->doubled = counts.repeated;
+	out->cancelled = counts.cancelled;
+	out->abandoned = counts.abandoned;
 	out->cold_exceeded = counts.cold_exceeded;
 	out->refused_connections = counts.refused_connections;
 	if (out->sent)
--- a/tests/bench/report.c
+++ b/tests/bench/report.c
@@ -23,6 +23,9 @@
 	for (i = 0; i < r->refusal_kinds; i++)
 		printf(" %s:%u", err_name(r->refusals[i].code),
 		       r->refusals[i].count);
+	if (r->abandoned)
+		printf(" abandoned:%" PRIu64 "/%" PRIu64, r->abandoned,
+		       r->abandoned + r->cancelled);
 	if (r->startup_ms > 0)
 		printf(" startup:%.1fs", r->startup_ms / MS_PER_S);
 	if (r->cold_exceeded)
@@ -84,7 +87,7 @@
 	json_object_set_new(
 		policies, r->policy,
 		json_pack("{s:I,s:f,s:f,s:f,s:f,s:f,s:I,s:I,s:I,s:I,s:I,s:I,"
-			  "s:f,s:f,s:o,s:o,s:o}",
+			  "s:f,s:f,s:I,s:I,s:o,s:o,s:o}",
 			  "requests", (json_int_t)r->requests, "p50_ms",
 			  r->p50_ms, "p99_ms", r->p99_ms, "p999_ms", r->p999_ms,
 			  "coverage", r->coverage, "extra_load", r->extra_load,
@@ -94,8 +97,9 @@
 			  (json_int_t)r->cold_exceeded, "refused_connections",
 			  (json_int_t)r->refused_connections, "host_us_per_sub",
 			  r->host_us_per_sub, "startup_ms", r->startup_ms,
-			  "refusals", refusals, "hosts", hosts_json(r),
-			  "seconds", seconds_json(r)));
+			  "cancelled", (json_int_t)r->cancelled, "abandoned",
+			  (json_int_t)r->abandoned, "refusals", refusals,
+			  "hosts", hosts_json(r), "seconds", seconds_json(r)));
 }
 
 enum err_code report_write(json_t *all, const char *path, struct err *err)
--- a/tests/bench/stage.c
+++ b/tests/bench/stage.c
@@ -407,6 +407,8 @@
 #define COUNT(name) ((uint64_t)json_integer_value(json_object_get(one, name)))
 		out->received += COUNT("received");
 		out->repeated += COUNT("once_repeated");
+		out->cancelled += COUNT("cancelled");
+		out->abandoned += COUNT("abandoned");
 		out->cold_exceeded += COUNT("cold_peak") > 1;
 		out->refused_connections += (uint32_t)COUNT("refused_"
 							    "connections");
--- a/tests/bench/stage.h
+++ b/tests/bench/stage.h
@@ -38,6 +38,9 @@
 struct stage_counts {
 	uint64_t received;
 	uint64_t repeated;
+	uint64_t cancelled;
+	/* Ran to the end although the connection had been closed. */
+	uint64_t abandoned;
 	uint32_t cold_exceeded;
 	uint32_t refused_connections;
 };
