Tell the load balancer when a host or its data centre is out, and when it is not ready

Cause: /healthz answered 200 before any configuration was in effect and while the host was taken out, so the load balancer kept sending callers to it. Change: control_ops_on_out() sets the admin duty's state; the host starts as NO_CONFIG until the request path can answer.

--- a/src/duty/serve.c
+++ b/src/duty/serve.c
@@ -46,6 +46,7 @@
 	struct control *control;
 	struct control_ops *ops;
 	struct admin *admin;
+	_Atomic int leaving;
 };
 
 static const char *text(const struct server *s, enum serve_option id)
@@ -65,12 +66,21 @@
 	return given ? given : (uint64_t)clock_wall_us();
 }
 
-/* The first view is in effect. Runs on the request duty. */
+/* Callers may come. Runs on the request duty. */
 static void on_ready(void *ctx)
 {
 	struct server *s = ctx;
 
-	admin_set_health(s->admin, ERR_OK);
+	if (!s->leaving)
+		admin_set_health(s->admin, ERR_OK);
+}
+
+/* This host or its data centre was taken out or brought back: callers move. */
+static void on_out(void *ctx, uint32_t is_out)
+{
+	struct server *s = ctx;
+
+	admin_set_out(s->admin, is_out);
 }
 
 /* Runs on the control duty. */
@@ -203,7 +213,11 @@
 			       "--admin-token is longer than %zu",
 			       sizeof(o.token) - 1);
 	s->admin = admin_new(&o, err);
-	return s->admin ? ERR_OK : err->code;
+	if (!s->admin)
+		return err->code;
+	admin_set_health(s->admin, ERR_NO_CONFIG);
+	control_ops_on_out(s->ops, on_out, s);
+	return ERR_OK;
 }
 
 static void join_rings(struct server *s)
@@ -294,6 +308,7 @@
 
 	log_event(LOG_LEVEL_INFO, "leaving", "draining for %" PRId64 " ms",
 		  number(s, SET_DRAIN_MS));
+	s->leaving = 1;
 	admin_set_health(s->admin, ERR_STOPPING);
 	caller_duty_drain(s->caller);
 	push_leave(control_ring(s->control));
@@ -311,8 +326,6 @@
 static void stop(struct server *s)
 {
 	caller_duty_stop(s->caller);
-	admin_free(s->admin);
-	s->admin = NULL;
 	peer_listen_stop(s->peer_listen);
 	peer_listen_join(s->peer_listen);
 	control_stop(s->control);
@@ -323,6 +336,9 @@
 	peer_send_join(s->peer_send);
 	target_duty_stop(s->target);
 	request_duty_stop(s->request);
+	/* Neither control nor request calls it any more. */
+	admin_free(s->admin);
+	s->admin = NULL;
 	store_stop(s->store);
 	store_join(s->store);
 }
--- a/tests/test_serve.c
+++ b/tests/test_serve.c
@@ -61,16 +61,16 @@
 	return rev;
 }
 
-static int is_healthy(struct serve *s, uint32_t host)
+static uint32_t health(struct serve *s, uint32_t host)
 {
 	struct client_answer a;
-	int healthy;
+	uint32_t status;
 
 	client_call(&a, "GET", cluster_admin_port(&s->cluster, host),
 		    "/healthz", NULL, CLUSTER_TIMEOUT_MS);
-	healthy = a.status == 200;
+	status = a.status;
 	client_clear(&a);
-	return healthy;
+	return status;
 }
 
 /* wait host=N rev=R: until the host has put revision R into effect. */
@@ -81,8 +81,7 @@
 	int64_t until_us = clock_now_us() + WAIT_US;
 
 	while (clock_now_us() < until_us) {
-		if (status_rev(s, host_arg(argc, argv)) >= rev &&
-		    is_healthy(s, host_arg(argc, argv))) {
+		if (status_rev(s, host_arg(argc, argv)) >= rev) {
 			buf_addf(out, "in effect\n");
 			return;
 		}
@@ -144,6 +143,54 @@
 	g_error("no edit accepted");
 }
 
+/* ready host=N: until the host tells the load balancer that callers may come. */
+static void cmd_ready(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+	int64_t until_us = clock_now_us() + WAIT_US;
+
+	while (health(s, host_arg(argc, argv)) != 200) {
+		if (clock_now_us() > until_us) {
+			buf_addf(out, "not ready\n");
+			return;
+		}
+		g_usleep(POLL_US);
+	}
+	buf_addf(out, "ready\n");
+}
+
+static void cmd_health(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	buf_addf(out, "%u\n", health(ctx, host_arg(argc, argv)));
+}
+
+static void set_state(struct serve *s, uint32_t argc, char **argv,
+		      const char *verb, struct buf *out)
+{
+	g_autofree char *path = g_strdup_printf(
+		"/admin/v1/%s/%s/%s", script_arg(argc, argv, "kind", "hosts"),
+		script_arg(argc, argv, "name", "h1"), verb);
+	struct client_answer a;
+
+	client_call(&a, "POST",
+		    cluster_admin_port(&s->cluster, host_arg(argc, argv)), path,
+		    NULL, CLUSTER_TIMEOUT_MS);
+	buf_addf(out, "%s revision %d\n", client_text(&a, "error"),
+		 (int)client_int(&a, "revision"));
+	client_clear(&a);
+}
+
+/* out, in host=N kind=hosts|data-centres name=NAME */
+static void cmd_out(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	set_state(ctx, argc, argv, "out", out);
+}
+
+static void cmd_in(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	set_state(ctx, argc, argv, "in", out);
+}
+
 /* start hosts=N shards=N replicas=N: all processes and the configuration. */
 static void cmd_start(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -166,6 +213,7 @@
 	for (i = 0; i < hosts; i++) {
 		snprintf(host, sizeof(host), "host=%u", i + 1);
 		cmd_wait(s, 2, wait_argv, out);
+		cmd_ready(s, 2, wait_argv, out);
 	}
 }
 
@@ -368,6 +416,10 @@
 static const struct script_command commands[] = {
 	{ "start", cmd_start },
 	{ "wait", cmd_wait },
+	{ "ready", cmd_ready },
+	{ "health", cmd_health },
+	{ "out", cmd_out },
+	{ "in", cmd_in },
 	{ "layout", cmd_layout },
 	{ "contract", cmd_contract },
 	{ "search", cmd_search },
