--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 SANITIZE_asan = -fsanitize=address,undefined -fno-sanitize-recover=undefined
 SANITIZE_tsan = -fsanitize=thread
 CC = gcc
-CPPFLAGS = -Isrc -Itests $(shell pkg-config --cflags $(LIBS))
+CPPFLAGS = -Isrc -Itests -Itools $(shell pkg-config --cflags $(LIBS))
 CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wshadow -Wvla \
 	-Wmissing-prototypes -Wstrict-prototypes -Wno-unused-parameter \
 	-fno-omit-frame-pointer $(SANITIZE_$(VARIANT))
@@ -35,15 +35,15 @@
 TEST_SHARED = $(filter-out $(TEST_SRC),$(sort $(wildcard tests/*.c)))
 TEST_BIN = $(patsubst tests/%.c,$(OUT)/%,$(TEST_SRC))
 STANDIN_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/standin/*.c)))
-CAPACITY_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/capacity/*.c)))
-BENCH_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/bench/*.c)))
-DEMO_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/demo/*.c)) \
+CAPACITY_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tools/capacity/*.c)))
+BENCH_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tools/bench/*.c tests/naive/*.c)))
+DEMO_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tools/demo/*.c)) \
 	tests/proc.c tests/client.c tests/standin/corpus.c)
-BENCH_SIM_OBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard tests/bench_sim/*.c) \
+BENCH_SIM_OBJ = $(patsubst %.c,$(OUT)/%.o,$(wildcard tools/bench_sim/*.c) \
 	$(wildcard tests/sim*.c))
 PROGRAMS = $(OUT)/cowslippoint $(if $(STANDIN_OBJ),$(OUT)/standin) \
 	$(if $(BENCH_OBJ),$(OUT)/bench)
-FORMATTED = $(filter-out src/codec/peer%,$(shell find src tests -name '*.[ch]'))
+FORMATTED = $(filter-out src/codec/peer%,$(shell find src tests tools -name '*.[ch]'))
 
 all: $(PROGRAMS)
 
@@ -74,7 +74,7 @@
 	@echo "LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(OUT)/capacity: $(CAPACITY_OBJ) $(OUT)/tests/bench/proc.o $(OUT)/libcowslippoint.a
+$(OUT)/capacity: $(CAPACITY_OBJ) $(OUT)/tools/bench/proc.o $(OUT)/libcowslippoint.a
 	@echo "LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -120,7 +120,7 @@
 
 lint:
 	@printf '%s\n' $(filter-out src/codec/peer_%,$(SRC)) \
-		$(sort $(shell find tests -name '*.c')) | \
+		$(sort $(shell find tests tools -name '*.c')) | \
 		xargs -P $$(nproc) -n 1 sh -c 'clang-tidy --quiet "$$@" -- \
 		$(CPPFLAGS) -std=gnu11 2>/dev/null' lint
 
--- a/tests/bench/naive.c
+++ b/tests/naive/naive.c
@@ -6,9 +6,9 @@
 #include <stdio.h>
 
 #include "base/clock.h"
-#include "bench.h"
-#include "hc.h"
-#include "stage.h"
+#include "bench/bench.h"
+#include "bench/hc.h"
+#include "bench/stage.h"
 
 struct naive {
 	struct rng rng;
