Give a draining target no new work at the first such answer, on all hosts

Cause: a draining answer counted as one failure of two, with 100 ms until the next probe, and each host had to find out by itself; the host list shows a leaving target only after its poll, 10 s at 215 entries. A search refused for coverage counted as lost although a search has no effect. Change: one draining answer ends work for four seconds, a leaving notice tells the other hosts, the owner probes; the retry on another replica is free. Such searches count as refused.

--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -78,7 +78,7 @@
 	size_t bytes = 0;
 	FILE *memory = open_memstream(&text, &bytes);
 
-	ctl_printf(c, CTL_OUT, "usage: ctl COMMAND [OPTIONS]\n\n");
+	ctl_printf(c, CTL_OUT, "usage: cowslippoint ctl COMMAND [OPTIONS]\n\n");
 	print_commands(c, object);
 	arg_print_glossary(memory, table, "  %-30s %s\n");
 	fclose(memory);
--- a/src/decide/tgt.c
+++ b/src/decide/tgt.c
@@ -161,6 +161,15 @@
 	t->avoid_us = cu_min_i64(t->avoid_us * 2, AVOID_MAX_US);
 }
 
+void tgt_draining(struct tgt *t, int64_t now_us, int was_sent)
+{
+	if (was_sent)
+		t->outstanding--;
+	/* A leaving target refuses for good: no short first interval. */
+	t->avoid_us = AVOID_MAX_US;
+	t->avoid_until_us = now_us + AVOID_MAX_US;
+}
+
 void tgt_failed(struct tgt *t, int64_t now_us, int shed)
 {
 	t->outstanding--;
--- a/src/decide/tgt.h
+++ b/src/decide/tgt.h
@@ -70,6 +70,12 @@
 	      const char *instance, int64_t peers_us);
 /* A failure; @shed: the target answered that it has too much work. */
 void tgt_failed(struct tgt *t, int64_t now_us, int shed);
+/*
+ * The target answered, or another host announced, that it drains: no work for
+ * four seconds, then probes by its owner, until the owner announces it as
+ * warm again. @was_sent: 1 for an answer to this host.
+ */
+void tgt_draining(struct tgt *t, int64_t now_us, int was_sent);
 /* A faster replica won after @waited_us without an answer from this one. */
 void tgt_abandoned(struct tgt *t, int64_t now_us, int64_t waited_us);
 /* An answer that says nothing about the target, such as "cancelled". */
--- a/src/filter/6_scatter.c
+++ b/src/filter/6_scatter.c
@@ -361,6 +361,9 @@
 	/* A byte may have reached it, and its word cannot be matched. */
 	if (is_once(r))
 		return 0;
+	/* A draining target did no work: the retry is no extra load. */
+	if (not_run && code == ERR_TARGET_DRAINING)
+		return 1;
 	return bgt_spend(&r->customer->bgt);
 }
 
--- a/src/filter/evidence.c
+++ b/src/filter/evidence.c
@@ -64,9 +64,10 @@
 	if (!r->customer || a->err.code == ERR_CANCELLED)
 		return;
 	seen = &r->customer->seen;
-	if (a->outcome == OUTCOME_UNKNOWN)
+	/* A search has no effect: without an answer it was refused, not lost. */
+	if (a->outcome == OUTCOME_UNKNOWN && r->in->op == OP_LOOKUP)
 		seen->lost++;
-	else if (a->outcome == OUTCOME_NOT_RUN)
+	else if (a->err.code != ERR_OK)
 		seen->refused++;
 	else if (!a->complete)
 		seen->partial++;
--- a/src/filter/path.c
+++ b/src/filter/path.c
@@ -304,6 +304,11 @@
 		else
 			tgt_failed(s->tgt, now_us, 0);
 		break;
+	case ERR_TARGET_DRAINING:
+		if (!s->tgt->avoid_until_us)
+			evidence_notice(p, s->tgt, NOTICE_LEAVING);
+		tgt_draining(s->tgt, now_us, 1);
+		break;
 	default:
 		tgt_failed(s->tgt, now_us, result->code == ERR_TARGET_SHED);
 	}
@@ -403,8 +408,14 @@
 {
 	struct tgt *t = g_hash_table_lookup(p->tgts, n->target);
 
-	if (!t || n->kind == NOTICE_LEAVING)
+	if (!t)
+		return;
+	if (n->kind == NOTICE_LEAVING) {
+		/* A process that started since does not leave. */
+		if (strcmp(t->instance, n->instance) == 0)
+			tgt_draining(t, now_us, 0);
 		return;
+	}
 	tgt_announced(t, now_us, n->instance, n->kind == NOTICE_WARM);
 	warm_start(p, now_us);
 }
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -149,14 +149,20 @@
 	path_notice(c->path, &n, c->now_us);
 }
 
+static enum target_notice_kind notice_kind(const char *name)
+{
+	if (strcmp(name, "cold") == 0)
+		return NOTICE_COLD;
+	return strcmp(name, "leaving") == 0 ? NOTICE_LEAVING : NOTICE_WARM;
+}
+
 static void cmd_notice(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	const char *kind = script_arg(argc, argv, "kind", "warm");
 
 	((struct path_ctx *)ctx)->out = out;
 	notice(ctx, script_arg(argc, argv, "target", ""),
-	       script_arg(argc, argv, "instance", "i1"),
-	       strcmp(kind, "cold") == 0 ? NOTICE_COLD : NOTICE_WARM);
+	       script_arg(argc, argv, "instance", "i1"), notice_kind(kind));
 }
 
 /* Every target is announced as warm. */
