Queue sub-requests per target within the connection share, cancellations first

Change: the target duty opens at most the share and queues the rest per target; a cancellation goes first.

--- a/src/duty/target.c
+++ b/src/duty/target.c
@@ -27,6 +27,8 @@
 struct origin {
 	/* Transfers in progress, each on a connection of its own. */
 	uint32_t open;
+	/* struct sub_call that wait for a connection; cancellations first. */
+	GQueue waiting;
 };
 
 struct transfer {
@@ -61,6 +63,14 @@
 	curl_multi_wakeup(t->multi);
 }
 
+static void free_origin(gpointer data)
+{
+	struct origin *o = data;
+
+	g_queue_clear_full(&o->waiting, (GDestroyNotify)sub_call_free);
+	free(o);
+}
+
 static void free_easy(gpointer data)
 {
 	curl_easy_cleanup(data);
@@ -86,8 +96,8 @@
 	/* Without this header libcurl waits for "100 Continue" on large bodies. */
 	t->headers = curl_slist_append(t->headers, "Expect:");
 	t->open = g_hash_table_new(g_int64_hash, g_int64_equal);
-	t->origins =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
+	t->origins = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   free_origin);
 	t->idle = g_ptr_array_new_with_free_func(free_easy);
 	return t;
 }
@@ -193,9 +203,12 @@
 	return (int64_t)(total_us - pre_us);
 }
 
+static void start_waiting(struct target_duty *t, struct origin *o);
+
 static void finish(struct transfer *x, CURLcode curl)
 {
 	struct target_duty *t = x->duty;
+	struct origin *origin = x->origin;
 	struct sub_result *r;
 	long status = 0;
 	long connects = 0;
@@ -204,6 +217,7 @@
 	metric_add(M_CONNECTS, (uint64_t)connects);
 	if (x->call->cancel) {
 		free_transfer(x);
+		start_waiting(t, origin);
 		return;
 	}
 	r = cu_alloc(1, sizeof(*r));
@@ -220,6 +234,7 @@
 	}
 	free_transfer(x);
 	push_result(t, r);
+	start_waiting(t, origin);
 }
 
 static uint32_t ms_left(const struct sub_call *call, int64_t now_us)
@@ -312,40 +327,97 @@
 		finish(x, CURLE_COULDNT_CONNECT);
 }
 
+/* Ends a call that was not sent. */
+static void end_unsent(struct target_duty *t, struct sub_call *call,
+		       enum err_code code)
+{
+	struct sub_result *r = cu_alloc(1, sizeof(*r));
+
+	r->sub_id = call->sub_id;
+	r->code = code;
+	r->not_run = 1;
+	sub_call_free(call);
+	push_result(t, r);
+}
+
+/* 1 when nothing is left to do for @call. */
+static int is_over(struct target_duty *t, struct sub_call *call, int64_t now_us)
+{
+	if (call->cancel) {
+		if (g_hash_table_contains(t->open, &call->sub_id))
+			return 0;
+		sub_call_free(call);
+		return 1;
+	}
+	if (now_us < call->deadline_us)
+		return 0;
+	end_unsent(t, call, ERR_TARGET_TIMEOUT);
+	return 1;
+}
+
+/* Starts what waits for a connection, as far as the share allows. */
+static void start_waiting(struct target_duty *t, struct origin *o)
+{
+	struct sub_call *call;
+	int64_t now_us = clock_now_us();
+
+	while ((call = g_queue_peek_head(&o->waiting)) != NULL &&
+	       o->open < call->connection_share) {
+		g_queue_pop_head(&o->waiting);
+		if (!is_over(t, call, now_us))
+			start_transfer(t, call, o, now_us);
+	}
+}
+
+/* Takes a call that was not sent yet off the queue; 1 if it was there. */
+static int cancel_waiting(struct target_duty *t, struct origin *o,
+			  uint64_t sub_id)
+{
+	GList *i;
+
+	for (i = o->waiting.head; i; i = i->next) {
+		struct sub_call *call = i->data;
+
+		if (call->cancel || call->sub_id != sub_id)
+			continue;
+		g_queue_delete_link(&o->waiting, i);
+		end_unsent(t, call, ERR_CANCELLED);
+		return 1;
+	}
+	return 0;
+}
+
 /*
  * Asks the target to cancel and bounds the time that the cancelled transfer
- * may go on. Without a connection to spare, closing the transfer's own
- * connection tells the target instead.
+ * may go on; after that its connection is closed. The request goes before
+ * others that wait for a connection, because a straggler holds one for long.
  */
-static void start_cancel(struct target_duty *t, struct sub_call *call,
-			 struct origin *origin, int64_t now_us)
+static void queue_cancel(struct target_duty *t, struct sub_call *call,
+			 struct origin *o, int64_t now_us)
 {
 	struct transfer *x = g_hash_table_lookup(t->open, &call->sub_id);
 
 	if (!x) {
+		cancel_waiting(t, o, call->sub_id);
 		sub_call_free(call);
 		return;
 	}
-	if (origin->open >= call->connection_share) {
-		sub_call_free(call);
-		finish(x, CURLE_OPERATION_TIMEDOUT);
-		return;
-	}
 	tmr_arm(duty_timers(t->duty), &x->grace, now_us + CANCEL_GRACE_US,
 		grace_over, x);
-	start_transfer(t, call, origin, now_us);
+	g_queue_push_head(&o->waiting, call);
 }
 
 static void on_message(void *ctx, int64_t now_us, struct msg *m)
 {
 	struct target_duty *t = ctx;
 	struct sub_call *call = m->body;
-	struct origin *origin = find_origin(t, call);
+	struct origin *o = find_origin(t, call);
 
 	if (call->cancel)
-		start_cancel(t, call, origin, now_us);
+		queue_cancel(t, call, o, now_us);
 	else
-		start_transfer(t, call, origin, now_us);
+		g_queue_push_tail(&o->waiting, call);
+	start_waiting(t, o);
 }
 
 static void finish_done(struct target_duty *t)
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -22,6 +22,8 @@
 #define ANSWER_MS 2000
 /* Twice the good answers that make a cold target warm. */
 #define WARM_SEARCHES 40
+#define BURST_THREADS 8
+#define BURST_SEARCHES 25
 
 struct wire {
 	struct proc targets;
@@ -76,7 +78,8 @@
 }
 
 static struct view *make_view(uint16_t port, uint32_t shards, uint32_t replicas,
-			      uint32_t min_coverage_permille)
+			      uint32_t min_coverage_permille,
+			      uint32_t connections)
 {
 	struct view *v = view_new();
 	struct layout *l = layout_new(shards, shards * replicas);
@@ -111,7 +114,7 @@
 		cu_copy(t->data_centre, sizeof(t->data_centre), "a");
 		cu_copy(t->version, sizeof(t->version), "v1");
 		t->slots = 4;
-		t->connections = 100;
+		t->connections = connections;
 		t->cold_slots = 4;
 	}
 	for (i = 0; i < shards; i++) {
@@ -158,9 +161,10 @@
 
 	start_targets(w, count);
 	start_duties(w);
-	m.body = make_view((uint16_t)proc_number(&w->targets, "ready"), shards,
-			   replicas,
-			   (uint32_t)script_int(argc, argv, "coverage", 0));
+	m.body = make_view(
+		(uint16_t)proc_number(&w->targets, "ready"), shards, replicas,
+		(uint32_t)script_int(argc, argv, "coverage", 0),
+		(uint32_t)script_int(argc, argv, "connections", 100));
 	g_assert_cmpint(ring_push(request_duty_ring(w->request), &m), ==,
 			ERR_OK);
 }
@@ -239,6 +243,66 @@
 	client_clear(&a);
 }
 
+static gpointer burst_thread(gpointer data)
+{
+	uint32_t i;
+
+	for (i = 0; i < BURST_SEARCHES; i++) {
+		struct client_answer a;
+
+		client_call(&a, "POST",
+			    caller_duty_port(((struct wire *)data)->caller),
+			    "/v1/search",
+			    "{\"customer\":\"acme\",\"index\":\"parts\","
+			    "\"query\":\"heron\"}",
+			    CALL_TIMEOUT_MS);
+		client_clear(&a);
+	}
+	return NULL;
+}
+
+/* burst: searches from several callers at once. */
+static void cmd_burst(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	GThread *threads[BURST_THREADS];
+	uint32_t i;
+
+	for (i = 0; i < BURST_THREADS; i++)
+		threads[i] = g_thread_new("burst", burst_thread, ctx);
+	for (i = 0; i < BURST_THREADS; i++)
+		g_thread_join(threads[i]);
+}
+
+/* peak share=N: whether any target had more than N connections at once. */
+static void cmd_peak(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct wire *w = ctx;
+	json_int_t peak = 0;
+	json_int_t cancelled = 0;
+	struct client_answer a;
+	const json_t *target;
+	size_t i;
+
+	client_call(&a, "GET", (uint16_t)proc_number(&w->targets, "admin"),
+		    "/control/stats", NULL, CALL_TIMEOUT_MS);
+	json_array_foreach(json_object_get(a.json, "targets"), i, target)
+	{
+		json_int_t own =
+			json_integer_value(json_object_get(target, "peak_"
+								   "connection"
+								   "s"));
+
+		peak = own > peak ? own : peak;
+		cancelled += json_integer_value(json_object_get(target, "cancel"
+									"led"));
+	}
+	client_clear(&a);
+	buf_addf(out, "%s the share, %s\n",
+		 peak <= script_int(argc, argv, "share", 0) ? "within"
+							    : "above",
+		 cancelled ? "some cancelled" : "none cancelled");
+}
+
 /* warm: searches until no target is cold, so that warm-up searches end. */
 static void cmd_warm(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -253,6 +317,7 @@
 	{ "start", cmd_start }, { "call", cmd_call },
 	{ "bytes", cmd_bytes }, { "search", cmd_search },
 	{ "fault", cmd_fault }, { "warm", cmd_warm },
+	{ "burst", cmd_burst }, { "peak", cmd_peak },
 };
 
 static const struct script_area area = {
