--- a/tests/script.c
+++ b/tests/script.c
@@ -1,5 +1,7 @@
 #include "script.h"
 
+#include <apr_general.h>
+#include <curl/curl.h>
 #include <glib.h>
 #include <string.h>
 
@@ -158,3 +160,16 @@
 	for (i = 0; i < files->len; i++)
 		register_file(area, dir, g_ptr_array_index(files, i));
 }
+
+int script_main(int argc, char **argv, const struct script_area *areas,
+		uint32_t area_count)
+{
+	uint32_t i;
+
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_ALL);
+	g_test_init(&argc, &argv, NULL);
+	for (i = 0; i < area_count; i++)
+		script_register(&areas[i], SCRIPT_DIR);
+	return g_test_run();
+}
--- a/tests/script.h
+++ b/tests/script.h
@@ -40,6 +40,15 @@
 uint32_t script_u32(uint32_t argc, char **argv, const char *name,
 		    uint32_t fallback);
 
+/* Where all scripts are, below the folder that tests run in. */
+#define SCRIPT_DIR "tests/scripts"
+
+/*
+ * main() of a test program that has only scripts: prepares the libraries and
+ * runs the scripts of all @areas. Returns the exit status.
+ */
+int script_main(int argc, char **argv, const struct script_area *areas,
+		uint32_t area_count);
 /* Adds one GLib test for each script of @area below @dir. */
 void script_register(const struct script_area *area, const char *dir);
 
--- a/tests/test_admin.c
+++ b/tests/test_admin.c
@@ -2,7 +2,6 @@
  * Scripted runs over the admin port (area admin): real sockets on loopback,
  * libcurl as the client, and a control duty that repeats what it was asked.
  */
-#include <apr_general.h>
 #include <curl/curl.h>
 #include <glib.h>
 #include <inttypes.h>
@@ -261,13 +260,5 @@
 
 int main(int argc, char **argv)
 {
-	int result;
-
-	apr_initialize();
-	curl_global_init(CURL_GLOBAL_DEFAULT);
-	g_test_init(&argc, &argv, NULL);
-	script_register(&area, "tests/scripts");
-	result = g_test_run();
-	curl_global_cleanup();
-	return result;
+	return script_main(argc, argv, &area, 1);
 }
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -206,7 +206,7 @@
 {
 	apr_initialize();
 	g_test_init(&argc, &argv, NULL);
-	script_register(&area, "tests/scripts");
+	script_register(&area, SCRIPT_DIR);
 	g_test_add_func("/docs/errors", test_errors_page);
 	return g_test_run();
 }
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -2,7 +2,6 @@
  * Scripted runs over the claims of request IDs: the store's side of the rings
  * is played by the script.
  */
-#include <apr_general.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <stdio.h>
@@ -215,8 +214,5 @@
 
 int main(int argc, char **argv)
 {
-	apr_initialize();
-	g_test_init(&argc, &argv, NULL);
-	script_register(&area, "tests/scripts");
-	return g_test_run();
+	return script_main(argc, argv, &area, 1);
 }
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -222,7 +222,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	script_register(&area, "tests/scripts");
+	script_register(&area, SCRIPT_DIR);
 	g_test_add_func("/codec/not_utf8", test_not_utf8);
 	g_test_add_func("/codec/truncated", test_truncated);
 	return g_test_run();
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -8,9 +8,9 @@
 {
 	apr_initialize();
 	g_test_init(&argc, &argv, NULL);
-	script_register(&sjson_area, "tests/scripts");
-	script_register(&cfg_area, "tests/scripts");
-	script_register(&mbr_area, "tests/scripts");
-	script_register(&gate_area, "tests/scripts");
+	script_register(&sjson_area, SCRIPT_DIR);
+	script_register(&cfg_area, SCRIPT_DIR);
+	script_register(&mbr_area, SCRIPT_DIR);
+	script_register(&gate_area, SCRIPT_DIR);
 	return g_test_run();
 }
--- a/tests/test_control_duty.c
+++ b/tests/test_control_duty.c
@@ -12,6 +12,7 @@
 #include "duty/control.h"
 #include "duty/messages.h"
 #include "duty/peer.h"
+#include "fake_kv.h"
 
 /* Ends a test whose message never comes. */
 #define MESSAGE_US (30 * (int64_t)US_PER_S)
@@ -26,20 +27,10 @@
 	"\"127.0.0.1\",\"port\":9001,\"data_centre\":\"a\",\"role\":" \
 	"\"target\",\"state\":\"leaving\"}]}"
 
-struct stored {
-	uint64_t version;
-	char *value;
-};
-
 struct fixture {
 	struct control *control;
 	struct ring *sink;
-	GHashTable *keys;
-	uint64_t revision;
-	const char *hosts;
-	uint32_t down;
-	/* Watch that waits for a change of the head. */
-	struct kv_request *watch;
+	struct fake_kv kv;
 	/* Last of each kind of message, owned. */
 	struct view *view;
 	struct peer_datagram *datagram;
@@ -55,120 +46,6 @@
 	_Atomic uint32_t heartbeats;
 };
 
-static void free_stored(gpointer p)
-{
-	struct stored *s = p;
-
-	free(s->value);
-	free(s);
-}
-
-static void reply(struct fixture *f, struct kv_request *r,
-		  const struct kv_result *result)
-{
-	struct kv_reply *answer = cu_alloc(1, sizeof(*answer));
-	struct msg m = { MSG_KV_RESULT, answer, NULL };
-
-	answer->token = r->token;
-	answer->op = r->call.op;
-	answer->result = *result;
-	g_assert_cmpint(ring_push(r->reply_to, &m), ==, ERR_OK);
-	kv_request_free(r);
-}
-
-static void add_pair(struct kv_result *result, const char *key,
-		     uint64_t version, const char *value)
-{
-	struct kv_pair *p = cu_alloc(1, sizeof(*p));
-
-	cu_copy(p->key, sizeof(p->key), key);
-	p->version = version;
-	p->value = cu_strdup(value);
-	p->value_bytes = (uint32_t)strlen(value);
-	result->pairs = p;
-	result->pair_count = 1;
-}
-
-static void get(struct fixture *f, struct kv_request *r)
-{
-	struct kv_result result = { 0 };
-	struct stored *s = g_hash_table_lookup(f->keys, r->call.key);
-
-	if (s) {
-		result.version = s->version;
-		add_pair(&result, r->call.key, s->version, s->value);
-	} else {
-		result.err.code = ERR_STORE_NOT_FOUND;
-	}
-	reply(f, r, &result);
-}
-
-/* Answers the watch if the head is newer than the version it waits after. */
-static void try_watch(struct fixture *f)
-{
-	struct kv_result result = { .version = f->revision };
-	struct stored *s = g_hash_table_lookup(f->keys, "cfg/head");
-	struct kv_request *r = f->watch;
-
-	if (!r || !s || s->version <= r->call.version)
-		return;
-	add_pair(&result, "cfg/head", s->version, s->value);
-	f->watch = NULL;
-	reply(f, r, &result);
-}
-
-static void cas(struct fixture *f, struct kv_request *r)
-{
-	struct kv_result result = { 0 };
-	struct stored *s = g_hash_table_lookup(f->keys, r->call.key);
-	struct stored *next;
-
-	if ((s ? s->version : 0) != r->call.version) {
-		result.err.code = ERR_STORE_CONFLICT;
-		reply(f, r, &result);
-		return;
-	}
-	next = cu_alloc(1, sizeof(*next));
-	next->version = result.version = ++f->revision;
-	next->value = cu_strdup(r->call.value);
-	g_hash_table_replace(f->keys, g_strdup(r->call.key), next);
-	reply(f, r, &result);
-	try_watch(f);
-}
-
-static void serve(struct fixture *f, struct kv_request *r)
-{
-	struct kv_result result = { 0 };
-
-	if (f->down && r->call.op != KV_WATCH) {
-		result.err.code = ERR_STORE_DOWN;
-		reply(f, r, &result);
-		return;
-	}
-	switch (r->call.op) {
-	case KV_GET:
-		get(f, r);
-		break;
-	case KV_CAS:
-		cas(f, r);
-		break;
-	case KV_WATCH:
-		f->watch = r;
-		try_watch(f);
-		break;
-	case KV_HOSTS:
-		add_pair(&result, "", 0, f->hosts);
-		reply(f, r, &result);
-		break;
-	case KV_DELETE:
-		g_hash_table_remove(f->keys, r->call.key);
-		reply(f, r, &result);
-		break;
-	default:
-		g_error("unexpected store call %d", r->call.op);
-	}
-}
-
 /* Result of an edit on its way to the test's thread. */
 struct edit_result {
 	struct err err;
@@ -187,7 +64,7 @@
 {
 	switch (m->type) {
 	case MSG_KV_CALL:
-		serve(f, m->body);
+		fake_kv_serve(&f->kv, m->body);
 		break;
 	case MSG_VIEW:
 		view_unref(f->view);
@@ -306,9 +183,8 @@
 
 	memset(f, 0, sizeof(*f));
 	current = f;
-	f->hosts = hosts;
-	f->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					free_stored);
+	fake_kv_init(&f->kv);
+	f->kv.hosts = hosts;
 	f->sink = ring_new(4096, NULL, NULL, &err);
 	o.store = o.request = o.peer_send = o.peer_fetch = o.peer_listen =
 		f->sink;
@@ -323,12 +199,11 @@
 	control_stop(f->control);
 	control_join(f->control);
 	control_free(f->control);
-	kv_request_free(f->watch);
 	view_unref(f->view);
 	peer_datagram_free(f->datagram);
 	free(f->fetch);
 	ring_free(f->sink);
-	g_hash_table_destroy(f->keys);
+	fake_kv_clear(&f->kv);
 }
 
 static void push(struct fixture *f, uint32_t type, void *body)
@@ -427,7 +302,7 @@
 	struct cfg_delta *d = cu_alloc(1, sizeof(*d));
 
 	fixture_start(&f, HOSTS_ALONE);
-	f.down = 1;
+	f.kv.down = 1;
 	push(&f, MSG_HEARTBEAT_IN, heartbeat(1, 9, 0xab));
 	pump(&f, is_fetching);
 	g_assert_cmpuint(f.fetch->from.port, ==, 6002);
@@ -517,18 +392,17 @@
 
 	fixture_start(&f, HOSTS_ALONE);
 	edit_until_ready(&f, "contract/blue", CONTRACT);
-	f.down = 1;
+	f.kv.down = 1;
 	edit(&f, "contract/blue", CONTRACT);
 	control_stop(f.control);
 	control_join(f.control);
 	control_free(f.control);
 	take_last_edit(&f);
 	g_assert_cmpint(f.edit_err.code, ==, ERR_STOPPING);
-	kv_request_free(f.watch);
 	view_unref(f.view);
 	peer_datagram_free(f.datagram);
 	ring_free(f.sink);
-	g_hash_table_destroy(f.keys);
+	fake_kv_clear(&f.kv);
 }
 
 int main(int argc, char **argv)
--- a/tests/test_control_ops.c
+++ b/tests/test_control_ops.c
@@ -3,7 +3,6 @@
  * ops): the test plays the store and the other duties on one ring, operators'
  * calls go in as messages, and the published view is awaited.
  */
-#include <apr_general.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <stdio.h>
@@ -13,25 +12,18 @@
 #include "duty/control_ops.h"
 #include "duty/messages.h"
 #include "duty/peer.h"
+#include "fake_kv.h"
 #include "script.h"
 
 /* Bounds the wait for what never comes, which is a failure. */
 #define AWAIT_US (30 * (int64_t)US_PER_S)
-#define LEASE_ID 5
-
-struct stored {
-	uint64_t version;
-	char *value;
-};
 
 struct ops_ctx {
 	struct control *control;
 	struct control_ops *ops;
 	/* Inbound ring of all other duties. */
 	struct ring *sink;
-	GHashTable *keys;
-	uint64_t revision;
-	struct kv_request *watch;
+	struct fake_kv kv;
 	struct view *view;
 	struct heartbeat sent;
 	uint64_t sequence;
@@ -46,98 +38,6 @@
 	char *json;
 };
 
-static void free_stored(gpointer p)
-{
-	struct stored *s = p;
-
-	free(s->value);
-	free(s);
-}
-
-static void answer(struct ops_ctx *c, struct kv_request *r,
-		   const struct kv_result *result)
-{
-	struct kv_reply *reply = cu_alloc(1, sizeof(*reply));
-	struct msg m = { MSG_KV_RESULT, reply, NULL };
-
-	reply->token = r->token;
-	reply->op = r->call.op;
-	reply->result = *result;
-	g_assert_cmpint(ring_push(r->reply_to, &m), ==, ERR_OK);
-	kv_request_free(r);
-}
-
-static void add_pair(struct kv_result *result, const char *key,
-		     uint64_t version, const char *value)
-{
-	struct kv_pair *p = cu_alloc(1, sizeof(*p));
-
-	cu_copy(p->key, sizeof(p->key), key);
-	p->version = version;
-	p->value = cu_strdup(value);
-	p->value_bytes = (uint32_t)strlen(value);
-	result->pairs = p;
-	result->pair_count = 1;
-	result->version = version;
-}
-
-static void answer_get(struct ops_ctx *c, struct kv_request *r)
-{
-	struct stored *s = g_hash_table_lookup(c->keys, r->call.key);
-	struct kv_result result = { 0 };
-
-	if (s)
-		add_pair(&result, r->call.key, s->version, s->value);
-	else
-		result.err.code = ERR_STORE_NOT_FOUND;
-	answer(c, r, &result);
-}
-
-static void answer_cas(struct ops_ctx *c, struct kv_request *r)
-{
-	struct stored *s = g_hash_table_lookup(c->keys, r->call.key);
-	struct kv_result result = { 0 };
-	struct stored *next;
-
-	if ((s ? s->version : 0) != r->call.version) {
-		result.err.code = ERR_STORE_CONFLICT;
-		answer(c, r, &result);
-		return;
-	}
-	next = cu_alloc(1, sizeof(*next));
-	next->version = result.version = ++c->revision;
-	next->value = cu_strdup(r->call.value);
-	g_hash_table_replace(c->keys, g_strdup(r->call.key), next);
-	answer(c, r, &result);
-}
-
-static void serve(struct ops_ctx *c, struct kv_request *r)
-{
-	struct kv_result result = { 0 };
-
-	switch (r->call.op) {
-	case KV_GET:
-		answer_get(c, r);
-		return;
-	case KV_CAS:
-		answer_cas(c, r);
-		return;
-	case KV_WATCH:
-		/* This host makes all edits, so there is nothing to see. */
-		c->watch = r;
-		return;
-	case KV_HOSTS:
-		add_pair(&result, "", 0, "{\"revision\":1,\"hosts\":[]}");
-		break;
-	case KV_LEASE_GRANT:
-		result.lease = LEASE_ID;
-		break;
-	default:
-		break;
-	}
-	answer(c, r, &result);
-}
-
 static void take_reply(struct ops_ctx *c, struct call_reply *r)
 {
 	free(c->json);
@@ -152,7 +52,7 @@
 
 	switch (m->type) {
 	case MSG_KV_CALL:
-		serve(c, m->body);
+		fake_kv_serve(&c->kv, m->body);
 		break;
 	case MSG_VIEW:
 		view_unref(c->view);
@@ -205,8 +105,7 @@
 	struct ops_ctx *c = cu_alloc(1, sizeof(*c));
 	struct err err = { 0 };
 
-	c->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					free_stored);
+	fake_kv_init(&c->kv);
 	c->sink = ring_new(4096, NULL, NULL, &err);
 	o.store = o.request = o.peer_send = o.peer_fetch = o.peer_listen =
 		c->sink;
@@ -239,10 +138,9 @@
 	control_free(c->control);
 	control_ops_free(c->ops);
 	drain(c);
-	kv_request_free(c->watch);
 	view_unref(c->view);
 	ring_free(c->sink);
-	g_hash_table_destroy(c->keys);
+	fake_kv_clear(&c->kv);
 	free(c->json);
 	free(c);
 }
@@ -445,9 +343,6 @@
 
 int main(int argc, char **argv)
 {
-	apr_initialize();
 	log_init("h1", drop_line, NULL);
-	g_test_init(&argc, &argv, NULL);
-	script_register(&area, "tests/scripts");
-	return g_test_run();
+	return script_main(argc, argv, &area, 1);
 }
--- a/tests/test_operator.c
+++ b/tests/test_operator.c
@@ -2,7 +2,6 @@
  * Scripted runs over the operator's controllers with a virtual clock: data
  * centres (dcs), rollouts (rol) and service levels (slo).
  */
-#include <apr_general.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <stdio.h>
@@ -451,11 +450,5 @@
 
 int main(int argc, char **argv)
 {
-	uint32_t i;
-
-	apr_initialize();
-	g_test_init(&argc, &argv, NULL);
-	for (i = 0; i < countof(areas); i++)
-		script_register(&areas[i], "tests/scripts");
-	return g_test_run();
+	return script_main(argc, argv, areas, countof(areas));
 }
--- a/tests/test_operator_api.c
+++ b/tests/test_operator_api.c
@@ -2,7 +2,6 @@
  * Scripted runs over the operators' calls (opapi) and the ctl commands on top
  * of them (ctl), without a network: ctl's calls go to the same fake host.
  */
-#include <apr_general.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <string.h>
@@ -245,11 +244,5 @@
 
 int main(int argc, char **argv)
 {
-	uint32_t i;
-
-	apr_initialize();
-	g_test_init(&argc, &argv, NULL);
-	for (i = 0; i < countof(areas); i++)
-		script_register(&areas[i], "tests/scripts");
-	return g_test_run();
+	return script_main(argc, argv, areas, countof(areas));
 }
--- a/tests/test_operator_system.c
+++ b/tests/test_operator_system.c
@@ -3,7 +3,6 @@
  * as stand-ins, three hosts in three data centres, and the ctl command as an
  * operator runs it, all on loopback.
  */
-#include <apr_general.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <signal.h>
@@ -312,11 +311,8 @@
 {
 	int result;
 
-	apr_initialize();
 	folder = g_path_get_dirname(argv[0]);
-	g_test_init(&argc, &argv, NULL);
-	script_register(&area, "tests/scripts");
-	result = g_test_run();
+	result = script_main(argc, argv, &area, 1);
 	g_free(folder);
 	return result;
 }
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -485,7 +485,5 @@
 
 int main(int argc, char **argv)
 {
-	g_test_init(&argc, &argv, NULL);
-	script_register(&area, "tests/scripts");
-	return g_test_run();
+	return script_main(argc, argv, &area, 1);
 }
--- a/tests/test_serve.c
+++ b/tests/test_serve.c
@@ -3,8 +3,6 @@
  * stand-ins: kills, pauses, outages and silent connections. Output names no
  * times; commands that wait do so for an event with a bound.
  */
-#include <apr_general.h>
-#include <curl/curl.h>
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
@@ -449,10 +447,6 @@
 
 int main(int argc, char **argv)
 {
-	apr_initialize();
-	curl_global_init(CURL_GLOBAL_ALL);
 	cluster_init(argv[0]);
-	g_test_init(&argc, &argv, NULL);
-	script_register(&area, "tests/scripts");
-	return g_test_run();
+	return script_main(argc, argv, &area, 1);
 }
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -520,7 +520,5 @@
 int main(int argc, char **argv)
 {
 	find_program(argv[0]);
-	g_test_init(&argc, &argv, NULL);
-	script_register(&area, "tests/scripts");
-	return g_test_run();
+	return script_main(argc, argv, &area, 1);
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -2,8 +2,6 @@
  * Scripted runs of the caller, request and target duties in this process
  * against stand-in targets: real sockets on both sides, a view made by hand.
  */
-#include <apr_general.h>
-#include <curl/curl.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -330,9 +328,5 @@
 
 int main(int argc, char **argv)
 {
-	apr_initialize();
-	curl_global_init(CURL_GLOBAL_ALL);
-	g_test_init(&argc, &argv, NULL);
-	script_register(&area, "tests/scripts");
-	return g_test_run();
+	return script_main(argc, argv, &area, 1);
 }
