Read store documents through one function

Cause: contract, data centre, host and rollout documents each repeated loading, zeroing and releasing. Change: read_document() with a callback per kind. No output changed; the scripts and property tests of the documents pass.

--- a/src/codec/sjson.c
+++ b/src/codec/sjson.c
@@ -80,6 +80,25 @@
 	return text;
 }
 
+/* Reads one document into @out, which has been zeroed. */
+typedef enum err_code sjson_read_fn(const json_t *obj, void *out,
+				    struct err *err);
+
+static enum err_code read_document(const char *text, sjson_read_fn *read,
+				   void *out, size_t size_bytes,
+				   struct err *err)
+{
+	json_t *obj = sjson_load_internal(text, err);
+	enum err_code code;
+
+	memset(out, 0, size_bytes);
+	if (!obj)
+		return ERR_BAD_JSON;
+	code = read(obj, out, err);
+	json_decref(obj);
+	return code;
+}
+
 static enum err_code read_indexes(const json_t *obj, struct contract *out,
 				  struct err *err)
 {
@@ -104,9 +123,10 @@
 	return ERR_OK;
 }
 
-static enum err_code read_contract(const json_t *obj, struct contract *out,
+static enum err_code read_contract(const json_t *obj, void *ctx,
 				   struct err *err)
 {
+	struct contract *out = ctx;
 	enum err_code code = sjson_text_internal(obj, "customer", out->customer,
 						 sizeof(out->customer), err);
 
@@ -124,15 +144,7 @@
 enum err_code sjson_contract(const char *text, struct contract *out,
 			     struct err *err)
 {
-	json_t *obj = sjson_load_internal(text, err);
-	enum err_code code;
-
-	memset(out, 0, sizeof(*out));
-	if (!obj)
-		return ERR_BAD_JSON;
-	code = read_contract(obj, out, err);
-	json_decref(obj);
-	return code;
+	return read_document(text, read_contract, out, sizeof(*out), err);
 }
 
 char *sjson_contract_text(const struct contract *c)
@@ -165,22 +177,23 @@
 		       s ? s : "missing");
 }
 
-enum err_code sjson_dc(const char *text, struct dc_item *out, struct err *err)
+static enum err_code read_dc(const json_t *obj, void *ctx, struct err *err)
 {
-	json_t *obj = sjson_load_internal(text, err);
-	enum err_code code;
+	struct dc_item *out = ctx;
+	enum err_code code = sjson_text_internal(obj, "data_centre",
+						 out->data_centre,
+						 sizeof(out->data_centre), err);
 
-	memset(out, 0, sizeof(*out));
-	if (!obj)
-		return ERR_BAD_JSON;
-	code = sjson_text_internal(obj, "data_centre", out->data_centre,
-				   sizeof(out->data_centre), err);
 	if (code == ERR_OK)
 		code = read_state(obj, &out->out, err);
-	json_decref(obj);
 	return code == ERR_OK ? dc_item_check(out, err) : code;
 }
 
+enum err_code sjson_dc(const char *text, struct dc_item *out, struct err *err)
+{
+	return read_document(text, read_dc, out, sizeof(*out), err);
+}
+
 char *sjson_dc_text(const struct dc_item *d)
 {
 	return sjson_dump_internal(json_pack("{s:s,s:s}", "data_centre",
@@ -188,23 +201,23 @@
 					     d->out ? "out" : "in"));
 }
 
-enum err_code sjson_host(const char *text, struct host_item *out,
-			 struct err *err)
+static enum err_code read_host(const json_t *obj, void *ctx, struct err *err)
 {
-	json_t *obj = sjson_load_internal(text, err);
-	enum err_code code;
+	struct host_item *out = ctx;
+	enum err_code code = sjson_text_internal(obj, "host", out->host,
+						 sizeof(out->host), err);
 
-	memset(out, 0, sizeof(*out));
-	if (!obj)
-		return ERR_BAD_JSON;
-	code = sjson_text_internal(obj, "host", out->host, sizeof(out->host),
-				   err);
 	if (code == ERR_OK)
 		code = read_state(obj, &out->out, err);
-	json_decref(obj);
 	return code == ERR_OK ? host_item_check(out, err) : code;
 }
 
+enum err_code sjson_host(const char *text, struct host_item *out,
+			 struct err *err)
+{
+	return read_document(text, read_host, out, sizeof(*out), err);
+}
+
 char *sjson_host_text(const struct host_item *h)
 {
 	return sjson_dump_internal(json_pack("{s:s,s:s}", "host", h->host,
@@ -234,9 +247,9 @@
 				   sizeof(out->reason), err);
 }
 
-static enum err_code read_rollout(const json_t *obj, struct rollout_item *out,
-				  struct err *err)
+static enum err_code read_rollout(const json_t *obj, void *ctx, struct err *err)
 {
+	struct rollout_item *out = ctx;
 	enum err_code code = sjson_text_internal(obj, "service", out->service,
 						 sizeof(out->service), err);
 
@@ -265,15 +278,7 @@
 enum err_code sjson_rollout(const char *text, struct rollout_item *out,
 			    struct err *err)
 {
-	json_t *obj = sjson_load_internal(text, err);
-	enum err_code code;
-
-	memset(out, 0, sizeof(*out));
-	if (!obj)
-		return ERR_BAD_JSON;
-	code = read_rollout(obj, out, err);
-	json_decref(obj);
-	return code;
+	return read_document(text, read_rollout, out, sizeof(*out), err);
 }
 
 char *sjson_rollout_text(const struct rollout_item *r)
