Ask in one place whether a request must not run twice

Cause: the filters identify, once and scatter each had their own copy of the condition. Change: req_is_once() in filter/req.h. No behaviour changed; the scripts of test_path, test_wire and test_claims pass.

--- a/src/filter/1_identify.c
+++ b/src/filter/1_identify.c
@@ -9,11 +9,6 @@
 	return g_strdup_printf("%s/%s", r->in->customer, r->in->id);
 }
 
-static int is_once(const struct req *r)
-{
-	return r->in->op == OP_LOOKUP && !r->in->idempotent;
-}
-
 static enum filter_step enter(void *ctx, struct req *r, int64_t now_us)
 {
 	struct path *p = ctx;
@@ -24,7 +19,7 @@
 	if (!r->in->id[0])
 		snprintf(r->in->id, sizeof(r->in->id), "%.40s-%016" PRIx64,
 			 p->self, rng_u64(&p->rng));
-	if (!is_once(r))
+	if (!req_is_once(r))
 		return FILTER_NEXT;
 	key = id_key(r);
 	if (g_hash_table_contains(p->ids, key))
@@ -38,7 +33,7 @@
 	struct path *p = ctx;
 	g_autofree char *key = NULL;
 
-	if (!is_once(r))
+	if (!req_is_once(r))
 		return;
 	key = id_key(r);
 	g_hash_table_remove(p->ids, key);
--- a/src/filter/3_once.c
+++ b/src/filter/3_once.c
@@ -8,7 +8,7 @@
 {
 	struct path *p = ctx;
 
-	if (r->in->op != OP_LOOKUP || r->in->idempotent)
+	if (!req_is_once(r))
 		return FILTER_NEXT;
 	p->ops.claim(p->ops.ctx, r->no, r->in->customer, r->in->id);
 	return FILTER_WAIT;
--- a/src/filter/6_scatter.c
+++ b/src/filter/6_scatter.c
@@ -19,11 +19,6 @@
 	return &s->req->index->layout->shards[s->pos];
 }
 
-static int is_once(const struct req *r)
-{
-	return r->in->op == OP_LOOKUP && !r->in->idempotent;
-}
-
 static int version_allowed(const struct req *r, const struct bound_target *t)
 {
 	if (t->version == VERSION_ANY)
@@ -170,7 +165,7 @@
 	tgt_sent(sub->tgt, now_us);
 	customer_open(sub->customer, sub->tgt, 1);
 	metric_add(M_SUBS_SENT, 1);
-	if (!is_once(r))
+	if (!req_is_once(r))
 		tmr_arm(p->timers, &sub->hedge_timer, now_us + delay_us,
 			hedge_due, sub);
 	p->ops.send(p->ops.ctx, make_call(r, shard, sub));
@@ -359,7 +354,7 @@
 	if (not_run && (code == ERR_TARGET_CONNECT || code == ERR_RING_FULL))
 		return 1;
 	/* A byte may have reached it, and its word cannot be matched. */
-	if (is_once(r))
+	if (req_is_once(r))
 		return 0;
 	/* A draining target did no work: the retry is no extra load. */
 	if (not_run && code == ERR_TARGET_DRAINING)
@@ -399,7 +394,7 @@
 	if (result->code == ERR_TARGET_SHED)
 		r->loaded = 1;
 	if (result->code == ERR_TARGET_SNAPSHOT && result->not_run &&
-	    !is_once(r) && restart_possible(r)) {
+	    !req_is_once(r) && restart_possible(r)) {
 		restart(r, now_us);
 		return;
 	}
--- a/src/filter/req.h
+++ b/src/filter/req.h
@@ -207,6 +207,12 @@
 struct filter filter_scatter(struct path *p);
 struct filter filter_gather(struct path *p);
 
+/* 1 for a request that must not run twice. */
+static inline int req_is_once(const struct req *r)
+{
+	return r->in->op == OP_LOOKUP && !r->in->idempotent;
+}
+
 /* Sets the request's error; returns FILTER_DONE. */
 enum filter_step req_refuse(struct req *r, enum err_code code,
 			    const char *detail);
