Speak the platform's store protocol and decode its documents in platform/

Cause: the store client spoke a dialect of the project's own; the users' platform has its own calls. src/platform moves to platform/ and becomes its only client: kv-key, kv-range in pages, kv-watch, kv-txn, leases. A watch from revision 0 lists; a 410 makes it list again. The stand-in answers likewise, so the product's own tests and demonstration run on the same client. platform/pl_http and pl_config decode header fields, the route configuration and discovery entries into the types of src/model.

Ruled out: a second client beside the old one (two copies of backoff and rate budget).

Tests: the stand-in's scripts are translated call by call. One check of test_store changes: a value of 600,000 quote characters was refused because its JSON form was too long; values travel as base64 now, so it is accepted, and the limit on the value itself is still checked. standin-range is new.

--- a/src/base/err.h
+++ b/src/base/err.h
@@ -57,6 +57,7 @@
 	DEF(ERR_STORE_NOT_FOUND, 507, 404, "no such key in the store")         \
 	DEF(ERR_STORE_STALE, 508, 409,                                         \
 	    "store revision is older than in force")                           \
+	DEF(ERR_STORE_HISTORY, 509, 410, "store history is no longer kept")    \
 	DEF(ERR_CFG_FIELD, 601, 400, "configuration field refused")            \
 	DEF(ERR_CFG_RACE, 602, 409, "another change was accepted first")       \
 	DEF(ERR_CFG_FENCE, 603, 409, "fencing number is outdated")             \
--- /dev/null
+++ b/src/codec/gsettings.h
@@ -0,0 +1,38 @@
+/* Settings file of the gateway: JSON in the project's own names. */
+#ifndef GSETTINGS_H
+#define GSETTINGS_H
+
+#include <stdint.h>
+
+#include "base/err.h"
+#include "model/name.h"
+
+struct gw_endpoint {
+	char address[ADDRESS_BYTES];
+	uint16_t port;
+};
+
+struct gw_settings {
+	/* Name of this host, unique in the deployment. */
+	char host[64];
+	char data_centre[NAME_BYTES];
+	struct gw_endpoint caller;
+	struct gw_endpoint ready;
+	struct gw_endpoint store;
+	/* Calls that the store grants to all hosts together. */
+	uint32_t store_reads_per_s;
+	uint32_t store_writes_per_s;
+	/* Descriptors of the process. */
+	uint32_t descriptors;
+	/* Time between SIGTERM and SIGKILL. */
+	uint32_t grace_ms;
+	/* Calls beyond the first: a share of the requests and a fixed number. */
+	uint32_t retry_permille;
+	uint32_t retry_slack;
+};
+
+/* Reads the file at @path; the error names the field and its range. */
+enum err_code gsettings_load(const char *path, struct gw_settings *out,
+			     struct err *err);
+
+#endif
--- a/src/duty/messages.h
+++ b/src/duty/messages.h
@@ -10,6 +10,8 @@
 #include "base/ring.h"
 #include "duty/admin_call.h"
 #include "model/evidence.h"
+#include "model/exchange.h"
+#include "model/gw_view.h"
 #include "model/request.h"
 #include "model/view.h"
 #include "platform/kv.h"
@@ -31,7 +33,18 @@
 	MSG_PEER_ITEMS, /* struct peer_items: peer_fetch to control */
 	MSG_CONFIG, /* struct cfg_set: control to peer_listen */
 	MSG_LEAVE, /* no body: begin a graceful shutdown */
-	MSG_LOG_LINE /* char: any duty to logger */
+	MSG_LOG_LINE, /* char: any duty to logger */
+	MSG_EXCHANGE_REQUEST, /* struct exchange_request: ingress to gateway */
+	MSG_EXCHANGE_GONE, /* struct exchange_gone: ingress to gateway */
+	MSG_EXCHANGE_ANSWER, /* struct exchange_answer: gateway to ingress */
+	MSG_TARGET_CALL, /* struct target_call: gateway to egress */
+	MSG_TARGET_REPLY, /* struct target_reply: egress to gateway */
+	MSG_GW_VIEW /* struct gw_view: gateway control to gateway */
+};
+
+/* The caller on ingress connection @conn closed it. */
+struct exchange_gone {
+	uint64_t conn;
 };
 
 /* A caller's request with the way back to its connection. */
--- a/src/duty/store.c
+++ b/src/duty/store.c
@@ -18,6 +18,8 @@
 #define REPLY_RETRY_US (10 * US_PER_MS)
 /* A watch without a token waits this long for one. */
 #define RATE_RETRY_US (200 * US_PER_MS)
+/* A listing of a store that never changed is read again after this. */
+#define EMPTY_RETRY_US (100 * US_PER_MS)
 /* A read without an answer is sent once more, on another connection. */
 #define READ_ATTEMPTS 2
 
@@ -118,7 +120,18 @@
 		again_or_reply(j, open_us, r);
 		return;
 	}
-	if (r->err.code != ERR_OK || r->pair_count ||
+	if (r->err.code == ERR_STORE_HISTORY) {
+		/* What changed meanwhile is only found by reading it all. */
+		call->version = 0;
+		again_or_reply(j, now_us, r);
+		return;
+	}
+	if (r->err.code == ERR_OK && r->is_snapshot && !r->version) {
+		/* A store without any change has no revision to watch from. */
+		again_or_reply(j, now_us + EMPTY_RETRY_US, r);
+		return;
+	}
+	if (r->err.code != ERR_OK || r->pair_count || r->is_snapshot ||
 	    r->version < call->version) {
 		reply(j, r);
 		return;
@@ -188,6 +201,9 @@
 	}
 	j->attempts++;
 	call.timeout_ms = attempt_ms(j, now_us);
+	/* A watch that is answered late would be taken for a failure. */
+	if (call.op == KV_WATCH)
+		call.ttl_ms = cu_min_u32(call.ttl_ms, call.timeout_ms / 2);
 	j->request->call.value = NULL;
 	s->driver.start(s->driver.driver_ctx, &call, done, j);
 }
--- /dev/null
+++ b/src/model/route.c
@@ -0,0 +1,149 @@
+#include "model/route.h"
+
+#include <stdatomic.h>
+#include <string.h>
+
+#define TIMEOUT_MS_MAX 600000
+#define ATTEMPTS_MAX 64
+
+static void free_array(gpointer p)
+{
+	g_ptr_array_free(p, TRUE);
+}
+
+struct route_config *route_config_new(uint32_t route_count,
+				      uint32_t service_count)
+{
+	struct route_config *c = cu_alloc(1, sizeof(*c));
+
+	c->refs = 1;
+	c->route_count = route_count;
+	c->routes = cu_alloc(route_count, sizeof(c->routes[0]));
+	c->service_count = service_count;
+	c->services = cu_alloc(service_count, sizeof(c->services[0]));
+	c->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   free_array);
+	return c;
+}
+
+struct route_config *route_config_ref(struct route_config *c)
+{
+	atomic_fetch_add(&c->refs, 1);
+	return c;
+}
+
+void route_config_unref(struct route_config *c)
+{
+	uint32_t i;
+
+	if (!c || atomic_fetch_sub(&c->refs, 1) != 1)
+		return;
+	g_hash_table_destroy(c->by_host);
+	for (i = 0; i < c->route_count; i++) {
+		free(c->routes[i].name);
+		free(c->routes[i].host);
+		free(c->routes[i].prefix);
+		free(c->routes[i].parts);
+	}
+	for (i = 0; i < c->service_count; i++) {
+		free(c->services[i].name);
+		free(c->services[i].health_path);
+	}
+	free(c->routes);
+	free(c->services);
+	free(c);
+}
+
+static enum err_code check_route(const struct route_config *c,
+				 const struct route *r, struct err *err)
+{
+	size_t len = r->prefix ? strlen(r->prefix) : 0;
+	uint32_t i;
+
+	if (!r->name || !r->host || !len || r->prefix[0] != '/' ||
+	    r->prefix[len - 1] != '/')
+		return err_set(err, ERR_CFG_FIELD,
+			       "route '%.64s': name, host and a prefix that "
+			       "begins and ends with '/' are required",
+			       r->name ? r->name : "");
+	if (r->timeout_ms < 1 || r->timeout_ms > TIMEOUT_MS_MAX ||
+	    r->goal_ms < 1 || r->attempts < 1 || r->attempts > ATTEMPTS_MAX)
+		return err_set(err, ERR_CFG_FIELD,
+			       "route '%.64s': timeout %u ms, goal %u ms or "
+			       "%u attempts out of range",
+			       r->name, r->timeout_ms, r->goal_ms, r->attempts);
+	if (!r->part_count || (r->is_gather && r->parts_min > r->part_count))
+		return err_set(err, ERR_CFG_FIELD,
+			       "route '%.64s' names no usable set of services",
+			       r->name);
+	for (i = 0; i < r->part_count; i++) {
+		if (r->parts[i].service >= c->service_count)
+			return err_set(err, ERR_CFG_FIELD,
+				       "route '%.64s' names a service that is "
+				       "not defined",
+				       r->name);
+	}
+	return ERR_OK;
+}
+
+static gint longer_first(gconstpointer a, gconstpointer b)
+{
+	const struct route *x = *(const struct route *const *)a;
+	const struct route *y = *(const struct route *const *)b;
+	size_t x_len = strlen(x->prefix);
+	size_t y_len = strlen(y->prefix);
+
+	return x_len < y_len ? 1 : x_len > y_len ? -1 : 0;
+}
+
+static void sort_routes(gpointer key, gpointer value, gpointer ctx)
+{
+	g_ptr_array_sort(value, longer_first);
+}
+
+enum err_code route_config_finish(struct route_config *c, struct err *err)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->route_count; i++) {
+		struct route *r = &c->routes[i];
+		GPtrArray *list;
+
+		if (check_route(c, r, err) != ERR_OK)
+			return err->code;
+		list = g_hash_table_lookup(c->by_host, r->host);
+		if (!list) {
+			list = g_ptr_array_new();
+			g_hash_table_insert(c->by_host, r->host, list);
+		}
+		g_ptr_array_add(list, r);
+	}
+	g_hash_table_foreach(c->by_host, sort_routes, NULL);
+	return ERR_OK;
+}
+
+const struct route *route_find(const struct route_config *c, const char *host,
+			       const char *path)
+{
+	const GPtrArray *list = g_hash_table_lookup(c->by_host, host);
+	uint32_t i;
+
+	for (i = 0; list && i < list->len; i++) {
+		const struct route *r = g_ptr_array_index(list, i);
+
+		if (strncmp(path, r->prefix, strlen(r->prefix)) == 0)
+			return r;
+	}
+	return NULL;
+}
+
+uint32_t route_config_service(const struct route_config *c, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->service_count; i++) {
+		if (strcmp(c->services[i].name, name) == 0)
+			return i;
+	}
+	return UINT32_MAX;
+}
--- a/tests/standin/store.h
+++ b/tests/standin/store.h
@@ -42,6 +42,7 @@
 	DEF(SO_PUT, "put", 1)       \
 	DEF(SO_DELETE, "delete", 1) \
 	DEF(SO_WATCH, "watch", 0)   \
+	DEF(SO_RANGE, "range", 0)   \
 	DEF(SO_GRANT, "grant", 1)   \
 	DEF(SO_RENEW, "renew", 1)   \
 	DEF(SO_REVOKE, "revoke", 1) \
@@ -68,6 +69,8 @@
 	uint64_t if_version;
 	uint64_t lease;
 	uint64_t after;
+	/* Range: the page begins behind this key. */
+	char page_after[KVS_KEY_BYTES_MAX + 1];
 	uint32_t ttl_ms;
 	uint32_t timeout_ms;
 	uint32_t watching;
@@ -137,6 +140,8 @@
 /* The rest is shared by the store_*.c files. */
 
 #define STORE_NO_PATH (-1)
+/* Items in one page of a range. */
+#define STORE_PAGE_ITEMS 500
 /* 1: decoded, 0: a field is missing or out of range, STORE_NO_PATH. */
 int store_decode(struct store_call *c, const struct http_request *r);
 /* State that reads see. */
@@ -145,6 +150,9 @@
 void store_finish(struct store_call *c, int64_t now_us);
 /* Answers the watches that have something to report. */
 void store_wake_watches(struct store *s, int64_t now_us);
+/* Reads: set the answer of @c. */
+void store_get(struct store_call *c);
+void store_range(struct store_call *c);
 void store_watch(struct store_call *c, int64_t now_us);
 /* Ends leases that are due and arms the timer for the next. */
 void store_expire(struct store *s, int64_t now_us);
--- a/tools/bench/stage_docs.c
+++ b/tools/bench/stage_docs.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 #include <inttypes.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "codec/sjson.h"
 #include "stage.h"
@@ -9,12 +10,20 @@
 static enum err_code put(struct stage *st, const char *key, const char *value,
 			 struct err *err)
 {
-	g_autofree char *path = g_strdup_printf("/v1/kv/%s", key);
-	uint32_t status = hc_wait(st->client, st->store_port, "PUT", path,
-				  value, STAGE_CONTROL_WAIT_US, NULL);
+	g_autofree char *text =
+		g_base64_encode((const guchar *)value, strlen(value));
+	g_autofree char *body = g_strdup_printf("{\"expect\":[],\"writes\":[{"
+						"\"key\":\"%s\","
+						"\"value\":\"%s\"}],\"delete\":"
+						"[]}",
+						key, text);
+	uint32_t status = hc_wait(st->client, st->store_port, "POST",
+				  "/api/kv-txn", body, STAGE_CONTROL_WAIT_US,
+				  NULL);
 
 	if (status != 200)
-		return err_set(err, ERR_IO, "PUT %s answered %u", key, status);
+		return err_set(err, ERR_IO, "write of %s answered %u", key,
+			       status);
 	return ERR_OK;
 }
 
