--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -12,7 +12,7 @@
  * Part of a mean answer time that a call to another data centre costs, bytes
  * on the link included: less than waiting behind one call nearby.
  */
-#define REMOTE_MILLI 400
+#define REMOTE_MILLI 2500
 /* A call open for this many means is taken as a sign of a pause. */
 #define STALL_MEANS 2
 /* Added cost per failure share, as a multiple of one call. */
