--- a/src/duty/gw_control.c
+++ b/src/duty/gw_control.c
@@ -20,7 +20,7 @@
 /* Watches without a change in a row until control hears of them. */
 #define WATCH_MS 60000
 /* Changes within this time are read by one call. */
-#define WATCH_GAP_US (100 * US_PER_MS)
+#define WATCH_GAP_US (500 * US_PER_MS)
 /* After a failed watch; the store client adds its own backoff. */
 #define WATCH_RETRY_US (150 * US_PER_MS)
 /* Every other call to the store. */
