Take evacuated data centres out, settle by the caller's round trip, spare the budget

Cause 1: an evacuation order was ignored. Discovery marks the targets of an evacuated data centre; they get no new work until it is taken back. gw-evacuate failed first (no such command, targets stayed usable).

Cause 2: partial answers left 14 ms to the network whatever it took.

What is known of a slow target is forgotten within 4 s, else it is never tried.

--- a/src/controller/dsc.c
+++ b/src/controller/dsc.c
@@ -23,6 +23,8 @@
 	dsc_changed_fn *changed;
 	void *ctx;
 	GHashTable *entries;
+	/* Data centre to 1 if it was named since dsc_list(). */
+	GHashTable *evacuated;
 	int64_t grace_until_us;
 	struct tmr_sub grace_timer;
 };
@@ -35,6 +37,8 @@
 	d->changed = changed;
 	d->ctx = ctx;
 	d->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+	d->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, free, NULL);
 	return d;
 }
 
@@ -44,6 +48,7 @@
 		return;
 	tmr_cancel(d->timers, &d->grace_timer);
 	g_hash_table_destroy(d->entries);
+	g_hash_table_destroy(d->evacuated);
 	free(d);
 }
 
@@ -112,11 +117,45 @@
 	d->changed(d->ctx, now_us);
 }
 
+void dsc_evacuate(struct dsc *d, const char *data_centre, int is_out,
+		  int64_t now_us)
+{
+	int was_out = g_hash_table_contains(d->evacuated, data_centre);
+
+	if (is_out)
+		g_hash_table_replace(d->evacuated, cu_strdup(data_centre),
+				     GINT_TO_POINTER(1));
+	else
+		g_hash_table_remove(d->evacuated, data_centre);
+	if (was_out == is_out)
+		return;
+	log_event(LOG_LEVEL_INFO, "data_centre_evacuated",
+		  "data centre %s is %s", data_centre, is_out ? "out" : "in");
+	d->changed(d->ctx, now_us);
+}
+
+/* Takes back the evacuations that were not named since dsc_list(). */
+static void drop_evacuations(struct dsc *d, int64_t now_us)
+{
+	GList *names = g_hash_table_get_keys(d->evacuated);
+	GList *at;
+
+	for (at = names; at; at = at->next) {
+		if (!g_hash_table_lookup(d->evacuated, at->data))
+			dsc_evacuate(d, at->data, 0, now_us);
+	}
+	g_list_free(names);
+}
+
 void dsc_list(struct dsc *d)
 {
 	GHashTableIter it;
 	gpointer value;
 
+	g_hash_table_iter_init(&it, d->evacuated);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		g_hash_table_iter_replace(&it, GINT_TO_POINTER(0));
+
 	g_hash_table_iter_init(&it, d->entries);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		((struct entry *)value)->is_listed = 0;
@@ -128,6 +167,7 @@
 	gpointer value;
 	int removed = 0;
 
+	drop_evacuations(d, now_us);
 	g_hash_table_iter_init(&it, d->entries);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct entry *e = value;
@@ -157,6 +197,10 @@
 	gpointer value;
 
 	g_hash_table_iter_init(&it, d->entries);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		*out++ = ((struct entry *)value)->def;
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		*out = ((struct entry *)value)->def;
+		out->is_evacuated = (uint32_t)g_hash_table_contains(
+			d->evacuated, out->data_centre);
+		out++;
+	}
 }
--- a/src/controller/dsc.h
+++ b/src/controller/dsc.h
@@ -22,9 +22,15 @@
 
 void dsc_put(struct dsc *d, const struct searcher *s, int64_t now_us);
 void dsc_remove(struct dsc *d, const char *id, int64_t now_us);
-/* All entries follow through dsc_put(), then dsc_listed(). */
+/* Operators want nothing sent to targets of @data_centre (1), or take it back. */
+void dsc_evacuate(struct dsc *d, const char *data_centre, int is_out,
+		  int64_t now_us);
+/*
+ * All entries and evacuations follow through dsc_put() and dsc_evacuate(), then
+ * dsc_listed().
+ */
 void dsc_list(struct dsc *d);
-/* Removes what dsc_list() ... dsc_put() did not name. */
+/* Removes what was not named since dsc_list(). */
 void dsc_listed(struct dsc *d, int64_t now_us);
 /* The store was out of reach until now. */
 void dsc_store_back(struct dsc *d, int64_t now_us);
--- a/src/duty/gw_control.c
+++ b/src/duty/gw_control.c
@@ -206,6 +206,9 @@
 	case PL_KEY_SEARCHER:
 		take_searcher(c, name, p, now_us);
 		break;
+	case PL_KEY_EVACUATION:
+		dsc_evacuate(c->dsc, name, p->value != NULL, now_us);
+		break;
 	case PL_KEY_HOST:
 		set_host(c, name, p->value ? 0 : now_us, now_us);
 		break;
--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -57,6 +57,9 @@
 	size_t out_done;
 	/* The connection ends once @out is written. */
 	int closing;
+	/* Round trip to the caller as the kernel measures it; 0: unknown. */
+	uint32_t rtt_us;
+	uint32_t requests;
 	/* Armed while a head is incomplete or the connection is idle. */
 	struct tmr_sub timer;
 };
@@ -245,6 +248,8 @@
 
 	r->conn = c->id;
 	r->received_us = now_us;
+	r->rtt_us = c->rtt_us;
+	r->is_first = c->requests++ == 0;
 	if (pl_request_decode(&c->h1, r, &err) != ERR_OK) {
 		log_event(LOG_LEVEL_WARNING, "request_malformed", "%s",
 			  err.detail);
@@ -331,6 +336,16 @@
 		flush(c, now_us);
 }
 
+static uint32_t measure_rtt_us(int fd)
+{
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof(info);
+
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) < 0)
+		return 0;
+	return info.tcpi_rtt;
+}
+
 static void add_conn(struct listener *l, int fd, int64_t now_us)
 {
 	struct ingress *in = l->in;
@@ -345,6 +360,8 @@
 	c->item = (struct poll_item){ .fd = fd, .fn = on_conn, .ctx = c };
 	h1_init(&c->h1, H1_REQUEST, &limits);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	if (l->page == PAGE_CALLER)
+		c->rtt_us = measure_rtt_us(fd);
 	g_hash_table_insert(in->conns, &c->id, c);
 	if (poller_add(in->poller, &c->item, EPOLLIN | EPOLLRDHUP, &err) !=
 	    ERR_OK) {
--- a/src/gateway/1_route.c
+++ b/src/gateway/1_route.c
@@ -1,30 +1,40 @@
 /* Filter 1: the route by host name and path, and the time limits. */
 #include "gateway/gw_internal.h"
 
-/* Kept back from the caller's time limit for the way back and its variance. */
-#define DEADLINE_MARGIN_US (15 * US_PER_MS)
-/*
- * Kept back from the goal, which callers count from their side of the network:
- * a connection set-up and the way there and back.
- */
-#define GOAL_MARGIN_US (8 * US_PER_MS)
-/* Part of the goal kept back besides, for the host's own processor time. */
-#define GOAL_MARGIN_PERMILLE 60
+/* Kept back from a time limit besides the network, for scheduling on both ends. */
+#define DEADLINE_MARGIN_US (8 * US_PER_MS)
+/* Part of the goal kept back besides the network, and its least value. */
+#define GOAL_MARGIN_PERMILLE 30
+#define GOAL_MARGIN_MIN_US (3 * US_PER_MS)
+/* Round trip to a caller of which none was measured. */
+#define RTT_DEFAULT_US (6 * US_PER_MS)
 /* A host without a configuration gets one within this time if it can. */
 #define NO_CONFIG_RETRY_MS 200
 
+/*
+ * Time of the request that this host does not see: there and back, and the
+ * set-up of a connection that was opened for it.
+ */
+static int64_t network_us(const struct exchange_request *in)
+{
+	int64_t rtt_us = in->rtt_us ? in->rtt_us : RTT_DEFAULT_US;
+
+	return in->is_first ? 2 * rtt_us : rtt_us;
+}
+
 static void set_times(struct gw_req *r)
 {
 	const struct exchange_request *in = r->in;
-	int64_t wait_ms = r->route->timeout_ms;
 	int64_t goal_us = (int64_t)r->route->goal_ms * US_PER_MS;
+	int64_t margin_us = cu_max_i64(
+		GOAL_MARGIN_MIN_US, goal_us * GOAL_MARGIN_PERMILLE / PERMILLE);
+	int64_t wait_ms = r->route->timeout_ms;
 
 	if (in->wait_ms)
 		wait_ms = cu_min_i64(wait_ms, in->wait_ms);
-	r->deadline_us =
-		in->received_us + wait_ms * US_PER_MS - DEADLINE_MARGIN_US;
-	r->settle_us = in->received_us + goal_us - GOAL_MARGIN_US -
-		       goal_us * GOAL_MARGIN_PERMILLE / PERMILLE;
+	r->deadline_us = in->received_us + wait_ms * US_PER_MS -
+			 network_us(in) - DEADLINE_MARGIN_US;
+	r->settle_us = in->received_us + goal_us - network_us(in) - margin_us;
 	r->settle_us = cu_min_i64(r->settle_us, r->deadline_us);
 }
 
--- a/src/gateway/4_send.c
+++ b/src/gateway/4_send.c
@@ -17,6 +17,9 @@
 /* A call needs at least this much time to be of use. */
 #define SEND_TIME_MIN_US (3 * US_PER_MS)
 
+/* Tokens below this part of the budget are kept for retries after failures. */
+#define HEDGE_FILL_MIN_PERMILLE 250
+
 enum send_result { SEND_DONE, SEND_BUSY, SEND_NONE };
 
 static int has_time(const struct gw_req *r, int64_t now_us)
@@ -148,6 +151,10 @@
 	gw_send_wake(ctx, now_us);
 }
 
+/*
+ * @is_extra: a call beyond the first that may reach a target; it takes a token
+ * of the shared budget.
+ */
 static enum send_result try_send(struct gw_part *p, int is_extra,
 				 int64_t now_us)
 {
@@ -165,6 +172,17 @@
 	return SEND_DONE;
 }
 
+/* 1 if a hedge has a target that answers and leaves tokens for retries. */
+static int may_hedge(const struct gw_part *p, int64_t now_us)
+{
+	struct gw_pick pick = gw_target_pick(
+		p->service, p, p->req->stats->hdg.mean_us, now_us);
+
+	return pick.target && now_us >= pick.target->avoid_until_us &&
+	       bgt_fill_permille(&p->service->retries) >=
+		       HEDGE_FILL_MIN_PERMILLE;
+}
+
 static void on_hedge(void *ctx, int64_t now_us)
 {
 	struct gw_part *p = ctx;
@@ -172,7 +190,7 @@
 	if (p->phase != PART_OPEN || !has_attempt(p) ||
 	    !has_time(p->req, now_us))
 		return;
-	if (try_send(p, 1, now_us) == SEND_DONE)
+	if (may_hedge(p, now_us) && try_send(p, 1, now_us) == SEND_DONE)
 		metric_add(M_HEDGES, 1);
 	else
 		arm_hedge(p, now_us);
@@ -190,7 +208,7 @@
 /* Sends a part that has no call in flight. */
 static void attempt(struct gw_part *p, int64_t now_us)
 {
-	int is_extra = p->target_count > 0;
+	int is_extra = p->target_count > p->unsent_count;
 
 	switch (try_send(p, is_extra, now_us)) {
 	case SEND_DONE:
@@ -294,6 +312,7 @@
 	metric_add(M_TARGET_ERRORS, 1);
 	log_failure(p, s, reply, now_us);
 	p->not_run_count += reply->not_run;
+	p->unsent_count += reply->code == ERR_TARGET_CONNECT;
 	if (reply->code == ERR_OK && !reply->not_run) {
 		target_reply_free(p->reply);
 		p->reply = reply;
@@ -324,7 +343,7 @@
 	if (good || (p && is_final(p, reply))) {
 		if (!s->is_extra)
 			hdg_sample(&s->stats->hdg, reply->service_us);
-		gw_target_good(s->target, reply->service_us, mean_us);
+		gw_target_good(s->target, reply->service_us, mean_us, now_us);
 	} else {
 		gw_target_failed(s->target, reply, now_us);
 	}
--- a/src/gateway/gw_bound.c
+++ b/src/gateway/gw_bound.c
@@ -92,7 +92,7 @@
 		t->cold_until_us =
 			now_us + (int64_t)def->warmup_left_ms * US_PER_MS;
 	t->def = *def;
-	t->is_usable = !def->is_draining;
+	t->is_usable = !def->is_draining && !def->is_evacuated;
 	if (t->is_usable)
 		g_ptr_array_add(service_of(g, def->service)->targets, t);
 }
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -31,6 +31,7 @@
 	TAILQ_HEAD(, gw_sub) subs;
 	/* Smoothed answer time relative to the route's mean. */
 	uint32_t slowness_milli;
+	int64_t answered_us;
 	/* Smoothed share of calls that failed. */
 	uint32_t failed_permille;
 	uint32_t failures_in_row;
@@ -86,6 +87,8 @@
 	uint32_t target_count;
 	struct gw_target *targets[PART_TARGETS_MAX];
 	uint32_t not_run_count;
+	/* Those of them that no byte was sent to. */
+	uint32_t unsent_count;
 	/* The answer, or the last failure that a target stated. */
 	struct target_reply *reply;
 	struct tmr_sub hedge_timer;
@@ -178,7 +181,8 @@
 /* Target statistics. */
 struct gw_target *gw_target_ref(struct gw_target *t);
 void gw_target_unref(struct gw_target *t);
-void gw_target_good(struct gw_target *t, int64_t service_us, int64_t mean_us);
+void gw_target_good(struct gw_target *t, int64_t service_us, int64_t mean_us,
+		    int64_t now_us);
 void gw_target_failed(struct gw_target *t, const struct target_reply *r,
 		      int64_t now_us);
 struct gw_pick {
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -6,6 +6,8 @@
 #define MILLI 1000
 /* Answer times are smoothed over about this many answers. */
 #define SMOOTHING 8
+/* A target that was slow is tried again within this time. */
+#define FORGET_US (4 * US_PER_S)
 /* Pauses of a searcher must not pass for its speed. */
 #define SLOWNESS_MAX_MILLI 8000
 /*
@@ -22,6 +24,9 @@
 #define AVOID_MAX_US (2 * US_PER_S)
 #define AVOID_FAILURES 2
 #define AVOID_DOUBLINGS_MAX 5
+/* Another target has the address: this one's entry goes within this time. */
+#define MISDIRECTED_AVOID_US (5 * US_PER_S)
+#define STATUS_MISDIRECTED 421
 
 struct gw_target *gw_target_ref(struct gw_target *t)
 {
@@ -40,7 +45,8 @@
 	return (old * (SMOOTHING - 1) + sample) / SMOOTHING;
 }
 
-void gw_target_good(struct gw_target *t, int64_t service_us, int64_t mean_us)
+void gw_target_good(struct gw_target *t, int64_t service_us, int64_t mean_us,
+		    int64_t now_us)
 {
 	int64_t milli = service_us * MILLI / cu_max_i64(mean_us, 1);
 
@@ -48,6 +54,7 @@
 		smooth(t->slowness_milli,
 		       (uint32_t)cu_min_i64(milli, SLOWNESS_MAX_MILLI));
 	t->failed_permille = smooth(t->failed_permille, 0);
+	t->answered_us = now_us;
 	t->failures_in_row = 0;
 	t->avoid_until_us = 0;
 }
@@ -62,6 +69,10 @@
 		return;
 	t->failed_permille = smooth(t->failed_permille, PERMILLE);
 	t->failures_in_row++;
+	if (r->status == STATUS_MISDIRECTED) {
+		t->avoid_until_us = now_us + MISDIRECTED_AVOID_US;
+		return;
+	}
 	if (t->failures_in_row < AVOID_FAILURES &&
 	    r->code != ERR_TARGET_CONNECT)
 		return;
@@ -92,10 +103,22 @@
 	return age_us * MILLI / cu_max_i64(mean_us, 1);
 }
 
+/* What is known of a target's speed loses its weight with time. */
+static int64_t slowness_milli(const struct gw_target *t, int64_t now_us)
+{
+	int64_t known = (int64_t)t->slowness_milli - MILLI;
+	int64_t age_us = now_us - t->answered_us;
+
+	if (known < 0 || age_us >= FORGET_US)
+		return known < 0 ? t->slowness_milli : MILLI;
+	return MILLI + known * (FORGET_US - age_us) / FORGET_US;
+}
+
 static int64_t cost(const struct gw *g, const struct gw_target *t,
 		    int64_t mean_us, int64_t now_us)
 {
-	int64_t milli = (int64_t)(t->outstanding + 1) * t->slowness_milli;
+	int64_t milli =
+		(int64_t)(t->outstanding + 1) * slowness_milli(t, now_us);
 
 	milli += milli * FAILURE_WEIGHT * t->failed_permille / PERMILLE;
 	milli += stall_cost(t, mean_us, now_us);
--- a/src/model/exchange.h
+++ b/src/model/exchange.h
@@ -41,6 +41,10 @@
 	/* Time that the caller waits, counted from received_us; 0: not said. */
 	uint32_t wait_ms;
 	int64_t received_us;
+	/* Round trip to the caller; 0: unknown. */
+	uint32_t rtt_us;
+	/* The caller opened the connection for this request. */
+	uint32_t is_first;
 };
 
 void exchange_request_free(struct exchange_request *r);
--- a/src/model/gw_view.h
+++ b/src/model/gw_view.h
@@ -22,6 +22,8 @@
 	uint32_t slots;
 	/* Leaving: no new work. */
 	uint32_t is_draining;
+	/* Operators took its data centre out: no new work. */
+	uint32_t is_evacuated;
 	/* Rest of its slow start when it wrote this; 0: warm. */
 	uint32_t warmup_left_ms;
 	/* Wall-clock time of its start in ms; tells incarnations apart. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -190,6 +190,15 @@
 	dsc_listed(b->dsc, b->now_us);
 }
 
+/* evacuate DC [off]: the operators take a data centre out or back in. */
+static void cmd_evacuate(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct bench *b = ctx;
+
+	b->out = out;
+	dsc_evacuate(b->dsc, argv[0], argc < 2, b->now_us);
+}
+
 static void cmd_back(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct bench *b = ctx;
@@ -395,13 +404,14 @@
 }
 
 static const struct script_command commands[] = {
-	{ "service", cmd_service }, { "route", cmd_route },
-	{ "target", cmd_target },   { "remove", cmd_remove },
-	{ "list", cmd_list },	    { "back", cmd_back },
-	{ "targets", cmd_targets }, { "view", cmd_view },
-	{ "forget", cmd_forget },   { "request", cmd_request },
-	{ "reply", cmd_reply },	    { "tick", cmd_tick },
-	{ "gone", cmd_gone },	    { "open", cmd_open },
+	{ "service", cmd_service },   { "route", cmd_route },
+	{ "target", cmd_target },     { "remove", cmd_remove },
+	{ "evacuate", cmd_evacuate }, { "list", cmd_list },
+	{ "back", cmd_back },	      { "targets", cmd_targets },
+	{ "view", cmd_view },	      { "forget", cmd_forget },
+	{ "request", cmd_request },   { "reply", cmd_reply },
+	{ "tick", cmd_tick },	      { "gone", cmd_gone },
+	{ "open", cmd_open },
 };
 
 int main(int argc, char **argv)
