Learn of slow and silent targets within a request or two

The budget of extra calls is refilled by time as well, and the hedge delay follows the mean fill over all shards of a request.

--- a/src/gateway/4_send.c
+++ b/src/gateway/4_send.c
@@ -344,6 +344,9 @@
 		if (!s->is_extra)
 			hdg_sample(&s->stats->hdg, reply->service_us);
 		gw_target_good(s->target, reply->service_us, mean_us, now_us);
+	} else if (reply->code == ERR_CANCELLED) {
+		gw_target_abandoned(s->target, now_us - s->sent_us, mean_us,
+				    now_us);
 	} else {
 		gw_target_failed(s->target, reply, now_us);
 	}
@@ -377,19 +380,22 @@
 static enum filter_step enter(void *ctx, void *item, int64_t now_us)
 {
 	struct gw_req *r = item;
+	uint32_t fill_permille = 0;
 	uint32_t i;
 
 	if (!has_time(r, now_us))
 		return gw_refuse(r, 503, ERR_DEADLINE, 0);
 	metric_add(M_SHARDS_ASKED, r->part_count);
 	for (i = 0; i < r->part_count; i++) {
-		struct gw_part *p = &r->parts[i];
+		struct bgt *b = &r->parts[i].service->retries;
 
-		bgt_earn(&p->service->retries, 1);
-		hdg_adjust(&r->stats->hdg, now_us,
-			   bgt_fill_permille(&p->service->retries));
-		attempt(p, now_us);
+		bgt_refill(b, now_us);
+		bgt_earn(b, 1);
+		fill_permille += bgt_fill_permille(b) / r->part_count;
 	}
+	hdg_adjust(&r->stats->hdg, now_us, fill_permille);
+	for (i = 0; i < r->part_count; i++)
+		attempt(&r->parts[i], now_us);
 	tmr_arm(r->gw->timers, &r->deadline_timer, r->deadline_us, on_deadline,
 		r);
 	if (r->route->is_gather)
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -183,6 +183,9 @@
 void gw_target_unref(struct gw_target *t);
 void gw_target_good(struct gw_target *t, int64_t service_us, int64_t mean_us,
 		    int64_t now_us);
+/* The call was cancelled here after @waited_us without an answer. */
+void gw_target_abandoned(struct gw_target *t, int64_t waited_us,
+			 int64_t mean_us, int64_t now_us);
 void gw_target_failed(struct gw_target *t, const struct target_reply *r,
 		      int64_t now_us);
 struct gw_pick {
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -4,8 +4,13 @@
 #include "gateway/gw_internal.h"
 
 #define MILLI 1000
-/* Answer times are smoothed over about this many answers. */
-#define SMOOTHING 8
+/*
+ * An answer weighs as much as all before it when this time has passed between
+ * them: with many hosts each one sees a target once or twice a second.
+ */
+#define TIME_SMOOTHING_US (1 * US_PER_S)
+/* Answers over which the share of failures is smoothed. */
+#define FAILURE_SMOOTHING 8
 /* A target that was slow is tried again within this time. */
 #define FORGET_US (4 * US_PER_S)
 /* Pauses of a searcher must not pass for its speed. */
@@ -40,34 +45,48 @@
 		free(t);
 }
 
-static uint32_t smooth(uint32_t old, uint32_t sample)
+static uint32_t smooth_failed(uint32_t old, uint32_t sample)
 {
-	return (old * (SMOOTHING - 1) + sample) / SMOOTHING;
+	return (old * (FAILURE_SMOOTHING - 1) + sample) / FAILURE_SMOOTHING;
 }
 
-void gw_target_good(struct gw_target *t, int64_t service_us, int64_t mean_us,
-		    int64_t now_us)
+/* Takes @took_us as an answer time. */
+static void add_time(struct gw_target *t, int64_t took_us, int64_t mean_us,
+		     int64_t now_us)
 {
-	int64_t milli = service_us * MILLI / cu_max_i64(mean_us, 1);
+	int64_t past_us = cu_min_i64(now_us - t->answered_us, FORGET_US);
+	int64_t milli = took_us * MILLI / cu_max_i64(mean_us, 1);
 
-	t->slowness_milli =
-		smooth(t->slowness_milli,
-		       (uint32_t)cu_min_i64(milli, SLOWNESS_MAX_MILLI));
-	t->failed_permille = smooth(t->failed_permille, 0);
+	milli = cu_min_i64(milli, SLOWNESS_MAX_MILLI);
+	t->slowness_milli = (uint32_t)((t->slowness_milli * TIME_SMOOTHING_US +
+					milli * past_us) /
+				       (TIME_SMOOTHING_US + past_us));
 	t->answered_us = now_us;
+}
+
+void gw_target_good(struct gw_target *t, int64_t service_us, int64_t mean_us,
+		    int64_t now_us)
+{
+	add_time(t, service_us, mean_us, now_us);
+	t->failed_permille = smooth_failed(t->failed_permille, 0);
 	t->failures_in_row = 0;
 	t->avoid_until_us = 0;
 }
 
+void gw_target_abandoned(struct gw_target *t, int64_t waited_us,
+			 int64_t mean_us, int64_t now_us)
+{
+	/* A short wait says nothing; a long one is at least the answer time. */
+	if (waited_us * MILLI > (int64_t)t->slowness_milli * mean_us)
+		add_time(t, waited_us, mean_us, now_us);
+}
+
 void gw_target_failed(struct gw_target *t, const struct target_reply *r,
 		      int64_t now_us)
 {
 	uint32_t doublings;
 
-	/* Work that was cancelled here says nothing about the target. */
-	if (r->code == ERR_CANCELLED)
-		return;
-	t->failed_permille = smooth(t->failed_permille, PERMILLE);
+	t->failed_permille = smooth_failed(t->failed_permille, PERMILLE);
 	t->failures_in_row++;
 	if (r->status == STATUS_MISDIRECTED) {
 		t->avoid_until_us = now_us + MISDIRECTED_AVOID_US;
