Let the watch's waits follow the configuration bound; start without TLS

The wait of a watch and the gap between two are parts of the bound now (0.8 and 0.25), from the settings.

--- a/src/codec/gsettings.c
+++ b/src/codec/gsettings.c
@@ -6,6 +6,8 @@
 #include "base/addr.h"
 
 #define GRACE_S_MAX 600
+/* Below this no host could follow the store. */
+#define APPLY_MS_MIN 100
 
 struct reader {
 	const json_t *doc;
@@ -92,6 +94,9 @@
 	out->descriptors = (uint32_t)number(&r, "descriptors", 64, 1e7);
 	out->grace_ms =
 		(uint32_t)(number(&r, "grace_s", 0, GRACE_S_MAX) * MS_PER_S);
+	out->config_apply_ms =
+		(uint32_t)number(&r, "config_apply_ms", APPLY_MS_MIN, 1e6);
+	out->drain_ms = (uint32_t)number(&r, "drain_ms", APPLY_MS_MIN, 1e6);
 	out->retry_permille =
 		(uint32_t)(number(&r, "retry_ratio", 0, 10) * PERMILLE);
 	out->retry_slack = (uint32_t)number(&r, "retry_slack", 0, 1e6);
--- a/src/codec/gsettings.h
+++ b/src/codec/gsettings.h
@@ -26,6 +26,9 @@
 	uint32_t descriptors;
 	/* Time between SIGTERM and SIGKILL. */
 	uint32_t grace_ms;
+	/* Time until a configuration is in force and a leaving target unused. */
+	uint32_t config_apply_ms;
+	uint32_t drain_ms;
 	/* Calls beyond the first: a share of the requests and a fixed number. */
 	uint32_t retry_permille;
 	uint32_t retry_slack;
--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -114,9 +114,12 @@
 	struct gw_options o = { .retry_permille = g->set.retry_permille,
 				.retry_slack = g->set.retry_slack,
 				.seed = (uint64_t)clock_wall_us() };
-	struct gw_control_options co = { .hosts_assumed = HOSTS_ASSUMED,
-					 .limits = on_limits,
-					 .limits_ctx = g };
+	struct gw_control_options co = {
+		.hosts_assumed = HOSTS_ASSUMED,
+		.apply_ms = cu_min_u32(g->set.config_apply_ms, g->set.drain_ms),
+		.limits = on_limits,
+		.limits_ctx = g
+	};
 
 	cu_copy(o.data_centre, sizeof(o.data_centre), g->set.data_centre);
 	cu_copy(co.host, sizeof(co.host), g->set.host);
@@ -265,7 +268,8 @@
 			break;
 		}
 		log_init(g->set.host, NULL, NULL);
-		curl_global_init(CURL_GLOBAL_ALL);
+		/* The store is plain HTTP; TLS set-up costs start-up time. */
+		curl_global_init(CURL_GLOBAL_NOTHING);
 		status = run(g);
 		break;
 	}
--- a/src/duty/gw_control.c
+++ b/src/duty/gw_control.c
@@ -13,14 +13,14 @@
 
 #define RING_CAPACITY 4096
 /*
- * Longest wait of one watch call at the store: one that hears nothing of
- * changes is replaced within the time that a configuration has to be in force.
+ * Longest wait of one watch call at the store, as a part of apply_ms: one that
+ * hears nothing of changes is replaced before they are due.
  */
-#define WATCH_WAIT_MS 2500
+#define WATCH_WAIT_PERMILLE 800
 /* Watches without a change in a row until control hears of them. */
 #define WATCH_MS 60000
-/* Changes within this time are read by one call. */
-#define WATCH_GAP_US (500 * US_PER_MS)
+/* Part of apply_ms within which changes are read by one call. */
+#define WATCH_GAP_PERMILLE 250
 /* After a failed watch; the store client adds its own backoff. */
 #define WATCH_RETRY_US (150 * US_PER_MS)
 /* Every other call to the store. */
@@ -71,7 +71,8 @@
 	struct gw_control *c = ctx;
 	struct kv_call call = { .op = KV_WATCH,
 				.version = c->version,
-				.ttl_ms = WATCH_WAIT_MS,
+				.ttl_ms = c->opt.apply_ms *
+					  WATCH_WAIT_PERMILLE / PERMILLE,
 				.timeout_ms = WATCH_MS };
 
 	cu_copy(call.key, sizeof(call.key), PL_PREFIX_ALL);
@@ -249,7 +250,8 @@
 	if (r->is_snapshot)
 		dsc_listed(c->dsc, now_us);
 	c->version = r->version;
-	watch_after(c, now_us + WATCH_GAP_US);
+	watch_after(c, now_us + (int64_t)c->opt.apply_ms * US_PER_MS *
+					WATCH_GAP_PERMILLE / PERMILLE);
 }
 
 static void on_lease_timer(void *ctx, int64_t now_us);
--- a/src/duty/gw_control.h
+++ b/src/duty/gw_control.h
@@ -17,6 +17,8 @@
 	char host[64];
 	/* Hosts assumed until the store told the number. */
 	uint32_t hosts_assumed;
+	/* Time until this host has to know a change of the store. */
+	uint32_t apply_ms;
 	struct ring *store;
 	/* Where views go. */
 	struct ring *views;
