Limit extra calls by a sliding window instead of a token bucket

Cause: on the grown kds site, while 110 searchers lost 8% of their answers, 117 of 255 requests failed although the shared bound allowed every retry. A host's bucket held one token; a retry met an empty one in about a quarter of cases, and with 54 shards more than two parts failed. The window counts what the rule counts: extra calls and requests of the last ten seconds, so a burst may use all of it.

--- a/src/decide/bgt.c
+++ b/src/decide/bgt.c
@@ -16,31 +16,6 @@
 	b->tokens_milli = b->cap_milli;
 }
 
-void bgt_set(struct bgt *b, const struct bgt_rates *r)
-{
-	b->earn_milli = r->earn_permille;
-	b->refill_milli_per_s = r->refill_milli_per_s;
-	if (!b->cap_milli || b->tokens_milli > r->cap_milli)
-		b->tokens_milli = r->cap_milli;
-	b->cap_milli = r->cap_milli;
-}
-
-void bgt_refill(struct bgt *b, int64_t now_us)
-{
-	int64_t past_us = now_us - b->refilled_us;
-	uint64_t milli;
-
-	if (past_us <= 0)
-		return;
-	milli = (uint64_t)past_us * b->refill_milli_per_s / US_PER_S;
-	if (!milli && past_us < US_PER_S)
-		return;
-	b->refilled_us = now_us;
-	b->tokens_milli += milli;
-	if (b->tokens_milli > b->cap_milli)
-		b->tokens_milli = b->cap_milli;
-}
-
 void bgt_earn(struct bgt *b, uint32_t count)
 {
 	b->tokens_milli += (uint64_t)b->earn_milli * count;
--- a/src/decide/bgt.h
+++ b/src/decide/bgt.h
@@ -12,25 +12,10 @@
 	uint64_t tokens_milli;
 	uint64_t cap_milli;
 	uint32_t earn_milli;
-	uint32_t refill_milli_per_s;
-	int64_t refilled_us;
 };
 
 /* @extra_load_permille, @rate_per_s: from the contract. Starts full. */
 void bgt_init(struct bgt *b, uint32_t extra_load_permille, uint32_t rate_per_s);
-/*
- * Changes what a budget earns and holds: for each first attempt, for each
- * second, and the capacity in tokens. One that had no capacity starts full.
- */
-struct bgt_rates {
-	uint32_t earn_permille;
-	uint32_t refill_milli_per_s;
-	uint32_t cap_milli;
-};
-
-void bgt_set(struct bgt *b, const struct bgt_rates *r);
-/* Adds what was earned by time until @now_us. */
-void bgt_refill(struct bgt *b, int64_t now_us);
 /* Counts @count first attempts. */
 void bgt_earn(struct bgt *b, uint32_t count);
 /* Returns 1 and takes a token, or 0 when there is none. */
--- /dev/null
+++ b/src/decide/xwn.c
@@ -0,0 +1,76 @@
+#include "decide/xwn.h"
+
+#include <string.h>
+
+#include "base/cutil.h"
+
+#define MILLI 1000
+
+void xwn_set(struct xwn *w, uint32_t earn_permille, uint32_t slack_milli)
+{
+	w->earn_permille = earn_permille;
+	w->slack_milli = slack_milli;
+}
+
+/* Slot of the present second, with those that were passed over emptied. */
+static uint32_t slot_of(struct xwn *w, int64_t now_us)
+{
+	int64_t second = now_us / US_PER_S;
+	int64_t at = cu_max_i64(w->second + 1, second - XWN_SLOTS + 1);
+
+	for (; at <= second; at++) {
+		w->requests[at % XWN_SLOTS] = 0;
+		w->extras[at % XWN_SLOTS] = 0;
+	}
+	w->second = cu_max_i64(w->second, second);
+	return (uint32_t)(w->second % XWN_SLOTS);
+}
+
+static uint32_t sum(const uint32_t *slots)
+{
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < XWN_SLOTS; i++)
+		n += slots[i];
+	return n;
+}
+
+/*
+ * The oldest slot may lie outside the window: its extra calls count, since
+ * they may lie inside, and its requests do not.
+ */
+static uint32_t allowed_milli(const struct xwn *w, uint32_t slot)
+{
+	uint32_t oldest = (slot + 1) % XWN_SLOTS;
+
+	return w->slack_milli +
+	       (sum(w->requests) - w->requests[oldest]) * w->earn_permille;
+}
+
+void xwn_request(struct xwn *w, int64_t now_us)
+{
+	w->requests[slot_of(w, now_us)]++;
+}
+
+int xwn_may_spend(struct xwn *w, int64_t now_us)
+{
+	uint32_t slot = slot_of(w, now_us);
+
+	return (sum(w->extras) + 1) * MILLI <= allowed_milli(w, slot);
+}
+
+void xwn_spend(struct xwn *w, int64_t now_us)
+{
+	w->extras[slot_of(w, now_us)]++;
+}
+
+uint32_t xwn_fill_permille(struct xwn *w, int64_t now_us)
+{
+	uint32_t allowed = allowed_milli(w, slot_of(w, now_us));
+	uint32_t used = sum(w->extras) * MILLI;
+
+	if (!allowed || used >= allowed)
+		return 0;
+	return (uint32_t)((uint64_t)(allowed - used) * PERMILLE / allowed);
+}
--- a/src/gateway/4_send.c
+++ b/src/gateway/4_send.c
@@ -17,7 +17,7 @@
 /* A call needs at least this much time to be of use. */
 #define SEND_TIME_MIN_US (3 * US_PER_MS)
 
-/* Tokens below this part of the budget are kept for retries after failures. */
+/* The last part of the allowance is kept for retries after failures. */
 #define HEDGE_FILL_MIN_PERMILLE 250
 
 enum send_result { SEND_DONE, SEND_BUSY, SEND_NONE };
@@ -152,8 +152,8 @@
 }
 
 /*
- * @is_extra: a call beyond the first that may reach a target; it takes a token
- * of the shared budget.
+ * @is_extra: a call beyond the first that may reach a target; it counts
+ * against the shared bound.
  */
 static enum send_result try_send(struct gw_part *p, int is_extra,
 				 int64_t now_us)
@@ -166,20 +166,22 @@
 			pick.cold_at_us, on_cold_over, p->service);
 	if (!pick.target)
 		return pick.is_busy ? SEND_BUSY : SEND_NONE;
-	if (is_extra && !bgt_spend(&p->service->retries))
+	if (is_extra && !xwn_may_spend(&p->service->extras, now_us))
 		return SEND_NONE;
+	if (is_extra)
+		xwn_spend(&p->service->extras, now_us);
 	send_to(p, pick.target, is_extra, now_us);
 	return SEND_DONE;
 }
 
-/* 1 if a hedge has a target that answers and leaves tokens for retries. */
+/* 1 if a hedge has a target that answers and leaves some allowance for retries. */
 static int may_hedge(const struct gw_part *p, int64_t now_us)
 {
 	struct gw_pick pick = gw_target_pick(
 		p->service, p, p->req->stats->hdg.mean_us, now_us);
 
 	return pick.target && now_us >= pick.target->avoid_until_us &&
-	       bgt_fill_permille(&p->service->retries) >=
+	       xwn_fill_permille(&p->service->extras, now_us) >=
 		       HEDGE_FILL_MIN_PERMILLE;
 }
 
@@ -387,11 +389,10 @@
 		return gw_refuse(r, 503, ERR_DEADLINE, 0);
 	metric_add(M_SHARDS_ASKED, r->part_count);
 	for (i = 0; i < r->part_count; i++) {
-		struct bgt *b = &r->parts[i].service->retries;
+		struct xwn *w = &r->parts[i].service->extras;
 
-		bgt_refill(b, now_us);
-		bgt_earn(b, 1);
-		fill_permille += bgt_fill_permille(b) / r->part_count;
+		xwn_request(w, now_us);
+		fill_permille += xwn_fill_permille(w, now_us) / r->part_count;
 	}
 	hdg_adjust(&r->stats->hdg, now_us, fill_permille);
 	for (i = 0; i < r->part_count; i++)
--- a/src/gateway/gw_bound.c
+++ b/src/gateway/gw_bound.c
@@ -9,8 +9,6 @@
 #define SLOWNESS_START_MILLI 1000
 /* Part of the shared budget that hosts use by their own count. */
 #define BUDGET_PERMILLE 900
-/* Window of the shared budget. */
-#define RETRY_WINDOW_S 10
 #define MILLI 1000
 
 static struct gw_service *service_of(struct gw *g, const char *name)
@@ -126,36 +124,16 @@
 	}
 }
 
-/*
- * This host's part of the extra calls that all hosts may make in a window of
- * RETRY_WINDOW_S: a share of the requests, and of the fixed number a third at
- * once and the rest spread over the window.
- */
-static struct bgt_rates budget(const struct gw *g)
-{
-	uint32_t slack_milli = g->opt.retry_slack * BUDGET_PERMILLE /
-			       g->host_count * MILLI / PERMILLE;
-	struct bgt_rates r = {
-		.earn_permille =
-			g->opt.retry_permille * BUDGET_PERMILLE / PERMILLE,
-		/* Below one token no call could ever be made. */
-		.cap_milli = cu_max_u32(MILLI, slack_milli / 3),
-	};
-
-	if (slack_milli > r.cap_milli)
-		r.refill_milli_per_s =
-			(slack_milli - r.cap_milli) / RETRY_WINDOW_S;
-	return r;
-}
-
 static void set_limits(struct gw *g, const struct service *def,
 		       struct gw_service *s)
 {
-	struct bgt_rates rates = budget(g);
+	uint32_t slack_milli = g->opt.retry_slack * BUDGET_PERMILLE /
+			       g->host_count * MILLI / PERMILLE;
 	uint32_t i;
 
 	s->cold_per_s = def->cold_per_s;
-	bgt_set(&s->retries, &rates);
+	xwn_set(&s->extras, g->opt.retry_permille * BUDGET_PERMILLE / PERMILLE,
+		slack_milli);
 	for (i = 0; i < s->targets->len; i++) {
 		struct gw_target *t = g_ptr_array_index(s->targets, i);
 
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -7,8 +7,8 @@
 #include <sys/queue.h>
 
 #include "base/rng.h"
-#include "decide/bgt.h"
 #include "decide/hdg.h"
+#include "decide/xwn.h"
 #include "filter/chain.h"
 #include "gateway/gw.h"
 
@@ -48,7 +48,7 @@
 	/* struct gw_target of the view in force. */
 	GPtrArray *targets;
 	/* Calls beyond the first of each request. */
-	struct bgt retries;
+	struct xwn extras;
 	uint32_t cold_per_s;
 	/* Parts for which no target has a free connection, oldest first. */
 	TAILQ_HEAD(, gw_part) waiting;
