Test the gateway's sockets and settings; log to standard output; check on SIGHUP

test_gateway_io runs both duties over loopback: changed requests, stray, extra, cut and unframed answers, "not run" on a used connection, refused and cancelled calls, closes, malformed input, readiness. gset-file covers each settings error. SIGHUP checks the file and says what is wrong with it; a bad one leaves the present settings.

Found by the sanitizers in gw-evacuate: the name of a data centre was read after its entry was freed when a listing takes an evacuation back.

--- a/src/controller/dsc.c
+++ b/src/controller/dsc.c
@@ -122,16 +122,18 @@
 {
 	int was_out = g_hash_table_contains(d->evacuated, data_centre);
 
+	/* Before the key goes that @data_centre may be. */
+	if (was_out != is_out)
+		log_event(LOG_LEVEL_INFO, "data_centre_evacuated",
+			  "data centre %s is %s", data_centre,
+			  is_out ? "out" : "in");
 	if (is_out)
 		g_hash_table_replace(d->evacuated, cu_strdup(data_centre),
 				     GINT_TO_POINTER(1));
 	else
 		g_hash_table_remove(d->evacuated, data_centre);
-	if (was_out == is_out)
-		return;
-	log_event(LOG_LEVEL_INFO, "data_centre_evacuated",
-		  "data centre %s is %s", data_centre, is_out ? "out" : "in");
-	d->changed(d->ctx, now_us);
+	if (was_out != is_out)
+		d->changed(d->ctx, now_us);
 }
 
 /* Takes back the evacuations that were not named since dsc_list(). */
--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -54,6 +54,7 @@
 };
 
 struct gateway {
+	const char *settings_path;
 	struct gw_settings set;
 	struct logger_duty *logger;
 	struct store *store;
@@ -123,7 +124,7 @@
 
 	cu_copy(o.data_centre, sizeof(o.data_centre), g->set.data_centre);
 	cu_copy(co.host, sizeof(co.host), g->set.host);
-	g->logger = logger_duty_new(err);
+	g->logger = logger_duty_new(stdout, err);
 	if (g->logger)
 		create_store(g, o.seed, err);
 	if (g->store)
@@ -203,10 +204,30 @@
 	free(g);
 }
 
-static void wait_stop(const sigset_t *signals)
+/* Checks the settings file anew; a bad one leaves the present settings. */
+static void reload(struct gateway *g)
 {
-	while (sigwaitinfo(signals, NULL) < 0)
-		;
+	struct gw_settings set;
+	struct err err = { 0 };
+
+	if (gsettings_load(g->settings_path, &set, &err) != ERR_OK)
+		log_event(LOG_LEVEL_ERROR, "settings_refused",
+			  "%d %s: %s; the present settings stay", (int)err.code,
+			  err_name(err.code), err.detail);
+	else
+		log_event(LOG_LEVEL_INFO, "settings_checked",
+			  "valid, in effect from the next start");
+}
+
+static void wait_stop(struct gateway *g, const sigset_t *signals)
+{
+	int signal_no;
+
+	do {
+		signal_no = sigwaitinfo(signals, NULL);
+		if (signal_no == SIGHUP)
+			reload(g);
+	} while (signal_no < 0 || signal_no == SIGHUP);
 }
 
 static int run(struct gateway *g)
@@ -217,10 +238,10 @@
 	sigemptyset(&signals);
 	sigaddset(&signals, SIGTERM);
 	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGHUP);
 	/* Blocked before the threads start, so that only this one takes them. */
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
-	signal(SIGHUP, SIG_IGN);
 	if (create(g, &err) != ERR_OK || start(g, &err) != ERR_OK) {
 		fprintf(stderr, "cowslippoint: %d %s: %s\n", (int)err.code,
 			err_name(err.code), err.detail);
@@ -228,7 +249,9 @@
 	}
 	log_event(LOG_LEVEL_INFO, "started", "data centre %s",
 		  g->set.data_centre);
-	wait_stop(&signals);
+	wait_stop(g, &signals);
+	/* A reload must not shorten the waits of the shutdown. */
+	sigdelset(&signals, SIGHUP);
 	leave(g, &signals);
 	stop(g);
 	return 0;
@@ -263,7 +286,9 @@
 		status = 2;
 		break;
 	case OPT_RUN:
-		if (!load(set[GSET_FILE].text, &g->set)) {
+		g->settings_path = set[GSET_FILE].text;
+		setvbuf(stdout, NULL, _IOLBF, 0);
+		if (!load(g->settings_path, &g->set)) {
 			status = 2;
 			break;
 		}
--- a/src/duty/logger.c
+++ b/src/duty/logger.c
@@ -11,6 +11,7 @@
 #define LINES_MAX 8192
 
 struct logger_duty {
+	FILE *out;
 	struct duty *duty;
 };
 
@@ -27,14 +28,18 @@
 
 static void on_message(void *ctx, int64_t now_us, struct msg *m)
 {
-	fprintf(stderr, "%s\n", (const char *)m->body);
+	struct logger_duty *l = ctx;
+
+	fprintf(l->out, "%s\n", (const char *)m->body);
 	free(m->body);
 }
 
-struct logger_duty *logger_duty_new(struct err *err)
+struct logger_duty *logger_duty_new(FILE *out, struct err *err)
 {
 	struct logger_duty *l = cu_alloc(1, sizeof(*l));
 
+	l->out = out;
+
 	l->duty = duty_new("logger", LINES_MAX, NULL, NULL, err);
 	if (!l->duty || duty_start(l->duty, on_message, l, err) != ERR_OK) {
 		duty_free(l->duty);
--- a/src/duty/serve.c
+++ b/src/duty/serve.c
@@ -244,7 +244,7 @@
 	};
 	uint32_t i;
 
-	s->logger = logger_duty_new(err);
+	s->logger = logger_duty_new(stderr, err);
 	if (!s->logger)
 		return err->code;
 	for (i = 0; i < countof(steps); i++) {
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -2,7 +2,9 @@
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "codec/gsettings.h"
 #include "controller/dsc.h"
 #include "decide/topk.h"
 #include "gateway/gw.h"
@@ -414,9 +416,79 @@
 	{ "open", cmd_open },
 };
 
+static const struct {
+	const char *field;
+	const char *value;
+} settings[] = {
+	{ "host", "\"h1\"" },
+	{ "data_centre", "\"a\"" },
+	{ "caller_address", "\"127.0.0.1:8226\"" },
+	{ "ready_address", "\"127.0.0.1:8227\"" },
+	{ "store_address", "\"127.0.0.1:8229\"" },
+	{ "store_reads_per_s", "2000" },
+	{ "store_writes_per_s", "400" },
+	{ "descriptors", "4100" },
+	{ "grace_s", "6" },
+	{ "config_apply_ms", "3000" },
+	{ "drain_ms", "3000" },
+	{ "retry_ratio", "0.2" },
+	{ "retry_slack", "56" },
+};
+
+static void *no_ctx(void)
+{
+	return NULL;
+}
+
+static void free_no_ctx(void *ctx)
+{
+}
+
+/* load [FIELD=JSON|-FIELD|!TEXT]: the valid file with one change, or TEXT. */
+static void cmd_load(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	g_autofree char *path = g_strdup_printf("%s/settings-%d.json",
+						g_get_tmp_dir(), (int)getpid());
+	struct buf json CLEANUP_BUF = { 0 };
+	struct gw_settings set;
+	struct err err = { 0 };
+	uint32_t i;
+
+	buf_addf(&json, "{");
+	for (i = 0; i < countof(settings); i++) {
+		const char *field = settings[i].field;
+
+		if (argc && argv[0][0] == '-' && !strcmp(argv[0] + 1, field))
+			continue;
+		buf_addf(&json, "%s\"%s\":%s", json.len_bytes > 1 ? "," : "",
+			 field,
+			 script_arg(argc, argv, field, settings[i].value));
+	}
+	buf_addf(&json, "}");
+	if (argc && argv[0][0] == '!')
+		g_file_set_contents(path, argv[0] + 1, -1, NULL);
+	else
+		g_file_set_contents(path, json.data, -1, NULL);
+	if (gsettings_load(path, &set, &err) == ERR_OK)
+		buf_addf(out, "host %s store %s:%u retry %u permille\n",
+			 set.host, set.store.address, set.store.port,
+			 set.retry_permille);
+	else
+		buf_addf(out, "%s: %s\n", err_name(err.code),
+			 strchr(err.detail, '/') ? strchr(err.detail, ',')
+						 : err.detail);
+	unlink(path);
+}
+
+static const struct script_command settings_commands[] = {
+	{ "load", cmd_load },
+};
+
 int main(int argc, char **argv)
 {
 	const struct script_area areas[] = {
+		{ "gset", no_ctx, free_no_ctx, countof(settings_commands),
+		  settings_commands },
 		{ "gw", bench_new, bench_free, countof(commands), commands },
 	};
 
--- /dev/null
+++ b/tests/test_gateway_io.c
@@ -0,0 +1,520 @@
+/*
+ * The gateway's ingress and egress duties over loopback sockets. Each case
+ * waits for messages or bytes, none for a time.
+ */
+#include <apr_general.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/addr.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "duty/egress.h"
+#include "duty/ingress.h"
+#include "duty/messages.h"
+
+#define WAIT_US (20 * (int64_t)US_PER_S)
+#define RING_SIZE 256
+
+static int listen_any(uint16_t *port)
+{
+	struct sockaddr_storage sa;
+	socklen_t len = addr_fill("127.0.0.1", 0, &sa);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&sa, len), ==, 0);
+	g_assert_cmpint(listen(fd, 16), ==, 0);
+	*port = addr_port(fd);
+	return fd;
+}
+
+static int connect_to(uint16_t port)
+{
+	struct sockaddr_storage sa;
+	socklen_t len = addr_fill("127.0.0.1", port, &sa);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&sa, len), ==, 0);
+	return fd;
+}
+
+static void put(int fd, const char *text)
+{
+	g_assert_cmpint(send(fd, text, strlen(text), MSG_NOSIGNAL), ==,
+			(int)strlen(text));
+}
+
+/* Reads until @text has come; fails at the end of the stream. */
+static void expect(int fd, const char *text)
+{
+	char seen[8192] = "";
+	size_t len = 0;
+
+	while (!strstr(seen, text)) {
+		ssize_t n = recv(fd, seen + len, sizeof(seen) - 1 - len, 0);
+
+		if (n <= 0)
+			g_error("'%s' did not come, but '%s'", text, seen);
+		len += (size_t)n;
+		seen[len] = '\0';
+	}
+}
+
+/* Reads until the stream ends. */
+static void expect_end(int fd)
+{
+	char rest[512];
+
+	while (recv(fd, rest, sizeof(rest), 0) > 0)
+		;
+	close(fd);
+}
+
+static void *take(struct ring *r, uint32_t type)
+{
+	struct msg m;
+
+	g_assert_cmpuint(ring_wait(r, &m, 1, WAIT_US), ==, 1);
+	g_assert_cmpuint(m.type, ==, type);
+	return m.body;
+}
+
+struct egress_case {
+	struct egress *egress;
+	struct ring *replies;
+	int listener;
+	uint16_t port;
+	uint64_t next_id;
+};
+
+static void egress_begin(struct egress_case *c)
+{
+	struct err err = { 0 };
+
+	memset(c, 0, sizeof(*c));
+	c->replies = ring_new(RING_SIZE, NULL, NULL, &err);
+	c->egress = egress_new(&err);
+	g_assert_nonnull(c->egress);
+	g_assert_cmpint(egress_start(c->egress, c->replies, &err), ==, ERR_OK);
+	c->listener = listen_any(&c->port);
+}
+
+static void egress_end(struct egress_case *c)
+{
+	egress_stop(c->egress);
+	egress_free(c->egress);
+	ring_free(c->replies);
+	close(c->listener);
+}
+
+static uint64_t call(struct egress_case *c, const char *request_id, int once)
+{
+	struct target_call *call = cu_alloc(1, sizeof(*call));
+	struct msg m = { MSG_TARGET_CALL, call, NULL };
+
+	call->call_id = ++c->next_id;
+	call->text = request_text_new();
+	cu_copy(call->text->method, sizeof(call->text->method), "GET");
+	call->text->target = cu_strdup("/a/b?c=d");
+	buf_addf(&call->text->fields, "Host: h\r\n");
+	cu_copy(call->request_id, sizeof(call->request_id), request_id);
+	cu_copy(call->target_id, sizeof(call->target_id), "t1");
+	cu_copy(call->address, sizeof(call->address), "127.0.0.1");
+	call->port = c->port;
+	call->deadline_us = clock_now_us() + WAIT_US;
+	call->wait_ms = 77;
+	call->connection_share = 4;
+	call->is_once = (uint32_t)once;
+	g_assert_cmpint(ring_push(egress_ring(c->egress), &m), ==, ERR_OK);
+	return c->next_id;
+}
+
+static struct target_reply *reply(struct egress_case *c)
+{
+	return take(c->replies, MSG_TARGET_REPLY);
+}
+
+#define HEAD_OK "HTTP/1.1 200 OK\r\nCowslippoint-Server-Stamp: st\r\n"
+
+/* Guards against a request that reaches the target in another form. */
+static void test_request(void)
+{
+	struct egress_case c;
+	struct target_reply *r;
+	int fd;
+
+	egress_begin(&c);
+	call(&c, "r1", 0);
+	fd = accept(c.listener, NULL, NULL);
+	expect(fd, "GET /a/b?c=d HTTP/1.1\r\nHost: h\r\n"
+		   "Cowslippoint-Deadline-Ms: 77\r\n"
+		   "Cowslippoint-Expect-Instance: t1\r\n\r\n");
+	put(fd, HEAD_OK "Content-Length: 4\r\n\r\nbo");
+	put(fd, "dy");
+	r = reply(&c);
+	g_assert_cmpint(r->code, ==, ERR_OK);
+	g_assert_cmpstr(r->stamp, ==, "st");
+	g_assert_cmpstr(r->body.data, ==, "body");
+	target_reply_free(r);
+	egress_end(&c);
+	close(fd);
+}
+
+/* Guards against an answer to an earlier request passing for this one. */
+static void test_stray(void)
+{
+	struct egress_case c;
+	struct target_reply *r;
+	int fd;
+
+	egress_begin(&c);
+	call(&c, "r1", 0);
+	fd = accept(c.listener, NULL, NULL);
+	expect(fd, "\r\n\r\n");
+	put(fd, HEAD_OK "Cowslippoint-Request-Id: r0\r\n"
+			"Content-Length: 3\r\n\r\nold");
+	put(fd, HEAD_OK "Cowslippoint-Request-Id: r1\r\n"
+			"Content-Length: 3\r\n\r\nnew");
+	r = reply(&c);
+	g_assert_cmpstr(r->body.data, ==, "new");
+	target_reply_free(r);
+	egress_end(&c);
+	close(fd);
+}
+
+/* Guards against the use of a connection after bytes beyond an answer. */
+static void test_extra(void)
+{
+	struct egress_case c;
+	int fd;
+
+	egress_begin(&c);
+	call(&c, "r1", 0);
+	fd = accept(c.listener, NULL, NULL);
+	expect(fd, "\r\n\r\n");
+	put(fd, HEAD_OK "Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+	target_reply_free(reply(&c));
+	expect_end(fd);
+	/* The next call comes on another connection. */
+	call(&c, "r2", 0);
+	fd = accept(c.listener, NULL, NULL);
+	expect(fd, "\r\n\r\n");
+	put(fd, HEAD_OK "Content-Length: 0\r\n\r\n");
+	target_reply_free(reply(&c));
+	/* Bytes that come while it is idle end it as well. */
+	put(fd, "HTTP/1.1 200 OK\r\n");
+	expect_end(fd);
+	egress_end(&c);
+}
+
+/* Guards against a cut answer that looks complete. */
+static void test_cut(void)
+{
+	static const char *const answers[] = {
+		HEAD_OK "Content-Length: 9\r\n\r\nhalf",
+		HEAD_OK "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"HTTP/1.1 200 OK\r\nCowslip",
+		"not an answer\r\n\r\n",
+		"",
+	};
+	struct egress_case c;
+	uint32_t i;
+
+	egress_begin(&c);
+	for (i = 0; i < countof(answers); i++) {
+		struct target_reply *r;
+		int fd;
+
+		call(&c, "r1", 0);
+		fd = accept(c.listener, NULL, NULL);
+		expect(fd, "\r\n\r\n");
+		put(fd, answers[i]);
+		close(fd);
+		r = reply(&c);
+		g_assert_cmpint(r->code, ==, ERR_TARGET_CLOSED);
+		g_assert_cmpuint(r->not_run, ==, 0);
+		target_reply_free(r);
+	}
+	egress_end(&c);
+}
+
+/* An answer without a length is complete at the end of its connection. */
+static void test_no_length(void)
+{
+	struct egress_case c;
+	struct target_reply *r;
+	int fd;
+
+	egress_begin(&c);
+	call(&c, "r1", 0);
+	fd = accept(c.listener, NULL, NULL);
+	expect(fd, "\r\n\r\n");
+	put(fd, HEAD_OK "\r\nwhole");
+	close(fd);
+	r = reply(&c);
+	g_assert_cmpint(r->code, ==, ERR_OK);
+	g_assert_cmpstr(r->body.data, ==, "whole");
+	target_reply_free(r);
+	egress_end(&c);
+}
+
+/*
+ * Guards against "not run" that may belong to an earlier request: on a used
+ * connection, without a request ID, it is no statement about this one.
+ */
+static void test_not_run(void)
+{
+	static const char busy[] = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+				   "Cowslippoint-Not-Executed: 1\r\n\r\n";
+	struct egress_case c;
+	struct target_reply *r;
+	uint32_t i;
+	int fd = -1;
+
+	egress_begin(&c);
+	for (i = 0; i < 2; i++) {
+		call(&c, "r1", 1);
+		if (fd < 0)
+			fd = accept(c.listener, NULL, NULL);
+		expect(fd, "\r\n\r\n");
+		put(fd, busy);
+		r = reply(&c);
+		g_assert_cmpuint(r->status, ==, 503);
+		g_assert_cmpuint(r->not_run, ==, i == 0);
+		target_reply_free(r);
+	}
+	egress_end(&c);
+	close(fd);
+}
+
+/* Guards against calls without an end: refused, and cancelled ones. */
+static void test_ends(void)
+{
+	struct egress_case c;
+	struct target_call *cancel = cu_alloc(1, sizeof(*cancel));
+	struct msg m = { MSG_TARGET_CALL, cancel, NULL };
+	struct target_reply *r;
+	int fd;
+
+	egress_begin(&c);
+	cancel->call_id = call(&c, "r1", 0);
+	cancel->cancel = 1;
+	fd = accept(c.listener, NULL, NULL);
+	expect(fd, "\r\n\r\n");
+	g_assert_cmpint(ring_push(egress_ring(c.egress), &m), ==, ERR_OK);
+	r = reply(&c);
+	g_assert_cmpint(r->code, ==, ERR_CANCELLED);
+	target_reply_free(r);
+	expect_end(fd);
+	close(c.listener);
+	call(&c, "r2", 0);
+	r = reply(&c);
+	g_assert_cmpint(r->code, ==, ERR_TARGET_CONNECT);
+	g_assert_cmpuint(r->not_run, ==, 1);
+	target_reply_free(r);
+	c.listener = listen_any(&c.port);
+	egress_end(&c);
+}
+
+struct ingress_case {
+	struct ingress *ingress;
+	struct ring *requests;
+	uint16_t caller_port;
+	uint16_t ready_port;
+	_Atomic int is_ready;
+};
+
+static int is_ready(void *ctx)
+{
+	struct ingress_case *c = ctx;
+
+	return c->is_ready;
+}
+
+/* A free port; another process might take it before it is used. */
+static uint16_t free_port(void)
+{
+	uint16_t port;
+
+	close(listen_any(&port));
+	return port;
+}
+
+static void ingress_begin(struct ingress_case *c)
+{
+	struct ingress_options o = { .connections_max = 64,
+				     .is_ready = is_ready,
+				     .ready_ctx = c };
+	struct err err = { 0 };
+
+	memset(c, 0, sizeof(*c));
+	c->requests = ring_new(RING_SIZE, NULL, NULL, &err);
+	c->caller_port = free_port();
+	c->ready_port = free_port();
+	cu_copy(o.caller.address, sizeof(o.caller.address), "127.0.0.1");
+	cu_copy(o.ready.address, sizeof(o.ready.address), "127.0.0.1");
+	o.caller.port = c->caller_port;
+	o.ready.port = c->ready_port;
+	o.requests = c->requests;
+	c->ingress = ingress_new(&o, &err);
+	g_assert_nonnull(c->ingress);
+	g_assert_cmpint(ingress_start(c->ingress, &err), ==, ERR_OK);
+}
+
+static void ingress_end(struct ingress_case *c)
+{
+	ingress_stop(c->ingress);
+	ingress_free(c->ingress);
+	ring_free(c->requests);
+}
+
+static void answer(struct ingress_case *c, uint64_t conn, const char *body)
+{
+	struct exchange_answer *a = cu_alloc(1, sizeof(*a));
+	struct msg m = { MSG_EXCHANGE_ANSWER, a, NULL };
+
+	a->conn = conn;
+	a->status = 200;
+	buf_addf(&a->fields, "X-Kept: 1\r\n");
+	buf_addf(&a->body, "%s", body);
+	g_assert_cmpint(ring_push(ingress_ring(c->ingress), &m), ==, ERR_OK);
+}
+
+#define HEAD_GET                    \
+	"GET /p/q HTTP/1.1\r\n"     \
+	"Host: shop.example:80\r\n" \
+	"Cowslippoint-Request-Id: r1\r\n"
+
+/* Guards against requests and answers that are changed on their way. */
+static void test_exchange(void)
+{
+	struct ingress_case c;
+	struct exchange_request *r;
+	uint32_t i;
+	int fd;
+
+	ingress_begin(&c);
+	fd = connect_to(c.caller_port);
+	for (i = 0; i < 2; i++) {
+		put(fd, HEAD_GET "Cowslippoint-Deadline-Ms: 900\r\nX-A: b\r\n"
+				 "Connection: keep-alive\r\n"
+				 "Content-Length: 2\r\n\r\nhi");
+		r = take(c.requests, MSG_EXCHANGE_REQUEST);
+		g_assert_cmpstr(r->host, ==, "shop.example");
+		g_assert_cmpstr(r->id, ==, "r1");
+		g_assert_cmpuint(r->wait_ms, ==, 900);
+		g_assert_cmpstr(r->text->target, ==, "/p/q");
+		g_assert_cmpstr(r->text->body.data, ==, "hi");
+		g_assert_nonnull(strstr(r->text->fields.data, "X-A: b\r\n"));
+		g_assert_null(strstr(r->text->fields.data, "Deadline"));
+		g_assert_null(strstr(r->text->fields.data, "Connection"));
+		g_assert_cmpuint(r->is_first, ==, i == 0);
+		answer(&c, r->conn, "bytes");
+		exchange_request_free(r);
+		expect(fd, "X-Kept: 1\r\nContent-Length: 5\r\n\r\nbytes");
+	}
+	close(fd);
+	ingress_end(&c);
+}
+
+/* Guards against work that goes on because a close was not seen. */
+static void test_gone(void)
+{
+	struct ingress_case c;
+	struct exchange_request *r;
+	struct exchange_gone *gone;
+	int fd;
+
+	ingress_begin(&c);
+	fd = connect_to(c.caller_port);
+	put(fd, HEAD_GET "\r\n");
+	r = take(c.requests, MSG_EXCHANGE_REQUEST);
+	close(fd);
+	gone = take(c.requests, MSG_EXCHANGE_GONE);
+	g_assert_cmpuint(gone->conn, ==, r->conn);
+	/* An answer for it goes nowhere. */
+	answer(&c, r->conn, "late");
+	free(gone);
+	exchange_request_free(r);
+	ingress_end(&c);
+}
+
+/* Guards against bad input that is passed on or ends the process. */
+static void test_malformed(void)
+{
+	g_autofree char *fill = g_strnfill(20000, 'x');
+	g_autofree char *large =
+		g_strdup_printf("GET / HTTP/1.1\r\nX-Large: %s\r\n\r\n", fill);
+	const struct {
+		const char *request;
+		const char *status;
+	} cases[] = {
+		{ "nonsense\r\n\r\n", " 400 " },
+		{ "GET / HTTP/1.1\r\nHost: h\r\n\r\n", " 400 " },
+		{ "GET / HTTP/1.1\r\nCowslippoint-Request-Id: r\r\n\r\n", " 400"
+									  " " },
+		{ HEAD_GET "Content-Length: 999999999\r\n\r\n", NULL },
+		{ large, " 431 " },
+	};
+	struct ingress_case c;
+	uint32_t i;
+
+	ingress_begin(&c);
+	for (i = 0; i < countof(cases); i++) {
+		int fd = connect_to(c.caller_port);
+
+		put(fd, cases[i].request);
+		if (cases[i].status)
+			expect(fd, cases[i].status);
+		close(fd);
+	}
+	ingress_end(&c);
+}
+
+/* Guards against a host that stays in the load balancer while it leaves. */
+static void test_ready(void)
+{
+	static const char get[] = "GET /api/readyz HTTP/1.1\r\nHost: h\r\n\r\n";
+	struct ingress_case c;
+	int fd;
+
+	ingress_begin(&c);
+	fd = connect_to(c.ready_port);
+	put(fd, get);
+	expect(fd, "NO_CONFIG");
+	c.is_ready = 1;
+	put(fd, get);
+	expect(fd, " 200 ");
+	ingress_drain(c.ingress);
+	put(fd, get);
+	expect(fd, " 503 ");
+	expect_end(fd);
+	ingress_end(&c);
+}
+
+/* GLib's harness ends the test at a warning that it sees. */
+static void drop_line(void *ctx, const char *line)
+{
+}
+
+int main(int argc, char **argv)
+{
+	apr_initialize();
+	log_init("test", drop_line, NULL);
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/egress/request", test_request);
+	g_test_add_func("/egress/stray", test_stray);
+	g_test_add_func("/egress/extra", test_extra);
+	g_test_add_func("/egress/cut", test_cut);
+	g_test_add_func("/egress/no-length", test_no_length);
+	g_test_add_func("/egress/not-run", test_not_run);
+	g_test_add_func("/egress/ends", test_ends);
+	g_test_add_func("/ingress/exchange", test_exchange);
+	g_test_add_func("/ingress/gone", test_gone);
+	g_test_add_func("/ingress/malformed", test_malformed);
+	g_test_add_func("/ingress/ready", test_ready);
+	return g_test_run();
+}
