--- a/src/gateway/4_send.c
+++ b/src/gateway/4_send.c
@@ -115,6 +115,26 @@
 		now_us + (int64_t)US_PER_S * g->host_count / cold_per_s;
 }
 
+/* Extra calls are always logged, first calls of traced requests only. */
+static void log_call(const struct gw_part *p, const struct gw_target *t,
+		     int is_extra, int64_t now_us)
+{
+	struct gw_req *r = p->req;
+
+	if (!is_extra && !r->is_traced)
+		return;
+	log_event(LOG_LEVEL_INFO, "call",
+		  "request %s service %s target %s as %s at %lld us, %u open, "
+		  "slowness %u milli, mean %lld us, allowance %u permille",
+		  r->in->id, p->service->name, t->def.id,
+		  !is_extra	  ? "first"
+		  : p->open_count ? "hedge"
+				  : "retry",
+		  (long long)(now_us - r->in->received_us), t->outstanding,
+		  t->slowness_milli, (long long)r->stats->hdg.mean_us,
+		  xwn_fill_permille(&p->service->extras, now_us));
+}
+
 static void send_to(struct gw_part *p, struct gw_target *t, int is_extra,
 		    int64_t now_us)
 {
@@ -129,6 +149,7 @@
 			      .stats = p->req->stats,
 			      .sent_us = now_us,
 			      .is_extra = is_extra };
+	log_call(p, t, is_extra, now_us);
 	g_hash_table_insert(g->subs, &s->call_id, s);
 	TAILQ_INSERT_TAIL(&t->subs, s, link);
 	t->outstanding++;
--- a/src/gateway/gw.c
+++ b/src/gateway/gw.c
@@ -1,11 +1,18 @@
 #include "gateway/gw.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/log.h"
 #include "base/metric.h"
 #include "gateway/gw_internal.h"
 
+/*
+ * One request in so many is logged whole. The choice is a hash of its ID, so
+ * that it is the same on every host.
+ */
+#define TRACE_ONE_IN 256
+
 static void unref_target(gpointer t)
 {
 	gw_target_unref(t);
@@ -134,7 +141,8 @@
 	int is_late = r->route &&
 		      took_us > (int64_t)r->route->goal_ms * US_PER_MS;
 
-	if (a->error == ERR_OK && !a->missing_parts && !is_late)
+	if (a->error == ERR_OK && !a->missing_parts && !is_late &&
+	    !r->is_traced)
 		return;
 	log_event(LOG_LEVEL_INFO, "answer",
 		  "request %s route %s config %llu status %u code %s after "
@@ -183,6 +191,7 @@
 	metric_add(M_REQUESTS, 1);
 	r->gw = g;
 	r->in = in;
+	r->is_traced = XXH3_64bits(in->id, strlen(in->id)) % TRACE_ONE_IN == 0;
 	if (g->bound) {
 		r->bound = g->bound;
 		r->bound->refs++;
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -121,6 +121,8 @@
 	int64_t deadline_us;
 	int64_t settle_us;
 	int is_settling;
+	/* Each of its decisions is logged, on every host that sees the ID. */
+	int is_traced;
 	/* Inside the chain: gw_resume() has nothing to do. */
 	int is_running;
 	uint32_t part_count;
