Do not spend the fixed part of the retry bound twice after a restart

All processes were killed at 41.0 s; each started with its whole part of the fixed number although its predecessor had used it in the same window. A process uses it only ten seconds after its start; the share of requests counts at once.

Ruled out: the hosts' count as the cause (eight hosts in the store's entries all the while; the zone was cut for 6 s, the lease is 9 s).

--- a/src/decide/xwn.c
+++ b/src/decide/xwn.c
@@ -6,10 +6,12 @@
 
 #define MILLI 1000
 
-void xwn_set(struct xwn *w, uint32_t earn_permille, uint32_t slack_milli)
+void xwn_set(struct xwn *w, uint32_t earn_permille, uint32_t slack_milli,
+	     int64_t from_us)
 {
 	w->earn_permille = earn_permille;
 	w->slack_milli = slack_milli;
+	w->slack_from_us = from_us;
 }
 
 /* Slot of the present second, with those that were passed over emptied. */
@@ -40,11 +42,12 @@
  * The oldest slot may lie outside the window: its extra calls count, since
  * they may lie inside, and its requests do not.
  */
-static uint32_t allowed_milli(const struct xwn *w, uint32_t slot)
+static uint32_t allowed_milli(const struct xwn *w, uint32_t slot,
+			      int64_t now_us)
 {
 	uint32_t oldest = (slot + 1) % XWN_SLOTS;
 
-	return w->slack_milli +
+	return (now_us < w->slack_from_us ? 0 : w->slack_milli) +
 	       (sum(w->requests) - w->requests[oldest]) * w->earn_permille;
 }
 
@@ -57,7 +60,7 @@
 {
 	uint32_t slot = slot_of(w, now_us);
 
-	return (sum(w->extras) + 1) * MILLI <= allowed_milli(w, slot);
+	return (sum(w->extras) + 1) * MILLI <= allowed_milli(w, slot, now_us);
 }
 
 void xwn_spend(struct xwn *w, int64_t now_us)
@@ -67,7 +70,7 @@
 
 uint32_t xwn_fill_permille(struct xwn *w, int64_t now_us)
 {
-	uint32_t allowed = allowed_milli(w, slot_of(w, now_us));
+	uint32_t allowed = allowed_milli(w, slot_of(w, now_us), now_us);
 	uint32_t used = sum(w->extras) * MILLI;
 
 	if (!allowed || used >= allowed)
--- a/src/decide/xwn.h
+++ b/src/decide/xwn.h
@@ -8,12 +8,16 @@
 
 #include <stdint.h>
 
+#include "base/cutil.h"
+
 /* One-second slots: the window of ten seconds and the one being filled. */
 #define XWN_SLOTS 11
+#define XWN_WINDOW_US (10 * (int64_t)US_PER_S)
 
 struct xwn {
 	uint32_t earn_permille;
 	uint32_t slack_milli;
+	int64_t slack_from_us;
 	/* Second that slot 0 began with, counted from the clock's start. */
 	int64_t second;
 	uint32_t requests[XWN_SLOTS];
@@ -22,9 +26,11 @@
 
 /*
  * @earn_permille: extra calls per request. @slack_milli: this host's part of
- * the fixed number, in thousandths; below one the first call waits for requests.
+ * the fixed number, in thousandths. It counts from @from_us on: a process that
+ * has just started does not know what its predecessor used in the same window.
  */
-void xwn_set(struct xwn *w, uint32_t earn_permille, uint32_t slack_milli);
+void xwn_set(struct xwn *w, uint32_t earn_permille, uint32_t slack_milli,
+	     int64_t from_us);
 void xwn_request(struct xwn *w, int64_t now_us);
 /* 1 if one more extra call keeps the bound. */
 int xwn_may_spend(struct xwn *w, int64_t now_us);
--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -112,7 +112,8 @@
 
 static enum err_code create(struct gateway *g, struct err *err)
 {
-	struct gw_options o = { .core_permille = g->set.core_permille,
+	struct gw_options o = { .started_us = clock_now_us(),
+				.core_permille = g->set.core_permille,
 				.retry_permille = g->set.retry_permille,
 				.retry_slack = g->set.retry_slack,
 				.seed = (uint64_t)clock_wall_us() };
--- a/src/duty/gw_control.c
+++ b/src/duty/gw_control.c
@@ -28,8 +28,11 @@
 /* A host that is gone for this long has lost its lease. */
 #define LEASE_TTL_MS 9000
 #define LEASE_RENEW_US (3 * US_PER_S)
-/* Connections of a host that ended may stand at targets for a while. */
-#define HOST_LINGER_US (10 * US_PER_S)
+/*
+ * A host whose entry lapsed may only be cut off from the store: it goes on
+ * serving with its part of the shared limits.
+ */
+#define HOST_LINGER_US (60 * US_PER_S)
 
 /* Tokens of the calls to the store. */
 enum call_id { CALL_WATCH, CALL_LEASE, CALL_REGISTER, CALL_RENEW };
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -33,6 +33,8 @@
 	uint32_t retry_slack;
 	/* Part of a processor core that this host has. */
 	uint32_t core_permille;
+	/* Start of the process. */
+	int64_t started_us;
 	uint64_t seed;
 };
 
--- a/src/gateway/gw_bound.c
+++ b/src/gateway/gw_bound.c
@@ -133,7 +133,7 @@
 
 	s->cold_per_s = def->cold_per_s;
 	xwn_set(&s->extras, g->opt.retry_permille * BUDGET_PERMILLE / PERMILLE,
-		slack_milli);
+		slack_milli, g->opt.started_us + XWN_WINDOW_US);
 	for (i = 0; i < s->targets->len; i++) {
 		struct gw_target *t = g_ptr_array_index(s->targets, i);
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -7,6 +7,7 @@
 #include "codec/gsettings.h"
 #include "controller/dsc.h"
 #include "decide/topk.h"
+#include "decide/xwn.h"
 #include "gateway/gw.h"
 #include "script.h"
 
@@ -79,20 +80,26 @@
 		buf_addf(b->out, "targets changed\n");
 }
 
-static void *bench_new(void)
+static struct gw *bench_gw(struct bench *b, int64_t started_us)
 {
-	struct bench *b = cu_alloc(1, sizeof(*b));
 	struct gw_ops ops = { on_call, on_answer, b };
 	struct gw_options o = { .data_centre = "a",
+				.started_us = started_us,
 				.core_permille = 1000,
 				.retry_permille = 200,
 				.retry_slack = 56,
 				.seed = SEED };
 
+	return gw_new(&ops, &o, b->timers);
+}
+
+static void *bench_new(void)
+{
+	struct bench *b = cu_alloc(1, sizeof(*b));
 	b->timers = tmr_new();
 	b->now_us = US_PER_S;
 	b->hosts = 1;
-	b->gw = gw_new(&ops, &o, b->timers);
+	b->gw = bench_gw(b, -XWN_WINDOW_US);
 	b->dsc = dsc_new(b->timers, on_changed, b);
 	return b;
 }
@@ -127,6 +134,16 @@
 	return text.data;
 }
 
+/* restart: another process of the same host, without its memory. */
+static void cmd_restart(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct bench *b = ctx;
+
+	b->out = out;
+	gw_free(b->gw);
+	b->gw = bench_gw(b, b->now_us);
+}
+
 /* service NAME [connections=N] [cold=N] */
 static void cmd_service(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -407,14 +424,14 @@
 }
 
 static const struct script_command commands[] = {
-	{ "service", cmd_service },   { "route", cmd_route },
-	{ "target", cmd_target },     { "remove", cmd_remove },
-	{ "evacuate", cmd_evacuate }, { "list", cmd_list },
-	{ "back", cmd_back },	      { "targets", cmd_targets },
-	{ "view", cmd_view },	      { "forget", cmd_forget },
-	{ "request", cmd_request },   { "reply", cmd_reply },
-	{ "tick", cmd_tick },	      { "gone", cmd_gone },
-	{ "open", cmd_open },
+	{ "restart", cmd_restart }, { "service", cmd_service },
+	{ "route", cmd_route },	    { "target", cmd_target },
+	{ "remove", cmd_remove },   { "evacuate", cmd_evacuate },
+	{ "list", cmd_list },	    { "back", cmd_back },
+	{ "targets", cmd_targets }, { "view", cmd_view },
+	{ "forget", cmd_forget },   { "request", cmd_request },
+	{ "reply", cmd_reply },	    { "tick", cmd_tick },
+	{ "gone", cmd_gone },	    { "open", cmd_open },
 };
 
 static const struct {
