Move decisions out of platform/ and share the store's rates by the hosts there are

Cause: platform/ held the store's rate budget and backoff, which decide, and the client's interface, which has no platform names. The rate budget always assumed twelve hosts; it follows the entries in the store.

Moves only besides; the tests of the store, the control duty and the gateway pass unchanged.

--- a/platform/kv_gate.c
+++ b/src/decide/kv_gate.c
@@ -1,4 +1,4 @@
-#include "platform/kv_gate.h"
+#include "decide/kv_gate.h"
 
 #include <string.h>
 
--- a/platform/kv_gate.h
+++ b/src/decide/kv_gate.h
@@ -9,7 +9,7 @@
 
 #include "base/err.h"
 #include "base/rng.h"
-#include "platform/kv.h"
+#include "model/kv.h"
 
 struct kv_bucket {
 	/* Millionths of a call. */
--- a/src/duty/control.h
+++ b/src/duty/control.h
@@ -18,7 +18,7 @@
 #include "model/heartbeat.h"
 #include "model/member.h"
 #include "model/view.h"
-#include "platform/kv.h"
+#include "model/kv.h"
 
 #define CONTROL_SEEDS_MAX 8
 
--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -71,6 +71,13 @@
 	ingress_set_limits(g->ingress, l);
 }
 
+static void on_hosts(void *ctx, uint32_t hosts)
+{
+	struct gateway *g = ctx;
+
+	store_set_hosts(g->store, hosts);
+}
+
 static struct ingress_listen listen_at(const struct gw_endpoint *e)
 {
 	struct ingress_listen at = { .port = e->port };
--- a/src/duty/gw_control.c
+++ b/src/duty/gw_control.c
@@ -118,6 +118,7 @@
 		v->config = route_config_ref(c->config);
 	v->host_count = host_count(c, now_us);
 	metric_set(M_HOSTS_LIVE, v->host_count);
+	c->opt.hosts(c->opt.notify_ctx, v->host_count);
 	if (ring_push(c->opt.views, &m) != ERR_OK) {
 		log_event(LOG_LEVEL_ERROR, "ring_full", "view dropped");
 		gw_view_unref(v);
@@ -160,7 +161,7 @@
 	route_config_unref(c->config);
 	c->config = config;
 	metric_set(M_CONFIG_REV, config->version);
-	c->opt.limits(c->opt.limits_ctx, &config->limits);
+	c->opt.limits(c->opt.notify_ctx, &config->limits);
 	on_changed(c, now_us);
 }
 
--- a/src/duty/gw_control.h
+++ b/src/duty/gw_control.h
@@ -24,7 +24,10 @@
 	struct ring *views;
 	/* Limits of callers in a new configuration; any thread. */
 	void (*limits)(void *ctx, const struct caller_limits *l);
-	void *limits_ctx;
+	/* Number of hosts that share the store's rates; any thread. */
+	void (*hosts)(void *ctx, uint32_t hosts);
+	/* Context of limits and hosts. */
+	void *notify_ctx;
 };
 
 struct gw_control *gw_control_new(const struct gw_control_options *o,
--- a/src/duty/messages.h
+++ b/src/duty/messages.h
@@ -14,7 +14,7 @@
 #include "model/gw_view.h"
 #include "model/request.h"
 #include "model/view.h"
-#include "platform/kv.h"
+#include "model/kv.h"
 
 enum message_type {
 	MSG_REQUEST, /* struct caller_request: caller to request */
--- a/src/duty/store.c
+++ b/src/duty/store.c
@@ -7,7 +7,7 @@
 #include "base/metric.h"
 #include "duty/duty.h"
 #include "duty/messages.h"
-#include "platform/kv_gate.h"
+#include "decide/kv_gate.h"
 #include "platform/kv_http.h"
 
 /* Calls that a restart of all controllers makes at once, with room. */
--- a/platform/kv.c
+++ b/src/model/kv.c
@@ -1,4 +1,4 @@
-#include "platform/kv.h"
+#include "model/kv.h"
 
 #include <string.h>
 
--- a/platform/kv.h
+++ b/src/model/kv.h
@@ -1,6 +1,6 @@
 /*
  * Driver interface to the platform's key-value service. Decisions and
- * controllers know only this page; kv_http.c is one driver. All calls are
+ * controllers know only this page; platform/kv_http.c is the driver. All calls are
  * asynchronous: the result comes through the callback, on the thread that
  * runs the driver.
  */
--- a/tests/control_mbr.c
+++ b/tests/control_mbr.c
@@ -5,7 +5,7 @@
 
 #include "control_areas.h"
 #include "controller/mbr.h"
-#include "platform/kv_gate.h"
+#include "decide/kv_gate.h"
 
 struct mbr_ctx {
 	struct mbr *mbr;
