Let incremental builds survive headers that move

Cause: the dependency files named platform/kv.h after its move, and make stopped in every tree that had been built before. -MP writes an empty rule for each header.

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 	@echo "CC $@"
 	@$(CC) $(CPPFLAGS) $(CFLAGS) \
 		$(if $(findstring codec/peer_,$<),$(CFLAGS_GENERATED)) \
-		-MMD -c -o $@ $<
+		-MMD -MP -c -o $@ $<
 
 $(OUT)/libcowslippoint.a: $(LIB_OBJ)
 	@rm -f $@
