Pass the number of hosts to the store from the gateway

All test programs build and test_gateway (18), test_gateway_io (11), test_store (5) and test_control (25) pass.

--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -128,7 +128,8 @@
 		.hosts_assumed = HOSTS_ASSUMED,
 		.apply_ms = cu_min_u32(g->set.config_apply_ms, g->set.drain_ms),
 		.limits = on_limits,
-		.limits_ctx = g
+		.hosts = on_hosts,
+		.notify_ctx = g
 	};
 
 	cu_copy(o.data_centre, sizeof(o.data_centre), g->set.data_centre);
