Share the keep-alive options and the error line; drop what nothing reads

Found on a reading of the whole change. The line for a person about an error stood five times in gateway and serve: err_print().

Not changed: a hedge chooses its target twice (may_hedge, then try_send), since one choice draws fewer random numbers and moves the expected output of scripts.

--- a/src/base/err.c
+++ b/src/base/err.c
@@ -75,3 +75,9 @@
 	err->code = ERR_OK;
 	err->detail[0] = '\0';
 }
+
+void err_print(FILE *out, const struct err *err)
+{
+	fprintf(out, "cowslippoint: %d %s: %s\n", (int)err->code,
+		err_name(err->code), err->detail);
+}
--- a/src/base/err.h
+++ b/src/base/err.h
@@ -6,6 +6,7 @@
 #define ERR_H
 
 #include <stdint.h>
+#include <stdio.h>
 
 #include "base/cutil.h"
 
@@ -89,5 +90,7 @@
 enum err_code err_set(struct err *err, enum err_code code, const char *fmt, ...)
 	PRINTF_LIKE(3, 4);
 void err_clear(struct err *err);
+/* One line for a person: number, name and detail. */
+void err_print(FILE *out, const struct err *err);
 
 #endif
--- a/src/duty/egress.c
+++ b/src/duty/egress.c
@@ -15,6 +15,7 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "base/poller.h"
+#include "base/sock.h"
 #include "codec/h1.h"
 #include "duty/duty.h"
 #include "duty/messages.h"
@@ -66,7 +67,6 @@
 	uint32_t idle_ms;
 	uint32_t strays;
 	uint32_t requests;
-	uint32_t is_new;
 	struct tmr_sub timer;
 	TAILQ_ENTRY(conn) link;
 };
@@ -216,7 +216,6 @@
 	pl_reply_decode(&c->h1, r);
 	if (r->not_run && !trust_not_run(c))
 		r->not_run = 0;
-	r->new_connection = c->is_new;
 	r->service_us = now_us - c->sent_us;
 	push_reply(c->e, r);
 	learn_idle(c);
@@ -369,14 +368,9 @@
 static void set_options(int fd)
 {
 	int one = 1;
-	int idle_s = KEEPALIVE_S;
-	int probes = KEEPALIVE_PROBES;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle_s, sizeof(idle_s));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	sock_keepalive(fd, KEEPALIVE_S, KEEPALIVE_S, KEEPALIVE_PROBES);
 }
 
 static int open_socket(const struct target_call *call)
@@ -432,7 +426,6 @@
 	c->peer = peer_of(e, call->target_id);
 	c->peer->open++;
 	c->call = call;
-	c->is_new = 1;
 	c->idle_ms = IDLE_MS_DEFAULT;
 	c->item = (struct poll_item){ .fd = fd, .fn = on_conn, .ctx = c };
 	h1_init(&c->h1, H1_RESPONSE, &limits);
@@ -480,7 +473,6 @@
 	}
 	TAILQ_REMOVE(&c->peer->idle, c, link);
 	c->call = call;
-	c->is_new = 0;
 	g_hash_table_insert(e->calls, &call->call_id, c);
 	send_call(c, now_us);
 }
--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -253,8 +253,7 @@
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	if (create(g, &err) != ERR_OK || start(g, &err) != ERR_OK) {
-		fprintf(stderr, "cowslippoint: %d %s: %s\n", (int)err.code,
-			err_name(err.code), err.detail);
+		err_print(stderr, &err);
 		return 1;
 	}
 	log_event(LOG_LEVEL_INFO, "started", "data centre %s",
@@ -273,8 +272,7 @@
 
 	if (gsettings_load(path, set, &err) == ERR_OK)
 		return 1;
-	fprintf(stderr, "cowslippoint: %d %s: %s\n", (int)err.code,
-		err_name(err.code), err.detail);
+	err_print(stderr, &err);
 	return 0;
 }
 
@@ -291,8 +289,7 @@
 		opt_help(stdout, "gateway", option_defs, GATEWAY_OPTION_COUNT);
 		break;
 	case OPT_BAD:
-		fprintf(stderr, "cowslippoint: %d %s: %s\n", (int)err.code,
-			err_name(err.code), err.detail);
+		err_print(stderr, &err);
 		status = 2;
 		break;
 	case OPT_RUN:
--- a/src/duty/peer_listen.c
+++ b/src/duty/peer_listen.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "base/addr.h"
+#include "base/sock.h"
 #include "base/metric.h"
 #include "codec/pxdr.h"
 #include "controller/cfg_set.h"
@@ -230,16 +231,8 @@
 /* Accepted connections take these options over from the listening socket. */
 static void set_tcp_options(int fd)
 {
-	int on = 1;
-	int idle_s = KEEPALIVE_IDLE_S;
-	int interval_s = KEEPALIVE_INTERVAL_S;
-	int probes = KEEPALIVE_PROBES;
-
-	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
-		   sizeof(interval_s));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	sock_keepalive(fd, KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S,
+		       KEEPALIVE_PROBES);
 }
 
 /* Both transports use the same port number. */
--- a/src/duty/serve.c
+++ b/src/duty/serve.c
@@ -379,8 +379,7 @@
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	if (create(s, &err) != ERR_OK || start(s, &err) != ERR_OK) {
-		fprintf(stderr, "cowslippoint: %d %s: %s\n", (int)err.code,
-			err_name(err.code), err.detail);
+		err_print(stderr, &err);
 		return 1;
 	}
 	print_ready(s);
@@ -403,8 +402,7 @@
 			 SERVE_OPTION_COUNT);
 		break;
 	case OPT_BAD:
-		fprintf(stderr, "cowslippoint: %d %s: %s\n", (int)err.code,
-			err_name(err.code), err.detail);
+		err_print(stderr, &err);
 		status = 2;
 		break;
 	case OPT_RUN:
--- a/src/gateway/4_send.c
+++ b/src/gateway/4_send.c
@@ -279,7 +279,7 @@
 	s->target->outstanding--;
 }
 
-static int is_good(const struct gw_sub *s, const struct target_reply *r)
+static int is_good(const struct target_reply *r)
 {
 	return r->code == ERR_OK && r->stamp[0] && !r->not_run &&
 	       r->status >= 200 && r->status < 300;
@@ -360,7 +360,7 @@
 	struct gw_part *p = s->part;
 	struct gw_service *service = s->service;
 	int64_t mean_us = s->stats->hdg.mean_us;
-	int good = is_good(s, reply);
+	int good = is_good(reply);
 
 	close_sub(s);
 	if (good || (p && is_final(p, reply))) {
@@ -426,8 +426,10 @@
 	return FILTER_NEXT;
 }
 
-void gw_send_abandon(struct gw_req *r, int64_t now_us)
+/* No answer to the calls of the request is wanted any more. */
+static void leave(void *ctx, void *item, int64_t now_us)
 {
+	struct gw_req *r = item;
 	uint32_t i;
 
 	for (i = 0; i < r->part_count; i++) {
@@ -437,11 +439,6 @@
 	}
 }
 
-static void leave(void *ctx, void *item, int64_t now_us)
-{
-	gw_send_abandon(item, now_us);
-}
-
 struct filter gw_filter_send(struct gw *g)
 {
 	return (struct filter){ "send", enter, leave, g };
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -170,8 +170,6 @@
 /* Send: handles what came back for @s; frees @reply unless it keeps it. */
 void gw_send_reply(struct gw_sub *s, struct target_reply *reply,
 		   int64_t now_us);
-/* Send: no answer to the calls of @r is wanted any more. */
-void gw_send_abandon(struct gw_req *r, int64_t now_us);
 /* Send: gives parts that wait for @s a target, as far as there is room. */
 void gw_send_wake(struct gw_service *s, int64_t now_us);
 
--- a/src/model/exchange.h
+++ b/src/model/exchange.h
@@ -100,9 +100,6 @@
 	struct buf body;
 	/* Remaining time of slow start that the target states; -1: none. */
 	int32_t warmup_ms;
-	/* 1: the target closes the connection after this answer. */
-	uint32_t closing;
-	uint32_t new_connection;
 	int64_t service_us;
 };
 
--- a/src/model/route.c
+++ b/src/model/route.c
@@ -45,10 +45,8 @@
 		free(c->routes[i].prefix);
 		free(c->routes[i].parts);
 	}
-	for (i = 0; i < c->service_count; i++) {
+	for (i = 0; i < c->service_count; i++)
 		free(c->services[i].name);
-		free(c->services[i].health_path);
-	}
 	free(c->routes);
 	free(c->services);
 	free(c);
--- a/src/model/route.h
+++ b/src/model/route.h
@@ -31,8 +31,6 @@
 	uint32_t goal_ms;
 	/* Targets that one request may be sent to, for each shard. */
 	uint32_t attempts;
-	/* 0 is the highest. */
-	uint32_t priority;
 	/* 1: every part is asked and the answers are merged. */
 	uint32_t is_gather;
 	uint32_t part_count;
@@ -44,7 +42,6 @@
 
 struct service {
 	char *name;
-	char *health_path;
 	/* Connections that each target accepts from all hosts together. */
 	uint32_t connections;
 	/* Requests a cold target tolerates; 0: not limited. */
