--- /dev/null
+++ b/src/codec/ghost.c
@@ -0,0 +1,41 @@
+#include "codec/ghost.h"
+
+#include <jansson.h>
+
+char *ghost_encode(const struct gw_host *h)
+{
+	json_t *doc = json_pack("{s:s,s:s,s:i,s:i}", "data_centre",
+				h->data_centre, "address", h->address, "port",
+				(int)h->port, "core_permille",
+				(int)h->core_permille);
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	json_decref(doc);
+	return text;
+}
+
+enum err_code ghost_decode(const char *json, uint32_t json_bytes,
+			   struct gw_host *out, struct err *err)
+{
+	json_t *doc = json_loadb(json, json_bytes, 0, NULL);
+	const char *data_centre = "";
+	const char *address = "";
+	int port = 0;
+	int core_permille = 0;
+	int ok = doc &&
+		 json_unpack(doc, "{s:s,s:s,s:i,s:i}", "data_centre",
+			     &data_centre, "address", &address, "port", &port,
+			     "core_permille", &core_permille) == 0 &&
+		 port >= 0 && port <= UINT16_MAX && core_permille >= 0 &&
+		 cu_copy(out->data_centre, sizeof(out->data_centre),
+			 data_centre) &&
+		 cu_copy(out->address, sizeof(out->address), address);
+
+	out->port = (uint16_t)port;
+	out->core_permille = (uint32_t)core_permille;
+	json_decref(doc);
+	if (!ok)
+		return err_set(err, ERR_BAD_FIELD,
+			       "entry of a host is not understood");
+	return ERR_OK;
+}
--- /dev/null
+++ b/src/codec/ghost.h
@@ -0,0 +1,19 @@
+/* JSON of the entry that a host of the gateway keeps in the store. */
+#ifndef GHOST_H
+#define GHOST_H
+
+#include <stdint.h>
+
+#include "base/err.h"
+#include "model/store_update.h"
+
+/* The caller frees the result. */
+char *ghost_encode(const struct gw_host *h);
+/*
+ * Fills @out but for its name. ERR_BAD_FIELD when a field is missing, as in
+ * entries of versions that could not be followed.
+ */
+enum err_code ghost_decode(const char *json, uint32_t json_bytes,
+			   struct gw_host *out, struct err *err);
+
+#endif
--- a/src/codec/gsettings.c
+++ b/src/codec/gsettings.c
@@ -45,26 +45,55 @@
 	return lowest;
 }
 
-static void endpoint(struct reader *r, const char *field,
-		     struct gw_endpoint *out)
+/* 1 if @both is ADDRESS:PORT with an IP number. */
+static int read_endpoint(const char *both, struct gw_endpoint *out)
 {
-	char both[ADDRESS_BYTES + 8] = "";
+	char text[ADDRESS_BYTES + 8];
 	struct sockaddr_storage sa;
 	char *colon;
 	long port;
 
-	text(r, field, both, sizeof(both));
-	colon = strrchr(both, ':');
-	port = colon ? strtol(colon + 1, NULL, 10) : 0;
-	if (colon)
-		*colon = '\0';
+	if (!both || !cu_copy(text, sizeof(text), both))
+		return 0;
+	colon = strrchr(text, ':');
+	if (!colon)
+		return 0;
+	*colon = '\0';
+	port = strtol(colon + 1, NULL, 10);
 	if (port < 1 || port > UINT16_MAX ||
-	    !cu_copy(out->address, sizeof(out->address), both) ||
-	    !addr_fill(out->address, (uint16_t)port, &sa)) {
+	    !cu_copy(out->address, sizeof(out->address), text) ||
+	    !addr_fill(out->address, (uint16_t)port, &sa))
+		return 0;
+	out->port = (uint16_t)port;
+	return 1;
+}
+
+static void endpoint(struct reader *r, const char *field,
+		     struct gw_endpoint *out)
+{
+	const json_t *v = json_object_get(r->doc, field);
+
+	if (!read_endpoint(json_string_value(v), out))
 		bad(r, field, "ADDRESS:PORT with an IP number");
-		return;
+}
+
+/* The peer address and the seeds may be left out. */
+static void peers(struct reader *r, struct gw_settings *out)
+{
+	const json_t *peer = json_object_get(r->doc, "peer_address");
+	const json_t *seeds = json_object_get(r->doc, "seeds");
+	size_t i;
+
+	if (peer && json_string_length(peer) != 0)
+		endpoint(r, "peer_address", &out->peer);
+	if (seeds && !json_is_null(seeds) && !json_is_array(seeds))
+		bad(r, "seeds", "a list of ADDRESS:PORT");
+	for (i = 0; i < json_array_size(seeds) && i < GSETTINGS_SEEDS_MAX;
+	     i++) {
+		if (!read_endpoint(json_string_value(json_array_get(seeds, i)),
+				   &out->seeds[out->seed_count++]))
+			bad(r, "seeds", "a list of ADDRESS:PORT");
 	}
-	out->port = (uint16_t)port;
 }
 
 enum err_code gsettings_load(const char *path, struct gw_settings *out,
@@ -87,6 +116,7 @@
 	endpoint(&r, "caller_address", &out->caller);
 	endpoint(&r, "ready_address", &out->ready);
 	endpoint(&r, "store_address", &out->store);
+	peers(&r, out);
 	out->store_reads_per_s =
 		(uint32_t)number(&r, "store_reads_per_s", 1, 1e6);
 	out->store_writes_per_s =
--- a/src/codec/gsettings.h
+++ b/src/codec/gsettings.h
@@ -12,6 +12,9 @@
 	uint16_t port;
 };
 
+/* Hosts named for a start without the store. */
+#define GSETTINGS_SEEDS_MAX 8
+
 struct gw_settings {
 	/* Name of this host, unique in the deployment. */
 	char host[64];
@@ -19,6 +22,11 @@
 	struct gw_endpoint caller;
 	struct gw_endpoint ready;
 	struct gw_endpoint store;
+	/* Where other hosts reach this one; port 0: no host follows another. */
+	struct gw_endpoint peer;
+	/* Peer addresses of hosts that may be there already. */
+	uint32_t seed_count;
+	struct gw_endpoint seeds[GSETTINGS_SEEDS_MAX];
 	/* Calls that the store grants to all hosts together. */
 	uint32_t store_reads_per_s;
 	uint32_t store_writes_per_s;
--- a/src/codec/peer.h
+++ b/src/codec/peer.h
@@ -22,6 +22,8 @@
 #define PEER_RECENT_MAX 64
 #define PEER_ITEMS_MAX 8192
 #define PEER_JSON_MAX 1048576
+#define PEER_KEY_MAX 256
+#define PEER_ENTRIES_MAX 65536
 
 struct peer_notice {
 	char *target;
@@ -94,6 +96,36 @@
 };
 typedef struct peer_config peer_config;
 
+struct peer_follow_args {
+	u_quad_t rev;
+	u_int hold_ms;
+};
+typedef struct peer_follow_args peer_follow_args;
+
+struct peer_entry {
+	char *key;
+	u_quad_t rev;
+	u_int deleted;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct peer_entry peer_entry;
+
+struct peer_state {
+	u_quad_t rev;
+	u_int full;
+	u_int age_ms;
+	u_int returned_ms;
+	u_int held_ms;
+	struct {
+		u_int entries_len;
+		peer_entry *entries_val;
+	} entries;
+};
+typedef struct peer_state peer_state;
+
 #define COWSLIPPOINT_PEER 0x20c05711
 #define PEER_V1 1
 
@@ -104,6 +136,9 @@
 #define FETCH_CONFIG 2
 extern  peer_config * fetch_config_1(peer_fetch_args , CLIENT *);
 extern  peer_config * fetch_config_1_svc(peer_fetch_args , struct svc_req *);
+#define FOLLOW_STATE 3
+extern  peer_state * follow_state_1(peer_follow_args , CLIENT *);
+extern  peer_state * follow_state_1_svc(peer_follow_args , struct svc_req *);
 extern int cowslippoint_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -113,6 +148,9 @@
 #define FETCH_CONFIG 2
 extern  peer_config * fetch_config_1();
 extern  peer_config * fetch_config_1_svc();
+#define FOLLOW_STATE 3
+extern  peer_state * follow_state_1();
+extern  peer_state * follow_state_1_svc();
 extern int cowslippoint_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -125,6 +163,9 @@
 extern  bool_t xdr_peer_fetch_args (XDR *, peer_fetch_args*);
 extern  bool_t xdr_peer_item (XDR *, peer_item*);
 extern  bool_t xdr_peer_config (XDR *, peer_config*);
+extern  bool_t xdr_peer_follow_args (XDR *, peer_follow_args*);
+extern  bool_t xdr_peer_entry (XDR *, peer_entry*);
+extern  bool_t xdr_peer_state (XDR *, peer_state*);
 
 #else /* K&R C */
 extern bool_t xdr_peer_notice ();
@@ -133,6 +174,9 @@
 extern bool_t xdr_peer_fetch_args ();
 extern bool_t xdr_peer_item ();
 extern bool_t xdr_peer_config ();
+extern bool_t xdr_peer_follow_args ();
+extern bool_t xdr_peer_entry ();
+extern bool_t xdr_peer_state ();
 
 #endif /* K&R C */
 
--- a/src/codec/peer.x
+++ b/src/codec/peer.x
@@ -1,6 +1,8 @@
 /*
  * Messages between hosts (ONC RPC). HEARTBEAT is one-way over UDP: the server
- * sends no reply. FETCH_CONFIG is a call over TCP.
+ * sends no reply. FETCH_CONFIG is a call over TCP. FOLLOW_STATE is a call over
+ * TCP that the server answers when it knows more than the client, when it has
+ * heard from the store again, or after hold_ms.
  */
 const PEER_NAME_MAX = 64;
 const PEER_ITEM_NAME_MAX = 80;
@@ -11,6 +13,8 @@
 const PEER_RECENT_MAX = 64;
 const PEER_ITEMS_MAX = 8192;
 const PEER_JSON_MAX = 1048576;
+const PEER_KEY_MAX = 256;
+const PEER_ENTRIES_MAX = 65536;
 
 struct peer_notice {
 	string target<PEER_NAME_MAX>;
@@ -65,9 +69,31 @@
 	peer_item items<PEER_ITEMS_MAX>;
 };
 
+struct peer_follow_args {
+	unsigned hyper rev;
+	unsigned int hold_ms;
+};
+
+struct peer_entry {
+	string key<PEER_KEY_MAX>;
+	unsigned hyper rev;
+	unsigned int deleted;
+	opaque value<PEER_JSON_MAX>;
+};
+
+struct peer_state {
+	unsigned hyper rev;
+	unsigned int full;
+	unsigned int age_ms;
+	unsigned int returned_ms;
+	unsigned int held_ms;
+	peer_entry entries<PEER_ENTRIES_MAX>;
+};
+
 program COWSLIPPOINT_PEER {
 	version PEER_V1 {
 		void HEARTBEAT(peer_heartbeat) = 1;
 		peer_config FETCH_CONFIG(peer_fetch_args) = 2;
+		peer_state FOLLOW_STATE(peer_follow_args) = 3;
 	} = 1;
 } = 0x20c05711;
--- a/src/codec/peer_xdr.c
+++ b/src/codec/peer_xdr.c
@@ -173,3 +173,103 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_peer_follow_args (XDR *xdrs, peer_follow_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->rev))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hold_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_entry (XDR *xdrs, peer_entry *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, PEER_KEY_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->rev))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deleted))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, PEER_JSON_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_state (XDR *xdrs, peer_state *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->rev))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->full))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->returned_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->full);
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
+		IXDR_PUT_U_LONG(buf, objp->returned_ms);
+		IXDR_PUT_U_LONG(buf, objp->held_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, PEER_ENTRIES_MAX,
+			sizeof (peer_entry), (xdrproc_t) xdr_peer_entry))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->rev))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->full))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->returned_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held_ms))
+				 return FALSE;
+
+		} else {
+		objp->full = IXDR_GET_U_LONG(buf);
+		objp->age_ms = IXDR_GET_U_LONG(buf);
+		objp->returned_ms = IXDR_GET_U_LONG(buf);
+		objp->held_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, PEER_ENTRIES_MAX,
+			sizeof (peer_entry), (xdrproc_t) xdr_peer_entry))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->rev))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->full))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->returned_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, PEER_ENTRIES_MAX,
+		sizeof (peer_entry), (xdrproc_t) xdr_peer_entry))
+		 return FALSE;
+	return TRUE;
+}
--- /dev/null
+++ b/src/codec/pxdr_state.c
@@ -0,0 +1,95 @@
+#include "codec/pxdr_state.h"
+
+#include <string.h>
+
+/* Stands for a time that is unknown or long past. */
+#define AGE_NONE UINT32_MAX
+
+static uint32_t age_ms(int64_t at_us, int64_t now_us)
+{
+	int64_t ms = (now_us - at_us) / US_PER_MS;
+
+	if (!at_us || ms >= AGE_NONE)
+		return AGE_NONE;
+	return (uint32_t)cu_max_i64(ms, 0);
+}
+
+static int64_t time_us(uint32_t ms, int64_t now_us)
+{
+	if (ms == AGE_NONE)
+		return 0;
+	return cu_max_i64(1, now_us - (int64_t)ms * US_PER_MS);
+}
+
+void pxdr_from_update(const struct store_update *u, int64_t received_us,
+		      int64_t now_us, peer_state *out)
+{
+	uint32_t i;
+
+	memset(out, 0, sizeof(*out));
+	out->rev = u->rev;
+	out->full = u->is_full;
+	out->age_ms = age_ms(u->fresh_us, now_us);
+	out->returned_ms = age_ms(u->returned_us, now_us);
+	out->held_ms = age_ms(received_us, now_us);
+	out->entries.entries_val = cu_alloc(u->pair_count, sizeof(peer_entry));
+	out->entries.entries_len = u->pair_count;
+	for (i = 0; i < u->pair_count; i++) {
+		peer_entry *e = &out->entries.entries_val[i];
+
+		e->key = u->pairs[i].key;
+		e->rev = u->pairs[i].version;
+		e->deleted = !u->pairs[i].value;
+		e->value.value_val = u->pairs[i].value;
+		e->value.value_len = e->deleted ? 0 : u->pairs[i].value_bytes;
+	}
+}
+
+void pxdr_state_free(peer_state *x)
+{
+	free(x->entries.entries_val);
+	memset(x, 0, sizeof(*x));
+}
+
+static int read_entry(peer_entry *e, uint64_t rev, struct kv_pair *out)
+{
+	if (!e->key || !e->key[0] || e->deleted > 1 || e->rev > rev ||
+	    !cu_copy(out->key, sizeof(out->key), e->key))
+		return 0;
+	out->version = e->rev;
+	if (e->deleted)
+		return 1;
+	out->value_bytes = e->value.value_len;
+	out->value = cu_alloc((size_t)out->value_bytes + 1, 1);
+	if (out->value_bytes)
+		memcpy(out->value, e->value.value_val, out->value_bytes);
+	return 1;
+}
+
+struct store_update *pxdr_to_update(peer_state *x, int64_t sent_us,
+				    int64_t now_us, struct err *err)
+{
+	struct store_update *u = cu_alloc(1, sizeof(*u));
+	/* On the way there and back; all of it may have passed after sending. */
+	int64_t transit_us = now_us - sent_us - (int64_t)x->held_ms * US_PER_MS;
+	int64_t answered_us = now_us - cu_max_i64(transit_us, 0);
+	uint32_t n = x->entries.entries_len;
+	uint32_t i;
+
+	u->rev = x->rev;
+	u->is_full = x->full != 0;
+	u->fresh_us = time_us(x->age_ms, answered_us);
+	u->returned_us = time_us(x->returned_ms, answered_us);
+	u->pairs = cu_alloc(n, sizeof(u->pairs[0]));
+	for (i = 0; i < n; i++) {
+		if (!read_entry(&x->entries.entries_val[i], x->rev,
+				&u->pairs[i])) {
+			err_set(err, ERR_PEER_MESSAGE,
+				"entries missing or out of range");
+			store_update_free(u);
+			return NULL;
+		}
+		u->pair_count++;
+	}
+	return u;
+}
--- /dev/null
+++ b/src/codec/pxdr_state.h
@@ -0,0 +1,25 @@
+/*
+ * Conversion between struct store_update and the message of FOLLOW_STATE.
+ * Steady clocks differ between hosts, so times travel as ages.
+ */
+#ifndef PXDR_STATE_H
+#define PXDR_STATE_H
+
+#include "codec/peer.h"
+#include "model/store_update.h"
+
+/*
+ * Fills @out, whose texts point into @u; free with pxdr_state_free().
+ * @received_us: when the call that it answers came.
+ */
+void pxdr_from_update(const struct store_update *u, int64_t received_us,
+		      int64_t now_us, peer_state *out);
+void pxdr_state_free(peer_state *x);
+/*
+ * Takes the values out of @x; @sent_us: when the call was sent. NULL with
+ * ERR_PEER_MESSAGE in @err when the message is refused.
+ */
+struct store_update *pxdr_to_update(peer_state *x, int64_t sent_us,
+				    int64_t now_us, struct err *err);
+
+#endif
--- a/src/controller/dsc.c
+++ b/src/controller/dsc.c
@@ -13,7 +13,6 @@
 
 struct entry {
 	struct searcher def;
-	int is_listed;
 	/* Missing, but kept until grace_until_us. */
 	int is_missing;
 };
@@ -23,7 +22,7 @@
 	dsc_changed_fn *changed;
 	void *ctx;
 	GHashTable *entries;
-	/* Data centre to 1 if it was named since dsc_list(). */
+	/* Set of data centre names. */
 	GHashTable *evacuated;
 	int64_t grace_until_us;
 	struct tmr_sub grace_timer;
@@ -66,7 +65,6 @@
 		log_event(LOG_LEVEL_INFO, "target_phase",
 			  "target %s service %s is %s", s->id, s->service,
 			  s->is_draining ? "draining" : "ready");
-	e->is_listed = 1;
 	e->is_missing = 0;
 	if (!is_new && searcher_equal(&e->def, s))
 		return;
@@ -128,64 +126,16 @@
 			  "data centre %s is %s", data_centre,
 			  is_out ? "out" : "in");
 	if (is_out)
-		g_hash_table_replace(d->evacuated, cu_strdup(data_centre),
-				     GINT_TO_POINTER(1));
+		g_hash_table_add(d->evacuated, cu_strdup(data_centre));
 	else
 		g_hash_table_remove(d->evacuated, data_centre);
 	if (was_out != is_out)
 		d->changed(d->ctx, now_us);
 }
 
-/* Takes back the evacuations that were not named since dsc_list(). */
-static void drop_evacuations(struct dsc *d, int64_t now_us)
+void dsc_store_back(struct dsc *d, int64_t back_us)
 {
-	GList *names = g_hash_table_get_keys(d->evacuated);
-	GList *at;
-
-	for (at = names; at; at = at->next) {
-		if (!g_hash_table_lookup(d->evacuated, at->data))
-			dsc_evacuate(d, at->data, 0, now_us);
-	}
-	g_list_free(names);
-}
-
-void dsc_list(struct dsc *d)
-{
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, d->evacuated);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		g_hash_table_iter_replace(&it, GINT_TO_POINTER(0));
-
-	g_hash_table_iter_init(&it, d->entries);
-	while (g_hash_table_iter_next(&it, NULL, &value))
-		((struct entry *)value)->is_listed = 0;
-}
-
-void dsc_listed(struct dsc *d, int64_t now_us)
-{
-	GHashTableIter it;
-	gpointer value;
-	int removed = 0;
-
-	drop_evacuations(d, now_us);
-	g_hash_table_iter_init(&it, d->entries);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct entry *e = value;
-
-		if (e->is_listed || defer_removal(d, e, now_us))
-			continue;
-		g_hash_table_iter_remove(&it);
-		removed = 1;
-	}
-	if (removed)
-		d->changed(d->ctx, now_us);
-}
-
-void dsc_store_back(struct dsc *d, int64_t now_us)
-{
-	d->grace_until_us = now_us + RETURN_US;
+	d->grace_until_us = back_us + RETURN_US;
 }
 
 uint32_t dsc_count(const struct dsc *d)
--- a/src/controller/dsc.h
+++ b/src/controller/dsc.h
@@ -25,15 +25,8 @@
 /* Operators want nothing sent to targets of @data_centre (1), or take it back. */
 void dsc_evacuate(struct dsc *d, const char *data_centre, int is_out,
 		  int64_t now_us);
-/*
- * All entries and evacuations follow through dsc_put() and dsc_evacuate(), then
- * dsc_listed().
- */
-void dsc_list(struct dsc *d);
-/* Removes what was not named since dsc_list(). */
-void dsc_listed(struct dsc *d, int64_t now_us);
-/* The store was out of reach until now. */
-void dsc_store_back(struct dsc *d, int64_t now_us);
+/* The store was out of reach until @back_us. */
+void dsc_store_back(struct dsc *d, int64_t back_us);
 
 uint32_t dsc_count(const struct dsc *d);
 /* Writes dsc_count() entries. */
--- /dev/null
+++ b/src/controller/flw.c
@@ -0,0 +1,194 @@
+#include "controller/flw.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "decide/hrw.h"
+
+struct entry {
+	struct gw_host def;
+	int64_t avoid_until_us;
+};
+
+struct flw {
+	char self[NAME_BYTES];
+	char data_centre[NAME_BYTES];
+	int64_t store_avoid_until_us;
+	/* Name to struct entry. */
+	GHashTable *hosts;
+	/* struct entry: of this data centre in tree order, then the others. */
+	GPtrArray *order;
+	/* Entries of this data centre at the front of the order. */
+	uint32_t near_count;
+	/* struct entry: used while no host is known. */
+	GPtrArray *seeds;
+};
+
+struct flw *flw_new(const char *self, const char *data_centre)
+{
+	struct flw *f = cu_alloc(1, sizeof(*f));
+
+	cu_copy(f->self, sizeof(f->self), self);
+	cu_copy(f->data_centre, sizeof(f->data_centre), data_centre);
+	f->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+	f->order = g_ptr_array_new();
+	f->seeds = g_ptr_array_new_with_free_func(free);
+	return f;
+}
+
+void flw_free(struct flw *f)
+{
+	if (!f)
+		return;
+	g_hash_table_destroy(f->hosts);
+	g_ptr_array_free(f->order, TRUE);
+	g_ptr_array_free(f->seeds, TRUE);
+	free(f);
+}
+
+/* Strong hosts come first, since they serve others. */
+static gint compare(gconstpointer a, gconstpointer b, gpointer ctx)
+{
+	const struct flw *f = ctx;
+	const struct gw_host *x = &(*(struct entry *const *)a)->def;
+	const struct gw_host *y = &(*(struct entry *const *)b)->def;
+	int x_far = strcmp(x->data_centre, f->data_centre) != 0;
+	int y_far = strcmp(y->data_centre, f->data_centre) != 0;
+
+	if (x_far != y_far)
+		return x_far - y_far;
+	if (x->core_permille != y->core_permille)
+		return x->core_permille > y->core_permille ? -1 : 1;
+	return hrw_before(f->data_centre, x->name, y->name) ? -1 : 1;
+}
+
+static void sort(struct flw *f)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_ptr_array_set_size(f->order, 0);
+	f->near_count = 0;
+	g_hash_table_iter_init(&it, f->hosts);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct entry *e = value;
+
+		g_ptr_array_add(f->order, e);
+		f->near_count += strcmp(e->def.data_centre, f->data_centre) ==
+				 0;
+	}
+	g_ptr_array_sort_with_data(f->order, compare, f);
+}
+
+void flw_put(struct flw *f, const struct gw_host *h)
+{
+	struct entry *e = g_hash_table_lookup(f->hosts, h->name);
+
+	if (!e) {
+		e = cu_alloc(1, sizeof(*e));
+		cu_copy(e->def.name, sizeof(e->def.name), h->name);
+		g_hash_table_insert(f->hosts, e->def.name, e);
+	}
+	/* A host that was started again may be in reach again. */
+	e->avoid_until_us = 0;
+	e->def = *h;
+	sort(f);
+}
+
+void flw_remove(struct flw *f, const char *name)
+{
+	if (g_hash_table_remove(f->hosts, name))
+		sort(f);
+}
+
+void flw_seed(struct flw *f, const char *address, uint16_t port)
+{
+	struct entry *e = cu_alloc(1, sizeof(*e));
+
+	snprintf(e->def.name, sizeof(e->def.name), "%s:%u", address, port);
+	cu_copy(e->def.address, sizeof(e->def.address), address);
+	e->def.port = port;
+	g_ptr_array_add(f->seeds, e);
+}
+
+static int is_usable(const struct flw *f, const struct entry *e, int64_t now_us)
+{
+	return e->def.port && now_us >= e->avoid_until_us &&
+	       strcmp(e->def.name, f->self) != 0;
+}
+
+/* Position of this host; behind all others while its entry is missing. */
+static uint32_t own_position(const struct flw *f)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->near_count; i++) {
+		const struct entry *e = g_ptr_array_index(f->order, i);
+
+		if (strcmp(e->def.name, f->self) == 0)
+			return i;
+	}
+	return f->near_count;
+}
+
+static const struct gw_host *first_usable(const struct flw *f,
+					  const GPtrArray *list, uint32_t from,
+					  int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < list->len; i++) {
+		const struct entry *e =
+			g_ptr_array_index(list, (from + i) % list->len);
+
+		if (is_usable(f, e, now_us))
+			return &e->def;
+	}
+	return NULL;
+}
+
+const struct gw_host *flw_choose(struct flw *f, int64_t now_us)
+{
+	uint32_t self = own_position(f);
+	uint32_t at = self;
+
+	while (at > 0) {
+		const struct entry *e;
+
+		at = (at - 1) / FLW_FANOUT;
+		e = g_ptr_array_index(f->order, at);
+		if (is_usable(f, e, now_us))
+			return &e->def;
+	}
+	if (now_us >= f->store_avoid_until_us)
+		return NULL;
+	if (f->order->len)
+		return first_usable(f, f->order, self + 1, now_us);
+	return first_usable(f, f->seeds, 0, now_us);
+}
+
+void flw_peer_failed(struct flw *f, const char *name, int64_t now_us)
+{
+	struct entry *e = g_hash_table_lookup(f->hosts, name);
+	uint32_t i;
+
+	for (i = 0; !e && i < f->seeds->len; i++) {
+		struct entry *seed = g_ptr_array_index(f->seeds, i);
+
+		if (strcmp(seed->def.name, name) == 0)
+			e = seed;
+	}
+	if (e)
+		e->avoid_until_us = now_us + FLW_PEER_AVOID_US;
+}
+
+void flw_store_failed(struct flw *f, int64_t now_us)
+{
+	f->store_avoid_until_us = now_us + FLW_STORE_AVOID_US;
+}
+
+void flw_store_ok(struct flw *f)
+{
+	f->store_avoid_until_us = 0;
+}
--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -16,6 +16,7 @@
 #include "duty/ingress.h"
 #include "duty/logger.h"
 #include "duty/messages.h"
+#include "duty/relay.h"
 #include "duty/store.h"
 
 /* Metrics page, next to the host's other addresses. */
@@ -62,6 +63,8 @@
 	struct gw_duty *request;
 	struct ingress *ingress;
 	struct gw_control *control;
+	/* NULL when no host follows another. */
+	struct relay *relay;
 };
 
 static void on_limits(void *ctx, const struct caller_limits *l)
@@ -117,6 +120,36 @@
 		store_set_hosts(g->store, HOSTS_ASSUMED);
 }
 
+static void create_control(struct gateway *g, struct err *err)
+{
+	const struct gw_settings *set = &g->set;
+	struct gw_control_options o = {
+		.hosts_assumed = HOSTS_ASSUMED,
+		.apply_ms = cu_min_u32(set->config_apply_ms, set->drain_ms),
+		.store = store_ring(g->store),
+		.relay = g->relay ? relay_ring(g->relay) : NULL,
+		.views = gw_duty_ring(g->request),
+		.limits = on_limits,
+		.hosts = on_hosts,
+		.notify_ctx = g,
+		.seed_count = set->seed_count,
+	};
+	uint32_t i;
+
+	cu_copy(o.self.name, sizeof(o.self.name), set->host);
+	cu_copy(o.self.data_centre, sizeof(o.self.data_centre),
+		set->data_centre);
+	cu_copy(o.self.address, sizeof(o.self.address), set->peer.address);
+	o.self.port = set->peer.port;
+	o.self.core_permille = set->core_permille;
+	for (i = 0; i < set->seed_count; i++) {
+		cu_copy(o.seeds[i].address, sizeof(o.seeds[i].address),
+			set->seeds[i].address);
+		o.seeds[i].port = set->seeds[i].port;
+	}
+	g->control = gw_control_new(&o, err);
+}
+
 static enum err_code create(struct gateway *g, struct err *err)
 {
 	struct gw_options o = { .started_us = clock_now_us(),
@@ -124,16 +157,8 @@
 				.retry_permille = g->set.retry_permille,
 				.retry_slack = g->set.retry_slack,
 				.seed = (uint64_t)clock_wall_us() };
-	struct gw_control_options co = {
-		.hosts_assumed = HOSTS_ASSUMED,
-		.apply_ms = cu_min_u32(g->set.config_apply_ms, g->set.drain_ms),
-		.limits = on_limits,
-		.hosts = on_hosts,
-		.notify_ctx = g
-	};
 
 	cu_copy(o.data_centre, sizeof(o.data_centre), g->set.data_centre);
-	cu_copy(co.host, sizeof(co.host), g->set.host);
 	g->logger = logger_duty_new(stdout, err);
 	if (g->logger)
 		create_store(g, o.seed, err);
@@ -143,11 +168,11 @@
 		g->request = gw_duty_new(&o, err);
 	if (g->request)
 		create_ingress(g, err);
-	if (g->ingress) {
-		co.store = store_ring(g->store);
-		co.views = gw_duty_ring(g->request);
-		g->control = gw_control_new(&co, err);
-	}
+	if (g->ingress && g->set.peer.port)
+		g->relay =
+			relay_new(g->set.peer.address, g->set.peer.port, err);
+	if (g->ingress && err->code == ERR_OK)
+		create_control(g, err);
 	return g->control ? ERR_OK : err->code;
 }
 
@@ -157,6 +182,8 @@
 	    egress_start(g->egress, gw_duty_ring(g->request), err) != ERR_OK ||
 	    gw_duty_start(g->request, ingress_ring(g->ingress),
 			  egress_ring(g->egress), err) != ERR_OK ||
+	    (g->relay && relay_start(g->relay, gw_control_ring(g->control),
+				     err) != ERR_OK) ||
 	    gw_control_start(g->control, err) != ERR_OK)
 		return err->code;
 	return ingress_start(g->ingress, err);
@@ -197,6 +224,8 @@
 {
 	ingress_stop(g->ingress);
 	gw_control_stop(g->control);
+	if (g->relay)
+		relay_stop(g->relay);
 	egress_stop(g->egress);
 	gw_duty_stop(g->request);
 	store_stop(g->store);
@@ -206,6 +235,7 @@
 static void gateway_free(struct gateway *g)
 {
 	gw_control_free(g->control);
+	relay_free(g->relay);
 	ingress_free(g->ingress);
 	egress_free(g->egress);
 	gw_duty_free(g->request);
--- /dev/null
+++ b/src/duty/gw_register.c
@@ -0,0 +1,105 @@
+/* This host's entry in the store, kept by a lease. */
+#include <string.h>
+
+#include "base/log.h"
+#include "codec/ghost.h"
+#include "duty/gw_control_state.h"
+#include "platform/pl_config.h"
+
+/*
+ * A host that is gone for this long has lost its entry. Hosts that lapsed
+ * count in the shared limits for longer, so that only the choice of whom to
+ * follow depends on it, and each renewal is priced.
+ */
+#define LEASE_TTL_MS 20000
+#define LEASE_RENEW_US (6 * US_PER_S)
+#define LEASE_RETRY_US (2 * US_PER_S)
+
+static void on_lease_timer(void *ctx, int64_t now_us);
+
+static void arm_lease(struct gw_control *c, int64_t at_us)
+{
+	tmr_arm(duty_timers(c->duty), &c->lease_timer, at_us, on_lease_timer,
+		c);
+}
+
+void gw_register_start(struct gw_control *c, int64_t now_us)
+{
+	arm_lease(c, now_us);
+}
+
+/* Grants a lease, or renews the one held. */
+static void on_lease_timer(void *ctx, int64_t now_us)
+{
+	struct gw_control *c = ctx;
+	struct kv_call call = { .op = c->lease ? KV_LEASE_RENEW
+					       : KV_LEASE_GRANT,
+				.lease = c->lease,
+				.ttl_ms = LEASE_TTL_MS,
+				.timeout_ms = CALL_MS };
+
+	gw_control_store(c, &call, c->lease ? CALL_RENEW : CALL_LEASE);
+}
+
+/* Writes the entry; @version: revision of the entry that is there. */
+static void write_entry(struct gw_control *c, uint64_t version)
+{
+	struct kv_call call = { .op = KV_CAS,
+				.version = version,
+				.value = ghost_encode(&c->opt.self),
+				.lease = c->lease,
+				.timeout_ms = CALL_MS };
+
+	call.value_bytes = (uint32_t)strlen(call.value);
+	cu_copy(call.key, sizeof(call.key), PL_PREFIX_HOSTS);
+	cu_copy(call.key + strlen(PL_PREFIX_HOSTS),
+		sizeof(call.key) - strlen(PL_PREFIX_HOSTS), c->opt.self.name);
+	gw_control_store(c, &call, CALL_REGISTER);
+}
+
+static void log_failed(const char *what, const struct err *err)
+{
+	log_event(LOG_LEVEL_WARNING, "register_failed", "%s: %s: %s", what,
+		  err_name(err->code), err->detail);
+}
+
+void gw_register_leased(struct gw_control *c, const struct kv_result *r,
+			int64_t now_us)
+{
+	if (r->err.code != ERR_OK) {
+		log_failed("lease", &r->err);
+		arm_lease(c, now_us + LEASE_RETRY_US);
+		return;
+	}
+	arm_lease(c, now_us + LEASE_RENEW_US);
+	c->lease = r->lease;
+	write_entry(c, 0);
+}
+
+void gw_register_written(struct gw_control *c, const struct kv_result *r,
+			 int64_t now_us)
+{
+	/* The entry of an earlier process of this host is still there. */
+	if (r->err.code == ERR_STORE_CONFLICT && r->version) {
+		write_entry(c, r->version);
+	} else if (r->err.code != ERR_OK) {
+		log_failed("entry", &r->err);
+		c->lease = 0;
+		arm_lease(c, now_us + LEASE_RETRY_US);
+	}
+}
+
+void gw_register_renewed(struct gw_control *c, const struct kv_result *r,
+			 int64_t now_us)
+{
+	if (r->err.code == ERR_STORE_NOT_FOUND) {
+		log_event(LOG_LEVEL_WARNING, "lease_lost",
+			  "entry of this host lapsed in the store");
+		c->lease = 0;
+		on_lease_timer(c, now_us);
+		return;
+	}
+	if (r->err.code != ERR_OK)
+		log_failed("renewal", &r->err);
+	arm_lease(c, now_us + LEASE_RENEW_US);
+}
--- /dev/null
+++ b/src/duty/gw_source.c
@@ -0,0 +1,299 @@
+/*
+ * Where changes of the store come from: the store itself at the root of the
+ * tree of hosts, another host elsewhere (controller/flw.h). Whatever the
+ * source, a state whose age reaches the limit is read from the store again,
+ * so that a source that hears nothing cannot hold changes back.
+ */
+#include <string.h>
+
+#include "base/log.h"
+#include "base/metric.h"
+#include "duty/gw_control_state.h"
+#include "platform/pl_config.h"
+
+/*
+ * Parts of apply_ms. A watch waits and changes are gathered for less than the
+ * limit on the state's age together, so that a quiet store causes no reads
+ * beyond the root's; after the limit, the rest is left for one read.
+ */
+#define WATCH_WAIT_PERMILLE 400
+#define WATCH_GAP_PERMILLE 200
+#define FRESH_PERMILLE 700
+/* After a call that failed; the store client adds its own backoff. */
+#define RETRY_US (150 * US_PER_MS)
+/* A read that only asks whether something changed waits for nothing. */
+#define READ_WAIT_MS 1
+
+static int64_t part_us(const struct gw_control *c, int64_t permille)
+{
+	return (int64_t)c->opt.apply_ms * US_PER_MS * permille / PERMILLE;
+}
+
+static uint32_t part_ms(const struct gw_control *c, uint32_t permille)
+{
+	return c->opt.apply_ms * permille / PERMILLE;
+}
+
+static void on_next(void *ctx, int64_t now_us);
+static void on_fresh_limit(void *ctx, int64_t now_us);
+
+static void arm_next(struct gw_control *c, int64_t at_us)
+{
+	tmr_arm(duty_timers(c->duty), &c->next_timer, at_us, on_next, c);
+}
+
+static void arm_fresh(struct gw_control *c, int64_t at_us)
+{
+	tmr_arm(duty_timers(c->duty), &c->fresh_timer, at_us, on_fresh_limit,
+		c);
+}
+
+/* One call covers all keys, so that it counts as one. */
+static void call_store(struct gw_control *c, uint32_t wait_ms,
+		       enum call_id token)
+{
+	struct kv_call call = { .op = KV_WATCH,
+				.version = sst_rev(c->state),
+				.ttl_ms = wait_ms,
+				.is_single = 1,
+				.timeout_ms = 2 * wait_ms + CALL_MS };
+
+	cu_copy(call.key, sizeof(call.key), PL_PREFIX_ALL);
+	gw_control_store(c, &call, token);
+}
+
+static void call_host(struct gw_control *c, const struct gw_host *h)
+{
+	struct follow *f = cu_alloc(1, sizeof(*f));
+	struct msg m = { MSG_FOLLOW, f, free };
+
+	memcpy(f->host, h->name, sizeof(f->host));
+	memcpy(f->address, h->address, sizeof(f->address));
+	f->port = h->port;
+	f->rev = sst_rev(c->state);
+	f->hold_ms = part_ms(c, WATCH_WAIT_PERMILLE + WATCH_GAP_PERMILLE);
+	if (ring_push(c->opt.relay, &m) == ERR_OK) {
+		c->is_following = 1;
+		return;
+	}
+	log_event(LOG_LEVEL_ERROR, "ring_full", "call to host %s dropped",
+		  h->name);
+	free(f);
+}
+
+static void on_next(void *ctx, int64_t now_us)
+{
+	struct gw_control *c = ctx;
+	const struct gw_host *h = c->opt.relay ? flw_choose(c->follow, now_us)
+					       : NULL;
+
+	if (h && !c->is_following) {
+		call_host(c, h);
+	} else if (!h && !c->is_watching) {
+		c->is_watching = 1;
+		call_store(c, part_ms(c, WATCH_WAIT_PERMILLE), CALL_WATCH);
+	}
+}
+
+static void on_fresh_limit(void *ctx, int64_t now_us)
+{
+	struct gw_control *c = ctx;
+
+	if (!c->is_reading) {
+		c->is_reading = 1;
+		call_store(c, READ_WAIT_MS, CALL_READ);
+	}
+	arm_fresh(c, now_us + part_us(c, FRESH_PERMILLE) / 2);
+}
+
+static void drop_reply(void *body)
+{
+	follow_reply_free(body);
+}
+
+/* Answers the call of a follower with what it lacks. */
+static void answer(struct gw_control *c, const struct follow_call *call)
+{
+	struct follow_reply *r = cu_alloc(1, sizeof(*r));
+	struct msg m = { MSG_FOLLOW_REPLY, r, drop_reply };
+
+	r->conn = call->conn;
+	r->xid = call->xid;
+	r->received_us = call->received_us;
+	r->update = sst_since(c->state, call->rev);
+	r->update->fresh_us = c->fresh_us;
+	r->update->returned_us = c->returned_us;
+	if (ring_push(c->opt.relay, &m) != ERR_OK) {
+		log_event(LOG_LEVEL_ERROR, "ring_full",
+			  "answer to a follower dropped");
+		follow_reply_free(r);
+	}
+}
+
+static void release(gpointer p)
+{
+	struct follow_call *call = p;
+	struct gw_control *c = call->owner;
+
+	tmr_cancel(duty_timers(c->duty), &call->hold_timer);
+	free(call);
+}
+
+static void on_hold_over(void *ctx, int64_t now_us)
+{
+	struct follow_call *call = ctx;
+	struct gw_control *c = call->owner;
+
+	answer(c, call);
+	g_ptr_array_remove_fast(c->held, call);
+}
+
+void gw_source_hold(struct gw_control *c, struct follow_call *call,
+		    int64_t now_us)
+{
+	call->owner = c;
+	if (call->rev < sst_rev(c->state)) {
+		answer(c, call);
+		free(call);
+		return;
+	}
+	g_ptr_array_add(c->held, call);
+	tmr_arm(duty_timers(c->duty), &call->hold_timer,
+		now_us + (int64_t)cu_min_u32(call->hold_ms, c->opt.apply_ms) *
+				 US_PER_MS,
+		on_hold_over, call);
+}
+
+static void answer_held(struct gw_control *c)
+{
+	guint i;
+
+	for (i = 0; i < c->held->len; i++)
+		answer(c, g_ptr_array_index(c->held, i));
+	g_ptr_array_set_size(c->held, 0);
+}
+
+struct pair_ctx {
+	struct gw_control *control;
+	int64_t now_us;
+};
+
+static void on_pair(void *ctx, const struct kv_pair *p)
+{
+	struct pair_ctx *pc = ctx;
+
+	gw_control_pair(pc->control, p, pc->now_us);
+}
+
+static void take_update(struct gw_control *c, const struct store_update *u,
+			int64_t now_us)
+{
+	struct pair_ctx pc = { c, now_us };
+
+	if (u->returned_us > c->returned_us) {
+		c->returned_us = u->returned_us;
+		dsc_store_back(c->dsc, u->returned_us);
+	}
+	sst_apply(c->state, u, on_pair, &pc);
+	if (u->fresh_us > c->fresh_us) {
+		c->fresh_us = u->fresh_us;
+		arm_fresh(c, c->fresh_us + part_us(c, FRESH_PERMILLE));
+		answer_held(c);
+	}
+}
+
+static void store_lost(struct gw_control *c, const struct err *err,
+		       int64_t now_us)
+{
+	if (!c->is_lost)
+		log_event(LOG_LEVEL_WARNING, "store_lost",
+			  "%s: %s; state of revision %llu is %lld ms old",
+			  err_name(err->code), err->detail,
+			  (unsigned long long)sst_rev(c->state),
+			  (long long)(now_us - c->fresh_us) / US_PER_MS);
+	c->is_lost = 1;
+	flw_store_failed(c->follow, now_us);
+}
+
+static void take_answer(struct gw_control *c, const struct kv_result *r,
+			int64_t now_us)
+{
+	struct store_update u = { .rev = r->version,
+				  .is_full = r->is_snapshot,
+				  .fresh_us = now_us,
+				  .pair_count = r->pair_count,
+				  .pairs = r->pairs };
+
+	if (c->is_lost) {
+		log_event(LOG_LEVEL_INFO, "store_regained", "revision %llu",
+			  (unsigned long long)r->version);
+		u.returned_us = now_us;
+	}
+	c->is_lost = 0;
+	flw_store_ok(c->follow);
+	take_update(c, &u, now_us);
+}
+
+void gw_source_watched(struct gw_control *c, const struct kv_result *r,
+		       int64_t now_us)
+{
+	int64_t next_us = now_us;
+
+	c->is_watching = 0;
+	if (r->err.code != ERR_OK) {
+		store_lost(c, &r->err, now_us);
+		next_us += RETRY_US;
+	} else {
+		take_answer(c, r, now_us);
+		if (r->pair_count)
+			next_us += part_us(c, WATCH_GAP_PERMILLE);
+	}
+	arm_next(c, next_us);
+}
+
+void gw_source_read(struct gw_control *c, const struct kv_result *r,
+		    int64_t now_us)
+{
+	c->is_reading = 0;
+	if (r->err.code != ERR_OK)
+		store_lost(c, &r->err, now_us);
+	else
+		take_answer(c, r, now_us);
+}
+
+void gw_source_followed(struct gw_control *c, const struct followed *f,
+			int64_t now_us)
+{
+	const struct store_update *u = f->update;
+	int64_t stale_us = now_us - part_us(c, FRESH_PERMILLE);
+
+	c->is_following = 0;
+	if (!u) {
+		log_event(LOG_LEVEL_WARNING, "host_unreachable", "%s: %s",
+			  err_name(f->err.code), f->err.detail);
+		flw_peer_failed(c->follow, f->host, now_us);
+		arm_next(c, now_us + RETRY_US);
+		return;
+	}
+	if (u->fresh_us < stale_us) {
+		log_event(LOG_LEVEL_INFO, "host_behind",
+			  "host %s is at revision %llu, %lld ms old", f->host,
+			  (unsigned long long)u->rev,
+			  (long long)(now_us - u->fresh_us) / US_PER_MS);
+		flw_peer_failed(c->follow, f->host, now_us);
+	}
+	take_update(c, u, now_us);
+	arm_next(c, now_us);
+}
+
+void gw_source_start(struct gw_control *c, int64_t now_us)
+{
+	c->held = g_ptr_array_new_with_free_func(release);
+	arm_next(c, now_us);
+}
+
+void gw_source_free(struct gw_control *c)
+{
+	if (c->held)
+		g_ptr_array_free(c->held, TRUE);
+}
--- a/src/duty/messages.h
+++ b/src/duty/messages.h
@@ -39,7 +39,11 @@
 	MSG_EXCHANGE_ANSWER, /* struct exchange_answer: gateway to ingress */
 	MSG_TARGET_CALL, /* struct target_call: gateway to egress */
 	MSG_TARGET_REPLY, /* struct target_reply: egress to gateway */
-	MSG_GW_VIEW /* struct gw_view: gateway control to gateway */
+	MSG_GW_VIEW, /* struct gw_view: gateway control to gateway */
+	MSG_FOLLOW, /* struct follow: gateway control to relay */
+	MSG_FOLLOWED, /* struct followed: relay to gateway control */
+	MSG_FOLLOW_CALL, /* struct follow_call: relay to gateway control */
+	MSG_FOLLOW_REPLY /* struct follow_reply: gateway control to relay */
 };
 
 /* The caller on ingress connection @conn closed it. */
--- /dev/null
+++ b/src/duty/relay.c
@@ -0,0 +1,420 @@
+#include "duty/relay.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/addr.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metric.h"
+#include "base/poller.h"
+#include "codec/prpc.h"
+#include "codec/pxdr_state.h"
+#include "duty/duty.h"
+#include "duty/messages.h"
+#include "duty/rpc_conn.h"
+
+#define RING_CAPACITY 1024
+#define LISTEN_QUEUE 128
+/* All keys of the largest deployment; see docs/CAPACITY.md. */
+#define STATE_BYTES_MAX (16 * 1048576)
+#define CALL_BYTES_MAX 1024
+/* The tree gives a host eight followers; its children's come when it fails. */
+#define FOLLOWERS_MAX 256
+/* Connecting, sending and scheduling besides the time that a call is held. */
+#define ANSWER_MARGIN_MS 400
+/* A follower that does not read is dropped. */
+#define UNSENT_BYTES_MAX (2 * STATE_BYTES_MAX)
+
+/* A host that follows this one. */
+struct follower {
+	struct relay *relay;
+	uint64_t id;
+	struct rpc_conn *conn;
+	/* 1 while a call of it is held. */
+	int is_waiting;
+};
+
+struct relay {
+	struct duty *duty;
+	struct poller *poller;
+	struct ring *control;
+	struct poll_item listener;
+	/* Connection number to struct follower. */
+	GHashTable *followers;
+	uint64_t next_id;
+	/* The host that this one follows; NULL while not connected. */
+	struct rpc_conn *upstream;
+	char address[ADDRESS_BYTES];
+	uint16_t port;
+	/* The call in flight; its host is empty while there is none. */
+	struct follow call;
+	uint32_t xid;
+	int64_t sent_us;
+	struct tmr_sub timer;
+};
+
+void followed_free(struct followed *f)
+{
+	if (!f)
+		return;
+	store_update_free(f->update);
+	free(f);
+}
+
+void follow_reply_free(struct follow_reply *r)
+{
+	if (!r)
+		return;
+	store_update_free(r->update);
+	free(r);
+}
+
+static void drop_followed(void *body)
+{
+	followed_free(body);
+}
+
+/* Ends the call in flight; takes over @u. */
+static void end_call(struct relay *r, const struct err *err,
+		     struct store_update *u)
+{
+	struct followed *f = cu_alloc(1, sizeof(*f));
+	struct msg m = { MSG_FOLLOWED, f, drop_followed };
+
+	memcpy(f->host, r->call.host, sizeof(f->host));
+	f->update = u;
+	if (!u) {
+		f->err = *err;
+		metric_add(M_PEER_ERRORS, 1);
+	}
+	r->call.host[0] = '\0';
+	tmr_cancel(duty_timers(r->duty), &r->timer);
+	if (ring_push(r->control, &m) != ERR_OK) {
+		log_event(LOG_LEVEL_ERROR, "ring_full",
+			  "state of another host dropped");
+		followed_free(f);
+	}
+}
+
+static void fail_call(struct relay *r, const char *why)
+{
+	struct err err = { 0 };
+
+	rpc_conn_free(r->upstream);
+	r->upstream = NULL;
+	if (!r->call.host[0])
+		return;
+	err_set(&err, ERR_PEER_RPC, "%s: %s", r->call.host, why);
+	end_call(r, &err, NULL);
+}
+
+static void on_timeout(void *ctx, int64_t now_us)
+{
+	fail_call(ctx, "no answer in time");
+}
+
+static void on_upstream_lost(void *ctx, int64_t now_us)
+{
+	fail_call(ctx, "connection lost");
+}
+
+static void on_upstream_record(void *ctx, char *data, size_t len_bytes,
+			       int64_t now_us)
+{
+	struct relay *r = ctx;
+	peer_state state = { 0 };
+	struct store_update *u = NULL;
+	struct err err = { 0 };
+	uint32_t xid = 0;
+
+	metric_add(M_PEER_RECEIVED, 1);
+	metric_add(M_PEER_RECEIVED_BYTES, len_bytes);
+	if (prpc_read_reply(data, len_bytes, &xid, (xdrproc_t)xdr_peer_state,
+			    &state) &&
+	    xid == r->xid && r->call.host[0])
+		u = pxdr_to_update(&state, r->sent_us, now_us, &err);
+	xdr_free((xdrproc_t)xdr_peer_state, &state);
+	if (u)
+		end_call(r, NULL, u);
+	else
+		fail_call(r, "answer not understood");
+}
+
+static int connect_upstream(struct relay *r, const struct follow *f)
+{
+	struct rpc_conn_ops ops = { on_upstream_record, on_upstream_lost, r,
+				    STATE_BYTES_MAX };
+	int fd;
+
+	if (r->upstream && r->port == f->port &&
+	    strcmp(r->address, f->address) == 0)
+		return 1;
+	rpc_conn_free(r->upstream);
+	r->upstream = NULL;
+	fd = rpc_conn_connect(f->address, f->port);
+	if (fd >= 0)
+		r->upstream = rpc_conn_new(r->poller, fd, &ops);
+	memcpy(r->address, f->address, sizeof(r->address));
+	r->port = f->port;
+	return r->upstream != NULL;
+}
+
+static void start_call(struct relay *r, const struct follow *f, int64_t now_us)
+{
+	peer_follow_args args = { f->rev, f->hold_ms };
+
+	r->call = *f;
+	if (!connect_upstream(r, f) ||
+	    !prpc_add_call(rpc_conn_out(r->upstream), ++r->xid, FOLLOW_STATE,
+			   (xdrproc_t)xdr_peer_follow_args, &args)) {
+		fail_call(r, "cannot connect");
+		return;
+	}
+	metric_add(M_PEER_SENT, 1);
+	metric_add(M_PEER_SENT_BYTES, rpc_conn_unsent(r->upstream));
+	r->sent_us = now_us;
+	tmr_arm(duty_timers(r->duty), &r->timer,
+		now_us + ((int64_t)f->hold_ms + ANSWER_MARGIN_MS) * US_PER_MS,
+		on_timeout, r);
+	rpc_conn_flush(r->upstream);
+}
+
+static void on_follower_lost(void *ctx, int64_t now_us)
+{
+	struct follower *f = ctx;
+
+	/* Frees it; a reply that is still held finds no connection. */
+	g_hash_table_remove(f->relay->followers, &f->id);
+}
+
+static void follower_free(gpointer p)
+{
+	struct follower *f = p;
+
+	rpc_conn_free(f->conn);
+	free(f);
+}
+
+static void drop_call(void *body)
+{
+	free(body);
+}
+
+static int push_call(struct follower *f, uint32_t xid,
+		     const peer_follow_args *args, int64_t now_us)
+{
+	struct follow_call *call = cu_alloc(1, sizeof(*call));
+	struct msg m = { MSG_FOLLOW_CALL, call, drop_call };
+
+	*call = (struct follow_call){ .conn = f->id,
+				      .xid = xid,
+				      .rev = args->rev,
+				      .hold_ms = args->hold_ms,
+				      .received_us = now_us };
+	if (ring_push(f->relay->control, &m) == ERR_OK)
+		return 1;
+	log_event(LOG_LEVEL_ERROR, "ring_full", "call of a follower dropped");
+	free(call);
+	return 0;
+}
+
+static void on_follower_record(void *ctx, char *data, size_t len_bytes,
+			       int64_t now_us)
+{
+	struct follower *f = ctx;
+	peer_follow_args args = { 0 };
+	uint32_t xid = 0;
+	uint32_t procedure = 0;
+	XDR x;
+	int ok;
+
+	metric_add(M_PEER_RECEIVED, 1);
+	metric_add(M_PEER_RECEIVED_BYTES, len_bytes);
+	ok = prpc_read_call(data, len_bytes, &x, &xid, &procedure) &&
+	     procedure == FOLLOW_STATE && !f->is_waiting &&
+	     xdr_peer_follow_args(&x, &args);
+	xdr_destroy(&x);
+	if (ok && push_call(f, xid, &args, now_us)) {
+		f->is_waiting = 1;
+		return;
+	}
+	metric_add(M_PEER_ERRORS, 1);
+	on_follower_lost(f, now_us);
+}
+
+static void add_follower(struct relay *r, int fd)
+{
+	struct follower *f = cu_alloc(1, sizeof(*f));
+	struct rpc_conn_ops ops = { on_follower_record, on_follower_lost, f,
+				    CALL_BYTES_MAX };
+
+	f->relay = r;
+	f->id = ++r->next_id;
+	f->conn = rpc_conn_new(r->poller, fd, &ops);
+	if (!f->conn) {
+		free(f);
+		return;
+	}
+	g_hash_table_insert(r->followers, &f->id, f);
+}
+
+static void on_listener(void *ctx, uint32_t events, int64_t now_us)
+{
+	struct relay *r = ctx;
+	int fd = accept4(r->listener.fd, NULL, NULL,
+			 SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd < 0) {
+		if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
+			log_event(LOG_LEVEL_ERROR, "accept_failed", "%s",
+				  strerror(errno));
+		return;
+	}
+	if (g_hash_table_size(r->followers) >= FOLLOWERS_MAX) {
+		/* The other host goes on to the next one. */
+		close(fd);
+		return;
+	}
+	add_follower(r, fd);
+}
+
+static void answer(struct relay *r, const struct follow_reply *reply,
+		   int64_t now_us)
+{
+	struct follower *f = g_hash_table_lookup(r->followers, &reply->conn);
+	peer_state state;
+
+	if (!f)
+		return;
+	f->is_waiting = 0;
+	pxdr_from_update(reply->update, reply->received_us, now_us, &state);
+	if (prpc_add_reply(rpc_conn_out(f->conn), reply->xid,
+			   (xdrproc_t)xdr_peer_state, &state) &&
+	    rpc_conn_unsent(f->conn) <= UNSENT_BYTES_MAX) {
+		metric_add(M_PEER_SENT, 1);
+		metric_add(M_PEER_SENT_BYTES, rpc_conn_unsent(f->conn));
+		rpc_conn_flush(f->conn);
+	} else {
+		metric_add(M_PEER_ERRORS, 1);
+		on_follower_lost(f, now_us);
+	}
+	pxdr_state_free(&state);
+}
+
+static void on_message(void *ctx, int64_t now_us, struct msg *m)
+{
+	struct relay *r = ctx;
+
+	switch (m->type) {
+	case MSG_FOLLOW:
+		start_call(r, m->body, now_us);
+		free(m->body);
+		break;
+	case MSG_FOLLOW_REPLY:
+		answer(r, m->body, now_us);
+		follow_reply_free(m->body);
+		break;
+	default:
+		if (m->drop)
+			m->drop(m->body);
+		break;
+	}
+}
+
+static void run(void *ctx, struct duty *d)
+{
+	struct relay *r = ctx;
+
+	while (!duty_stopping(d)) {
+		int64_t wait_us = duty_poll(d, on_message, r);
+
+		if (!duty_stopping(d))
+			poller_wait(r->poller, wait_us);
+	}
+}
+
+static enum err_code open_listener(struct relay *r, const char *address,
+				   uint16_t port, struct err *err)
+{
+	struct sockaddr_storage sa;
+	socklen_t len = addr_fill(address, port, &sa);
+	int one = 1;
+	int fd;
+
+	if (!len)
+		return err_set(err, ERR_SETTING, "'%s' is no IP number",
+			       address);
+	fd = socket(sa.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+		    0);
+	r->listener =
+		(struct poll_item){ .fd = fd, .fn = on_listener, .ctx = r };
+	if (fd < 0 ||
+	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) < 0 ||
+	    bind(fd, (struct sockaddr *)&sa, len) < 0 ||
+	    listen(fd, LISTEN_QUEUE) < 0)
+		return err_set(err, ERR_IO, "cannot listen on %s:%u: %s",
+			       address, port, strerror(errno));
+	return poller_add(r->poller, &r->listener, EPOLLIN, err);
+}
+
+struct relay *relay_new(const char *address, uint16_t port, struct err *err)
+{
+	struct relay *r = cu_alloc(1, sizeof(*r));
+
+	r->listener.fd = -1;
+	r->followers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					     follower_free);
+	r->poller = poller_new(err);
+	if (r->poller)
+		r->duty = duty_new("relay", RING_CAPACITY, poller_wake,
+				   r->poller, err);
+	if (!r->duty || open_listener(r, address, port, err) != ERR_OK) {
+		relay_free(r);
+		return NULL;
+	}
+	return r;
+}
+
+enum err_code relay_start(struct relay *r, struct ring *control,
+			  struct err *err)
+{
+	r->control = control;
+	return duty_start_loop(r->duty, run, r, err);
+}
+
+struct ring *relay_ring(struct relay *r)
+{
+	return duty_ring(r->duty);
+}
+
+uint16_t relay_port(const struct relay *r)
+{
+	return addr_port(r->listener.fd);
+}
+
+void relay_stop(struct relay *r)
+{
+	duty_stop(r->duty);
+	duty_join(r->duty);
+}
+
+void relay_free(struct relay *r)
+{
+	if (!r)
+		return;
+	if (r->duty)
+		tmr_cancel(duty_timers(r->duty), &r->timer);
+	rpc_conn_free(r->upstream);
+	g_hash_table_destroy(r->followers);
+	if (r->listener.fd >= 0)
+		close(r->listener.fd);
+	duty_free(r->duty);
+	poller_free(r->poller);
+	free(r);
+}
--- /dev/null
+++ b/src/duty/relay.h
@@ -0,0 +1,71 @@
+/*
+ * The relay duty: passes the state of the store between hosts of the gateway
+ * (FOLLOW_STATE of codec/peer.x). It moves bytes only: the control duty says
+ * whom to follow and when to answer those that follow this host.
+ */
+#ifndef RELAY_H
+#define RELAY_H
+
+#include <stdint.h>
+
+#include "base/err.h"
+#include "base/ring.h"
+#include "base/tmr.h"
+#include "model/name.h"
+#include "model/store_update.h"
+
+/* MSG_FOLLOW, control to relay: one call to another host. */
+struct follow {
+	char host[NAME_BYTES];
+	char address[ADDRESS_BYTES];
+	uint16_t port;
+	/* Revision that this host knows; the other one has to know more. */
+	uint64_t rev;
+	/* Longest time that the other host holds the call. */
+	uint32_t hold_ms;
+};
+
+/* MSG_FOLLOWED, relay to control: its result; @update NULL with @err set. */
+struct followed {
+	char host[NAME_BYTES];
+	struct err err;
+	struct store_update *update;
+};
+
+/* MSG_FOLLOW_CALL, relay to control: another host's call. */
+struct follow_call {
+	/* Connection and call that the reply is for. */
+	uint64_t conn;
+	uint32_t xid;
+	uint64_t rev;
+	uint32_t hold_ms;
+	int64_t received_us;
+	/* For the control duty, which holds the call. */
+	struct tmr_sub hold_timer;
+	void *owner;
+};
+
+/* MSG_FOLLOW_REPLY, control to relay. */
+struct follow_reply {
+	uint64_t conn;
+	uint32_t xid;
+	int64_t received_us;
+	struct store_update *update;
+};
+
+void followed_free(struct followed *f);
+void follow_reply_free(struct follow_reply *r);
+
+struct relay;
+
+/* @control: ring of the control duty, set before relay_start(). */
+struct relay *relay_new(const char *address, uint16_t port, struct err *err);
+enum err_code relay_start(struct relay *r, struct ring *control,
+			  struct err *err);
+struct ring *relay_ring(struct relay *r);
+/* Port that the duty listens on. */
+uint16_t relay_port(const struct relay *r);
+void relay_stop(struct relay *r);
+void relay_free(struct relay *r);
+
+#endif
--- /dev/null
+++ b/src/duty/rpc_conn.c
@@ -0,0 +1,174 @@
+#include "duty/rpc_conn.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/addr.h"
+#include "base/sock.h"
+#include "codec/prpc.h"
+
+#define READ_BYTES 16384
+/* A peer that vanished without closing is noticed within seconds. */
+#define KEEPALIVE_IDLE_S 2
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
+
+struct rpc_conn {
+	struct poller *poller;
+	struct poll_item item;
+	struct rpc_conn_ops ops;
+	struct buf in;
+	struct buf out;
+	size_t out_done;
+	/* Set by rpc_conn_free() while records are handled. */
+	int *is_freed;
+};
+
+void rpc_conn_free(struct rpc_conn *c)
+{
+	if (!c)
+		return;
+	if (c->is_freed)
+		*c->is_freed = 1;
+	poller_remove(c->poller, &c->item);
+	close(c->item.fd);
+	buf_free(&c->in);
+	buf_free(&c->out);
+	free(c);
+}
+
+struct buf *rpc_conn_out(struct rpc_conn *c)
+{
+	return &c->out;
+}
+
+size_t rpc_conn_unsent(const struct rpc_conn *c)
+{
+	return c->out.len_bytes - c->out_done;
+}
+
+void rpc_conn_flush(struct rpc_conn *c)
+{
+	while (c->out_done < c->out.len_bytes) {
+		ssize_t n = send(c->item.fd, c->out.data + c->out_done,
+				 c->out.len_bytes - c->out_done, MSG_NOSIGNAL);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		/* A failure that lasts is reported by the poll set. */
+		if (n < 0)
+			break;
+		c->out_done += (size_t)n;
+	}
+	if (c->out_done == c->out.len_bytes) {
+		/* A large answer must not stay in memory for good. */
+		buf_free(&c->out);
+		c->out_done = 0;
+		poller_change(c->poller, &c->item, EPOLLIN | EPOLLRDHUP);
+		return;
+	}
+	poller_change(c->poller, &c->item, EPOLLIN | EPOLLRDHUP | EPOLLOUT);
+}
+
+/* Hands on the records that are complete; returns 0 when @c is gone. */
+static int take_records(struct rpc_conn *c, int64_t now_us)
+{
+	size_t used = 0;
+	int is_freed = 0;
+	int64_t n;
+
+	while ((n = prpc_record_bytes(c->in.data + used, c->in.len_bytes - used,
+				      c->ops.record_bytes_max)) > 0) {
+		char *data = c->in.data + used + PRPC_MARK_BYTES;
+
+		used += (size_t)n;
+		c->is_freed = &is_freed;
+		c->ops.record(c->ops.ctx, data, (size_t)n - PRPC_MARK_BYTES,
+			      now_us);
+		if (is_freed)
+			return 0;
+		c->is_freed = NULL;
+	}
+	if (n < 0) {
+		c->ops.lost(c->ops.ctx, now_us);
+		return 0;
+	}
+	if (used == c->in.len_bytes) {
+		buf_free(&c->in);
+		return 1;
+	}
+	memmove(c->in.data, c->in.data + used, c->in.len_bytes - used);
+	c->in.len_bytes -= used;
+	return 1;
+}
+
+static void on_readable(struct rpc_conn *c, int64_t now_us)
+{
+	char data[READ_BYTES];
+	ssize_t n = recv(c->item.fd, data, sizeof(data), 0);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		c->ops.lost(c->ops.ctx, now_us);
+		return;
+	}
+	buf_add(&c->in, data, (size_t)n);
+	take_records(c, now_us);
+}
+
+static void on_event(void *ctx, uint32_t events, int64_t now_us)
+{
+	struct rpc_conn *c = ctx;
+
+	if (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR))
+		on_readable(c, now_us);
+	else if (events & EPOLLOUT)
+		rpc_conn_flush(c);
+}
+
+int rpc_conn_connect(const char *address, uint16_t port)
+{
+	struct sockaddr_storage sa;
+	socklen_t len = addr_fill(address, port, &sa);
+	int fd;
+
+	if (!len)
+		return -1;
+	fd = socket(sa.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+		    0);
+	if (fd < 0)
+		return -1;
+	if (connect(fd, (struct sockaddr *)&sa, len) < 0 &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+struct rpc_conn *rpc_conn_new(struct poller *p, int fd,
+			      const struct rpc_conn_ops *ops)
+{
+	struct rpc_conn *c = cu_alloc(1, sizeof(*c));
+	struct err err = { 0 };
+	int one = 1;
+
+	c->poller = p;
+	c->ops = *ops;
+	c->item = (struct poll_item){ .fd = fd, .fn = on_event, .ctx = c };
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	sock_keepalive(fd, KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S,
+		       KEEPALIVE_PROBES);
+	if (poller_add(p, &c->item, EPOLLIN | EPOLLRDHUP, &err) != ERR_OK) {
+		close(fd);
+		free(c);
+		return NULL;
+	}
+	return c;
+}
--- /dev/null
+++ b/src/duty/rpc_conn.h
@@ -0,0 +1,39 @@
+/*
+ * A non-blocking TCP connection that carries ONC RPC records, driven by a
+ * poller. One thread owns it.
+ */
+#ifndef RPC_CONN_H
+#define RPC_CONN_H
+
+#include <stdint.h>
+
+#include "base/poller.h"
+#include "model/name.h"
+
+struct rpc_conn;
+
+struct rpc_conn_ops {
+	/* One record without its mark. The handler may free the connection. */
+	void (*record)(void *ctx, char *data, size_t len_bytes, int64_t now_us);
+	/* The connection ended; the handler frees it. */
+	void (*lost)(void *ctx, int64_t now_us);
+	void *ctx;
+	/* Longest record that is accepted. */
+	uint32_t record_bytes_max;
+};
+
+/* Takes over the connected or connecting socket @fd; NULL when it cannot. */
+struct rpc_conn *rpc_conn_new(struct poller *p, int fd,
+			      const struct rpc_conn_ops *ops);
+/* Closes the socket. */
+void rpc_conn_free(struct rpc_conn *c);
+/* Socket that connects to @address, or -1. */
+int rpc_conn_connect(const char *address, uint16_t port);
+/* Buffer that records are appended to before rpc_conn_flush(). */
+struct buf *rpc_conn_out(struct rpc_conn *c);
+/* Bytes that wait to be written. */
+size_t rpc_conn_unsent(const struct rpc_conn *c);
+/* Writes what the socket takes; the rest follows when it takes more. */
+void rpc_conn_flush(struct rpc_conn *c);
+
+#endif
--- a/src/duty/store.c
+++ b/src/duty/store.c
@@ -116,7 +116,7 @@
 
 	if (r->err.code == ERR_STORE_RATE)
 		open_us = cu_max_i64(open_us, now_us + RATE_RETRY_US);
-	if (is_down(r->err.code)) {
+	if (is_down(r->err.code) && !call->is_single) {
 		again_or_reply(j, open_us, r);
 		return;
 	}
@@ -126,6 +126,10 @@
 		again_or_reply(j, now_us, r);
 		return;
 	}
+	if (call->is_single) {
+		reply(j, r);
+		return;
+	}
 	if (r->err.code == ERR_OK && r->is_snapshot && !r->version) {
 		/* A store without any change has no revision to watch from. */
 		again_or_reply(j, now_us + EMPTY_RETRY_US, r);
--- a/src/model/kv.h
+++ b/src/model/kv.h
@@ -44,6 +44,11 @@
 	uint64_t lease;
 	/* LEASE_GRANT: time to live. WATCH: longest wait. */
 	uint32_t ttl_ms;
+	/*
+	 * WATCH: 1 for a single call, whose result comes back even when it
+	 * failed or nothing changed; 0 to go on until something changed.
+	 */
+	uint32_t is_single;
 	/* The result comes at the latest after this time. */
 	uint32_t timeout_ms;
 };
--- /dev/null
+++ b/tests/test_follow.c
@@ -0,0 +1,437 @@
+/*
+ * Scripted runs over the copy of the store's keys (sst), the choice of the
+ * source (flw) and the control duty's use of both (gwc), in virtual time.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "duty/gw_control_state.h"
+#include "script.h"
+
+#define RING_SIZE 64
+
+/* Reads KEY=VALUE (written), and -KEY (deleted) at revision @rev. */
+static void read_pairs(struct store_update *u, uint32_t argc, char **argv)
+{
+	uint32_t i;
+
+	u->pairs = cu_alloc(argc, sizeof(u->pairs[0]));
+	for (i = 0; i < argc; i++) {
+		struct kv_pair *p = &u->pairs[u->pair_count];
+		g_auto(GStrv) parts = g_strsplit(argv[i], "@", 2);
+		g_auto(GStrv) both = g_strsplit(parts[0], "=", 2);
+		int deleted = parts[0][0] == '-';
+
+		if (!parts[1])
+			continue;
+		p->version = strtoull(parts[1], NULL, 10);
+		cu_copy(p->key, sizeof(p->key), both[0] + deleted);
+		if (!deleted) {
+			p->value = cu_strdup(both[1]);
+			p->value_bytes = (uint32_t)strlen(both[1]);
+		}
+		u->pair_count++;
+	}
+}
+
+static int by_key(const void *a, const void *b)
+{
+	return strcmp(((const struct kv_pair *)a)->key,
+		      ((const struct kv_pair *)b)->key);
+}
+
+static void show_pair(void *out, const struct kv_pair *p)
+{
+	buf_addf(out, " %s%s", p->value ? "" : "-", p->key);
+	if (p->value)
+		buf_addf(out, "=%.*s", (int)p->value_bytes, p->value);
+	buf_addf(out, "@%llu", (unsigned long long)p->version);
+}
+
+/* The hash table has no order: pairs are shown by key. */
+static void show_update(struct buf *out, struct store_update *u)
+{
+	uint32_t i;
+
+	buf_addf(out, "%s at %llu:", u->is_full ? "all" : "changes",
+		 (unsigned long long)u->rev);
+	qsort(u->pairs, u->pair_count, sizeof(u->pairs[0]), by_key);
+	for (i = 0; i < u->pair_count; i++)
+		show_pair(out, &u->pairs[i]);
+	buf_addf(out, "\n");
+}
+
+static void *new_sst(void)
+{
+	return sst_new();
+}
+
+static void free_sst(void *s)
+{
+	sst_free(s);
+}
+
+/* apply REV [full] PAIR@REV...: prints what is new. */
+static void cmd_apply(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct store_update *u = cu_alloc(1, sizeof(*u));
+
+	u->rev = strtoull(argv[0], NULL, 10);
+	u->is_full = argc > 1 && strcmp(argv[1], "full") == 0;
+	read_pairs(u, argc - 1, argv + 1);
+	buf_addf(out, "new:");
+	sst_apply(ctx, u, show_pair, out);
+	buf_addf(out, "\n");
+	store_update_free(u);
+}
+
+static void cmd_since(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct store_update *u = sst_since(ctx, strtoull(argv[0], NULL, 10));
+
+	show_update(out, u);
+	store_update_free(u);
+}
+
+/* churn FROM N: writes and deletes N keys, a revision each. */
+static void cmd_churn(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	uint64_t rev = strtoull(argv[0], NULL, 10);
+	uint32_t n = (uint32_t)strtoul(argv[1], NULL, 10);
+	struct buf ignored CLEANUP_BUF = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < n; i++, rev++) {
+		struct kv_pair p = { .version = rev };
+		struct store_update u = { .rev = rev,
+					  .pair_count = 1,
+					  .pairs = &p };
+
+		snprintf(p.key, sizeof(p.key), "k%u", i);
+		sst_apply(ctx, &u, show_pair, &ignored);
+	}
+}
+
+static const struct script_command sst_commands[] = {
+	{ "apply", cmd_apply },
+	{ "since", cmd_since },
+	{ "churn", cmd_churn },
+};
+
+struct flw_ctx {
+	struct flw *flw;
+	int64_t now_us;
+};
+
+static void *new_flw(void)
+{
+	struct flw_ctx *c = cu_alloc(1, sizeof(*c));
+
+	c->flw = flw_new("self", "a");
+	return c;
+}
+
+static void free_flw(void *ctx)
+{
+	struct flw_ctx *c = ctx;
+
+	flw_free(c->flw);
+	free(c);
+}
+
+/* host NAME [dc=a] [core=1000] [port=1] */
+static void cmd_host(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct flw_ctx *c = ctx;
+	struct gw_host h = { .address = "127.0.0.1" };
+
+	cu_copy(h.name, sizeof(h.name), argv[0]);
+	cu_copy(h.data_centre, sizeof(h.data_centre),
+		script_arg(argc, argv, "dc", "a"));
+	h.core_permille = script_u32(argc, argv, "core", 1000);
+	h.port = (uint16_t)script_u32(argc, argv, "port", 1);
+	flw_put(c->flw, &h);
+}
+
+/* hosts N: N hosts of data centre a, each weaker than the one before. */
+static void cmd_hosts(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct flw_ctx *c = ctx;
+	uint32_t n = (uint32_t)strtoul(argv[0], NULL, 10);
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		struct gw_host h = { .data_centre = "a", .port = 1 };
+
+		snprintf(h.name, sizeof(h.name), "h%u", i);
+		h.core_permille = 1000 - i;
+		flw_put(c->flw, &h);
+	}
+}
+
+static void cmd_remove(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct flw_ctx *c = ctx;
+
+	flw_remove(c->flw, argv[0]);
+}
+
+static void cmd_seed(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct flw_ctx *c = ctx;
+
+	flw_seed(c->flw, argv[0], 1);
+}
+
+static void cmd_choose(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct flw_ctx *c = ctx;
+	const struct gw_host *h = flw_choose(c->flw, c->now_us);
+
+	buf_addf(out, "%s\n", h ? h->name : "store");
+}
+
+/* failed store|HOST */
+static void cmd_failed(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct flw_ctx *c = ctx;
+
+	if (strcmp(argv[0], "store") == 0)
+		flw_store_failed(c->flw, c->now_us);
+	else
+		flw_peer_failed(c->flw, argv[0], c->now_us);
+}
+
+static void cmd_wait(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct flw_ctx *c = ctx;
+
+	c->now_us += atoll(argv[0]) * US_PER_MS;
+}
+
+static const struct script_command flw_commands[] = {
+	{ "host", cmd_host },	  { "hosts", cmd_hosts },
+	{ "remove", cmd_remove }, { "seed", cmd_seed },
+	{ "choose", cmd_choose }, { "failed", cmd_failed },
+	{ "wait", cmd_wait },
+};
+
+/* A control duty that is not started: the test is its store and its peers. */
+struct gwc {
+	struct gw_control *control;
+	struct ring *store;
+	struct ring *relay;
+	struct ring *views;
+	int64_t now_us;
+};
+
+static void no_limits(void *ctx, const struct caller_limits *l)
+{
+}
+
+static void no_hosts(void *ctx, uint32_t hosts)
+{
+}
+
+static void *new_gwc(void)
+{
+	struct gwc *g = cu_alloc(1, sizeof(*g));
+	struct err err = { 0 };
+	struct gw_control_options o = { .hosts_assumed = 4,
+					.apply_ms = 3000,
+					.limits = no_limits,
+					.hosts = no_hosts };
+
+	g->now_us = US_PER_S;
+	g->store = ring_new(RING_SIZE, NULL, NULL, &err);
+	g->relay = ring_new(RING_SIZE, NULL, NULL, &err);
+	g->views = ring_new(RING_SIZE, NULL, NULL, &err);
+	cu_copy(o.self.name, sizeof(o.self.name), "self");
+	cu_copy(o.self.data_centre, sizeof(o.self.data_centre), "a");
+	o.store = g->store;
+	o.relay = g->relay;
+	o.views = g->views;
+	g->control = gw_control_new(&o, &err);
+	gw_source_start(g->control, g->now_us);
+	return g;
+}
+
+static void free_gwc(void *ctx)
+{
+	struct gwc *g = ctx;
+
+	gw_control_free(g->control);
+	ring_free(g->store);
+	ring_free(g->relay);
+	ring_free(g->views);
+	free(g);
+}
+
+static void show_store_calls(struct gwc *g, struct buf *out)
+{
+	struct msg m;
+
+	while (ring_take(g->store, &m, 1)) {
+		struct kv_request *r = m.body;
+
+		buf_addf(out, "%s after %llu wait %u ms\n",
+			 r->token == CALL_READ ? "read" : "watch",
+			 (unsigned long long)r->call.version, r->call.ttl_ms);
+		kv_request_free(r);
+	}
+}
+
+static void show_peer_calls(struct gwc *g, struct buf *out)
+{
+	struct msg m;
+
+	while (ring_take(g->relay, &m, 1)) {
+		struct follow *f = m.body;
+		struct follow_reply *r = m.body;
+
+		if (m.type == MSG_FOLLOW) {
+			buf_addf(out, "follow %s after %llu hold %u ms\n",
+				 f->host, (unsigned long long)f->rev,
+				 f->hold_ms);
+			free(f);
+			continue;
+		}
+		buf_addf(out, "answer %u, age %lld ms, ", (uint32_t)r->conn,
+			 (long long)(g->now_us - r->update->fresh_us) /
+				 US_PER_MS);
+		show_update(out, r->update);
+		follow_reply_free(r);
+	}
+}
+
+static void show_calls(struct gwc *g, struct buf *out)
+{
+	struct msg m;
+
+	show_store_calls(g, out);
+	show_peer_calls(g, out);
+	while (ring_take(g->views, &m, 1)) {
+		struct gw_view *v = m.body;
+
+		buf_addf(out, "view of %u hosts\n", v->host_count);
+		gw_view_unref(v);
+	}
+}
+
+/* tick MS: moves the clock and runs the timers. */
+static void cmd_tick(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct gwc *g = ctx;
+	struct tmr *t = duty_timers(g->control->duty);
+	int64_t until_us = g->now_us + atoll(argv[0]) * US_PER_MS;
+
+	while (tmr_next_us(t) >= 0 && tmr_next_us(t) <= until_us) {
+		g->now_us = cu_max_i64(g->now_us, tmr_next_us(t));
+		tmr_run(t, g->now_us);
+		show_calls(g, out);
+	}
+	g->now_us = until_us;
+}
+
+static void fill_result(struct kv_result *r, struct store_update *u,
+			uint32_t argc, char **argv)
+{
+	if (argc && strcmp(argv[0], "down") == 0) {
+		err_set(&r->err, ERR_STORE_DOWN, "refused");
+		return;
+	}
+	read_pairs(u, argc, argv);
+	r->version = script_u32(argc, argv, "rev", 0);
+	r->is_snapshot = script_u32(argc, argv, "full", 0);
+	r->pairs = u->pairs;
+	r->pair_count = u->pair_count;
+}
+
+/* watched down | watched rev=N [full=1] PAIR@REV... */
+static void cmd_watched(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct gwc *g = ctx;
+	struct store_update *u = cu_alloc(1, sizeof(*u));
+	struct kv_result r = { 0 };
+
+	fill_result(&r, u, argc, argv);
+	gw_source_watched(g->control, &r, g->now_us);
+	store_update_free(u);
+	show_calls(g, out);
+}
+
+static void cmd_read(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct gwc *g = ctx;
+	struct store_update *u = cu_alloc(1, sizeof(*u));
+	struct kv_result r = { 0 };
+
+	fill_result(&r, u, argc, argv);
+	gw_source_read(g->control, &r, g->now_us);
+	store_update_free(u);
+	show_calls(g, out);
+}
+
+/* followed HOST down | followed HOST rev=N age=MS [full=1] PAIR@REV... */
+static void cmd_followed(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct gwc *g = ctx;
+	struct followed *f = cu_alloc(1, sizeof(*f));
+
+	cu_copy(f->host, sizeof(f->host), argv[0]);
+	if (strcmp(argv[1], "down") == 0) {
+		err_set(&f->err, ERR_PEER_RPC, "no answer in time");
+	} else {
+		f->update = cu_alloc(1, sizeof(*f->update));
+		f->update->rev = script_u32(argc, argv, "rev", 0);
+		f->update->is_full = script_u32(argc, argv, "full", 0);
+		f->update->fresh_us =
+			g->now_us -
+			script_int(argc, argv, "age", 0) * US_PER_MS;
+		read_pairs(f->update, argc, argv);
+	}
+	gw_source_followed(g->control, f, g->now_us);
+	followed_free(f);
+	show_calls(g, out);
+}
+
+/* call CONN rev=N [hold=MS]: another host follows this one. */
+static void cmd_call(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct gwc *g = ctx;
+	struct follow_call *call = cu_alloc(1, sizeof(*call));
+
+	call->conn = strtoull(argv[0], NULL, 10);
+	call->rev = script_u32(argc, argv, "rev", 0);
+	call->hold_ms = script_u32(argc, argv, "hold", 1000);
+	call->received_us = g->now_us;
+	gw_source_hold(g->control, call, g->now_us);
+	show_calls(g, out);
+}
+
+static const struct script_command gwc_commands[] = {
+	{ "tick", cmd_tick }, { "watched", cmd_watched },
+	{ "read", cmd_read }, { "followed", cmd_followed },
+	{ "call", cmd_call },
+};
+
+static void drop_line(void *ctx, const char *line)
+{
+}
+
+int main(int argc, char **argv)
+{
+	const struct script_area areas[] = {
+		{ "sst", new_sst, free_sst, countof(sst_commands),
+		  sst_commands },
+		{ "flw", new_flw, free_flw, countof(flw_commands),
+		  flw_commands },
+		{ "gwc", new_gwc, free_gwc, countof(gwc_commands),
+		  gwc_commands },
+	};
+
+	log_init("test", drop_line, NULL);
+	return script_main(argc, argv, areas, countof(areas));
+}
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -21,6 +21,8 @@
 	int64_t now_us;
 	struct gw *gw;
 	struct dsc *dsc;
+	/* Data centre that is evacuated, or empty. */
+	char evacuated[NAME_BYTES];
 	struct buf *out;
 	/* Configuration and targets of the next view. */
 	uint64_t version;
@@ -189,7 +191,10 @@
 	dsc_remove(b->dsc, argv[0], b->now_us);
 }
 
-/* list ID...: a listing of the store that names only these targets. */
+/*
+ * list ID...: a listing of the store that names only these targets, as
+ * sst_apply() reports it: every other key is gone.
+ */
 static void cmd_list(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct bench *b = ctx;
@@ -200,14 +205,16 @@
 
 	b->out = out;
 	dsc_fill(b->dsc, all);
-	dsc_list(b->dsc);
-	for (i = 0; i < argc; i++) {
-		for (k = 0; k < n; k++) {
-			if (strcmp(all[k].id, argv[i]) == 0)
-				dsc_put(b->dsc, &all[k], b->now_us);
-		}
+	if (b->evacuated[0])
+		dsc_evacuate(b->dsc, b->evacuated, 0, b->now_us);
+	for (i = 0; i < n; i++) {
+		for (k = 0; k < argc && strcmp(all[i].id, argv[k]) != 0; k++)
+			;
+		if (k < argc)
+			dsc_put(b->dsc, &all[i], b->now_us);
+		else
+			dsc_remove(b->dsc, all[i].id, b->now_us);
 	}
-	dsc_listed(b->dsc, b->now_us);
 }
 
 /* evacuate DC [off]: the operators take a data centre out or back in. */
@@ -216,6 +223,7 @@
 	struct bench *b = ctx;
 
 	b->out = out;
+	cu_copy(b->evacuated, sizeof(b->evacuated), argc < 2 ? argv[0] : "");
 	dsc_evacuate(b->dsc, argv[0], argc < 2, b->now_us);
 }
 
--- /dev/null
+++ b/tests/test_relay.c
@@ -0,0 +1,281 @@
+/*
+ * The relay duty over loopback sockets. The test is the control duty of each
+ * host. Each case waits for messages or the end of a stream.
+ */
+#include <apr_general.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/addr.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "codec/peer.h"
+#include "codec/prpc.h"
+#include "duty/messages.h"
+#include "duty/relay.h"
+
+#define WAIT_US (20 * (int64_t)US_PER_S)
+#define RING_SIZE 64
+
+struct host {
+	struct relay *relay;
+	struct ring *control;
+};
+
+static void host_begin(struct host *h)
+{
+	struct err err = { 0 };
+
+	h->control = ring_new(RING_SIZE, NULL, NULL, &err);
+	h->relay = relay_new("127.0.0.1", 0, &err);
+	g_assert_nonnull(h->relay);
+	g_assert_cmpint(relay_start(h->relay, h->control, &err), ==, ERR_OK);
+}
+
+static void host_end(struct host *h)
+{
+	relay_stop(h->relay);
+	relay_free(h->relay);
+	ring_free(h->control);
+}
+
+static void *take(struct host *h, uint32_t type)
+{
+	struct msg m;
+
+	g_assert_cmpuint(ring_wait(h->control, &m, 1, WAIT_US), ==, 1);
+	g_assert_cmpuint(m.type, ==, type);
+	return m.body;
+}
+
+static void follow(struct host *h, uint16_t port, uint32_t hold_ms)
+{
+	struct follow *f = cu_alloc(1, sizeof(*f));
+	struct msg m = { MSG_FOLLOW, f, free };
+
+	cu_copy(f->host, sizeof(f->host), "other");
+	cu_copy(f->address, sizeof(f->address), "127.0.0.1");
+	f->port = port;
+	f->rev = 4;
+	f->hold_ms = hold_ms;
+	g_assert_cmpint(ring_push(relay_ring(h->relay), &m), ==, ERR_OK);
+}
+
+static struct store_update *make_update(void)
+{
+	struct store_update *u = cu_alloc(1, sizeof(*u));
+
+	u->rev = 7;
+	u->fresh_us = clock_now_us() - 50 * US_PER_MS;
+	u->pair_count = 2;
+	u->pairs = cu_alloc(2, sizeof(u->pairs[0]));
+	cu_copy(u->pairs[0].key, sizeof(u->pairs[0].key), "a");
+	u->pairs[0].version = 6;
+	u->pairs[0].value = cu_strdup("value");
+	u->pairs[0].value_bytes = 5;
+	cu_copy(u->pairs[1].key, sizeof(u->pairs[1].key), "b");
+	u->pairs[1].version = 7;
+	return u;
+}
+
+static void reply_to(struct host *h, const struct follow_call *call)
+{
+	struct follow_reply *r = cu_alloc(1, sizeof(*r));
+	struct msg m = { MSG_FOLLOW_REPLY, r, NULL };
+
+	r->conn = call->conn;
+	r->xid = call->xid;
+	r->received_us = call->received_us;
+	r->update = make_update();
+	g_assert_cmpint(ring_push(relay_ring(h->relay), &m), ==, ERR_OK);
+}
+
+/* Guards against changes that are altered, or made to look fresher, on the way. */
+static void test_passes(void)
+{
+	struct host server;
+	struct host client;
+	struct follow_call *call;
+	struct followed *f;
+	int i;
+
+	host_begin(&server);
+	host_begin(&client);
+	/* The second call uses the same connection. */
+	for (i = 0; i < 2; i++) {
+		follow(&client, relay_port(server.relay), 1000);
+		call = take(&server, MSG_FOLLOW_CALL);
+		g_assert_cmpuint(call->rev, ==, 4);
+		g_assert_cmpuint(call->hold_ms, ==, 1000);
+		g_assert_cmpuint(call->conn, ==, 1);
+		reply_to(&server, call);
+		free(call);
+		f = take(&client, MSG_FOLLOWED);
+		g_assert_cmpstr(f->host, ==, "other");
+		g_assert_cmpuint(f->update->rev, ==, 7);
+		g_assert_cmpuint(f->update->is_full, ==, 0);
+		g_assert_cmpuint(f->update->pair_count, ==, 2);
+		g_assert_cmpstr(f->update->pairs[0].value, ==, "value");
+		g_assert_cmpuint(f->update->pairs[0].version, ==, 6);
+		g_assert_null(f->update->pairs[1].value);
+		g_assert_cmpint(f->update->fresh_us, <=,
+				clock_now_us() - 50 * US_PER_MS);
+		g_assert_cmpint(f->update->returned_us, ==, 0);
+		followed_free(f);
+	}
+	host_end(&client);
+	host_end(&server);
+}
+
+/* Guards against a call that never ends because the other host is silent. */
+static void test_silent(void)
+{
+	struct host server;
+	struct host client;
+	struct followed *f;
+
+	host_begin(&server);
+	host_begin(&client);
+	follow(&client, relay_port(server.relay), 1);
+	free(take(&server, MSG_FOLLOW_CALL));
+	f = take(&client, MSG_FOLLOWED);
+	g_assert_null(f->update);
+	g_assert_cmpint(f->err.code, ==, ERR_PEER_RPC);
+	followed_free(f);
+	host_end(&client);
+	host_end(&server);
+}
+
+/* Guards against waiting for a host that is gone, before and during a call. */
+static void test_gone(void)
+{
+	struct host server;
+	struct host client;
+	struct followed *f;
+	uint16_t port;
+
+	host_begin(&server);
+	host_begin(&client);
+	port = relay_port(server.relay);
+	follow(&client, port, 10000);
+	free(take(&server, MSG_FOLLOW_CALL));
+	host_end(&server);
+	f = take(&client, MSG_FOLLOWED);
+	g_assert_cmpint(f->err.code, ==, ERR_PEER_RPC);
+	followed_free(f);
+	follow(&client, port, 10000);
+	f = take(&client, MSG_FOLLOWED);
+	g_assert_cmpint(f->err.code, ==, ERR_PEER_RPC);
+	followed_free(f);
+	host_end(&client);
+}
+
+static int connect_to(uint16_t port)
+{
+	struct sockaddr_storage sa;
+	socklen_t len = addr_fill("127.0.0.1", port, &sa);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&sa, len), ==, 0);
+	return fd;
+}
+
+static void put(int fd, const void *data, size_t len_bytes)
+{
+	g_assert_cmpint(send(fd, data, len_bytes, MSG_NOSIGNAL), ==,
+			(int)len_bytes);
+}
+
+static void expect_end(int fd)
+{
+	char rest[64];
+
+	while (recv(fd, rest, sizeof(rest), 0) > 0)
+		;
+	close(fd);
+}
+
+/* Guards against a caller that is no host of the gateway using up memory. */
+static void test_garbage(void)
+{
+	static const char long_record[] = { (char)0x80, 0x10, 0, 0 };
+	static const char wrong_body[] = { (char)0x80, 0, 0, 8, 1, 2,
+					   3,	       4, 5, 6, 7, 8 };
+	struct buf calls CLEANUP_BUF = { 0 };
+	peer_follow_args args = { 0, 60000 };
+	struct host server;
+	int fd;
+
+	host_begin(&server);
+	fd = connect_to(relay_port(server.relay));
+	put(fd, "GET / HTTP/1.1\r\n\r\n", 18);
+	expect_end(fd);
+	fd = connect_to(relay_port(server.relay));
+	put(fd, long_record, sizeof(long_record));
+	expect_end(fd);
+	fd = connect_to(relay_port(server.relay));
+	put(fd, wrong_body, sizeof(wrong_body));
+	expect_end(fd);
+	/* A second call while the first one is held. */
+	prpc_add_call(&calls, 1, FOLLOW_STATE, (xdrproc_t)xdr_peer_follow_args,
+		      &args);
+	prpc_add_call(&calls, 2, FOLLOW_STATE, (xdrproc_t)xdr_peer_follow_args,
+		      &args);
+	fd = connect_to(relay_port(server.relay));
+	put(fd, calls.data, calls.len_bytes);
+	expect_end(fd);
+	free(take(&server, MSG_FOLLOW_CALL));
+	host_end(&server);
+}
+
+/* Guards against an answer for a follower that left reaching another one. */
+static void test_left(void)
+{
+	struct buf call_bytes CLEANUP_BUF = { 0 };
+	peer_follow_args args = { 4, 60000 };
+	struct host server;
+	struct host client;
+	struct follow_call *left;
+	struct follow_call *call;
+	struct followed *f;
+	int fd;
+
+	host_begin(&server);
+	host_begin(&client);
+	prpc_add_call(&call_bytes, 1, FOLLOW_STATE,
+		      (xdrproc_t)xdr_peer_follow_args, &args);
+	fd = connect_to(relay_port(server.relay));
+	put(fd, call_bytes.data, call_bytes.len_bytes);
+	left = take(&server, MSG_FOLLOW_CALL);
+	close(fd);
+	follow(&client, relay_port(server.relay), 10000);
+	call = take(&server, MSG_FOLLOW_CALL);
+	reply_to(&server, left);
+	reply_to(&server, call);
+	f = take(&client, MSG_FOLLOWED);
+	g_assert_nonnull(f->update);
+	followed_free(f);
+	free(left);
+	free(call);
+	host_end(&client);
+	host_end(&server);
+}
+
+static void drop_line(void *ctx, const char *line)
+{
+}
+
+int main(int argc, char **argv)
+{
+	apr_initialize();
+	g_test_init(&argc, &argv, NULL);
+	log_init("test", drop_line, NULL);
+	g_test_add_func("/relay/passes", test_passes);
+	g_test_add_func("/relay/silent", test_silent);
+	g_test_add_func("/relay/gone", test_gone);
+	g_test_add_func("/relay/garbage", test_garbage);
+	g_test_add_func("/relay/left", test_left);
+	return g_test_run();
+}
