--- /dev/null
+++ b/src/codec/grollout.c
@@ -0,0 +1,62 @@
+#include "codec/grollout.h"
+
+#include <jansson.h>
+#include <string.h>
+
+static const char *const state_names[GW_ROLLOUT_STATE_COUNT] = {
+#define DEF(id, name) [id] = name,
+	GW_ROLLOUT_STATES(DEF)
+#undef DEF
+};
+
+char *grollout_encode(const struct gw_rollout *r)
+{
+	json_t *doc = json_pack("{s:s,s:I,s:s,s:I,s:I,s:s}", "to", r->to,
+				"order_rev", (json_int_t)r->order_rev, "state",
+				state_names[r->state], "share_permille",
+				(json_int_t)r->share_permille, "elapsed_ms",
+				(json_int_t)r->elapsed_ms, "reason", r->reason);
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	json_decref(doc);
+	return text;
+}
+
+enum err_code grollout_decode(const char *service, const char *json,
+			      uint32_t json_bytes, struct gw_rollout *out,
+			      struct err *err)
+{
+	json_t *doc = json_loadb(json, json_bytes, 0, NULL);
+	const char *to = "";
+	const char *state = "";
+	const char *reason = "";
+	json_int_t order_rev = 0;
+	json_int_t share = -1;
+	json_int_t elapsed_ms = 0;
+	uint32_t i = 0;
+	int ok = doc && json_unpack(doc, "{s:s,s:I,s:s,s:I,s:I,s:s}", "to", &to,
+				    "order_rev", &order_rev, "state", &state,
+				    "share_permille", &share, "elapsed_ms",
+				    &elapsed_ms, "reason", &reason) == 0;
+
+	memset(out, 0, sizeof(*out));
+	while (i < countof(state_names) && strcmp(state, state_names[i]) != 0)
+		i++;
+	ok = ok && i < countof(state_names) && order_rev > 0 && share >= 0 &&
+	     share <= PERMILLE && elapsed_ms >= 0 && elapsed_ms <= UINT32_MAX &&
+	     to[0] && cu_copy(out->to, sizeof(out->to), to) &&
+	     cu_copy(out->service, sizeof(out->service), service);
+	/* A reason that is cut is still one. */
+	cu_copy(out->reason, sizeof(out->reason), reason);
+	out->state = (enum gw_rollout_state)i;
+	out->order_rev = (uint64_t)order_rev;
+	out->share_permille = (uint32_t)share;
+	out->elapsed_ms = (uint32_t)elapsed_ms;
+	json_decref(doc);
+	if (!ok)
+		return err_set(err, ERR_BAD_FIELD,
+			       "state of the rollout of '%.64s' is not "
+			       "understood",
+			       service);
+	return ERR_OK;
+}
--- a/src/codec/gsettings.c
+++ b/src/codec/gsettings.c
@@ -6,6 +6,8 @@
 #include "base/addr.h"
 
 #define GRACE_S_MAX 600
+/* Where the deployment bounds no rollouts; half of what others allow. */
+#define EXPOSURE_DEFAULT_PERMILLE 50
 /* Below this no host could follow the store. */
 #define APPLY_MS_MIN 100
 
@@ -132,6 +134,10 @@
 	out->retry_permille =
 		(uint32_t)(number(&r, "retry_ratio", 0, 10) * PERMILLE);
 	out->retry_slack = (uint32_t)number(&r, "retry_slack", 0, 1e6);
+	out->exposure_permille = EXPOSURE_DEFAULT_PERMILLE;
+	if (json_object_get(doc, "canary_share"))
+		out->exposure_permille =
+			(uint32_t)(number(&r, "canary_share", 0, 1) * PERMILLE);
 	json_decref(doc);
 	return err->code;
 }
--- a/src/codec/gsettings.h
+++ b/src/codec/gsettings.h
@@ -42,6 +42,8 @@
 	/* Calls beyond the first: a share of the requests and a fixed number. */
 	uint32_t retry_permille;
 	uint32_t retry_slack;
+	/* Share of a service's requests that a bad version may get. */
+	uint32_t exposure_permille;
 };
 
 /* Reads the file at @path; the error names the field and its range. */
--- a/src/codec/peer.h
+++ b/src/codec/peer.h
@@ -24,6 +24,7 @@
 #define PEER_JSON_MAX 1048576
 #define PEER_KEY_MAX 256
 #define PEER_ENTRIES_MAX 65536
+#define PEER_EVIDENCE_MAX 128
 
 struct peer_notice {
 	char *target;
@@ -99,6 +100,10 @@
 struct peer_follow_args {
 	u_quad_t rev;
 	u_int hold_ms;
+	struct {
+		u_int evidence_len;
+		peer_rollout *evidence_val;
+	} evidence;
 };
 typedef struct peer_follow_args peer_follow_args;
 
--- a/src/codec/peer.x
+++ b/src/codec/peer.x
@@ -15,6 +15,7 @@
 const PEER_JSON_MAX = 1048576;
 const PEER_KEY_MAX = 256;
 const PEER_ENTRIES_MAX = 65536;
+const PEER_EVIDENCE_MAX = 128;
 
 struct peer_notice {
 	string target<PEER_NAME_MAX>;
@@ -72,6 +73,7 @@
 struct peer_follow_args {
 	unsigned hyper rev;
 	unsigned int hold_ms;
+	peer_rollout evidence<PEER_EVIDENCE_MAX>;
 };
 
 struct peer_entry {
--- a/src/codec/peer_xdr.c
+++ b/src/codec/peer_xdr.c
@@ -183,6 +183,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->hold_ms))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->evidence.evidence_val, (u_int *) &objp->evidence.evidence_len, PEER_EVIDENCE_MAX,
+		sizeof (peer_rollout), (xdrproc_t) xdr_peer_rollout))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/codec/pxdr.c
+++ b/src/codec/pxdr.c
@@ -14,7 +14,7 @@
 	out->kind = (u_int)n->kind;
 }
 
-static void fill_rollout(struct rollout_evidence *r, peer_rollout *out)
+void pxdr_from_evidence(struct rollout_evidence *r, peer_rollout *out)
 {
 	out->service = r->service;
 	out->release = r->version;
@@ -39,7 +39,7 @@
 	for (i = 0; i < h->notice_count; i++)
 		fill_notice(&h->notices[i], &out->notices[i]);
 	for (i = 0; i < h->rollout_count; i++)
-		fill_rollout(&h->rollouts[i], &out->rollouts[i]);
+		pxdr_from_evidence(&h->rollouts[i], &out->rollouts[i]);
 	*x = (peer_heartbeat){
 		.host = h->host,
 		.data_centre = h->data_centre,
@@ -102,6 +102,20 @@
 	return ERR_OK;
 }
 
+int pxdr_to_evidence(const peer_rollout *x, struct rollout_evidence *out)
+{
+	if (!cu_name_ok(x->service, NAME_BYTES - 1) ||
+	    !cu_name_ok(x->release, NAME_BYTES - 1) || x->bad > 1)
+		return 0;
+	cu_copy(out->service, sizeof(out->service), x->service);
+	cu_copy(out->version, sizeof(out->version), x->release);
+	out->bad = x->bad;
+	out->requests = x->requests;
+	out->failures = x->failures;
+	out->slow = x->slow;
+	return 1;
+}
+
 static enum err_code read_rollouts(const peer_heartbeat *x,
 				   struct heartbeat *out, struct err *err)
 {
@@ -110,18 +124,9 @@
 	if (x->rollouts.rollouts_len > HEARTBEAT_ROLLOUTS_MAX)
 		return refuse(err, "rollouts");
 	for (i = 0; i < x->rollouts.rollouts_len; i++) {
-		const peer_rollout *r = &x->rollouts.rollouts_val[i];
-		struct rollout_evidence *t = &out->rollouts[i];
-
-		if (!cu_name_ok(r->service, NAME_BYTES - 1) ||
-		    !cu_name_ok(r->release, NAME_BYTES - 1) || r->bad > 1)
+		if (!pxdr_to_evidence(&x->rollouts.rollouts_val[i],
+				      &out->rollouts[i]))
 			return refuse(err, "rollouts");
-		cu_copy(t->service, sizeof(t->service), r->service);
-		cu_copy(t->version, sizeof(t->version), r->release);
-		t->bad = r->bad;
-		t->requests = r->requests;
-		t->failures = r->failures;
-		t->slow = r->slow;
 	}
 	out->rollout_count = x->rollouts.rollouts_len;
 	return ERR_OK;
--- a/src/controller/flw.c
+++ b/src/controller/flw.c
@@ -56,11 +56,15 @@
 	int x_far = strcmp(x->data_centre, f->data_centre) != 0;
 	int y_far = strcmp(y->data_centre, f->data_centre) != 0;
 
+	int dc = strcmp(x->data_centre, y->data_centre);
+
 	if (x_far != y_far)
 		return x_far - y_far;
+	if (dc)
+		return dc;
 	if (x->core_permille != y->core_permille)
 		return x->core_permille > y->core_permille ? -1 : 1;
-	return hrw_before(f->data_centre, x->name, y->name) ? -1 : 1;
+	return hrw_before(x->data_centre, x->name, y->name) ? -1 : 1;
 }
 
 static void sort(struct flw *f)
@@ -168,6 +172,84 @@
 	return first_usable(f, f->seeds, 0, now_us);
 }
 
+/* Position of the entry at @index within its data centre. */
+static uint32_t depth(const struct flw *f, uint32_t index)
+{
+	const struct entry *e = g_ptr_array_index(f->order, index);
+	uint32_t n = 0;
+
+	while (n < index) {
+		const struct entry *before =
+			g_ptr_array_index(f->order, index - n - 1);
+
+		if (strcmp(before->def.data_centre, e->def.data_centre) != 0)
+			break;
+		n++;
+	}
+	return n;
+}
+
+struct turn {
+	const struct entry *entry;
+	uint32_t depth;
+};
+
+static gint compare_turns(gconstpointer a, gconstpointer b)
+{
+	const struct turn *x = a;
+	const struct turn *y = b;
+
+	if (x->depth != y->depth)
+		return x->depth < y->depth ? -1 : 1;
+	return strcmp(x->entry->def.data_centre, y->entry->def.data_centre);
+}
+
+/* The hosts that are in reach, this one included, in the order of turns. */
+static GArray *turns(const struct flw *f, int64_t now_us)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct turn));
+	uint32_t i;
+
+	for (i = 0; i < f->order->len; i++) {
+		const struct entry *e = g_ptr_array_index(f->order, i);
+		struct turn t = { e, depth(f, i) };
+
+		if (t.depth < FLW_RANKS && (is_usable(f, e, now_us) ||
+					    strcmp(e->def.name, f->self) == 0))
+			g_array_append_val(list, t);
+	}
+	g_array_sort(list, compare_turns);
+	return list;
+}
+
+uint32_t flw_rank(const struct flw *f, int64_t now_us)
+{
+	GArray *list = turns(f, now_us);
+	uint32_t rank = UINT32_MAX;
+	uint32_t i;
+
+	for (i = 0; i < list->len && i < FLW_RANKS; i++) {
+		const struct turn *t = &g_array_index(list, struct turn, i);
+
+		if (strcmp(t->entry->def.name, f->self) == 0)
+			rank = i;
+	}
+	g_array_free(list, TRUE);
+	return rank;
+}
+
+const struct gw_host *flw_chief(const struct flw *f, int64_t now_us)
+{
+	GArray *list = turns(f, now_us);
+	const struct entry *first =
+		list->len ? g_array_index(list, struct turn, 0).entry : NULL;
+
+	g_array_free(list, TRUE);
+	if (!first || strcmp(first->def.name, f->self) == 0)
+		return NULL;
+	return &first->def;
+}
+
 void flw_peer_failed(struct flw *f, const char *name, int64_t now_us)
 {
 	struct entry *e = g_hash_table_lookup(f->hosts, name);
--- a/src/controller/flw.h
+++ b/src/controller/flw.h
@@ -15,6 +15,8 @@
 
 /* Hosts that follow one; bounds what a change costs its link. */
 #define FLW_FANOUT 8
+/* Hosts that may act for all, one after the other. */
+#define FLW_RANKS 6
 /* A host that failed or was behind is left alone for this long. */
 #define FLW_PEER_AVOID_US (3 * (int64_t)US_PER_S)
 /* The store is tried again this long after a failure. */
@@ -34,6 +36,14 @@
 
 /* Host to follow at @now_us, or NULL for the store. */
 const struct gw_host *flw_choose(struct flw *f, int64_t now_us);
+/*
+ * Hosts that act for all before this one does: the roots of the data centres
+ * by name, then their next hosts. UINT32_MAX beyond FLW_RANKS, or while the
+ * entry of this host is missing.
+ */
+uint32_t flw_rank(const struct flw *f, int64_t now_us);
+/* The host that acts first, or NULL when it is this one or none is known. */
+const struct gw_host *flw_chief(const struct flw *f, int64_t now_us);
 /* @name gave no answer, or one that is too old. */
 void flw_peer_failed(struct flw *f, const char *name, int64_t now_us);
 void flw_store_failed(struct flw *f, int64_t now_us);
--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -126,6 +126,7 @@
 	struct gw_control_options o = {
 		.hosts_assumed = HOSTS_ASSUMED,
 		.apply_ms = cu_min_u32(set->config_apply_ms, set->drain_ms),
+		.exposure_permille = set->exposure_permille,
 		.store = store_ring(g->store),
 		.relay = g->relay ? relay_ring(g->relay) : NULL,
 		.views = gw_duty_ring(g->request),
@@ -181,7 +182,8 @@
 	if (store_start(g->store, err) != ERR_OK ||
 	    egress_start(g->egress, gw_duty_ring(g->request), err) != ERR_OK ||
 	    gw_duty_start(g->request, ingress_ring(g->ingress),
-			  egress_ring(g->egress), err) != ERR_OK ||
+			  egress_ring(g->egress), gw_control_ring(g->control),
+			  err) != ERR_OK ||
 	    (g->relay && relay_start(g->relay, gw_control_ring(g->control),
 				     err) != ERR_OK) ||
 	    gw_control_start(g->control, err) != ERR_OK)
--- a/src/duty/gw_control.c
+++ b/src/duty/gw_control.c
@@ -60,6 +60,7 @@
 	if (c->config)
 		v->config = route_config_ref(c->config);
 	v->host_count = host_count(c, now_us);
+	v->share_count = gro_shares(c->rollouts, v->shares, GW_ROLLOUTS_MAX);
 	metric_set(M_HOSTS_LIVE, v->host_count);
 	c->opt.hosts(c->opt.notify_ctx, v->host_count);
 	if (ring_push(c->opt.views, &m) != ERR_OK) {
@@ -68,7 +69,7 @@
 	}
 }
 
-static void on_changed(void *ctx, int64_t now_us)
+void gw_control_changed(void *ctx, int64_t now_us)
 {
 	struct gw_control *c = ctx;
 
@@ -105,7 +106,7 @@
 	c->config = config;
 	metric_set(M_CONFIG_REV, config->version);
 	c->opt.limits(c->opt.notify_ctx, &config->limits);
-	on_changed(c, now_us);
+	gw_control_changed(c, now_us);
 }
 
 static void take_searcher(struct gw_control *c, const char *id,
@@ -148,7 +149,7 @@
 	if (p->value && err.code != ERR_OK)
 		log_event(LOG_LEVEL_WARNING, "host_entry_refused", "%s: %s",
 			  name, err.detail);
-	on_changed(c, now_us);
+	gw_control_changed(c, now_us);
 }
 
 void gw_control_pair(struct gw_control *c, const struct kv_pair *p,
@@ -170,6 +171,11 @@
 	case PL_KEY_HOST:
 		take_host(c, name, p, now_us);
 		break;
+	case PL_KEY_ORDER:
+	case PL_KEY_STATUS:
+	case PL_KEY_ROLLOUT:
+		gw_rollout_pair(c, p, now_us);
+		break;
 	default:
 		break;
 	}
@@ -194,6 +200,9 @@
 	case CALL_RENEW:
 		gw_register_renewed(c, &r->result, now_us);
 		break;
+	case CALL_ROLLOUT:
+		gw_rollout_written(c, r->key, &r->result);
+		break;
 	default:
 		break;
 	}
@@ -202,6 +211,7 @@
 static void on_message(void *ctx, int64_t now_us, struct msg *m)
 {
 	struct gw_control *c = ctx;
+	struct gw_evidence *e = m->body;
 
 	switch (m->type) {
 	case MSG_KV_RESULT:
@@ -215,6 +225,10 @@
 	case MSG_FOLLOW_CALL:
 		gw_source_hold(c, m->body, now_us);
 		break;
+	case MSG_GW_EVIDENCE:
+		gw_rollout_evidence(c, e->list, e->count, now_us);
+		free(e);
+		break;
 	default:
 		if (m->drop)
 			m->drop(m->body);
@@ -232,6 +246,7 @@
 	c->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
 	c->state = sst_new();
 	c->follow = flw_new(o->self.name, o->self.data_centre);
+	gw_rollout_init(c);
 	for (i = 0; i < o->seed_count; i++)
 		flw_seed(c->follow, o->seeds[i].address, o->seeds[i].port);
 	c->duty = duty_new("control", RING_CAPACITY, NULL, NULL, err);
@@ -239,7 +254,7 @@
 		gw_control_free(c);
 		return NULL;
 	}
-	c->dsc = dsc_new(duty_timers(c->duty), on_changed, c);
+	c->dsc = dsc_new(duty_timers(c->duty), gw_control_changed, c);
 	return c;
 }
 
@@ -268,6 +283,7 @@
 	if (!c)
 		return;
 	gw_source_free(c);
+	gw_rollout_free(c);
 	dsc_free(c->dsc);
 	flw_free(c->follow);
 	sst_free(c->state);
--- a/src/duty/gw_control.h
+++ b/src/duty/gw_control.h
@@ -31,6 +31,8 @@
 	uint32_t hosts_assumed;
 	/* Time until this host has to know a change of the store. */
 	uint32_t apply_ms;
+	/* Share of a service's requests that a bad version may get. */
+	uint32_t exposure_permille;
 	struct ring *store;
 	/* The relay duty; NULL: no other host is followed. */
 	struct ring *relay;
--- a/src/duty/gw_control_state.h
+++ b/src/duty/gw_control_state.h
@@ -6,6 +6,7 @@
 
 #include "controller/dsc.h"
 #include "controller/flw.h"
+#include "controller/gro.h"
 #include "controller/sst.h"
 #include "duty/duty.h"
 #include "duty/gw_control.h"
@@ -16,7 +17,14 @@
 #define CALL_MS 2000
 
 /* Tokens of the calls to the store. */
-enum call_id { CALL_WATCH, CALL_READ, CALL_LEASE, CALL_REGISTER, CALL_RENEW };
+enum call_id {
+	CALL_WATCH,
+	CALL_READ,
+	CALL_LEASE,
+	CALL_REGISTER,
+	CALL_RENEW,
+	CALL_ROLLOUT
+};
 
 struct gw_control {
 	struct duty *duty;
@@ -46,6 +54,11 @@
 	struct tmr_sub lease_timer;
 	/* Armed when the view is to be published, once for a batch of changes. */
 	struct tmr_sub publish_timer;
+	struct gro *rollouts;
+	/* struct rollout_evidence that goes to another host with the next call. */
+	GArray *evidence;
+	/* Armed while a rollout is active. */
+	struct tmr_sub rollout_timer;
 };
 
 /* Sends a call to the store duty. */
@@ -55,6 +68,9 @@
 void gw_control_pair(struct gw_control *c, const struct kv_pair *p,
 		     int64_t now_us);
 
+/* What hosts are to do changed: publishes the view. */
+void gw_control_changed(void *control, int64_t now_us);
+
 /* Source: where changes of the store come from. */
 void gw_source_start(struct gw_control *c, int64_t now_us);
 void gw_source_watched(struct gw_control *c, const struct kv_result *r,
@@ -66,8 +82,24 @@
 /* Takes over @call. */
 void gw_source_hold(struct gw_control *c, struct follow_call *call,
 		    int64_t now_us);
+/* Calls @h, which may hold the call for @hold_ms. */
+void gw_source_call(struct gw_control *c, const struct gw_host *h,
+		    uint32_t hold_ms);
 void gw_source_free(struct gw_control *c);
 
+/* Rollout. */
+void gw_rollout_init(struct gw_control *c);
+void gw_rollout_free(struct gw_control *c);
+void gw_rollout_pair(struct gw_control *c, const struct kv_pair *p,
+		     int64_t now_us);
+void gw_rollout_written(struct gw_control *c, const char *key,
+			const struct kv_result *r);
+/* What the requests of this host or of others have shown. */
+void gw_rollout_evidence(struct gw_control *c, const struct rollout_evidence *e,
+			 uint32_t count, int64_t now_us);
+/* Evidence to pass on; the caller frees it. */
+struct rollout_evidence *gw_rollout_take(struct gw_control *c, uint32_t *count);
+
 /* Register: this host's entry in the store. */
 void gw_register_start(struct gw_control *c, int64_t now_us);
 void gw_register_leased(struct gw_control *c, const struct kv_result *r,
--- a/src/duty/gw_duty.c
+++ b/src/duty/gw_duty.c
@@ -1,6 +1,7 @@
 #include "duty/gw_duty.h"
 
 #include <stdatomic.h>
+#include <string.h>
 
 #include "base/log.h"
 #include "duty/duty.h"
@@ -14,6 +15,7 @@
 	struct gw *gw;
 	struct ring *ingress;
 	struct ring *egress;
+	struct ring *control;
 	_Atomic int is_ready;
 };
 
@@ -50,6 +52,22 @@
 	exchange_answer_free(a);
 }
 
+static void push_evidence(void *ctx, const struct rollout_evidence *list,
+			  uint32_t count)
+{
+	struct gw_duty *d = ctx;
+	struct gw_evidence *e =
+		cu_alloc(1, sizeof(*e) + count * sizeof(e->list[0]));
+	struct msg m = { MSG_GW_EVIDENCE, e, free };
+
+	e->count = count;
+	memcpy(e->list, list, count * sizeof(e->list[0]));
+	if (ring_push(d->control, &m) == ERR_OK)
+		return;
+	log_event(LOG_LEVEL_ERROR, "ring_full", "evidence on versions dropped");
+	free(e);
+}
+
 static void on_message(void *ctx, int64_t now_us, struct msg *m)
 {
 	struct gw_duty *d = ctx;
@@ -80,7 +98,7 @@
 struct gw_duty *gw_duty_new(const struct gw_options *o, struct err *err)
 {
 	struct gw_duty *d = cu_alloc(1, sizeof(*d));
-	struct gw_ops ops = { push_call, push_answer, d };
+	struct gw_ops ops = { push_call, push_answer, push_evidence, d };
 
 	d->duty = duty_new("request", RING_CAPACITY, NULL, NULL, err);
 	if (!d->duty) {
@@ -92,10 +110,12 @@
 }
 
 enum err_code gw_duty_start(struct gw_duty *d, struct ring *ingress,
-			    struct ring *egress, struct err *err)
+			    struct ring *egress, struct ring *control,
+			    struct err *err)
 {
 	d->ingress = ingress;
 	d->egress = egress;
+	d->control = control;
 	return duty_start(d->duty, on_message, d, err);
 }
 
--- a/src/duty/gw_duty.h
+++ b/src/duty/gw_duty.h
@@ -13,7 +13,8 @@
 /* The rings of the other duties are set before gw_duty_start(). */
 struct gw_duty *gw_duty_new(const struct gw_options *o, struct err *err);
 enum err_code gw_duty_start(struct gw_duty *d, struct ring *ingress,
-			    struct ring *egress, struct err *err);
+			    struct ring *egress, struct ring *control,
+			    struct err *err);
 struct ring *gw_duty_ring(struct gw_duty *d);
 /* Any thread: 1 when requests can be served; see gw_ready(). */
 int gw_duty_ready(void *gw_duty);
--- /dev/null
+++ b/src/duty/gw_rollout.c
@@ -0,0 +1,247 @@
+/*
+ * Rollouts of the gateway's control duty: documents of the store to the
+ * controller and back, and the way of evidence. Each host passes what it and
+ * those that follow it have seen to the host that it follows; the roots of the
+ * data centres pass theirs to the host that acts first.
+ */
+#include <string.h>
+
+#include "base/log.h"
+#include "codec/grollout.h"
+#include "duty/gw_control_state.h"
+#include "platform/pl_config.h"
+
+/* Steps, evidence and documents are looked at this often while one is active. */
+#define TICK_US (100 * US_PER_MS)
+
+static void on_tick(void *ctx, int64_t now_us);
+
+static void arm_tick(struct gw_control *c, int64_t now_us)
+{
+	if (gro_is_active(c->rollouts))
+		tmr_arm(duty_timers(c->duty), &c->rollout_timer,
+			now_us + TICK_US, on_tick, c);
+	else
+		g_array_set_size(c->evidence, 0);
+}
+
+static void write_document(struct gw_control *c, const char *prefix,
+			   const char *service, char *json, uint64_t if_rev)
+{
+	struct kv_call call = { .op = KV_CAS,
+				.version = if_rev,
+				.value = json,
+				.value_bytes = (uint32_t)strlen(json),
+				.timeout_ms = CALL_MS };
+
+	cu_copy(call.key, sizeof(call.key), prefix);
+	cu_copy(call.key + strlen(prefix), sizeof(call.key) - strlen(prefix),
+		service);
+	gw_control_store(c, &call, CALL_ROLLOUT);
+}
+
+static void write_item(void *ctx, const struct gw_rollout *item,
+		       uint64_t if_rev)
+{
+	write_document(ctx, PL_PREFIX_ROLLOUTS, item->service,
+		       grollout_encode(item), if_rev);
+}
+
+static void write_status(void *ctx, const struct gw_rollout_status *status,
+			 uint64_t if_rev)
+{
+	write_document(ctx, PL_PREFIX_STATUS, status->service,
+		       pl_status_encode(status), if_rev);
+}
+
+void gw_rollout_written(struct gw_control *c, const char *key,
+			const struct kv_result *r)
+{
+	const char *service;
+
+	if (r->err.code == ERR_OK)
+		return;
+	log_event(LOG_LEVEL_WARNING, "rollout_write_failed", "%s: %s: %s", key,
+		  err_name(r->err.code), r->err.detail);
+	pl_key_kind(key, &service);
+	gro_write_failed(c->rollouts, service);
+}
+
+static const struct gro_ops ops = { write_item, write_status,
+				    gw_control_changed };
+
+void gw_rollout_init(struct gw_control *c)
+{
+	c->rollouts = gro_new(c->opt.exposure_permille, &ops, c);
+	c->evidence =
+		g_array_new(FALSE, FALSE, sizeof(struct rollout_evidence));
+}
+
+void gw_rollout_free(struct gw_control *c)
+{
+	gro_free(c->rollouts);
+	if (c->evidence)
+		g_array_free(c->evidence, TRUE);
+}
+
+/* Evidence of the root goes to the host that acts, whom it does not follow. */
+static void report_to_chief(struct gw_control *c, int64_t now_us)
+{
+	const struct gw_host *chief = flw_chief(c->follow, now_us);
+
+	if (!c->opt.relay || c->is_following || !c->evidence->len)
+		return;
+	if (!chief) {
+		/* What this host judges itself goes no further. */
+		g_array_set_size(c->evidence, 0);
+		return;
+	}
+	gw_source_call(c, chief, 0);
+}
+
+static void on_tick(void *ctx, int64_t now_us)
+{
+	struct gw_control *c = ctx;
+
+	gro_tick(c->rollouts, flw_rank(c->follow, now_us), now_us);
+	report_to_chief(c, now_us);
+	arm_tick(c, now_us);
+}
+
+static void log_refused(const struct err *err)
+{
+	log_event(LOG_LEVEL_ERROR, "rollout_refused", "%s", err->detail);
+}
+
+static void take_order(struct gw_control *c, const char *service,
+		       const struct kv_pair *p, int64_t now_us)
+{
+	struct gw_order o;
+	struct err err = { 0 };
+
+	if (!p->value)
+		gro_order_gone(c->rollouts, service, now_us);
+	else if (pl_order_decode(service, p->value, p->value_bytes, &o, &err) ==
+		 ERR_OK)
+		gro_order(c->rollouts, &o, p->version, now_us);
+	else
+		log_refused(&err);
+}
+
+static void take_item(struct gw_control *c, const char *service,
+		      const struct kv_pair *p, int64_t now_us)
+{
+	struct gw_rollout r;
+	struct err err = { 0 };
+
+	if (!p->value)
+		return;
+	if (grollout_decode(service, p->value, p->value_bytes, &r, &err) ==
+	    ERR_OK)
+		gro_item(c->rollouts, &r, p->version, now_us);
+	else
+		log_refused(&err);
+}
+
+static void take_status(struct gw_control *c, const char *service,
+			const struct kv_pair *p)
+{
+	struct gw_rollout_status s;
+	struct err err = { 0 };
+
+	if (!p->value)
+		return;
+	if (pl_status_decode(service, p->value, p->value_bytes, &s, &err) ==
+	    ERR_OK)
+		gro_status(c->rollouts, &s, p->version);
+	else
+		log_refused(&err);
+}
+
+void gw_rollout_pair(struct gw_control *c, const struct kv_pair *p,
+		     int64_t now_us)
+{
+	const char *service;
+
+	switch (pl_key_kind(p->key, &service)) {
+	case PL_KEY_ORDER:
+		take_order(c, service, p, now_us);
+		break;
+	case PL_KEY_ROLLOUT:
+		take_item(c, service, p, now_us);
+		break;
+	default:
+		take_status(c, service, p);
+		break;
+	}
+	arm_tick(c, now_us);
+}
+
+static struct rollout_evidence *pending(struct gw_control *c,
+					const struct rollout_evidence *e)
+{
+	guint i;
+
+	for (i = 0; i < c->evidence->len; i++) {
+		struct rollout_evidence *p =
+			&g_array_index(c->evidence, struct rollout_evidence, i);
+
+		if (strcmp(p->service, e->service) == 0 &&
+		    strcmp(p->version, e->version) == 0)
+			return p;
+	}
+	return NULL;
+}
+
+void gw_rollout_evidence(struct gw_control *c, const struct rollout_evidence *e,
+			 uint32_t count, int64_t now_us)
+{
+	uint32_t i;
+
+	if (!gro_is_active(c->rollouts))
+		return;
+	gro_evidence(c->rollouts, e, count, now_us);
+	for (i = 0; i < count; i++) {
+		struct rollout_evidence *p = pending(c, &e[i]);
+
+		if (p) {
+			p->bad |= e[i].bad;
+			p->requests += e[i].requests;
+			p->failures += e[i].failures;
+			p->slow += e[i].slow;
+		} else if (c->evidence->len < FOLLOW_EVIDENCE_MAX) {
+			g_array_append_val(c->evidence, e[i]);
+		}
+	}
+}
+
+/* What this host found bad is passed on with the counts. */
+static void mark_bad(struct gw_control *c)
+{
+	struct version_share shares[GW_ROLLOUTS_MAX];
+	uint32_t n = gro_shares(c->rollouts, shares, GW_ROLLOUTS_MAX);
+	struct rollout_evidence e = { 0 };
+	struct rollout_evidence *p;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		memcpy(e.service, shares[i].service, sizeof(e.service));
+		memcpy(e.version, shares[i].version, sizeof(e.version));
+		p = pending(c, &e);
+		if (p)
+			p->bad = shares[i].is_bad;
+	}
+}
+
+struct rollout_evidence *gw_rollout_take(struct gw_control *c, uint32_t *count)
+{
+	struct rollout_evidence *list;
+
+	mark_bad(c);
+	*count = c->evidence->len;
+	list = cu_alloc(*count, sizeof(*list));
+	if (*count)
+		memcpy(list, c->evidence->data, *count * sizeof(*list));
+	g_array_set_size(c->evidence, 0);
+	return list;
+}
--- a/src/duty/gw_source.c
+++ b/src/duty/gw_source.c
@@ -19,6 +19,8 @@
 #define WATCH_WAIT_PERMILLE 400
 #define WATCH_GAP_PERMILLE 200
 #define FRESH_PERMILLE 700
+/* Longest hold and gap during a rollout, whose steps last seconds. */
+#define ROLLOUT_MS 200
 /* After a call that failed; the store client adds its own backoff. */
 #define RETRY_US (150 * US_PER_MS)
 /* A read that only asks whether something changed waits for nothing. */
@@ -62,23 +64,47 @@
 	gw_control_store(c, &call, token);
 }
 
-static void call_host(struct gw_control *c, const struct gw_host *h)
+static void drop_follow(void *body)
+{
+	follow_free(body);
+}
+
+void gw_source_call(struct gw_control *c, const struct gw_host *h,
+		    uint32_t hold_ms)
 {
 	struct follow *f = cu_alloc(1, sizeof(*f));
-	struct msg m = { MSG_FOLLOW, f, free };
+	struct msg m = { MSG_FOLLOW, f, drop_follow };
 
 	memcpy(f->host, h->name, sizeof(f->host));
 	memcpy(f->address, h->address, sizeof(f->address));
 	f->port = h->port;
 	f->rev = sst_rev(c->state);
-	f->hold_ms = part_ms(c, WATCH_WAIT_PERMILLE + WATCH_GAP_PERMILLE);
+	f->hold_ms = hold_ms;
+	f->evidence = gw_rollout_take(c, &f->evidence_count);
 	if (ring_push(c->opt.relay, &m) == ERR_OK) {
 		c->is_following = 1;
 		return;
 	}
 	log_event(LOG_LEVEL_ERROR, "ring_full", "call to host %s dropped",
 		  h->name);
-	free(f);
+	follow_free(f);
+}
+
+/* Evidence goes with the calls, so during a rollout none is held for long. */
+static uint32_t hold_ms(const struct gw_control *c)
+{
+	uint32_t ms = part_ms(c, WATCH_WAIT_PERMILLE + WATCH_GAP_PERMILLE);
+
+	return gro_is_active(c->rollouts) ? cu_min_u32(ms, ROLLOUT_MS) : ms;
+}
+
+static int64_t gap_us(const struct gw_control *c)
+{
+	int64_t us = part_us(c, WATCH_GAP_PERMILLE);
+
+	return gro_is_active(c->rollouts)
+		       ? cu_min_i64(us, ROLLOUT_MS * US_PER_MS)
+		       : us;
 }
 
 static void on_next(void *ctx, int64_t now_us)
@@ -88,7 +114,7 @@
 					       : NULL;
 
 	if (h && !c->is_following) {
-		call_host(c, h);
+		gw_source_call(c, h, hold_ms(c));
 	} else if (!h && !c->is_watching) {
 		c->is_watching = 1;
 		call_store(c, part_ms(c, WATCH_WAIT_PERMILLE), CALL_WATCH);
@@ -136,7 +162,7 @@
 	struct gw_control *c = call->owner;
 
 	tmr_cancel(duty_timers(c->duty), &call->hold_timer);
-	free(call);
+	follow_call_free(call);
 }
 
 static void on_hold_over(void *ctx, int64_t now_us)
@@ -152,9 +178,10 @@
 		    int64_t now_us)
 {
 	call->owner = c;
+	gw_rollout_evidence(c, call->evidence, call->evidence_count, now_us);
 	if (call->rev < sst_rev(c->state)) {
 		answer(c, call);
-		free(call);
+		follow_call_free(call);
 		return;
 	}
 	g_ptr_array_add(c->held, call);
@@ -246,7 +273,7 @@
 	} else {
 		take_answer(c, r, now_us);
 		if (r->pair_count)
-			next_us += part_us(c, WATCH_GAP_PERMILLE);
+			next_us += gap_us(c);
 	}
 	arm_next(c, next_us);
 }
--- a/src/duty/messages.h
+++ b/src/duty/messages.h
@@ -12,6 +12,7 @@
 #include "model/evidence.h"
 #include "model/exchange.h"
 #include "model/gw_view.h"
+#include "model/heartbeat.h"
 #include "model/request.h"
 #include "model/view.h"
 #include "model/kv.h"
@@ -43,7 +44,8 @@
 	MSG_FOLLOW, /* struct follow: gateway control to relay */
 	MSG_FOLLOWED, /* struct followed: relay to gateway control */
 	MSG_FOLLOW_CALL, /* struct follow_call: relay to gateway control */
-	MSG_FOLLOW_REPLY /* struct follow_reply: gateway control to relay */
+	MSG_FOLLOW_REPLY, /* struct follow_reply: gateway control to relay */
+	MSG_GW_EVIDENCE /* struct gw_evidence: gateway to gateway control */
 };
 
 /* The caller on ingress connection @conn closed it. */
@@ -51,6 +53,12 @@
 	uint64_t conn;
 };
 
+/* What calls to versions of a rollout showed. */
+struct gw_evidence {
+	uint32_t count;
+	struct rollout_evidence list[];
+};
+
 /* A caller's request with the way back to its connection. */
 struct caller_request {
 	struct request *request;
--- a/src/duty/relay.c
+++ b/src/duty/relay.c
@@ -14,6 +14,7 @@
 #include "base/metric.h"
 #include "base/poller.h"
 #include "codec/prpc.h"
+#include "codec/pxdr.h"
 #include "codec/pxdr_state.h"
 #include "duty/duty.h"
 #include "duty/messages.h"
@@ -23,7 +24,7 @@
 #define LISTEN_QUEUE 128
 /* All keys of the largest deployment; see docs/CAPACITY.md. */
 #define STATE_BYTES_MAX (16 * 1048576)
-#define CALL_BYTES_MAX 1024
+#define CALL_BYTES_MAX 32768
 /* The tree gives a host eight followers; its children's come when it fails. */
 #define FOLLOWERS_MAX 256
 /* Connecting, sending and scheduling besides the time that a call is held. */
@@ -52,13 +53,29 @@
 	struct rpc_conn *upstream;
 	char address[ADDRESS_BYTES];
 	uint16_t port;
-	/* The call in flight; its host is empty while there is none. */
-	struct follow call;
+	/* Host of the call in flight; empty while there is none. */
+	char call_host[NAME_BYTES];
 	uint32_t xid;
 	int64_t sent_us;
 	struct tmr_sub timer;
 };
 
+void follow_free(struct follow *f)
+{
+	if (!f)
+		return;
+	free(f->evidence);
+	free(f);
+}
+
+void follow_call_free(struct follow_call *c)
+{
+	if (!c)
+		return;
+	free(c->evidence);
+	free(c);
+}
+
 void followed_free(struct followed *f)
 {
 	if (!f)
@@ -87,13 +104,13 @@
 	struct followed *f = cu_alloc(1, sizeof(*f));
 	struct msg m = { MSG_FOLLOWED, f, drop_followed };
 
-	memcpy(f->host, r->call.host, sizeof(f->host));
+	memcpy(f->host, r->call_host, sizeof(f->host));
 	f->update = u;
 	if (!u) {
 		f->err = *err;
 		metric_add(M_PEER_ERRORS, 1);
 	}
-	r->call.host[0] = '\0';
+	r->call_host[0] = '\0';
 	tmr_cancel(duty_timers(r->duty), &r->timer);
 	if (ring_push(r->control, &m) != ERR_OK) {
 		log_event(LOG_LEVEL_ERROR, "ring_full",
@@ -108,9 +125,9 @@
 
 	rpc_conn_free(r->upstream);
 	r->upstream = NULL;
-	if (!r->call.host[0])
+	if (!r->call_host[0])
 		return;
-	err_set(&err, ERR_PEER_RPC, "%s: %s", r->call.host, why);
+	err_set(&err, ERR_PEER_RPC, "%s: %s", r->call_host, why);
 	end_call(r, &err, NULL);
 }
 
@@ -137,7 +154,7 @@
 	metric_add(M_PEER_RECEIVED_BYTES, len_bytes);
 	if (prpc_read_reply(data, len_bytes, &xid, (xdrproc_t)xdr_peer_state,
 			    &state) &&
-	    xid == r->xid && r->call.host[0])
+	    xid == r->xid && r->call_host[0])
 		u = pxdr_to_update(&state, r->sent_us, now_us, &err);
 	xdr_free((xdrproc_t)xdr_peer_state, &state);
 	if (u)
@@ -165,14 +182,25 @@
 	return r->upstream != NULL;
 }
 
-static void start_call(struct relay *r, const struct follow *f, int64_t now_us)
+static int add_call(struct relay *r, const struct follow *f)
 {
-	peer_follow_args args = { f->rev, f->hold_ms };
+	peer_rollout *evidence CLEANUP_FREE =
+		cu_alloc(f->evidence_count, sizeof(*evidence));
+	peer_follow_args args = { f->rev,
+				  f->hold_ms,
+				  { f->evidence_count, evidence } };
+	uint32_t i;
+
+	for (i = 0; i < f->evidence_count; i++)
+		pxdr_from_evidence(&f->evidence[i], &evidence[i]);
+	return prpc_add_call(rpc_conn_out(r->upstream), ++r->xid, FOLLOW_STATE,
+			     (xdrproc_t)xdr_peer_follow_args, &args);
+}
 
-	r->call = *f;
-	if (!connect_upstream(r, f) ||
-	    !prpc_add_call(rpc_conn_out(r->upstream), ++r->xid, FOLLOW_STATE,
-			   (xdrproc_t)xdr_peer_follow_args, &args)) {
+static void start_call(struct relay *r, const struct follow *f, int64_t now_us)
+{
+	memcpy(r->call_host, f->host, sizeof(r->call_host));
+	if (!connect_upstream(r, f) || !add_call(r, f)) {
 		fail_call(r, "cannot connect");
 		return;
 	}
@@ -203,24 +231,45 @@
 
 static void drop_call(void *body)
 {
-	free(body);
+	follow_call_free(body);
 }
 
-static int push_call(struct follower *f, uint32_t xid,
-		     const peer_follow_args *args, int64_t now_us)
+/* NULL when @args are not understood. */
+static struct follow_call *make_call(const struct follower *f, uint32_t xid,
+				     const peer_follow_args *args,
+				     int64_t now_us)
 {
 	struct follow_call *call = cu_alloc(1, sizeof(*call));
-	struct msg m = { MSG_FOLLOW_CALL, call, drop_call };
+	uint32_t n = args->evidence.evidence_len;
+	uint32_t i;
 
 	*call = (struct follow_call){ .conn = f->id,
 				      .xid = xid,
 				      .rev = args->rev,
 				      .hold_ms = args->hold_ms,
 				      .received_us = now_us };
+	call->evidence = cu_alloc(n, sizeof(call->evidence[0]));
+	for (i = 0; i < n; i++) {
+		if (!pxdr_to_evidence(&args->evidence.evidence_val[i],
+				      &call->evidence[i])) {
+			follow_call_free(call);
+			return NULL;
+		}
+		call->evidence_count++;
+	}
+	return call;
+}
+
+static int push_call(struct follower *f, struct follow_call *call)
+{
+	struct msg m = { MSG_FOLLOW_CALL, call, drop_call };
+
+	if (!call)
+		return 0;
 	if (ring_push(f->relay->control, &m) == ERR_OK)
 		return 1;
 	log_event(LOG_LEVEL_ERROR, "ring_full", "call of a follower dropped");
-	free(call);
+	follow_call_free(call);
 	return 0;
 }
 
@@ -238,9 +287,11 @@
 	metric_add(M_PEER_RECEIVED_BYTES, len_bytes);
 	ok = prpc_read_call(data, len_bytes, &x, &xid, &procedure) &&
 	     procedure == FOLLOW_STATE && !f->is_waiting &&
-	     xdr_peer_follow_args(&x, &args);
+	     xdr_peer_follow_args(&x, &args) &&
+	     push_call(f, make_call(f, xid, &args, now_us));
 	xdr_destroy(&x);
-	if (ok && push_call(f, xid, &args, now_us)) {
+	xdr_free((xdrproc_t)xdr_peer_follow_args, &args);
+	if (ok) {
 		f->is_waiting = 1;
 		return;
 	}
@@ -314,7 +365,7 @@
 	switch (m->type) {
 	case MSG_FOLLOW:
 		start_call(r, m->body, now_us);
-		free(m->body);
+		follow_free(m->body);
 		break;
 	case MSG_FOLLOW_REPLY:
 		answer(r, m->body, now_us);
--- a/src/duty/relay.h
+++ b/src/duty/relay.h
@@ -11,9 +11,13 @@
 #include "base/err.h"
 #include "base/ring.h"
 #include "base/tmr.h"
+#include "model/heartbeat.h"
 #include "model/name.h"
 #include "model/store_update.h"
 
+/* Evidence on versions in one call. */
+#define FOLLOW_EVIDENCE_MAX 128
+
 /* MSG_FOLLOW, control to relay: one call to another host. */
 struct follow {
 	char host[NAME_BYTES];
@@ -23,6 +27,9 @@
 	uint64_t rev;
 	/* Longest time that the other host holds the call. */
 	uint32_t hold_ms;
+	/* What this host and those that follow it have seen of versions. */
+	uint32_t evidence_count;
+	struct rollout_evidence *evidence;
 };
 
 /* MSG_FOLLOWED, relay to control: its result; @update NULL with @err set. */
@@ -40,6 +47,8 @@
 	uint64_t rev;
 	uint32_t hold_ms;
 	int64_t received_us;
+	uint32_t evidence_count;
+	struct rollout_evidence *evidence;
 	/* For the control duty, which holds the call. */
 	struct tmr_sub hold_timer;
 	void *owner;
@@ -53,6 +62,8 @@
 	struct store_update *update;
 };
 
+void follow_free(struct follow *f);
+void follow_call_free(struct follow_call *c);
 void followed_free(struct followed *f);
 void follow_reply_free(struct follow_reply *r);
 
--- a/src/gateway/4_send.c
+++ b/src/gateway/4_send.c
@@ -179,8 +179,8 @@
 static enum send_result try_send(struct gw_part *p, int is_extra,
 				 int64_t now_us)
 {
-	struct gw_pick pick = gw_target_pick(
-		p->service, p, p->req->stats->hdg.mean_us, now_us);
+	struct gw_pick pick = gw_version_pick(
+		p, is_extra, p->req->stats->hdg.mean_us, now_us);
 
 	if (pick.cold_at_us)
 		tmr_arm(p->req->gw->timers, &p->service->cold_timer,
@@ -196,10 +196,10 @@
 }
 
 /* 1 if a hedge has a target that answers and leaves some allowance for retries. */
-static int may_hedge(const struct gw_part *p, int64_t now_us)
+static int may_hedge(struct gw_part *p, int64_t now_us)
 {
-	struct gw_pick pick = gw_target_pick(
-		p->service, p, p->req->stats->hdg.mean_us, now_us);
+	struct gw_pick pick =
+		gw_version_pick(p, 1, p->req->stats->hdg.mean_us, now_us);
 
 	return pick.target && now_us >= pick.target->avoid_until_us &&
 	       xwn_fill_permille(&p->service->extras, now_us) >=
@@ -355,6 +355,14 @@
 		part_failed(p, now_us);
 }
 
+static enum gw_outcome outcome_of(const struct target_reply *r, int is_answered)
+{
+	/* A connection that failed, or a call that was turned away. */
+	if (r->code == ERR_CANCELLED || r->not_run)
+		return OUTCOME_CUT;
+	return is_answered ? OUTCOME_GOOD : OUTCOME_FAILED;
+}
+
 void gw_send_reply(struct gw_sub *s, struct target_reply *reply, int64_t now_us)
 {
 	struct gw_part *p = s->part;
@@ -363,6 +371,9 @@
 	int good = is_good(reply);
 
 	close_sub(s);
+	gw_version_count(service, s->target,
+			 outcome_of(reply, good || (p && is_final(p, reply))),
+			 now_us - s->sent_us, mean_us, now_us);
 	if (good || (p && is_final(p, reply))) {
 		if (!s->is_extra)
 			hdg_sample(&s->stats->hdg, reply->service_us);
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -11,6 +11,7 @@
 #include "base/tmr.h"
 #include "model/exchange.h"
 #include "model/gw_view.h"
+#include "model/heartbeat.h"
 
 struct gw;
 
@@ -19,6 +20,9 @@
 	void (*call)(void *ctx, struct target_call *c);
 	/* Answers a caller; takes ownership. */
 	void (*answer)(void *ctx, struct exchange_answer *a);
+	/* What the calls to versions of a rollout showed; @e is the caller's. */
+	void (*evidence)(void *ctx, const struct rollout_evidence *e,
+			 uint32_t count);
 	void *ctx;
 };
 
--- a/src/gateway/gw_bound.c
+++ b/src/gateway/gw_bound.c
@@ -163,6 +163,7 @@
 		for (i = 0; i < c->service_count; i++)
 			set_limits(g, &c->services[i], g->bound->services[i]);
 	}
+	gw_version_bind(g, v, now_us);
 	g_hash_table_foreach_remove(g->targets, is_unused, NULL);
 }
 
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -42,6 +42,31 @@
 	int64_t cold_next_us;
 };
 
+struct gw_version_counts {
+	uint32_t requests;
+	uint32_t failures;
+	uint32_t slow;
+};
+
+/* How a rollout divides the requests of a service. */
+struct gw_split {
+	int is_on;
+	/* The new version; every other one counts as old. */
+	char version[NAME_BYTES];
+	uint32_t share_permille;
+	int is_bad;
+	/* Earned by each request, spent by each that goes to the new version. */
+	uint32_t credit_permille;
+	struct gw_version_counts new_counts;
+	struct gw_version_counts old_counts;
+};
+
+/* Targets that a call may go to. */
+enum gw_group { GROUP_ANY, GROUP_NEW, GROUP_OLD };
+
+/* What a call to a version shows. */
+enum gw_outcome { OUTCOME_GOOD, OUTCOME_FAILED, OUTCOME_CUT };
+
 /* A service or shard; kept across views. */
 struct gw_service {
 	char name[NAME_BYTES];
@@ -50,6 +75,7 @@
 	/* Calls beyond the first of each request. */
 	struct xwn extras;
 	uint32_t cold_per_s;
+	struct gw_split split;
 	/* Parts for which no target has a free connection, oldest first. */
 	TAILQ_HEAD(, gw_part) waiting;
 	uint32_t waiting_count;
@@ -81,6 +107,8 @@
 	struct gw_req *req;
 	struct gw_service *service;
 	enum gw_part_phase phase;
+	/* During a rollout, where its first call goes; GROUP_ANY: not decided. */
+	enum gw_group group;
 	uint32_t open_count;
 	struct gw_sub *open[PART_TARGETS_MAX];
 	/* Targets that were sent a call, and those that certainly did not run. */
@@ -152,6 +180,8 @@
 	/* Names to struct gw_service and struct gw_route_stats. */
 	GHashTable *services;
 	GHashTable *routes;
+	/* Armed while a rollout is active. */
+	struct tmr_sub report_timer;
 };
 
 /* One constructor per filter, in the order of the chain. */
@@ -198,6 +228,19 @@
 };
 
 struct gw_pick gw_target_pick(struct gw_service *s, const struct gw_part *p,
-			      int64_t mean_us, int64_t now_us);
+			      enum gw_group group, int64_t mean_us,
+			      int64_t now_us);
+
+/* Versions. */
+void gw_version_bind(struct gw *g, const struct gw_view *view, int64_t now_us);
+/* 1 if @t belongs to @group. */
+int gw_version_allows(const struct gw_service *s, const struct gw_target *t,
+		      enum gw_group group);
+/* Like gw_target_pick(), within what a rollout allows. */
+struct gw_pick gw_version_pick(struct gw_part *p, int is_extra, int64_t mean_us,
+			       int64_t now_us);
+void gw_version_count(struct gw_service *s, const struct gw_target *t,
+		      enum gw_outcome outcome, int64_t took_us, int64_t mean_us,
+		      int64_t now_us);
 
 #endif
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -166,7 +166,8 @@
 }
 
 struct gw_pick gw_target_pick(struct gw_service *s, const struct gw_part *p,
-			      int64_t mean_us, int64_t now_us)
+			      enum gw_group group, int64_t mean_us,
+			      int64_t now_us)
 {
 	struct gw *g = p->req->gw;
 	struct gw_pick pick = { 0 };
@@ -180,6 +181,7 @@
 		int64_t c;
 
 		if (!t->is_usable || was_tried(p, t) ||
+		    !gw_version_allows(s, t, group) ||
 		    !has_room(t, now_us, &pick))
 			continue;
 		c = cost(g, t, mean_us, now_us);
--- a/src/model/gw_view.h
+++ b/src/model/gw_view.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "model/exchange.h"
+#include "model/gw_rollout.h"
 #include "model/route.h"
 
 /* One process of a service, as discovery describes it. */
@@ -41,6 +42,9 @@
 	struct searcher *searchers;
 	/* Hosts of the gateway that may be running, this one included. */
 	uint32_t host_count;
+	/* Versions whose share a rollout rules. */
+	uint32_t share_count;
+	struct version_share shares[GW_ROLLOUTS_MAX];
 };
 
 struct gw_view *gw_view_new(uint32_t searcher_count);
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -295,7 +295,7 @@
 			buf_addf(out, "follow %s after %llu hold %u ms\n",
 				 f->host, (unsigned long long)f->rev,
 				 f->hold_ms);
-			free(f);
+			follow_free(f);
 			continue;
 		}
 		buf_addf(out, "answer %u, age %lld ms, ", (uint32_t)r->conn,
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -21,6 +21,8 @@
 	int64_t now_us;
 	struct gw *gw;
 	struct dsc *dsc;
+	/* What a rollout rules; no service: nothing. */
+	struct version_share share;
 	/* Data centre that is evacuated, or empty. */
 	char evacuated[NAME_BYTES];
 	struct buf *out;
@@ -74,6 +76,20 @@
 	exchange_answer_free(a);
 }
 
+static void on_evidence(void *ctx, const struct rollout_evidence *e,
+			uint32_t count)
+{
+	struct bench *b = ctx;
+	uint32_t i;
+
+	for (i = 0; b->out && i < count; i++)
+		buf_addf(b->out,
+			 "evidence %s version %s requests %u failures %u slow "
+			 "%u\n",
+			 e[i].service, e[i].version, e[i].requests,
+			 e[i].failures, e[i].slow);
+}
+
 static void on_changed(void *ctx, int64_t now_us)
 {
 	struct bench *b = ctx;
@@ -84,7 +100,7 @@
 
 static struct gw *bench_gw(struct bench *b, int64_t started_us)
 {
-	struct gw_ops ops = { on_call, on_answer, b };
+	struct gw_ops ops = { on_call, on_answer, on_evidence, b };
 	struct gw_options o = { .data_centre = "a",
 				.started_us = started_us,
 				.core_permille = 1000,
@@ -165,7 +181,7 @@
 	b->routes[b->route_count++] = join(argc, argv);
 }
 
-/* target ID SERVICE [dc=a] [born=MS] [draining=1]: put into discovery. */
+/* target ID SERVICE [dc=a] [born=MS] [draining=1] [version=V]: put into discovery. */
 static void cmd_target(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct bench *b = ctx;
@@ -177,6 +193,8 @@
 	cu_copy(s.address, sizeof(s.address), "127.0.0.1");
 	cu_copy(s.data_centre, sizeof(s.data_centre),
 		script_arg(argc, argv, "dc", "a"));
+	cu_copy(s.version, sizeof(s.version),
+		script_arg(argc, argv, "version", "v1"));
 	s.born_ms = script_int(argc, argv, "born", 1);
 	s.is_draining = script_u32(argc, argv, "draining", 0);
 	s.warmup_left_ms = script_u32(argc, argv, "cold", 0);
@@ -292,6 +310,17 @@
 			   : script_arg(n, words, "service", ""));
 }
 
+/* split SERVICE VERSION SHARE [bad]: for the next view. */
+static void cmd_split(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct bench *b = ctx;
+
+	cu_copy(b->share.service, sizeof(b->share.service), argv[0]);
+	cu_copy(b->share.version, sizeof(b->share.version), argv[1]);
+	b->share.share_permille = (uint32_t)strtoul(argv[2], NULL, 10);
+	b->share.is_bad = argc > 3;
+}
+
 /* view [version=N] [hosts=N]: publishes configuration and targets. */
 static void cmd_view(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -317,6 +346,8 @@
 	v->config = c;
 	v->host_count = script_u32(argc, argv, "hosts", 1);
 	dsc_fill(b->dsc, v->searchers);
+	if (b->share.service[0])
+		v->shares[v->share_count++] = b->share;
 	gw_set_view(b->gw, v, b->now_us);
 }
 
@@ -440,6 +471,7 @@
 	{ "forget", cmd_forget },   { "request", cmd_request },
 	{ "reply", cmd_reply },	    { "tick", cmd_tick },
 	{ "gone", cmd_gone },	    { "open", cmd_open },
+	{ "split", cmd_split },
 };
 
 static const struct {
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -50,16 +50,26 @@
 	return m.body;
 }
 
+static void drop_follow(void *body)
+{
+	follow_free(body);
+}
+
 static void follow(struct host *h, uint16_t port, uint32_t hold_ms)
 {
 	struct follow *f = cu_alloc(1, sizeof(*f));
-	struct msg m = { MSG_FOLLOW, f, free };
+	struct msg m = { MSG_FOLLOW, f, drop_follow };
 
 	cu_copy(f->host, sizeof(f->host), "other");
 	cu_copy(f->address, sizeof(f->address), "127.0.0.1");
 	f->port = port;
 	f->rev = 4;
 	f->hold_ms = hold_ms;
+	f->evidence_count = 1;
+	f->evidence = cu_alloc(1, sizeof(*f->evidence));
+	cu_copy(f->evidence->service, sizeof(f->evidence->service), "s1");
+	cu_copy(f->evidence->version, sizeof(f->evidence->version), "v2");
+	f->evidence->requests = 9;
 	g_assert_cmpint(ring_push(relay_ring(h->relay), &m), ==, ERR_OK);
 }
 
@@ -110,8 +120,10 @@
 		g_assert_cmpuint(call->rev, ==, 4);
 		g_assert_cmpuint(call->hold_ms, ==, 1000);
 		g_assert_cmpuint(call->conn, ==, 1);
+		g_assert_cmpuint(call->evidence_count, ==, 1);
+		g_assert_cmpuint(call->evidence[0].requests, ==, 9);
 		reply_to(&server, call);
-		free(call);
+		follow_call_free(call);
 		f = take(&client, MSG_FOLLOWED);
 		g_assert_cmpstr(f->host, ==, "other");
 		g_assert_cmpuint(f->update->rev, ==, 7);
@@ -139,7 +151,7 @@
 	host_begin(&server);
 	host_begin(&client);
 	follow(&client, relay_port(server.relay), 1);
-	free(take(&server, MSG_FOLLOW_CALL));
+	follow_call_free(take(&server, MSG_FOLLOW_CALL));
 	f = take(&client, MSG_FOLLOWED);
 	g_assert_null(f->update);
 	g_assert_cmpint(f->err.code, ==, ERR_PEER_RPC);
@@ -160,7 +172,7 @@
 	host_begin(&client);
 	port = relay_port(server.relay);
 	follow(&client, port, 10000);
-	free(take(&server, MSG_FOLLOW_CALL));
+	follow_call_free(take(&server, MSG_FOLLOW_CALL));
 	host_end(&server);
 	f = take(&client, MSG_FOLLOWED);
 	g_assert_cmpint(f->err.code, ==, ERR_PEER_RPC);
@@ -204,7 +216,7 @@
 	static const char wrong_body[] = { (char)0x80, 0, 0, 8, 1, 2,
 					   3,	       4, 5, 6, 7, 8 };
 	struct buf calls CLEANUP_BUF = { 0 };
-	peer_follow_args args = { 0, 60000 };
+	peer_follow_args args = { .hold_ms = 60000 };
 	struct host server;
 	int fd;
 
@@ -226,7 +238,7 @@
 	fd = connect_to(relay_port(server.relay));
 	put(fd, calls.data, calls.len_bytes);
 	expect_end(fd);
-	free(take(&server, MSG_FOLLOW_CALL));
+	follow_call_free(take(&server, MSG_FOLLOW_CALL));
 	host_end(&server);
 }
 
@@ -234,7 +246,7 @@
 static void test_left(void)
 {
 	struct buf call_bytes CLEANUP_BUF = { 0 };
-	peer_follow_args args = { 4, 60000 };
+	peer_follow_args args = { .rev = 4, .hold_ms = 60000 };
 	struct host server;
 	struct host client;
 	struct follow_call *left;
@@ -257,8 +269,8 @@
 	f = take(&client, MSG_FOLLOWED);
 	g_assert_nonnull(f->update);
 	followed_free(f);
-	free(left);
-	free(call);
+	follow_call_free(left);
+	follow_call_free(call);
 	host_end(&client);
 	host_end(&server);
 }
--- /dev/null
+++ b/tests/test_rollout.c
@@ -0,0 +1,266 @@
+/*
+ * Scripted runs over the gateway's rollouts: the controller in virtual time
+ * and the documents that it reads and writes.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "codec/grollout.h"
+#include "controller/gro.h"
+#include "platform/pl_config.h"
+#include "script.h"
+
+struct ctx {
+	struct gro *gro;
+	int64_t now_us;
+	uint64_t rev;
+	/* What was written last, until it is accepted or refused. */
+	struct gw_rollout item;
+	struct gw_rollout_status status;
+	struct buf *out;
+};
+
+static void on_item(void *ctx, const struct gw_rollout *item, uint64_t if_rev)
+{
+	struct ctx *c = ctx;
+	char *json = grollout_encode(item);
+
+	c->item = *item;
+	buf_addf(c->out, "%lld ms: item if %llu: %s\n",
+		 (long long)c->now_us / US_PER_MS, (unsigned long long)if_rev,
+		 json);
+	free(json);
+}
+
+static void on_status(void *ctx, const struct gw_rollout_status *status,
+		      uint64_t if_rev)
+{
+	struct ctx *c = ctx;
+	char *json = pl_status_encode(status);
+
+	c->status = *status;
+	buf_addf(c->out, "%lld ms: status if %llu: %s\n",
+		 (long long)c->now_us / US_PER_MS, (unsigned long long)if_rev,
+		 json);
+	free(json);
+}
+
+static void on_changed(void *ctx, int64_t now_us)
+{
+}
+
+static const struct gro_ops ops = { on_item, on_status, on_changed };
+
+static void *ctx_new(void)
+{
+	struct ctx *c = cu_alloc(1, sizeof(*c));
+
+	c->gro = gro_new(100, &ops, c);
+	c->rev = 10;
+	return c;
+}
+
+static void ctx_free(void *ctx)
+{
+	struct ctx *c = ctx;
+
+	gro_free(c->gro);
+	free(c);
+}
+
+/* order VERSION SECONDS | order gone */
+static void cmd_order(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct ctx *c = ctx;
+	struct gw_order o = { .service = "s1" };
+
+	c->out = out;
+	if (strcmp(argv[0], "gone") == 0) {
+		gro_order_gone(c->gro, "s1", c->now_us);
+		return;
+	}
+	cu_copy(o.to, sizeof(o.to), argv[0]);
+	o.duration_ms = (uint32_t)strtoul(argv[1], NULL, 10) * MS_PER_S;
+	gro_order(c->gro, &o, ++c->rev, c->now_us);
+}
+
+/* accept: the store takes what was written last; all hosts see it. */
+static void cmd_accept(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct ctx *c = ctx;
+
+	c->out = out;
+	if (c->item.service[0])
+		gro_item(c->gro, &c->item, ++c->rev, c->now_us);
+	if (c->status.service[0])
+		gro_status(c->gro, &c->status, ++c->rev);
+	c->item.service[0] = '\0';
+	c->status.service[0] = '\0';
+}
+
+static void cmd_refuse(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct ctx *c = ctx;
+
+	c->item.service[0] = '\0';
+	c->status.service[0] = '\0';
+	gro_write_failed(c->gro, "s1");
+}
+
+/* item VERSION order=REV state=0|1|2 share=N elapsed=MS: from another host. */
+static void cmd_item(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct ctx *c = ctx;
+	struct gw_rollout r = { .service = "s1" };
+
+	c->out = out;
+	cu_copy(r.to, sizeof(r.to), argv[0]);
+	r.order_rev = script_u32(argc, argv, "order", 11);
+	r.state = script_u32(argc, argv, "state", 0);
+	r.share_permille = script_u32(argc, argv, "share", 0);
+	r.elapsed_ms = script_u32(argc, argv, "elapsed", 0);
+	gro_item(c->gro, &r, ++c->rev, c->now_us);
+}
+
+/* run MS [rank=N] [accept=1]: ticks of 100 ms. */
+static void cmd_run(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct ctx *c = ctx;
+	int64_t until_us = c->now_us + atoll(argv[0]) * US_PER_MS;
+	uint32_t rank = script_u32(argc, argv, "rank", 0);
+
+	c->out = out;
+	while (c->now_us < until_us) {
+		c->now_us += 100 * US_PER_MS;
+		gro_tick(c->gro, rank, c->now_us);
+		if (script_u32(argc, argv, "accept", 0))
+			cmd_accept(c, 0, NULL, out);
+	}
+}
+
+/* evidence VERSION requests=N [failures=N] [slow=N] [bad=1] [old=N]: @old
+ * good requests of the version before. */
+static void cmd_evidence(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct ctx *c = ctx;
+	struct rollout_evidence e[2] = { { .service = "s1" },
+					 { .service = "s1" } };
+
+	c->out = out;
+	cu_copy(e[0].version, sizeof(e[0].version), argv[0]);
+	e[0].requests = script_u32(argc, argv, "requests", 0);
+	e[0].failures = script_u32(argc, argv, "failures", 0);
+	e[0].slow = script_u32(argc, argv, "slow", 0);
+	e[0].bad = script_u32(argc, argv, "bad", 0);
+	e[1].requests = script_u32(argc, argv, "old", 0);
+	e[1].failures = script_u32(argc, argv, "old_failures", 0);
+	gro_evidence(c->gro, e, 2, c->now_us);
+}
+
+static void cmd_shares(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct ctx *c = ctx;
+	struct version_share s[4];
+	uint32_t n = gro_shares(c->gro, s, 4);
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		buf_addf(out, "%s %s %u permille%s\n", s[i].service,
+			 s[i].version, s[i].share_permille,
+			 s[i].is_bad ? " bad" : "");
+	buf_addf(out, "%s\n", gro_is_active(c->gro) ? "active" : "not active");
+}
+
+static const struct script_command gro_commands[] = {
+	{ "order", cmd_order },	  { "accept", cmd_accept },
+	{ "refuse", cmd_refuse }, { "item", cmd_item },
+	{ "run", cmd_run },	  { "evidence", cmd_evidence },
+	{ "shares", cmd_shares },
+};
+
+static void *no_ctx(void)
+{
+	return NULL;
+}
+
+static void free_no_ctx(void *ctx)
+{
+}
+
+static void cmd_read_order(void *ctx, uint32_t argc, char **argv,
+			   struct buf *out)
+{
+	struct gw_order o;
+	struct err err = { 0 };
+
+	if (pl_order_decode("s1", argv[0], (uint32_t)strlen(argv[0]), &o,
+			    &err) == ERR_OK)
+		buf_addf(out, "%s to %s in %u ms\n", o.service, o.to,
+			 o.duration_ms);
+	else
+		buf_addf(out, "%s: %s\n", err_name(err.code), err.detail);
+}
+
+static void cmd_read_status(void *ctx, uint32_t argc, char **argv,
+			    struct buf *out)
+{
+	struct gw_rollout_status s;
+	struct err err = { 0 };
+
+	if (pl_status_decode("s1", argv[0], (uint32_t)strlen(argv[0]), &s,
+			     &err) == ERR_OK)
+		buf_addf(out, "%s to %s state %u\n", s.service, s.to, s.state);
+	else
+		buf_addf(out, "%s: %s\n", err_name(err.code), err.detail);
+}
+
+/* item JSON: read, and written again. */
+static void cmd_read_item(void *ctx, uint32_t argc, char **argv,
+			  struct buf *out)
+{
+	struct gw_rollout r;
+	struct err err = { 0 };
+	char *json;
+
+	if (grollout_decode("s1", argv[0], (uint32_t)strlen(argv[0]), &r,
+			    &err) != ERR_OK) {
+		buf_addf(out, "%s: %s\n", err_name(err.code), err.detail);
+		return;
+	}
+	json = grollout_encode(&r);
+	buf_addf(out, "%s\n", json);
+	free(json);
+}
+
+static void cmd_key(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	const char *name;
+	enum pl_key kind = pl_key_kind(argv[0], &name);
+
+	buf_addf(out, "%d %s\n", (int)kind, name);
+}
+
+static const struct script_command doc_commands[] = {
+	{ "order", cmd_read_order },
+	{ "status", cmd_read_status },
+	{ "item", cmd_read_item },
+	{ "key", cmd_key },
+};
+
+static void drop_line(void *ctx, const char *line)
+{
+}
+
+int main(int argc, char **argv)
+{
+	const struct script_area areas[] = {
+		{ "gro", ctx_new, ctx_free, countof(gro_commands),
+		  gro_commands },
+		{ "rdoc", no_ctx, free_no_ctx, countof(doc_commands),
+		  doc_commands },
+	};
+
+	log_init("test", drop_line, NULL);
+	return script_main(argc, argv, areas, countof(areas));
+}
