Keep lapsed targets only when the store was away, not one host

A host that the store had refused for seconds, while another host kept its state fresh, took its own return for the store's, kept missing entries for 2.2 s and told its followers.

Ruled out: the way of the change itself (the host knew of the removal 0.95 s after it, when it reached the store again); a shorter grace (entries need two seconds to return).

--- a/src/duty/gw_source.c
+++ b/src/duty/gw_source.c
@@ -217,7 +217,13 @@
 {
 	struct pair_ctx pc = { c, now_us };
 
-	if (u->returned_us > c->returned_us) {
+	/*
+	 * Only when nobody told this host of the store meanwhile was it the
+	 * store that was away; otherwise it was one host, and what is gone is
+	 * gone.
+	 */
+	if (u->returned_us - c->fresh_us > part_us(c, FRESH_PERMILLE) &&
+	    u->returned_us > c->returned_us) {
 		c->returned_us = u->returned_us;
 		dsc_store_back(c->dsc, u->returned_us);
 	}
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -315,7 +315,8 @@
 	while (ring_take(g->views, &m, 1)) {
 		struct gw_view *v = m.body;
 
-		buf_addf(out, "view of %u hosts\n", v->host_count);
+		buf_addf(out, "view of %u hosts, %u targets\n", v->host_count,
+			 v->searcher_count);
 		gw_view_unref(v);
 	}
 }
@@ -374,7 +375,7 @@
 	show_calls(g, out);
 }
 
-/* followed HOST down | followed HOST rev=N age=MS [full=1] PAIR@REV... */
+/* followed HOST down | followed HOST rev=N age=MS [full=1] [returned=MS] PAIR@REV... */
 static void cmd_followed(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct gwc *g = ctx;
@@ -390,6 +391,11 @@
 		f->update->fresh_us =
 			g->now_us -
 			script_int(argc, argv, "age", 0) * US_PER_MS;
+		if (script_int(argc, argv, "returned", -1) >= 0)
+			f->update->returned_us =
+				g->now_us -
+				script_int(argc, argv, "returned", 0) *
+					US_PER_MS;
 		read_pairs(f->update, argc, argv);
 	}
 	gw_source_followed(g->control, f, g->now_us);
