Explain a request from logs; histograms per route and service; reload settings

Cause: on-call engineers had counters of the whole process only, grep as the way from an ID to a cause, and a settings file whose values waited for a restart and whose change without a signal went unseen.

Change: `cowslippoint explain ID LOG...` prints a request's lines with the changes of state that bear on them; the three walk-throughs of OPERATIONS.md are scripts. The metrics page has counters by outcome and histograms for 256 routes and services. `cowslippoint check` reads a settings file. Retry ratio, fixed number, core share and grace time take effect on SIGHUP or within 2 s of a change.

Ruled out: a histogram library (none for C in the registry); inotify (not available on the platform).

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -51,6 +51,12 @@
 	    "Peer messages that failed or were refused")                     \
 	DEF(M_LOG_DROPPED, "log_lines_dropped_total", "counter",             \
 	    "Log lines dropped because the ring was full")                   \
+	DEF(M_ALLOWANCE_EMPTY, "extra_calls_refused_total", "counter",       \
+	    "Hedges and retries that the shared bound did not allow")        \
+	DEF(M_STATE_REV, "state_revision", "gauge",                          \
+	    "Store revision that this host knows")                           \
+	DEF(M_STATE_AGE_MS, "state_age_ms", "gauge",                         \
+	    "Age of what was known of the store before it was confirmed")    \
 	DEF(M_CONFIG_REV, "config_revision", "gauge",                        \
 	    "Configuration revision in force")                               \
 	DEF(M_CONFIG_REFUSED, "config_items_refused_total", "counter",       \
--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <time.h>
 
 #include "base/clock.h"
@@ -33,6 +34,8 @@
 /* Kept from the grace time for stopping the threads. */
 #define STOP_MS 400
 #define FINISH_POLL_MS 20
+/* The settings file is looked at this often. */
+#define SETTINGS_PERIOD_S 2
 
 #define GATEWAY_OPTIONS(DEF)                                        \
 	DEF(GSET_FILE, "settings", "COWSLIPPOINT_CONFIG", OPT_TEXT, \
@@ -151,12 +154,17 @@
 	g->control = gw_control_new(&o, err);
 }
 
+static struct gw_tuning tuning_of(const struct gw_settings *set)
+{
+	return (struct gw_tuning){ .retry_permille = set->retry_permille,
+				   .retry_slack = set->retry_slack,
+				   .core_permille = set->core_permille };
+}
+
 static enum err_code create(struct gateway *g, struct err *err)
 {
 	struct gw_options o = { .started_us = clock_now_us(),
-				.core_permille = g->set.core_permille,
-				.retry_permille = g->set.retry_permille,
-				.retry_slack = g->set.retry_slack,
+				.tuning = tuning_of(&g->set),
 				.seed = (uint64_t)clock_wall_us() };
 
 	cu_copy(o.data_centre, sizeof(o.data_centre), g->set.data_centre);
@@ -246,29 +254,99 @@
 	free(g);
 }
 
-/* Checks the settings file anew; a bad one leaves the present settings. */
-static void reload(struct gateway *g)
+/* 1 if @b differs from @a in what a running process cannot change. */
+static int needs_restart(const struct gw_settings *a,
+			 const struct gw_settings *b)
+{
+	return strcmp(a->host, b->host) != 0 ||
+	       strcmp(a->data_centre, b->data_centre) != 0 ||
+	       memcmp(&a->caller, &b->caller, sizeof(a->caller)) != 0 ||
+	       memcmp(&a->ready, &b->ready, sizeof(a->ready)) != 0 ||
+	       memcmp(&a->store, &b->store, sizeof(a->store)) != 0 ||
+	       memcmp(&a->peer, &b->peer, sizeof(a->peer)) != 0 ||
+	       a->descriptors != b->descriptors;
+}
+
+static void apply(struct gateway *g, const struct gw_settings *set)
+{
+	struct gw_tuning *t = cu_alloc(1, sizeof(*t));
+	struct msg m = { MSG_GW_TUNING, t, free };
+
+	*t = tuning_of(set);
+	g->set.retry_permille = set->retry_permille;
+	g->set.retry_slack = set->retry_slack;
+	g->set.core_permille = set->core_permille;
+	g->set.grace_ms = set->grace_ms;
+	if (ring_push(gw_duty_ring(g->request), &m) != ERR_OK) {
+		log_event(LOG_LEVEL_ERROR, "ring_full",
+			  "changed settings dropped");
+		free(t);
+	}
+}
+
+/* Reads the settings file anew; a bad one leaves the present settings. */
+static void reload(struct gateway *g, const char *cause)
 {
 	struct gw_settings set;
 	struct err err = { 0 };
 
-	if (gsettings_load(g->settings_path, &set, &err) != ERR_OK)
+	if (gsettings_load(g->settings_path, &set, &err) != ERR_OK) {
 		log_event(LOG_LEVEL_ERROR, "settings_refused",
-			  "%d %s: %s; the present settings stay", (int)err.code,
-			  err_name(err.code), err.detail);
-	else
-		log_event(LOG_LEVEL_INFO, "settings_checked",
-			  "valid, in effect from the next start");
+			  "%s: %d %s: %s; the present settings stay", cause,
+			  (int)err.code, err_name(err.code), err.detail);
+		return;
+	}
+	apply(g, &set);
+	log_event(LOG_LEVEL_INFO, "settings_checked",
+		  "%s: limits and times are in effect%s", cause,
+		  needs_restart(&g->set, &set) ? "; names, addresses and "
+						 "descriptors from the next "
+						 "start"
+					       : "");
+}
+
+/* Changes of the file as its status shows them. */
+struct file_stamp {
+	struct timespec changed;
+	off_t size_bytes;
+};
+
+static struct file_stamp stamp_of(const char *path)
+{
+	struct file_stamp f = { 0 };
+	struct stat st;
+
+	if (stat(path, &st) == 0) {
+		f.changed = st.st_mtim;
+		f.size_bytes = st.st_size;
+	}
+	return f;
+}
+
+static int same_stamp(const struct file_stamp *a, const struct file_stamp *b)
+{
+	return a->changed.tv_sec == b->changed.tv_sec &&
+	       a->changed.tv_nsec == b->changed.tv_nsec &&
+	       a->size_bytes == b->size_bytes;
 }
 
+/* The file may change without a signal, and cannot be watched everywhere. */
 static void wait_stop(struct gateway *g, const sigset_t *signals)
 {
+	const struct timespec period = { SETTINGS_PERIOD_S, 0 };
+	struct file_stamp seen = stamp_of(g->settings_path);
 	int signal_no;
 
 	do {
-		signal_no = sigwaitinfo(signals, NULL);
+		struct file_stamp now;
+
+		signal_no = sigtimedwait(signals, NULL, &period);
+		now = stamp_of(g->settings_path);
 		if (signal_no == SIGHUP)
-			reload(g);
+			reload(g, "SIGHUP");
+		else if (signal_no < 0 && !same_stamp(&seen, &now))
+			reload(g, "the file changed");
+		seen = now;
 	} while (signal_no < 0 || signal_no == SIGHUP);
 }
 
@@ -308,34 +386,57 @@
 	return 0;
 }
 
-int gateway_main(int argc, char **argv)
+/* Reads the command line; returns the exit status, or -1 to go on. */
+static int parse(int argc, char **argv, const char *command,
+		 struct opt_value *set)
 {
-	struct gateway *g = cu_alloc(1, sizeof(*g));
-	struct opt_value set[GATEWAY_OPTION_COUNT];
 	struct err err = { 0 };
-	int status = 0;
 
 	switch (opt_parse(option_defs, GATEWAY_OPTION_COUNT, argc, argv, set,
 			  &err)) {
 	case OPT_HELP:
-		opt_help(stdout, "gateway", option_defs, GATEWAY_OPTION_COUNT);
-		break;
+		opt_help(stdout, command, option_defs, GATEWAY_OPTION_COUNT);
+		return 0;
 	case OPT_BAD:
 		err_print(stderr, &err);
-		status = 2;
-		break;
+		return 2;
 	case OPT_RUN:
-		g->settings_path = set[GSET_FILE].text;
+		break;
+	}
+	return -1;
+}
+
+int gateway_check_main(int argc, char **argv)
+{
+	struct opt_value options[GATEWAY_OPTION_COUNT];
+	struct gw_settings set;
+	int status = parse(argc, argv, "check", options);
+
+	if (status >= 0)
+		return status;
+	if (!load(options[GSET_FILE].text, &set))
+		return 2;
+	printf("%s is valid: host %s in data centre %s\n",
+	       options[GSET_FILE].text, set.host, set.data_centre);
+	return 0;
+}
+
+int gateway_main(int argc, char **argv)
+{
+	struct gateway *g = cu_alloc(1, sizeof(*g));
+	struct opt_value options[GATEWAY_OPTION_COUNT];
+	int status = parse(argc, argv, "gateway", options);
+
+	if (status < 0) {
+		g->settings_path = options[GSET_FILE].text;
 		setvbuf(stdout, NULL, _IOLBF, 0);
-		if (!load(g->settings_path, &g->set)) {
-			status = 2;
-			break;
+		status = 2;
+		if (load(g->settings_path, &g->set)) {
+			log_init(g->set.host, NULL, NULL);
+			/* The store is plain HTTP; TLS set-up costs time. */
+			curl_global_init(CURL_GLOBAL_NOTHING);
+			status = run(g);
 		}
-		log_init(g->set.host, NULL, NULL);
-		/* The store is plain HTTP; TLS set-up costs start-up time. */
-		curl_global_init(CURL_GLOBAL_NOTHING);
-		status = run(g);
-		break;
 	}
 	gateway_free(g);
 	return status;
--- a/src/duty/gateway.h
+++ b/src/duty/gateway.h
@@ -7,5 +7,7 @@
  * status: 0 after a shutdown, 1 when it cannot start, 2 for wrong settings.
  */
 int gateway_main(int argc, char **argv);
+/* "cowslippoint check": reads the settings file and says what is wrong. */
+int gateway_check_main(int argc, char **argv);
 
 #endif
--- a/src/duty/gw_duty.c
+++ b/src/duty/gw_duty.c
@@ -88,6 +88,10 @@
 		gw_set_view(d->gw, m->body, now_us);
 		d->is_ready = gw_ready(d->gw);
 		break;
+	case MSG_GW_TUNING:
+		gw_tune(d->gw, m->body);
+		free(m->body);
+		break;
 	default:
 		if (m->drop)
 			m->drop(m->body);
--- a/src/duty/gw_source.c
+++ b/src/duty/gw_source.c
@@ -228,13 +228,24 @@
 		dsc_store_back(c->dsc, u->returned_us);
 	}
 	sst_apply(c->state, u, on_pair, &pc);
+	metric_set(M_STATE_REV, sst_rev(c->state));
 	if (u->fresh_us > c->fresh_us) {
+		if (c->fresh_us)
+			metric_set(M_STATE_AGE_MS,
+				   (uint64_t)(u->fresh_us - c->fresh_us) /
+					   US_PER_MS);
 		c->fresh_us = u->fresh_us;
 		arm_fresh(c, c->fresh_us + part_us(c, FRESH_PERMILLE));
 		answer_held(c);
 	}
 }
 
+/* For logs; -1: never known. */
+static int64_t age_ms(int64_t fresh_us, int64_t now_us)
+{
+	return fresh_us ? (now_us - fresh_us) / US_PER_MS : -1;
+}
+
 static void store_lost(struct gw_control *c, const struct err *err,
 		       int64_t now_us)
 {
@@ -243,7 +254,7 @@
 			  "%s: %s; state of revision %llu is %lld ms old",
 			  err_name(err->code), err->detail,
 			  (unsigned long long)sst_rev(c->state),
-			  (long long)(now_us - c->fresh_us) / US_PER_MS);
+			  (long long)age_ms(c->fresh_us, now_us));
 	c->is_lost = 1;
 	flw_store_failed(c->follow, now_us);
 }
@@ -312,7 +323,7 @@
 		log_event(LOG_LEVEL_INFO, "host_behind",
 			  "host %s is at revision %llu, %lld ms old", f->host,
 			  (unsigned long long)u->rev,
-			  (long long)(now_us - u->fresh_us) / US_PER_MS);
+			  (long long)age_ms(u->fresh_us, now_us));
 		flw_peer_failed(c->follow, f->host, now_us);
 	}
 	take_update(c, u, now_us);
--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -14,6 +14,7 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "base/poller.h"
+#include "base/series.h"
 #include "codec/h1.h"
 #include "duty/duty.h"
 #include "duty/messages.h"
@@ -227,6 +228,7 @@
 	int alive;
 
 	metric_write(&a.body);
+	series_write(&a.body);
 	buf_addf(&a.fields, "Content-Type: text/plain; version=0.0.4\r\n");
 	alive = respond(c, &a, now_us);
 	buf_free(&a.body);
--- a/src/duty/messages.h
+++ b/src/duty/messages.h
@@ -45,6 +45,7 @@
 	MSG_FOLLOWED, /* struct followed: relay to gateway control */
 	MSG_FOLLOW_CALL, /* struct follow_call: relay to gateway control */
 	MSG_FOLLOW_REPLY, /* struct follow_reply: gateway control to relay */
+	MSG_GW_TUNING, /* struct gw_tuning: main thread to gateway */
 	MSG_GW_EVIDENCE /* struct gw_evidence: gateway to gateway control */
 };
 
--- a/src/gateway/1_route.c
+++ b/src/gateway/1_route.c
@@ -34,7 +34,8 @@
 	int64_t cpu_us =
 		ANSWER_CPU_US + (int64_t)PART_CPU_US * r->route->part_count;
 
-	return cpu_us * PERMILLE / cu_max_i64(r->gw->opt.core_permille, 1);
+	return cpu_us * PERMILLE /
+	       cu_max_i64(r->gw->opt.tuning.core_permille, 1);
 }
 
 static void set_times(struct gw_req *r)
--- a/src/gateway/4_send.c
+++ b/src/gateway/4_send.c
@@ -187,8 +187,10 @@
 			pick.cold_at_us, on_cold_over, p->service);
 	if (!pick.target)
 		return pick.is_busy ? SEND_BUSY : SEND_NONE;
-	if (is_extra && !xwn_may_spend(&p->service->extras, now_us))
+	if (is_extra && !xwn_may_spend(&p->service->extras, now_us)) {
+		metric_add(M_ALLOWANCE_EMPTY, 1);
 		return SEND_NONE;
+	}
 	if (is_extra)
 		xwn_spend(&p->service->extras, now_us);
 	send_to(p, pick.target, is_extra, now_us);
@@ -363,6 +365,16 @@
 	return is_answered ? OUTCOME_GOOD : OUTCOME_FAILED;
 }
 
+static enum series_outcome series_outcome_of(const struct target_reply *r,
+					     int good)
+{
+	if (r->code == ERR_CANCELLED)
+		return SERIES_CANCELLED;
+	if (r->not_run)
+		return SERIES_NOT_RUN;
+	return good ? SERIES_OK : SERIES_FAILED;
+}
+
 void gw_send_reply(struct gw_sub *s, struct target_reply *reply, int64_t now_us)
 {
 	struct gw_part *p = s->part;
@@ -371,6 +383,8 @@
 	int good = is_good(reply);
 
 	close_sub(s);
+	series_observe(service->series, series_outcome_of(reply, good),
+		       now_us - s->sent_us);
 	gw_version_count(service, s->target,
 			 outcome_of(reply, good || (p && is_final(p, reply))),
 			 now_us - s->sent_us, mean_us, now_us);
--- a/src/gateway/gw.c
+++ b/src/gateway/gw.c
@@ -121,18 +121,31 @@
 	return FILTER_DONE;
 }
 
-static void count_answer(const struct gw_req *r)
+static void count_outcome(const struct gw_req *r, enum series_outcome outcome,
+			  int64_t now_us)
+{
+	if (r->stats)
+		series_observe(r->stats->series, outcome,
+			       now_us - r->in->received_us);
+}
+
+static void count_answer(const struct gw_req *r, int64_t now_us)
 {
 	const struct exchange_answer *a = r->answer;
 
-	if (a->status == 503 || a->status == 429)
+	if (a->status == 503 || a->status == 429) {
 		metric_add(M_REFUSED_NOT_RUN, 1);
-	else if (a->error != ERR_OK)
+		count_outcome(r, SERIES_NOT_RUN, now_us);
+	} else if (a->error != ERR_OK) {
 		metric_add(M_REFUSED_UNKNOWN, 1);
-	else if (a->missing_parts)
+		count_outcome(r, SERIES_FAILED, now_us);
+	} else if (a->missing_parts) {
 		metric_add(M_ANSWERS_PARTIAL, 1);
-	else
+		count_outcome(r, SERIES_PARTIAL, now_us);
+	} else {
 		metric_add(M_ANSWERS_COMPLETE, 1);
+		count_outcome(r, SERIES_OK, now_us);
+	}
 }
 
 static void log_answer(const struct gw_req *r, int64_t now_us)
@@ -158,7 +171,7 @@
 {
 	struct gw *g = r->gw;
 
-	count_answer(r);
+	count_answer(r, now_us);
 	log_answer(r, now_us);
 	g->ops.answer(g->ops.ctx, r->answer);
 	r->answer = NULL;
@@ -219,6 +232,7 @@
 	if (!r)
 		return;
 	metric_add(M_CANCELS, 1);
+	count_outcome(r, SERIES_CANCELLED, now_us);
 	log_event(LOG_LEVEL_INFO, "caller_gone",
 		  "request %s route %s after %lld us, parts %u of %u",
 		  r->in->id, r->route ? r->route->name : "-",
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -26,9 +26,8 @@
 	void *ctx;
 };
 
-struct gw_options {
-	/* Targets of this data centre are preferred. */
-	char data_centre[NAME_BYTES];
+/* Settings that may change while requests are served. */
+struct gw_tuning {
 	/*
 	 * Calls beyond the first of each request, all hosts together: a share
 	 * of the requests and a fixed number in each window.
@@ -37,6 +36,12 @@
 	uint32_t retry_slack;
 	/* Part of a processor core that this host has. */
 	uint32_t core_permille;
+};
+
+struct gw_options {
+	/* Targets of this data centre are preferred. */
+	char data_centre[NAME_BYTES];
+	struct gw_tuning tuning;
 	/* Start of the process. */
 	int64_t started_us;
 	uint64_t seed;
@@ -51,6 +56,7 @@
 void gw_request(struct gw *g, struct exchange_request *r, int64_t now_us);
 void gw_reply(struct gw *g, struct target_reply *r, int64_t now_us);
 
+void gw_tune(struct gw *g, const struct gw_tuning *t);
 /* The caller on connection @conn closed it: cancels the request's work. */
 void gw_caller_gone(struct gw *g, uint64_t conn, int64_t now_us);
 /* 1 when a configuration is in force and targets are known. */
--- a/src/gateway/gw_bound.c
+++ b/src/gateway/gw_bound.c
@@ -29,6 +29,7 @@
 	s = cu_alloc(1, sizeof(*s));
 	cu_copy(s->name, sizeof(s->name), name);
 	s->targets = g_ptr_array_new();
+	s->series = series_of(SERIES_SERVICE, name);
 	TAILQ_INIT(&s->waiting);
 	g_hash_table_insert(g->services, s->name, s);
 	return s;
@@ -42,6 +43,7 @@
 		return s;
 	s = cu_alloc(1, sizeof(*s));
 	hdg_init(&s->hdg, &hedge_policy);
+	s->series = series_of(SERIES_ROUTE, r->name);
 	/* Until answers are seen; goals leave room for several means. */
 	s->hdg.mean_us = (int64_t)r->goal_ms * US_PER_MS / 8;
 	g_hash_table_insert(g->routes, cu_strdup(r->name), s);
@@ -136,12 +138,13 @@
 static void set_limits(struct gw *g, const struct service *def,
 		       struct gw_service *s)
 {
-	uint32_t slack_milli = g->opt.retry_slack * BUDGET_PERMILLE /
+	uint32_t slack_milli = g->opt.tuning.retry_slack * BUDGET_PERMILLE /
 			       g->host_count * MILLI / PERMILLE;
 	uint32_t i;
 
 	s->cold_per_s = def->cold_per_s;
-	xwn_set(&s->extras, g->opt.retry_permille * BUDGET_PERMILLE / PERMILLE,
+	xwn_set(&s->extras,
+		g->opt.tuning.retry_permille * BUDGET_PERMILLE / PERMILLE,
 		slack_milli, g->opt.started_us + XWN_WINDOW_US);
 	for (i = 0; i < s->targets->len; i++) {
 		struct gw_target *t = g_ptr_array_index(s->targets, i);
@@ -150,6 +153,21 @@
 	}
 }
 
+static void set_all_limits(struct gw *g)
+{
+	const struct route_config *c = g->bound ? g->bound->config : NULL;
+	uint32_t i;
+
+	for (i = 0; c && i < c->service_count; i++)
+		set_limits(g, &c->services[i], g->bound->services[i]);
+}
+
+void gw_tune(struct gw *g, const struct gw_tuning *t)
+{
+	g->opt.tuning = *t;
+	set_all_limits(g);
+}
+
 void gw_bind(struct gw *g, struct gw_view *v, int64_t now_us)
 {
 	uint32_t i;
@@ -166,12 +184,7 @@
 			  (unsigned long long)v->config->version,
 			  v->config->route_count, v->config->service_count);
 	}
-	if (g->bound) {
-		const struct route_config *c = g->bound->config;
-
-		for (i = 0; i < c->service_count; i++)
-			set_limits(g, &c->services[i], g->bound->services[i]);
-	}
+	set_all_limits(g);
 	gw_version_bind(g, v, now_us);
 	g_hash_table_foreach_remove(g->targets, is_unused, NULL);
 }
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -7,6 +7,7 @@
 #include <sys/queue.h>
 
 #include "base/rng.h"
+#include "base/series.h"
 #include "decide/hdg.h"
 #include "decide/xwn.h"
 #include "filter/chain.h"
@@ -76,6 +77,7 @@
 	struct xwn extras;
 	uint32_t cold_per_s;
 	struct gw_split split;
+	struct series *series;
 	/* Parts for which no target has a free connection, oldest first. */
 	TAILQ_HEAD(, gw_part) waiting;
 	uint32_t waiting_count;
@@ -86,6 +88,7 @@
 /* Kept across configurations, by route name. */
 struct gw_route_stats {
 	struct hdg hdg;
+	struct series *series;
 	/* Smooth weighted choice among the parts of a split route. */
 	uint32_t credit_count;
 	double *credit;
--- a/src/main.c
+++ b/src/main.c
@@ -5,6 +5,7 @@
 
 #include "base/cutil.h"
 #include "ctl/ctl.h"
+#include "ctl/explain.h"
 #include "duty/gateway.h"
 #include "duty/serve.h"
 
@@ -20,6 +21,8 @@
 static const struct subcommand subcommands[] = {
 	{ "serve", serve_main, "run one host" },
 	{ "gateway", gateway_main, "run one host on the users' platform" },
+	{ "check", gateway_check_main, "check a settings file of the gateway" },
+	{ "explain", explain_main, "follow a request through the logs" },
 	{ "ctl", ctl_main, "operate the system over the admin API" },
 };
 
--- /dev/null
+++ b/tests/test_explain.c
@@ -0,0 +1,121 @@
+/*
+ * Scripted runs over "cowslippoint explain" and the metrics of routes and
+ * services.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/series.h"
+#include "ctl/explain.h"
+#include "script.h"
+
+static void *ctx_new(void)
+{
+	return g_ptr_array_new_with_free_func(g_free);
+}
+
+static void ctx_free(void *ctx)
+{
+	g_ptr_array_free(ctx, TRUE);
+}
+
+/* line SECONDS HOST EVENT MSG...: a line of the logs. */
+static void cmd_line(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	GString *s = g_string_new(NULL);
+	uint32_t i;
+
+	g_string_printf(s,
+			"{\"ts\":\"2026-01-01T00:00:%sZ\",\"level\":\"info\","
+			"\"host\":\"%s\",\"event\":\"%s\",\"msg\":\"",
+			argv[0], argv[1], argv[2]);
+	for (i = 3; i < argc; i++)
+		g_string_append_printf(s, "%s%s", i > 3 ? " " : "", argv[i]);
+	g_string_append(s, "\"}");
+	g_ptr_array_add(ctx, g_string_free(s, FALSE));
+}
+
+/* text WORDS: a line that is not of the gateway. */
+static void cmd_text(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	g_ptr_array_add(ctx, g_strdup(argv[0]));
+}
+
+static void cmd_explain(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	GPtrArray *lines = ctx;
+	struct explain *e = explain_new(argv[0]);
+	guint i;
+
+	for (i = 0; i < lines->len; i++)
+		explain_line(e, g_ptr_array_index(lines, i));
+	if (!explain_write(e, out))
+		buf_addf(out, "not found\n");
+	explain_free(e);
+}
+
+static const struct script_command explain_commands[] = {
+	{ "line", cmd_line },
+	{ "text", cmd_text },
+	{ "explain", cmd_explain },
+};
+
+/* observe route|service NAME OUTCOME US */
+static void cmd_observe(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	series_observe(series_of(strcmp(argv[0], "route") == 0 ? SERIES_ROUTE
+							       : SERIES_SERVICE,
+				 argv[1]),
+		       (enum series_outcome)atoi(argv[2]), atoll(argv[3]));
+}
+
+/* fill N: so many names in the family of services. */
+static void cmd_fill(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	int i;
+
+	for (i = 0; i < atoi(argv[0]); i++) {
+		g_autofree char *name = g_strdup_printf("s%d", i);
+
+		series_observe(series_of(SERIES_SERVICE, name), SERIES_OK, 1);
+	}
+}
+
+/* show TEXT: the lines of the page that hold it, or their number. */
+static void cmd_show(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct buf page CLEANUP_BUF = { 0 };
+	g_auto(GStrv) lines = NULL;
+	int count = 0;
+	int i;
+
+	series_write(&page);
+	lines = g_strsplit(page.data ? page.data : "", "\n", -1);
+	for (i = 0; lines[i]; i++) {
+		if (!strstr(lines[i], argv[0]))
+			continue;
+		count++;
+		if (argc == 1)
+			buf_addf(out, "%s\n", lines[i]);
+	}
+	if (argc > 1)
+		buf_addf(out, "%d lines\n", count);
+}
+
+static const struct script_command series_commands[] = {
+	{ "observe", cmd_observe },
+	{ "fill", cmd_fill },
+	{ "show", cmd_show },
+};
+
+int main(int argc, char **argv)
+{
+	const struct script_area areas[] = {
+		{ "explain", ctx_new, ctx_free, countof(explain_commands),
+		  explain_commands },
+		{ "series", ctx_new, ctx_free, countof(series_commands),
+		  series_commands },
+	};
+
+	return script_main(argc, argv, areas, countof(areas));
+}
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -103,9 +103,9 @@
 	struct gw_ops ops = { on_call, on_answer, on_evidence, b };
 	struct gw_options o = { .data_centre = "a",
 				.started_us = started_us,
-				.core_permille = 1000,
-				.retry_permille = 200,
-				.retry_slack = 56,
+				.tuning = { .core_permille = 1000,
+					    .retry_permille = 200,
+					    .retry_slack = 56 },
 				.seed = SEED };
 
 	return gw_new(&ops, &o, b->timers);
@@ -351,6 +351,19 @@
 	gw_set_view(b->gw, v, b->now_us);
 }
 
+/* tune ratio=PERMILLE slack=N: changed settings take effect. */
+static void cmd_tune(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct bench *b = ctx;
+	struct gw_tuning t = {
+		.retry_permille = script_u32(argc, argv, "ratio", 200),
+		.retry_slack = script_u32(argc, argv, "slack", 56),
+		.core_permille = 1000
+	};
+
+	gw_tune(b->gw, &t);
+}
+
 /* forget: routes and services are defined anew. */
 static void cmd_forget(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -471,7 +484,7 @@
 	{ "forget", cmd_forget },   { "request", cmd_request },
 	{ "reply", cmd_reply },	    { "tick", cmd_tick },
 	{ "gone", cmd_gone },	    { "open", cmd_open },
-	{ "split", cmd_split },
+	{ "split", cmd_split },	    { "tune", cmd_tune },
 };
 
 static const struct {
@@ -514,6 +527,14 @@
 	uint32_t i;
 
 	buf_addf(&json, "{");
+	/* Fields that may be left out are given with a plus sign. */
+	for (i = 0; i < argc; i++) {
+		if (argv[i][0] == '+')
+			buf_addf(&json, "%s\"%.*s\":%s",
+				 json.len_bytes > 1 ? "," : "",
+				 (int)(strchr(argv[i], '=') - argv[i] - 1),
+				 argv[i] + 1, strchr(argv[i], '=') + 1);
+	}
 	for (i = 0; i < countof(settings); i++) {
 		const char *field = settings[i].field;
 
@@ -529,9 +550,12 @@
 	else
 		g_file_set_contents(path, json.data, -1, NULL);
 	if (gsettings_load(path, &set, &err) == ERR_OK)
-		buf_addf(out, "host %s store %s:%u retry %u permille\n",
+		buf_addf(out,
+			 "host %s store %s:%u retry %u permille peer port %u "
+			 "seeds %u exposure %u permille\n",
 			 set.host, set.store.address, set.store.port,
-			 set.retry_permille);
+			 set.retry_permille, set.peer.port, set.seed_count,
+			 set.exposure_permille);
 	else
 		buf_addf(out, "%s: %s\n", err_name(err.code),
 			 strchr(err.detail, '/') ? strchr(err.detail, ',')
