Soak real hosts under seeded faults from outside

Five hosts as processes, 45 searchers, a proxy before the store of each host and before each searcher, sixteen kinds of faults, fifteen rules checked while it runs. The stand-ins' HTTP server hands out header fields for it.

Found at once: a host whose seeds name itself followed itself and never looked for another one at a start without the store; flw_seed() ignores the own address (flw-refused, fails before).

--- a/src/controller/flw.c
+++ b/src/controller/flw.c
@@ -12,8 +12,7 @@
 };
 
 struct flw {
-	char self[NAME_BYTES];
-	char data_centre[NAME_BYTES];
+	struct gw_host self;
 	int64_t store_avoid_until_us;
 	/* Name to struct entry. */
 	GHashTable *hosts;
@@ -25,12 +24,11 @@
 	GPtrArray *seeds;
 };
 
-struct flw *flw_new(const char *self, const char *data_centre)
+struct flw *flw_new(const struct gw_host *self)
 {
 	struct flw *f = cu_alloc(1, sizeof(*f));
 
-	cu_copy(f->self, sizeof(f->self), self);
-	cu_copy(f->data_centre, sizeof(f->data_centre), data_centre);
+	f->self = *self;
 	f->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
 	f->order = g_ptr_array_new();
 	f->seeds = g_ptr_array_new_with_free_func(free);
@@ -53,8 +51,8 @@
 	const struct flw *f = ctx;
 	const struct gw_host *x = &(*(struct entry *const *)a)->def;
 	const struct gw_host *y = &(*(struct entry *const *)b)->def;
-	int x_far = strcmp(x->data_centre, f->data_centre) != 0;
-	int y_far = strcmp(y->data_centre, f->data_centre) != 0;
+	int x_far = strcmp(x->data_centre, f->self.data_centre) != 0;
+	int y_far = strcmp(y->data_centre, f->self.data_centre) != 0;
 
 	int dc = strcmp(x->data_centre, y->data_centre);
 
@@ -79,8 +77,8 @@
 		struct entry *e = value;
 
 		g_ptr_array_add(f->order, e);
-		f->near_count += strcmp(e->def.data_centre, f->data_centre) ==
-				 0;
+		f->near_count +=
+			strcmp(e->def.data_centre, f->self.data_centre) == 0;
 	}
 	g_ptr_array_sort_with_data(f->order, compare, f);
 }
@@ -108,8 +106,11 @@
 
 void flw_seed(struct flw *f, const char *address, uint16_t port)
 {
-	struct entry *e = cu_alloc(1, sizeof(*e));
+	struct entry *e;
 
+	if (port == f->self.port && strcmp(address, f->self.address) == 0)
+		return;
+	e = cu_alloc(1, sizeof(*e));
 	snprintf(e->def.name, sizeof(e->def.name), "%s:%u", address, port);
 	cu_copy(e->def.address, sizeof(e->def.address), address);
 	e->def.port = port;
@@ -119,7 +120,7 @@
 static int is_usable(const struct flw *f, const struct entry *e, int64_t now_us)
 {
 	return e->def.port && now_us >= e->avoid_until_us &&
-	       strcmp(e->def.name, f->self) != 0;
+	       strcmp(e->def.name, f->self.name) != 0;
 }
 
 /* Position of this host; behind all others while its entry is missing. */
@@ -130,7 +131,7 @@
 	for (i = 0; i < f->near_count; i++) {
 		const struct entry *e = g_ptr_array_index(f->order, i);
 
-		if (strcmp(e->def.name, f->self) == 0)
+		if (strcmp(e->def.name, f->self.name) == 0)
 			return i;
 	}
 	return f->near_count;
@@ -214,8 +215,9 @@
 		const struct entry *e = g_ptr_array_index(f->order, i);
 		struct turn t = { e, depth(f, i) };
 
-		if (t.depth < FLW_RANKS && (is_usable(f, e, now_us) ||
-					    strcmp(e->def.name, f->self) == 0))
+		if (t.depth < FLW_RANKS &&
+		    (is_usable(f, e, now_us) ||
+		     strcmp(e->def.name, f->self.name) == 0))
 			g_array_append_val(list, t);
 	}
 	g_array_sort(list, compare_turns);
@@ -231,7 +233,7 @@
 	for (i = 0; i < list->len && i < FLW_RANKS; i++) {
 		const struct turn *t = &g_array_index(list, struct turn, i);
 
-		if (strcmp(t->entry->def.name, f->self) == 0)
+		if (strcmp(t->entry->def.name, f->self.name) == 0)
 			rank = i;
 	}
 	g_array_free(list, TRUE);
@@ -245,7 +247,7 @@
 		list->len ? g_array_index(list, struct turn, 0).entry : NULL;
 
 	g_array_free(list, TRUE);
-	if (!first || strcmp(first->def.name, f->self) == 0)
+	if (!first || strcmp(first->def.name, f->self.name) == 0)
 		return NULL;
 	return &first->def;
 }
--- a/src/controller/flw.h
+++ b/src/controller/flw.h
@@ -24,14 +24,17 @@
 
 struct flw;
 
-/* @self: name of this host. */
-struct flw *flw_new(const char *self, const char *data_centre);
+/* @self: this host as it makes itself known. */
+struct flw *flw_new(const struct gw_host *self);
 void flw_free(struct flw *f);
 
 /* Adds a host or what changed of it; @h->name tells which. */
 void flw_put(struct flw *f, const struct gw_host *h);
 void flw_remove(struct flw *f, const char *name);
-/* A host to ask while no entries are known; its name is not. */
+/*
+ * A host to ask while no entries are known; its name is not. Settings may name
+ * this host, too, which is ignored.
+ */
 void flw_seed(struct flw *f, const char *address, uint16_t port);
 
 /* Host to follow at @now_us, or NULL for the store. */
--- a/src/duty/gw_control.c
+++ b/src/duty/gw_control.c
@@ -245,7 +245,7 @@
 	c->opt = *o;
 	c->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, free, free);
 	c->state = sst_new();
-	c->follow = flw_new(o->self.name, o->self.data_centre);
+	c->follow = flw_new(&o->self);
 	gw_rollout_init(c);
 	for (i = 0; i < o->seed_count; i++)
 		flw_seed(c->follow, o->seeds[i].address, o->seeds[i].port);
--- a/tests/proc.c
+++ b/tests/proc.c
@@ -78,6 +78,26 @@
 	return -1;
 }
 
+int proc_spawn(struct proc *p, const char *const *argv, const char *log_path)
+{
+	int fd =
+		open(log_path, O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0644);
+
+	memset(p, 0, sizeof(*p));
+	if (fd < 0)
+		return -1;
+	p->pid = fork();
+	if (p->pid == 0) {
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		dup2(fd, STDOUT_FILENO);
+		dup2(fd, STDERR_FILENO);
+		execv(argv[0], (char *const *)argv);
+		_exit(127);
+	}
+	p->out_fd = fd;
+	return p->pid > 0 ? 0 : -1;
+}
+
 uint32_t proc_number(const struct proc *p, const char *name)
 {
 	char key[64];
--- a/tests/proc.h
+++ b/tests/proc.h
@@ -23,6 +23,11 @@
  */
 int proc_start(struct proc *p, const char *const *argv, const char *log_path,
 	       uint32_t timeout_ms);
+/*
+ * Starts argv[0] with its output appended to @log_path and waits for nothing.
+ * The child ends with its parent. Returns 0, or -1 when it cannot be started.
+ */
+int proc_spawn(struct proc *p, const char *const *argv, const char *log_path);
 /* Number in "name=NUMBER", or in a line "name NUMBER"; 0: none. */
 uint32_t proc_number(const struct proc *p, const char *name);
 void proc_signal(const struct proc *p, int signal_number);
--- /dev/null
+++ b/tests/soak/ledger.c
@@ -0,0 +1,318 @@
+#include "ledger.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+#define RUNS_MAX 12
+/* Calls of one request to one service: the routes' attempts. */
+#define ATTEMPTS_MAX 2
+#define PRINTED_MAX 10
+#define WINDOW_S 10
+#define SECONDS_KEPT (2 * WINDOW_S)
+
+struct run {
+	char service[NAME_BYTES];
+	char stamp[LEDGER_STAMP_BYTES];
+};
+
+struct entry {
+	char id[LEDGER_ID_BYTES];
+	enum ledger_kind kind;
+	uint32_t status;
+	uint32_t run_count;
+	struct run runs[RUNS_MAX];
+	uint32_t arrival_count;
+	char arrivals[RUNS_MAX][NAME_BYTES];
+};
+
+/* Calls of one service by second. */
+struct service {
+	char name[NAME_BYTES];
+	int64_t second;
+	uint32_t requests[SECONDS_KEPT];
+	uint32_t extras[SECONDS_KEPT];
+};
+
+struct ledger {
+	pthread_mutex_t lock;
+	GHashTable *entries;
+	GHashTable *services;
+	uint64_t run_number;
+	uint64_t broken[RULE_COUNT];
+	uint64_t answers[KIND_COUNT][2];
+};
+
+static const char *const rule_names[RULE_COUNT] = {
+#define DEF(id, name) name,
+	LEDGER_RULES(DEF)
+#undef DEF
+};
+
+struct ledger *ledger_new(void)
+{
+	struct ledger *l = cu_alloc(1, sizeof(*l));
+
+	pthread_mutex_init(&l->lock, NULL);
+	l->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+	l->services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+	return l;
+}
+
+void ledger_free(struct ledger *l)
+{
+	g_hash_table_destroy(l->entries);
+	g_hash_table_destroy(l->services);
+	pthread_mutex_destroy(&l->lock);
+	free(l);
+}
+
+static void break_locked(struct ledger *l, enum ledger_rule rule,
+			 const char *text)
+{
+	if (l->broken[rule]++ < PRINTED_MAX)
+		printf("broken %s at %lld ms: %s\n", rule_names[rule],
+		       (long long)clock_now_us() / US_PER_MS, text);
+}
+
+void ledger_break(struct ledger *l, enum ledger_rule rule, const char *fmt, ...)
+{
+	char text[512];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	pthread_mutex_lock(&l->lock);
+	break_locked(l, rule, text);
+	pthread_mutex_unlock(&l->lock);
+}
+
+uint64_t ledger_broken(const struct ledger *l)
+{
+	uint64_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < RULE_COUNT; i++)
+		sum += l->broken[i];
+	return sum;
+}
+
+void ledger_report(struct ledger *l)
+{
+	static const char *const kinds[KIND_COUNT] = { "gather", "single",
+						       "once", "move" };
+	uint32_t i;
+
+	for (i = 0; i < KIND_COUNT; i++)
+		printf("%s: %llu answered with success, %llu not\n", kinds[i],
+		       (unsigned long long)l->answers[i][1],
+		       (unsigned long long)l->answers[i][0]);
+	for (i = 0; i < RULE_COUNT; i++) {
+		if (l->broken[i])
+			printf("rule %s broken %llu times\n", rule_names[i],
+			       (unsigned long long)l->broken[i]);
+	}
+}
+
+void ledger_sent(struct ledger *l, const char *id, enum ledger_kind kind)
+{
+	struct entry *e = cu_alloc(1, sizeof(*e));
+
+	cu_copy(e->id, sizeof(e->id), id);
+	e->kind = kind;
+	pthread_mutex_lock(&l->lock);
+	g_hash_table_insert(l->entries, e->id, e);
+	pthread_mutex_unlock(&l->lock);
+}
+
+static struct service *service_of(struct ledger *l, const char *name)
+{
+	struct service *s = g_hash_table_lookup(l->services, name);
+
+	if (s)
+		return s;
+	s = cu_alloc(1, sizeof(*s));
+	cu_copy(s->name, sizeof(s->name), name);
+	s->second = clock_now_us() / US_PER_S;
+	g_hash_table_insert(l->services, s->name, s);
+	return s;
+}
+
+static uint32_t second_of(struct service *s)
+{
+	int64_t now = clock_now_us() / US_PER_S;
+
+	while (s->second < now) {
+		s->second++;
+		s->requests[s->second % SECONDS_KEPT] = 0;
+		s->extras[s->second % SECONDS_KEPT] = 0;
+	}
+	return (uint32_t)(s->second % SECONDS_KEPT);
+}
+
+void ledger_request_for(struct ledger *l, const char *service)
+{
+	struct service *s;
+
+	pthread_mutex_lock(&l->lock);
+	s = service_of(l, service);
+	s->requests[second_of(s)]++;
+	pthread_mutex_unlock(&l->lock);
+}
+
+void ledger_arrived(struct ledger *l, const char *id, const char *service)
+{
+	struct entry *e;
+	uint32_t before = 0;
+	uint32_t i;
+
+	pthread_mutex_lock(&l->lock);
+	e = g_hash_table_lookup(l->entries, id);
+	for (i = 0; e && i < e->arrival_count; i++)
+		before += strcmp(e->arrivals[i], service) == 0;
+	if (!e) {
+		break_locked(l, RULE_MIXED, "a request that no caller sent");
+	} else if (e->arrival_count < RUNS_MAX) {
+		cu_copy(e->arrivals[e->arrival_count++], NAME_BYTES, service);
+		if (before) {
+			struct service *s = service_of(l, service);
+
+			s->extras[second_of(s)]++;
+		}
+	}
+	pthread_mutex_unlock(&l->lock);
+}
+
+static void check_run(struct ledger *l, const struct entry *e,
+		      const char *service)
+{
+	uint32_t same = 1;
+	uint32_t i;
+
+	for (i = 0; i < e->run_count; i++)
+		same += strcmp(e->runs[i].service, service) == 0;
+	if (same > ATTEMPTS_MAX)
+		break_locked(l, RULE_ATTEMPTS, e->id);
+	if (e->kind != KIND_ONCE)
+		return;
+	if (e->run_count > 0)
+		break_locked(l, RULE_TWICE, e->id);
+	if (e->status == 503 || e->status == 429)
+		break_locked(l, RULE_REFUSED, e->id);
+}
+
+void ledger_run(struct ledger *l, const char *id, const char *service,
+		char stamp[LEDGER_STAMP_BYTES])
+{
+	struct entry *e;
+
+	pthread_mutex_lock(&l->lock);
+	e = g_hash_table_lookup(l->entries, id);
+	snprintf(stamp, LEDGER_STAMP_BYTES, "%s.%s.%llu", service, id,
+		 (unsigned long long)++l->run_number);
+	if (e) {
+		check_run(l, e, service);
+		if (e->run_count < RUNS_MAX) {
+			struct run *r = &e->runs[e->run_count++];
+
+			cu_copy(r->service, sizeof(r->service), service);
+			cu_copy(r->stamp, sizeof(r->stamp), stamp);
+		}
+	}
+	pthread_mutex_unlock(&l->lock);
+}
+
+void ledger_answered(struct ledger *l, const char *id, uint32_t status)
+{
+	struct entry *e;
+
+	pthread_mutex_lock(&l->lock);
+	e = g_hash_table_lookup(l->entries, id);
+	e->status = status;
+	l->answers[e->kind][status / 100 == 2]++;
+	if (e->kind == KIND_ONCE && (status == 503 || status == 429) &&
+	    e->run_count)
+		break_locked(l, RULE_REFUSED, id);
+	pthread_mutex_unlock(&l->lock);
+}
+
+int ledger_was_run(struct ledger *l, const char *id)
+{
+	struct entry *e;
+	int was_run;
+
+	pthread_mutex_lock(&l->lock);
+	e = g_hash_table_lookup(l->entries, id);
+	was_run = e && e->run_count > 0;
+	pthread_mutex_unlock(&l->lock);
+	return was_run;
+}
+
+int ledger_service(struct ledger *l, const char *id, const char *stamp,
+		   char service[NAME_BYTES])
+{
+	struct entry *e;
+	int found = 0;
+	uint32_t i;
+
+	pthread_mutex_lock(&l->lock);
+	e = g_hash_table_lookup(l->entries, id);
+	for (i = 0; e && i < e->run_count && !found; i++) {
+		found = strcmp(e->runs[i].stamp, stamp) == 0;
+		if (found)
+			cu_copy(service, NAME_BYTES, e->runs[i].service);
+	}
+	pthread_mutex_unlock(&l->lock);
+	return found;
+}
+
+/* Sum of the @WINDOW_S seconds that end @back seconds ago. */
+static uint32_t window(const struct service *s, const uint32_t *slots,
+		       uint32_t back)
+{
+	uint32_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < WINDOW_S; i++)
+		sum += slots[(s->second - back - i + SECONDS_KEPT) %
+			     SECONDS_KEPT];
+	return sum;
+}
+
+void ledger_check_budget(struct ledger *l, uint32_t ratio_permille,
+			 uint32_t slack)
+{
+	GHashTableIter it;
+	gpointer value;
+	char text[160];
+
+	pthread_mutex_lock(&l->lock);
+	g_hash_table_iter_init(&it, l->services);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct service *s = value;
+		uint32_t extras;
+		uint32_t requests;
+
+		second_of(s);
+		/* The second that is under way is not complete. */
+		extras = window(s, s->extras, 1);
+		/* The rule takes the best of this window and those before. */
+		requests = cu_max_u32(window(s, s->requests, 1),
+				      window(s, s->requests, WINDOW_S / 2));
+		requests =
+			cu_max_u32(requests, window(s, s->requests, WINDOW_S));
+		if (extras <= requests * ratio_permille / PERMILLE + slack)
+			continue;
+		snprintf(text, sizeof(text),
+			 "service %s: %u extra calls, %u requests", s->name,
+			 extras, requests);
+		break_locked(l, RULE_BUDGET, text);
+	}
+	pthread_mutex_unlock(&l->lock);
+}
--- /dev/null
+++ b/tests/soak/load.c
@@ -0,0 +1,375 @@
+#include "load.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/rng.h"
+#include "caller.h"
+
+#define THREADS_MAX 32
+/* What a caller waits, and what the kinds' answers may take beyond it. */
+#define WAIT_MS 1000
+#define SLACK_MS 700
+#define PAUSE_US 12000
+/* After a host that could not be reached. */
+#define REFUSED_PAUSE_US 30000
+#define STAMPS_MAX WORLD_SHARDS
+#define TOP 10
+/* Besides the time allowed: the caller's and the searchers' own scheduling. */
+#define CONFIG_SLACK_US (500 * US_PER_MS)
+
+struct thread {
+	struct load *load;
+	pthread_t thread;
+	uint32_t number;
+	uint32_t sequence;
+	struct rng rng;
+	struct caller callers[WORLD_HOSTS];
+	uint32_t connected[WORLD_HOSTS];
+};
+
+struct load {
+	struct world *world;
+	uint32_t count;
+	struct thread threads[THREADS_MAX];
+	_Atomic int stopping;
+	_Atomic uint64_t sent;
+	_Atomic uint64_t successes;
+	/* Newest version whose effect was seen, by host and incarnation. */
+	pthread_mutex_t lock;
+	uint32_t seen_incarnation[WORLD_HOSTS];
+	uint32_t seen_version[WORLD_HOSTS];
+};
+
+/* One request under way. */
+struct sent {
+	char id[LEDGER_ID_BYTES];
+	enum ledger_kind kind;
+	uint32_t host;
+	uint32_t incarnation;
+	int64_t sent_us;
+	/* Version that was seen at this host when it was sent. */
+	uint32_t seen_version;
+	/* SIGTERM had come before it was sent. */
+	int was_leaving;
+};
+
+static const char *const paths[KIND_COUNT] = { "all", "one", "once", "move" };
+
+static int compare_records(const void *a, const void *b)
+{
+	return memcmp(b, a, SEARCHER_RECORD_BYTES);
+}
+
+/* Fills @services with what the stamps name; returns the number, or -1. */
+static int read_stamps(struct world *w, const struct sent *s, const char *text,
+		       char services[STAMPS_MAX][NAME_BYTES])
+{
+	g_auto(GStrv) stamps = g_strsplit(text ? text : "", ",", -1);
+	int n = 0;
+	int i;
+
+	for (; stamps[n]; n++) {
+		if (n == STAMPS_MAX ||
+		    !ledger_service(w->ledger, s->id, g_strstrip(stamps[n]),
+				    services[n]))
+			return -1;
+		for (i = 0; i < n; i++) {
+			if (strcmp(services[i], services[n]) == 0)
+				return -1;
+		}
+	}
+	return n;
+}
+
+static void check_gather(struct world *w, const struct sent *s,
+			 const struct h1 *a)
+{
+	char services[STAMPS_MAX][NAME_BYTES];
+	char all[STAMPS_MAX * SEARCHER_RECORDS][SEARCHER_RECORD_BYTES];
+	const char *missing = h1_find(a, "Cowslippoint-Missing-Parts");
+	int n = read_stamps(w, s, h1_find(a, "Cowslippoint-Part-Stamps"),
+			    services);
+	size_t top;
+	int i;
+
+	if (n < WORLD_SHARDS / 2 ||
+	    n + (missing ? atoi(missing) : 0) != WORLD_SHARDS) {
+		ledger_break(w->ledger, RULE_MIXED,
+			     "request %s host %u: %d parts, missing %s", s->id,
+			     s->host, n, missing ? missing : "not stated");
+		return;
+	}
+	for (i = 0; i < n; i++)
+		searcher_records(services[i], s->id, all[i * SEARCHER_RECORDS]);
+	qsort(all, (size_t)n * SEARCHER_RECORDS, SEARCHER_RECORD_BYTES,
+	      compare_records);
+	top = cu_min_u32(TOP, (uint32_t)n * SEARCHER_RECORDS) *
+	      SEARCHER_RECORD_BYTES;
+	if (a->body.len_bytes != top || memcmp(a->body.data, all, top) != 0)
+		ledger_break(w->ledger, RULE_MIXED,
+			     "request %s host %u: not the records of its parts",
+			     s->id, s->host);
+}
+
+/* Newest version up to @newest that moves the route to @service; 0: none. */
+static uint32_t version_of(uint32_t newest, const char *service)
+{
+	char name[NAME_BYTES];
+	uint32_t back;
+
+	for (back = 0; back < WORLD_MOVES && back < newest; back++) {
+		world_move_service(newest - back, name);
+		if (strcmp(name, service) == 0)
+			return newest - back;
+	}
+	return 0;
+}
+
+/* Oldest version from @from to @newest that moves to @service; 0: none. */
+static uint32_t first_version(uint32_t from, uint32_t newest,
+			      const char *service)
+{
+	char name[NAME_BYTES];
+	uint32_t v;
+
+	for (v = cu_max_u32(from, 1); v <= newest; v++) {
+		world_move_service(v, name);
+		if (strcmp(name, service) == 0)
+			return v;
+	}
+	return 0;
+}
+
+static void check_move(struct load *l, const struct sent *s,
+		       const char *service)
+{
+	struct world *w = l->world;
+	uint32_t newest = w->version;
+	/* Services come round again: the newest and the oldest it can be. */
+	uint32_t version = version_of(newest, service);
+	uint32_t oldest = first_version(s->seen_version, newest, service);
+	/* The next version has taken the place of the one that answered. */
+	int64_t replaced_us = version < newest ? w->acked_us[version + 1]
+					       : INT64_MAX;
+
+	if (replaced_us != INT64_MAX &&
+	    s->sent_us > replaced_us + WORLD_APPLY_MS * US_PER_MS +
+				 CONFIG_SLACK_US &&
+	    !w->hosts[s->host].is_leaving &&
+	    w->hosts[s->host].incarnation == s->incarnation &&
+	    world_is_calm(w, s->host, s->sent_us) &&
+	    world_is_calm(w, s->host, clock_now_us()))
+		ledger_break(w->ledger, RULE_CONFIG,
+			     "request %s host %u: version %u after %lld ms of "
+			     "%u",
+			     s->id, s->host, version,
+			     (long long)(s->sent_us - replaced_us) / US_PER_MS,
+			     version + 1);
+	if (!oldest && w->hosts[s->host].incarnation == s->incarnation)
+		ledger_break(w->ledger, RULE_REGRESS,
+			     "request %s host %u: %s after version %u", s->id,
+			     s->host, service, s->seen_version);
+	pthread_mutex_lock(&l->lock);
+	if (l->seen_incarnation[s->host] != s->incarnation) {
+		l->seen_incarnation[s->host] = s->incarnation;
+		l->seen_version[s->host] = 0;
+	}
+	l->seen_version[s->host] = cu_max_u32(l->seen_version[s->host], oldest);
+	pthread_mutex_unlock(&l->lock);
+}
+
+static void check_single(struct load *l, const struct sent *s,
+			 const struct h1 *a)
+{
+	const char *stamp = h1_find(a, "Cowslippoint-Server-Stamp");
+	g_autofree char *body =
+		g_strdup_printf("id=%s stamp=%s", s->id, stamp ? stamp : "");
+	char service[NAME_BYTES];
+
+	if (!stamp ||
+	    !ledger_service(l->world->ledger, s->id, stamp, service) ||
+	    a->body.len_bytes != strlen(body) ||
+	    memcmp(a->body.data, body, a->body.len_bytes) != 0) {
+		ledger_break(l->world->ledger, RULE_MIXED,
+			     "request %s host %u: stamp %s", s->id, s->host,
+			     stamp ? stamp : "missing");
+		return;
+	}
+	if (s->kind == KIND_MOVE)
+		check_move(l, s, service);
+}
+
+static void check_answer(struct load *l, const struct sent *s,
+			 const struct h1 *a)
+{
+	uint32_t status = h1_status(a);
+
+	ledger_answered(l->world->ledger, s->id, status);
+	if (status / 100 == 2) {
+		l->successes++;
+		if (s->kind == KIND_GATHER)
+			check_gather(l->world, s, a);
+		else
+			check_single(l, s, a);
+	} else if (status < 500 && status != 408 && status != 421 &&
+		   status != 429) {
+		ledger_break(l->world->ledger, RULE_DENIED,
+			     "request %s host %u: status %u", s->id, s->host,
+			     status);
+	}
+}
+
+/*
+ * A connection that ends without an answer breaks a promise where the host was
+ * only asked to stop, and had passed the request on.
+ */
+static void check_cut(struct load *l, const struct sent *s)
+{
+	struct world *w = l->world;
+	int is_leaving = w->hosts[s->host].is_leaving;
+
+	ledger_answered(w->ledger, s->id, 0);
+	if (is_leaving && world_is_calm(w, s->host, s->sent_us) &&
+	    world_is_calm(w, s->host, clock_now_us()) &&
+	    w->hosts[s->host].incarnation == s->incarnation &&
+	    ledger_was_run(w->ledger, s->id))
+		ledger_break(w->ledger, RULE_LOST,
+			     "request %s host %u, sent %s the signal", s->id,
+			     s->host, s->was_leaving ? "after" : "before");
+}
+
+static void count_request(struct world *w, const struct sent *s)
+{
+	char name[NAME_BYTES];
+	uint32_t i;
+
+	switch (s->kind) {
+	case KIND_GATHER:
+		for (i = 0; i < WORLD_SHARDS; i++) {
+			snprintf(name, sizeof(name), "shard%u", i);
+			ledger_request_for(w->ledger, name);
+		}
+		break;
+	case KIND_MOVE:
+		world_move_service(w->version, name);
+		ledger_request_for(w->ledger, name);
+		break;
+	default:
+		ledger_request_for(w->ledger, "one");
+		break;
+	}
+}
+
+static void send_one(struct thread *t)
+{
+	struct load *l = t->load;
+	struct world *w = l->world;
+	struct sent s = { .host = rng_below(&t->rng, WORLD_HOSTS),
+			  .kind = (enum ledger_kind)rng_below(&t->rng,
+							      KIND_COUNT) };
+	struct world_host *h = &w->hosts[s.host];
+	struct caller *c = &t->callers[s.host];
+	char text[512];
+
+	s.incarnation = h->incarnation;
+	s.was_leaving = h->is_leaving;
+	/* Connections do not outlive the process that they were opened to. */
+	if (t->connected[s.host] != s.incarnation)
+		caller_close(c);
+	t->connected[s.host] = s.incarnation;
+	if (!h->is_running)
+		return;
+	snprintf(s.id, sizeof(s.id), "%u.%u", t->number, ++t->sequence);
+	snprintf(text, sizeof(text),
+		 "GET /%s/x HTTP/1.1\r\nHost: soak.example\r\n"
+		 "Cowslippoint-Request-Id: %s\r\n"
+		 "Cowslippoint-Deadline-Ms: %u\r\n\r\n",
+		 paths[s.kind], s.id, WAIT_MS);
+	pthread_mutex_lock(&l->lock);
+	if (l->seen_incarnation[s.host] == s.incarnation)
+		s.seen_version = l->seen_version[s.host];
+	pthread_mutex_unlock(&l->lock);
+	ledger_sent(w->ledger, s.id, s.kind);
+	count_request(w, &s);
+	l->sent++;
+	s.sent_us = clock_now_us();
+	switch (caller_exchange(c, h->address, w->caller_port, text,
+				WAIT_MS + SLACK_MS)) {
+	case CALLER_OK:
+		check_answer(l, &s, &c->answer);
+		break;
+	case CALLER_GARBAGE:
+		ledger_answered(w->ledger, s.id, 0);
+		ledger_break(w->ledger, RULE_MIXED,
+			     "request %s host %u: no answer in the protocol",
+			     s.id, s.host);
+		break;
+	case CALLER_CLOSED:
+	case CALLER_BROKEN:
+		check_cut(l, &s);
+		break;
+	case CALLER_REFUSED:
+		ledger_answered(w->ledger, s.id, 0);
+		g_usleep(REFUSED_PAUSE_US);
+		break;
+	case CALLER_TIMEOUT:
+		ledger_answered(w->ledger, s.id, 0);
+		break;
+	}
+}
+
+static void *run(void *ctx)
+{
+	struct thread *t = ctx;
+	uint32_t i;
+
+	for (i = 0; i < WORLD_HOSTS; i++)
+		caller_init(&t->callers[i]);
+	while (!t->load->stopping) {
+		send_one(t);
+		g_usleep(rng_below(&t->rng, 2 * PAUSE_US));
+	}
+	for (i = 0; i < WORLD_HOSTS; i++)
+		caller_clear(&t->callers[i]);
+	return NULL;
+}
+
+struct load *load_start(struct world *w, uint32_t threads)
+{
+	struct load *l = cu_alloc(1, sizeof(*l));
+	uint32_t i;
+
+	l->world = w;
+	l->count = cu_min_u32(threads, THREADS_MAX);
+	pthread_mutex_init(&l->lock, NULL);
+	for (i = 0; i < l->count; i++) {
+		struct thread *t = &l->threads[i];
+
+		t->load = l;
+		t->number = i;
+		t->rng.state = w->seed * THREADS_MAX + i;
+		pthread_create(&t->thread, NULL, run, t);
+	}
+	return l;
+}
+
+void load_stop(struct load *l)
+{
+	uint32_t i;
+
+	l->stopping = 1;
+	for (i = 0; i < l->count; i++)
+		pthread_join(l->threads[i].thread, NULL);
+	pthread_mutex_destroy(&l->lock);
+	free(l);
+}
+
+void load_counts(struct load *l, uint64_t *sent, uint64_t *successes)
+{
+	*sent = l->sent;
+	*successes = l->successes;
+}
--- /dev/null
+++ b/tests/soak/load.h
@@ -0,0 +1,18 @@
+/*
+ * Callers of the soak: threads that send requests of all kinds to all hosts
+ * over kept and new connections, and check each answer.
+ */
+#ifndef SOAK_LOAD_H
+#define SOAK_LOAD_H
+
+#include "world.h"
+
+struct load;
+
+struct load *load_start(struct world *w, uint32_t threads);
+/* Ends the threads. */
+void load_stop(struct load *l);
+/* Requests and successes so far. */
+void load_counts(struct load *l, uint64_t *sent, uint64_t *successes);
+
+#endif
--- /dev/null
+++ b/tests/soak/world.c
@@ -0,0 +1,422 @@
+#include "world.h"
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "caller.h"
+#include "client.h"
+
+#define START_MS 5000
+#define CALL_MS 1500
+#define CALLER_PORT 18226
+#define READY_PORT 18227
+#define PEER_PORT 18224
+/* The store stand-in answers the operator also while hosts cannot reach it. */
+#define READY_WAIT_US (10 * (int64_t)US_PER_S)
+#define POLL_US (20 * US_PER_MS)
+
+static const char *const data_centres[WORLD_DATA_CENTRES] = { "a", "b", "c" };
+static const uint32_t host_data_centre[WORLD_HOSTS] = { 0, 0, 1, 1, 2 };
+
+void world_store_fault(struct world *w, const char *json)
+{
+	struct client_answer a;
+
+	client_call(&a, "POST", w->store_admin_port, "/control", json, CALL_MS);
+	client_clear(&a);
+}
+
+static int txn(struct world *w, const char *key, const char *value)
+{
+	struct client_answer a;
+	json_t *doc;
+	char *text;
+	int ok;
+
+	if (value) {
+		g_autofree char *coded =
+			g_base64_encode((const guchar *)value, strlen(value));
+
+		doc = json_pack("{s:[],s:[{s:s,s:s,s:i}],s:[]}", "expect",
+				"writes", "key", key, "value", coded, "lease",
+				0, "delete");
+	} else {
+		doc = json_pack("{s:[],s:[],s:[s]}", "expect", "writes",
+				"delete", key);
+	}
+	text = json_dumps(doc, JSON_COMPACT);
+	json_decref(doc);
+	client_call(&a, "POST", w->store_port, "/api/kv-txn", text, CALL_MS);
+	ok = a.status == 200;
+	client_clear(&a);
+	free(text);
+	return ok;
+}
+
+int world_put(struct world *w, const char *key, const char *value)
+{
+	return txn(w, key, value);
+}
+
+char *world_get(struct world *w, const char *key)
+{
+	g_autofree char *path = g_strdup_printf("/api/kv-key?key=%s", key);
+	struct client_answer a;
+	char *value = NULL;
+	gsize len = 0;
+	guchar *raw;
+
+	client_call(&a, "GET", w->store_port, path, NULL, CALL_MS);
+	if (a.status == 200) {
+		raw = g_base64_decode(client_text(&a, "value"), &len);
+		value = strndup((const char *)raw, len);
+		g_free(raw);
+	}
+	client_clear(&a);
+	return value;
+}
+
+static void entry_key(const struct searcher *s, char out[2 * NAME_BYTES])
+{
+	char id[NAME_BYTES];
+
+	searcher_id(s, id);
+	snprintf(out, 2 * NAME_BYTES, "servers/%s", id);
+}
+
+int world_announce(struct world *w, struct searcher *s, const char *phase)
+{
+	char key[2 * NAME_BYTES];
+	g_autofree char *value =
+		g_strdup_printf("{\"service\":\"%s\",\"address\":\"127.0.0.1:%"
+				"u\",\"zone\":"
+				"\"%s\",\"version\":\"%s\",\"capacity\":4,"
+				"\"phase\":\"%s\","
+				"\"warmupLeftMs\":0,\"seq\":1,\"born\":%u}",
+				s->service, proxy_port(s->link), s->data_centre,
+				s->version, phase, s->instance + 1);
+
+	entry_key(s, key);
+	return world_put(w, key, value);
+}
+
+int world_withdraw(struct world *w, struct searcher *s)
+{
+	char key[2 * NAME_BYTES];
+
+	entry_key(s, key);
+	return world_put(w, key, NULL);
+}
+
+void world_move_service(uint32_t version, char out[NAME_BYTES])
+{
+	snprintf(out, NAME_BYTES, "move%u", version % WORLD_MOVES);
+}
+
+static void add_service(json_t *services, const char *name)
+{
+	json_array_append_new(services,
+			      json_pack("{s:s,s:s,s:i,s:s,s:b,s:f,s:f}", "name",
+					name, "healthPath", "/healthz",
+					"maxConns", 40, "protocol", "h1", "tls",
+					0, "warmupS", 0.0, "warmupPerS", 0.0));
+}
+
+static json_t *route(const char *name, const char *type)
+{
+	g_autofree char *prefix = g_strdup_printf("/%s/", name);
+
+	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i}", "name", name,
+			 "host", "soak.example", "prefix", prefix, "type", type,
+			 "timeoutMs", 1000, "goalMs", 200, "priority", 1,
+			 "attempts", 2);
+}
+
+static json_t *gather_route(json_t *services)
+{
+	json_t *r = route("all", "idempotent");
+	json_t *list = json_array();
+	char name[NAME_BYTES];
+	uint32_t i;
+
+	for (i = 0; i < WORLD_SHARDS; i++) {
+		snprintf(name, sizeof(name), "shard%u", i);
+		add_service(services, name);
+		json_array_append_new(list, json_string(name));
+	}
+	json_object_set_new(r, "gather", list);
+	json_object_set_new(r, "topK", json_integer(10));
+	json_object_set_new(r, "minRequired", json_real(0.5));
+	return r;
+}
+
+static json_t *service_route(const char *name, const char *type,
+			     const char *service)
+{
+	json_t *r = route(name, type);
+
+	json_object_set_new(r, "service", json_string(service));
+	return r;
+}
+
+int world_configure(struct world *w)
+{
+	uint32_t version = w->version + 1;
+	json_t *services = json_array();
+	json_t *routes = json_array();
+	json_t *doc;
+	char name[NAME_BYTES];
+	char *text;
+	uint32_t i;
+	int ok;
+
+	if (version >= WORLD_VERSIONS_MAX)
+		return 0;
+	json_array_append_new(routes, gather_route(services));
+	add_service(services, "one");
+	for (i = 0; i < WORLD_MOVES; i++) {
+		world_move_service(i, name);
+		add_service(services, name);
+	}
+	world_move_service(version, name);
+	json_array_append_new(routes,
+			      service_route("one", "idempotent", "one"));
+	json_array_append_new(routes,
+			      service_route("once", "non_idempotent", "one"));
+	json_array_append_new(routes,
+			      service_route("move", "idempotent", name));
+	doc = json_pack("{s:i,s:o,s:o,s:{s:i,s:i,s:i,s:i}}", "version",
+			(int)version, "routes", routes, "services", services,
+			"limits", "maxHeaderBytes", 16384, "maxBodyBytes",
+			262144, "headerTimeoutMs", 3000, "idleTimeoutMs",
+			15000);
+	text = json_dumps(doc, JSON_COMPACT);
+	json_decref(doc);
+	/* A host may know it before the store's answer is here. */
+	w->acked_us[version] = INT64_MAX;
+	w->version = version;
+	ok = world_put(w, "op/config", text);
+	if (ok)
+		w->acked_us[version] = clock_now_us();
+	free(text);
+	return ok;
+}
+
+int world_is_calm(const struct world *w, uint32_t host, int64_t at_us)
+{
+	return at_us - WORLD_CONTACT_US > w->hosts[host].troubled_us &&
+	       at_us - WORLD_CONTACT_US > w->store_troubled_us;
+}
+
+int world_all_calm(const struct world *w, int64_t at_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < WORLD_HOSTS; i++) {
+		if (!world_is_calm(w, i, at_us))
+			return 0;
+	}
+	return 1;
+}
+
+static void write_settings(struct world *w, struct world_host *h,
+			   uint32_t number)
+{
+	struct buf out CLEANUP_BUF = { 0 };
+	uint32_t i;
+
+	buf_addf(&out,
+		 "{\"host\":\"h%u\",\"data_centre\":\"%s\","
+		 "\"caller_address\":\"%s:%u\",\"ready_address\":\"%s:%u\","
+		 "\"peer_address\":\"%s:%u\",\"store_address\":\"127.0.0.1:%"
+		 "u\","
+		 "\"seeds\":[",
+		 number, h->data_centre, h->address, CALLER_PORT, h->address,
+		 READY_PORT, h->address, PEER_PORT, proxy_port(h->store_link));
+	for (i = 0; i < 3; i++)
+		buf_addf(&out, "%s\"%s:%u\"", i ? "," : "", w->hosts[i].address,
+			 PEER_PORT);
+	buf_addf(&out,
+		 "],\"store_reads_per_s\":2000,\"store_writes_per_s\":400,"
+		 "\"descriptors\":1000,\"core_share\":1,\"grace_s\":%u,"
+		 "\"config_apply_ms\":%u,\"drain_ms\":%u,\"retry_ratio\":%g,"
+		 "\"retry_slack\":%u,\"canary_share\":%g}\n",
+		 WORLD_GRACE_S, WORLD_APPLY_MS, WORLD_DRAIN_MS,
+		 (double)WORLD_RETRY_PERMILLE / PERMILLE, WORLD_RETRY_SLACK,
+		 (double)WORLD_EXPOSURE_PERMILLE / PERMILLE);
+	g_file_set_contents(h->settings_path, out.data, -1, NULL);
+}
+
+/* The process prints log lines only, so its readiness page is asked. */
+static int wait_ready(const struct world_host *h)
+{
+	int64_t until_us = clock_now_us() + READY_WAIT_US;
+	struct caller c;
+	int is_ready = 0;
+
+	caller_init(&c);
+	while (!is_ready && clock_now_us() < until_us) {
+		is_ready = caller_exchange(&c, h->address, READY_PORT,
+					   "GET /api/readyz HTTP/1.1\r\n"
+					   "Host: x\r\n\r\n",
+					   CALL_MS) == CALLER_OK &&
+			   h1_status(&c.answer) == 200;
+		if (!is_ready)
+			g_usleep(POLL_US);
+	}
+	caller_clear(&c);
+	return is_ready;
+}
+
+int world_host_start(struct world *w, uint32_t host)
+{
+	struct world_host *h = &w->hosts[host];
+	const char *argv[] = { "build/cowslippoint", "gateway", "--settings",
+			       h->settings_path, NULL };
+
+	if (proc_spawn(&h->proc, argv, h->log_path) != 0)
+		return 0;
+	h->incarnation++;
+	h->is_leaving = 0;
+	h->is_running = 1;
+	return 1;
+}
+
+static int start_store(struct world *w, struct err *err)
+{
+	const char *argv[] = { "build/standin", "store", "--admin-port", "0",
+			       NULL };
+
+	if (proc_start(&w->store, argv, NULL, START_MS) != 0) {
+		err_set(err, ERR_IO, "cannot start the store stand-in");
+		return 0;
+	}
+	w->store_port = (uint16_t)proc_number(&w->store, "ready");
+	w->store_admin_port = (uint16_t)proc_number(&w->store, "admin");
+	return 1;
+}
+
+static int add_searchers(struct world *w, const char *service, uint32_t each,
+			 const char *version, struct err *err)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < WORLD_DATA_CENTRES; i++) {
+		for (k = 0; k < each; k++) {
+			struct searcher *s =
+				searchers_add(w->searchers, service,
+					      data_centres[i], version, err);
+
+			if (!s)
+				return 0;
+			s->instance = k * 1000;
+			w->list[w->searcher_count++] = s;
+		}
+	}
+	return 1;
+}
+
+/* Versions of "one" beyond v1 are announced by a rollout only. */
+static int start_searchers(struct world *w, struct err *err)
+{
+	char name[NAME_BYTES];
+	uint32_t i;
+	int ok = 1;
+
+	w->searchers = searchers_new(w->ledger, w->proxy, w->seed, err);
+	if (!w->searchers)
+		return 0;
+	for (i = 0; ok && i < WORLD_SHARDS; i++) {
+		snprintf(name, sizeof(name), "shard%u", i);
+		ok = add_searchers(w, name, 1, "v1", err);
+	}
+	for (i = 0; ok && i < WORLD_MOVES; i++) {
+		world_move_service(i, name);
+		ok = add_searchers(w, name, 1, "v1", err);
+	}
+	ok = ok && add_searchers(w, "one", 2, "v1", err) &&
+	     add_searchers(w, "one", 1, "v2", err);
+	if (!ok)
+		return 0;
+	searchers_start(w->searchers);
+	for (i = 0; i < w->searcher_count; i++) {
+		if (strcmp(w->list[i]->version, "v1") == 0 &&
+		    !world_announce(w, w->list[i], "ready"))
+			return 0;
+	}
+	return 1;
+}
+
+static int start_hosts(struct world *w, struct err *err)
+{
+	uint32_t i;
+
+	/* Addresses of their own, so that several soaks may run at once. */
+	for (i = 0; i < WORLD_HOSTS; i++) {
+		struct world_host *h = &w->hosts[i];
+
+		snprintf(h->address, sizeof(h->address), "127.%u.%u.%u",
+			 10 + getpid() % 200, getpid() / 200 % 250, i + 1);
+		cu_copy(h->data_centre, sizeof(h->data_centre),
+			data_centres[host_data_centre[i]]);
+		snprintf(h->settings_path, sizeof(h->settings_path),
+			 "%s/h%u.json", w->dir, i);
+		snprintf(h->log_path, sizeof(h->log_path), "%s/h%u.log", w->dir,
+			 i);
+		h->store_link =
+			proxy_add(w->proxy, "127.0.0.1", 0, w->store_port, err);
+		if (!h->store_link)
+			return 0;
+	}
+	for (i = 0; i < WORLD_HOSTS; i++) {
+		write_settings(w, &w->hosts[i], i);
+		if (!world_host_start(w, i))
+			return 0;
+	}
+	for (i = 0; i < WORLD_HOSTS; i++) {
+		if (!wait_ready(&w->hosts[i])) {
+			err_set(err, ERR_IO, "host %u is not ready, see %s", i,
+				w->hosts[i].log_path);
+			return 0;
+		}
+	}
+	return 1;
+}
+
+int world_start(struct world *w, struct ledger *l, uint64_t seed,
+		struct err *err)
+{
+	memset(w, 0, sizeof(*w));
+	w->ledger = l;
+	w->seed = seed;
+	w->caller_port = CALLER_PORT;
+	snprintf(w->dir, sizeof(w->dir), "build/soak/%llu",
+		 (unsigned long long)seed);
+	g_mkdir_with_parents(w->dir, 0755);
+	w->proxy = proxy_new(err);
+	if (start_store(w, err) && start_searchers(w, err) &&
+	    world_configure(w) && start_hosts(w, err))
+		return 1;
+	world_stop(w);
+	return 0;
+}
+
+void world_stop(struct world *w)
+{
+	uint32_t i;
+
+	for (i = 0; i < WORLD_HOSTS; i++) {
+		proc_signal(&w->hosts[i].proc, SIGCONT);
+		proc_kill(&w->hosts[i].proc);
+	}
+	searchers_free(w->searchers);
+	proxy_free(w->proxy);
+	proc_kill(&w->store);
+}
--- a/tests/standin/http.h
+++ b/tests/standin/http.h
@@ -27,6 +27,8 @@
 	const char *query;
 	const char *body;
 	size_t body_bytes;
+	/* Header lines; read them with http_request_field(). */
+	const char *head;
 };
 
 /* How an answer is put on the wire. */
@@ -86,6 +88,10 @@
 
 void http_reply(struct http_conn *c, uint32_t status, const char *body,
 		size_t body_bytes, enum http_manner manner);
+/* Like http_reply() with header lines @fields, each with "\r\n". */
+void http_reply_fields(struct http_conn *c, uint32_t status, const char *fields,
+		       const char *body, size_t body_bytes,
+		       enum http_manner manner);
 void http_replyf(struct http_conn *c, uint32_t status, const char *fmt, ...)
 	PRINTF_LIKE(3, 4);
 /* Resets the connection without an answer. */
@@ -96,6 +102,9 @@
 void http_set_user(struct http_conn *c, void *user);
 void *http_user(const struct http_conn *c);
 
+/* Copies the value of header @name; 0 when it is not there or too long. */
+int http_request_field(const struct http_request *r, const char *name,
+		       char *out, size_t size_bytes);
 /* Copies the value of @name in a query string; 0 when it is not there. */
 int http_query_value(const char *query, const char *name, char *out,
 		     size_t size_bytes);
