Finish every request that was read before a host ends

The main thread counted requests in work right after it had sent MSG_LEAVE; at zero it stopped the threads, although the ingress duty had not closed its connections yet and still accepted new ones. An answer that was not written in full did not count either.

Change: MSG_LEAVE closes the listener, takes what waits in its queue, keeps a connection that has bytes to read, and the host ends when no caller's connection is left (or at its grace time).

--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -224,10 +224,10 @@
 	if (ring_push(ingress_ring(g->ingress), &m) != ERR_OK)
 		log_event(LOG_LEVEL_WARNING, "ring_full",
 			  "idle caller connections stay open");
-	while (ingress_busy(g->ingress) > 0 && clock_now_us() < until_us)
+	while (!ingress_is_finished(g->ingress) && clock_now_us() < until_us)
 		wait_signal(signals, FINISH_POLL_MS);
 	log_event(LOG_LEVEL_INFO, "stopped", "%u requests unfinished",
-		  ingress_busy(g->ingress));
+		  ingress_callers(g->ingress));
 }
 
 static void stop(struct gateway *g)
--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -76,7 +76,10 @@
 	_Atomic uint32_t body_bytes;
 	_Atomic uint32_t head_ms;
 	_Atomic uint32_t idle_ms;
-	_Atomic uint32_t busy;
+	/* Open connections of callers. */
+	_Atomic uint32_t callers;
+	/* MSG_LEAVE was handled. */
+	_Atomic int has_left;
 	_Atomic int draining;
 	char scratch[READ_BYTES];
 };
@@ -90,8 +93,8 @@
 {
 	struct ingress *in = c->in;
 
-	if (c->state == CONN_WAITING)
-		atomic_fetch_sub(&in->busy, 1);
+	if (c->page == PAGE_CALLER)
+		atomic_fetch_sub(&in->callers, 1);
 	tmr_cancel(timers(c), &c->timer);
 	poller_remove(in->poller, &c->item);
 	close(c->item.fd);
@@ -265,7 +268,6 @@
 		return respond_error(c, 503, code, now_us);
 	}
 	c->state = CONN_WAITING;
-	atomic_fetch_add(&c->in->busy, 1);
 	return 1;
 }
 
@@ -362,8 +364,10 @@
 	c->item = (struct poll_item){ .fd = fd, .fn = on_conn, .ctx = c };
 	h1_init(&c->h1, H1_REQUEST, &limits);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	if (l->page == PAGE_CALLER)
+	if (l->page == PAGE_CALLER) {
+		atomic_fetch_add(&in->callers, 1);
 		c->rtt_us = measure_rtt_us(fd);
+	}
 	g_hash_table_insert(in->conns, &c->id, c);
 	if (poller_add(in->poller, &c->item, EPOLLIN | EPOLLRDHUP, &err) !=
 	    ERR_OK) {
@@ -405,13 +409,19 @@
 	struct conn *c = g_hash_table_lookup(in->conns, &a->conn);
 
 	/* The caller may have gone while the answer was on its way. */
-	if (c && c->state == CONN_WAITING) {
-		atomic_fetch_sub(&in->busy, 1);
+	if (c && c->state == CONN_WAITING)
 		respond(c, a, now_us);
-	}
 	exchange_answer_free(a);
 }
 
+/* A request that is there but not read yet is served. */
+static int has_input(const struct conn *c)
+{
+	char byte;
+
+	return recv(c->item.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 static void close_idle(struct ingress *in)
 {
 	GHashTableIter it;
@@ -424,7 +434,7 @@
 		struct conn *c = value;
 
 		if (c->page == PAGE_CALLER && c->state == CONN_READING &&
-		    c->h1.state == H1_IDLE)
+		    c->h1.state == H1_IDLE && !has_input(c))
 			g_ptr_array_add(idle, c);
 	}
 	for (i = 0; i < idle->len; i++)
@@ -432,6 +442,27 @@
 	g_ptr_array_free(idle, TRUE);
 }
 
+static void close_listener(struct ingress *in, struct listener *l)
+{
+	if (l->item.fd < 0)
+		return;
+	poller_remove(in->poller, &l->item);
+	close(l->item.fd);
+	l->item.fd = -1;
+}
+
+/* Connections that wait to be accepted are taken, so that none is reset. */
+static void leave(struct ingress *in, int64_t now_us)
+{
+	struct listener *l = &in->listeners[PAGE_CALLER];
+
+	if (l->item.fd >= 0)
+		on_listener(l, EPOLLIN, now_us);
+	close_listener(in, l);
+	close_idle(in);
+	in->has_left = 1;
+}
+
 static void on_message(void *ctx, int64_t now_us, struct msg *m)
 {
 	struct ingress *in = ctx;
@@ -441,7 +472,7 @@
 		on_answer(in, m->body, now_us);
 		break;
 	case MSG_LEAVE:
-		close_idle(in);
+		leave(in, now_us);
 		break;
 	default:
 		if (m->drop)
@@ -557,9 +588,14 @@
 	in->draining = 1;
 }
 
-uint32_t ingress_busy(struct ingress *in)
+uint32_t ingress_callers(struct ingress *in)
+{
+	return in->callers;
+}
+
+int ingress_is_finished(struct ingress *in)
 {
-	return in->busy;
+	return in->has_left && !in->callers;
 }
 
 void ingress_stop(struct ingress *in)
@@ -589,10 +625,8 @@
 		free_conns(in);
 	else
 		g_hash_table_destroy(in->conns);
-	for (i = 0; i < PAGE_COUNT; i++) {
-		if (in->listeners[i].item.fd >= 0)
-			close(in->listeners[i].item.fd);
-	}
+	for (i = 0; i < PAGE_COUNT; i++)
+		close_listener(in, &in->listeners[i]);
 	duty_free(in->duty);
 	poller_free(in->poller);
 	free(in);
--- a/src/duty/ingress.h
+++ b/src/duty/ingress.h
@@ -40,8 +40,13 @@
 void ingress_set_limits(struct ingress *in, const struct caller_limits *l);
 /* Any thread: answers from now on end their connections. */
 void ingress_drain(struct ingress *in);
-/* Any thread: connections with a request that is not answered yet. */
-uint32_t ingress_busy(struct ingress *in);
+/*
+ * Any thread: connections of callers that are open. After MSG_LEAVE no new one
+ * is accepted, and each that is left has a request that is not answered.
+ */
+uint32_t ingress_callers(struct ingress *in);
+/* Any thread: 1 once MSG_LEAVE was handled and no caller is left. */
+int ingress_is_finished(struct ingress *in);
 void ingress_stop(struct ingress *in);
 void ingress_free(struct ingress *in);
 
--- a/tests/standin/http_conn.c
+++ b/tests/standin/http_conn.c
@@ -44,6 +44,8 @@
 	if (reset)
 		setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &abort_now,
 			   sizeof(abort_now));
+	/* A child that was just forked keeps the socket, and its events, open. */
+	epoll_ctl(http_epoll(l->http), EPOLL_CTL_DEL, c->fd, NULL);
 	close(c->fd);
 	tmr_cancel(http_timers(l->http), &c->start);
 	if (c->prev)
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -495,6 +495,49 @@
 	ingress_end(&c);
 }
 
+/*
+ * Guards against a host that ends while a request that it has read is served,
+ * or that still takes connections then (soak seed 22).
+ */
+static void test_leave(void)
+{
+	struct ingress_case c;
+	struct msg m = { MSG_LEAVE, NULL, NULL };
+	struct exchange_answer *a = cu_alloc(1, sizeof(*a));
+	struct msg answer = { MSG_EXCHANGE_ANSWER, a, NULL };
+	struct exchange_request *r;
+	struct sockaddr_storage sa;
+	socklen_t len;
+	int idle;
+	int busy;
+	int late;
+
+	ingress_begin(&c);
+	idle = connect_to(c.caller_port);
+	busy = connect_to(c.caller_port);
+	put(busy, HEAD_GET "\r\n");
+	r = take(c.requests, MSG_EXCHANGE_REQUEST);
+	ingress_drain(c.ingress);
+	g_assert_false(ingress_is_finished(c.ingress));
+	g_assert_cmpint(ring_push(ingress_ring(c.ingress), &m), ==, ERR_OK);
+	expect_end(idle);
+	g_assert_false(ingress_is_finished(c.ingress));
+	len = addr_fill("127.0.0.1", c.caller_port, &sa);
+	late = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(connect(late, (struct sockaddr *)&sa, len), !=, 0);
+	close(late);
+	a->conn = r->conn;
+	a->status = 503;
+	a->error = ERR_STOPPING;
+	g_assert_cmpint(ring_push(ingress_ring(c.ingress), &answer), ==,
+			ERR_OK);
+	expect(busy, "STOPPING");
+	expect_end(busy);
+	g_assert_true(ingress_is_finished(c.ingress));
+	exchange_request_free(r);
+	ingress_end(&c);
+}
+
 /* GLib's harness ends the test at a warning that it sees. */
 static void drop_line(void *ctx, const char *line)
 {
@@ -516,5 +559,6 @@
 	g_test_add_func("/ingress/gone", test_gone);
 	g_test_add_func("/ingress/malformed", test_malformed);
 	g_test_add_func("/ingress/ready", test_ready);
+	g_test_add_func("/ingress/leave", test_leave);
 	return g_test_run();
 }
