Send hedges early enough for the answer at the goal

The factor of the delay began at 3 and fell by 0.06 per request, too slow at one request a second and host.

Change: for merged answers a hedge waits for half of the time until the answer at most, and for 1.3 mean times at least; the gateway's factor begins at 2; hedges leave a tenth of the allowance instead of a quarter.

Ruled out: leaving a quarter or 0.4 of the allowance (docs/MEASUREMENTS.md).

--- a/src/decide/hdg.c
+++ b/src/decide/hdg.c
@@ -6,7 +6,6 @@
 #define MEAN_SMOOTHING 64
 /* Stragglers are 20 times slower; they must not raise the delay. */
 #define MEAN_CLIP 4
-#define FACTOR_START_MILLI 3000
 #define FACTOR_MAX_MILLI 10000
 #define FACTOR_STEP_MILLI 250
 #define ADJUST_PERIOD_US (100 * US_PER_MS)
@@ -14,7 +13,8 @@
 #define DELAY_MIN_US 1000
 
 /* Below twice the mean, queueing alone explains most missing answers. */
-const struct hdg_policy hdg_small_budget = { .factor_min_milli = 2000,
+const struct hdg_policy hdg_small_budget = { .factor_start_milli = 3000,
+					     .factor_min_milli = 2000,
 					     .fill_low_permille = 500,
 					     .fill_high_permille = 900 };
 
@@ -23,7 +23,7 @@
 	h->policy = policy;
 	h->mean_us = MEAN_START_US;
 	h->samples = 0;
-	h->factor_milli = FACTOR_START_MILLI;
+	h->factor_milli = policy->factor_start_milli;
 	h->adjust_at_us = 0;
 }
 
--- a/src/decide/hdg.h
+++ b/src/decide/hdg.h
@@ -10,7 +10,8 @@
 
 /* How far the delay follows the budget. */
 struct hdg_policy {
-	/* Least multiple of the mean, in thousandths. */
+	/* First and least multiple of the mean, in thousandths. */
+	uint32_t factor_start_milli;
 	uint32_t factor_min_milli;
 	/* The delay rises below this part of the budget and falls above it. */
 	uint32_t fill_low_permille;
--- a/src/gateway/4_send.c
+++ b/src/gateway/4_send.c
@@ -18,7 +18,10 @@
 #define SEND_TIME_MIN_US (3 * US_PER_MS)
 
 /* The last part of the allowance is kept for retries after failures. */
-#define HEDGE_FILL_MIN_PERMILLE 250
+#define HEDGE_FILL_MIN_PERMILLE 100
+
+/* Shortest wait for a hedge, as a multiple of the mean answer time. */
+#define HEDGE_LEAST_MILLI 1300
 
 enum send_result { SEND_DONE, SEND_BUSY, SEND_NONE };
 
@@ -95,6 +98,22 @@
 
 static void on_hedge(void *ctx, int64_t now_us);
 
+/*
+ * A hedge that is sent too late for the answer at the goal is of no use, so it
+ * waits for half of the time that is left, as far as that leaves out answers
+ * that are merely a little slower than the mean.
+ */
+static int64_t hedge_delay_us(const struct gw_req *r, int64_t now_us)
+{
+	const struct hdg *h = &r->stats->hdg;
+	int64_t least_us = h->mean_us * HEDGE_LEAST_MILLI / 1000;
+
+	if (!r->route->is_gather)
+		return hdg_delay_us(h);
+	return cu_min_i64(hdg_delay_us(h),
+			  cu_max_i64((r->settle_us - now_us) / 2, least_us));
+}
+
 static void arm_hedge(struct gw_part *p, int64_t now_us)
 {
 	struct gw_req *r = p->req;
@@ -102,7 +121,7 @@
 	if (!r->route->is_idempotent)
 		return;
 	tmr_arm(r->gw->timers, &p->hedge_timer,
-		now_us + hdg_delay_us(&r->stats->hdg), on_hedge, p);
+		now_us + hedge_delay_us(r, now_us), on_hedge, p);
 }
 
 static void note_cold_send(struct gw_target *t, const struct gw *g,
--- a/src/gateway/gw_bound.c
+++ b/src/gateway/gw_bound.c
@@ -16,7 +16,8 @@
  * calls. A service gets only a few of them from one host, so one call is a
  * large part of a host's budget.
  */
-static const struct hdg_policy hedge_policy = { .factor_min_milli = 1500,
+static const struct hdg_policy hedge_policy = { .factor_start_milli = 2000,
+						.factor_min_milli = 1500,
 						.fill_low_permille = 450,
 						.fill_high_permille = 600 };
 
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -397,8 +397,8 @@
 	w->ledger = l;
 	w->seed = seed;
 	w->caller_port = CALLER_PORT;
-	snprintf(w->dir, sizeof(w->dir), "build/soak/%llu",
-		 (unsigned long long)seed);
+	snprintf(w->dir, sizeof(w->dir), "build/soak/%llu-%d",
+		 (unsigned long long)seed, (int)getpid());
 	g_mkdir_with_parents(w->dir, 0755);
 	w->proxy = proxy_new(err);
 	if (start_store(w, err) && start_searchers(w, err) &&
