Tell the hosts of a data centre which targets fail or are slow

Cause: with 75 hosts each sees a target once or twice a second and has to fail at it itself.

Change: reports to the root of the data centre and hints back, over UDP, every 250 ms while something is wrong; a hint raises the cost of a target.

Tests: thl-failed, thl-pause, thl-many, gw-hint, /relay/health; fail without it.

--- a/src/codec/peer.h
+++ b/src/codec/peer.h
@@ -25,6 +25,7 @@
 #define PEER_KEY_MAX 256
 #define PEER_ENTRIES_MAX 65536
 #define PEER_EVIDENCE_MAX 128
+#define PEER_HEALTH_MAX 48
 
 struct peer_notice {
 	char *target;
@@ -107,6 +108,22 @@
 };
 typedef struct peer_follow_args peer_follow_args;
 
+struct peer_target {
+	u_quad_t key;
+	u_int calls;
+	u_int failed_permille;
+	u_int slowness_milli;
+};
+typedef struct peer_target peer_target;
+
+struct peer_health {
+	struct {
+		u_int targets_len;
+		peer_target *targets_val;
+	} targets;
+};
+typedef struct peer_health peer_health;
+
 struct peer_entry {
 	char *key;
 	u_quad_t rev;
@@ -144,6 +161,12 @@
 #define FOLLOW_STATE 3
 extern  peer_state * follow_state_1(peer_follow_args , CLIENT *);
 extern  peer_state * follow_state_1_svc(peer_follow_args , struct svc_req *);
+#define REPORT_HEALTH 4
+extern  void * report_health_1(peer_health , CLIENT *);
+extern  void * report_health_1_svc(peer_health , struct svc_req *);
+#define TELL_HEALTH 5
+extern  void * tell_health_1(peer_health , CLIENT *);
+extern  void * tell_health_1_svc(peer_health , struct svc_req *);
 extern int cowslippoint_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -156,6 +179,12 @@
 #define FOLLOW_STATE 3
 extern  peer_state * follow_state_1();
 extern  peer_state * follow_state_1_svc();
+#define REPORT_HEALTH 4
+extern  void * report_health_1();
+extern  void * report_health_1_svc();
+#define TELL_HEALTH 5
+extern  void * tell_health_1();
+extern  void * tell_health_1_svc();
 extern int cowslippoint_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -169,6 +198,8 @@
 extern  bool_t xdr_peer_item (XDR *, peer_item*);
 extern  bool_t xdr_peer_config (XDR *, peer_config*);
 extern  bool_t xdr_peer_follow_args (XDR *, peer_follow_args*);
+extern  bool_t xdr_peer_target (XDR *, peer_target*);
+extern  bool_t xdr_peer_health (XDR *, peer_health*);
 extern  bool_t xdr_peer_entry (XDR *, peer_entry*);
 extern  bool_t xdr_peer_state (XDR *, peer_state*);
 
@@ -180,6 +211,8 @@
 extern bool_t xdr_peer_item ();
 extern bool_t xdr_peer_config ();
 extern bool_t xdr_peer_follow_args ();
+extern bool_t xdr_peer_target ();
+extern bool_t xdr_peer_health ();
 extern bool_t xdr_peer_entry ();
 extern bool_t xdr_peer_state ();
 
--- a/src/codec/peer.x
+++ b/src/codec/peer.x
@@ -2,7 +2,8 @@
  * Messages between hosts (ONC RPC). HEARTBEAT is one-way over UDP: the server
  * sends no reply. FETCH_CONFIG is a call over TCP. FOLLOW_STATE is a call over
  * TCP that the server answers when it knows more than the client, when it has
- * heard from the store again, or after hold_ms.
+ * heard from the store again, or after hold_ms. REPORT_HEALTH and TELL_HEALTH
+ * are one-way over UDP.
  */
 const PEER_NAME_MAX = 64;
 const PEER_ITEM_NAME_MAX = 80;
@@ -16,6 +17,7 @@
 const PEER_KEY_MAX = 256;
 const PEER_ENTRIES_MAX = 65536;
 const PEER_EVIDENCE_MAX = 128;
+const PEER_HEALTH_MAX = 48;
 
 struct peer_notice {
 	string target<PEER_NAME_MAX>;
@@ -76,6 +78,17 @@
 	peer_rollout evidence<PEER_EVIDENCE_MAX>;
 };
 
+struct peer_target {
+	unsigned hyper key;
+	unsigned int calls;
+	unsigned int failed_permille;
+	unsigned int slowness_milli;
+};
+
+struct peer_health {
+	peer_target targets<PEER_HEALTH_MAX>;
+};
+
 struct peer_entry {
 	string key<PEER_KEY_MAX>;
 	unsigned hyper rev;
@@ -97,5 +110,7 @@
 		void HEARTBEAT(peer_heartbeat) = 1;
 		peer_config FETCH_CONFIG(peer_fetch_args) = 2;
 		peer_state FOLLOW_STATE(peer_follow_args) = 3;
+		void REPORT_HEALTH(peer_health) = 4;
+		void TELL_HEALTH(peer_health) = 5;
 	} = 1;
 } = 0x20c05711;
--- a/src/codec/peer_xdr.c
+++ b/src/codec/peer_xdr.c
@@ -189,6 +189,33 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_target (XDR *xdrs, peer_target *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->calls))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failed_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slowness_milli))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_health (XDR *xdrs, peer_health *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, PEER_HEALTH_MAX,
+		sizeof (peer_target), (xdrproc_t) xdr_peer_target))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_entry (XDR *xdrs, peer_entry *objp)
 {
--- a/src/codec/prpc.h
+++ b/src/codec/prpc.h
@@ -21,7 +21,10 @@
 int64_t prpc_record_bytes(const char *data, size_t len_bytes,
 			  uint32_t max_bytes);
 
-/* Append a record; 0 when the body cannot be encoded. */
+/*
+ * Append a record; 0 when the body cannot be encoded. Without its mark it is
+ * a datagram.
+ */
 int prpc_add_call(struct buf *out, uint32_t xid, uint32_t procedure,
 		  xdrproc_t encode, void *args);
 int prpc_add_reply(struct buf *out, uint32_t xid, xdrproc_t encode,
--- a/src/codec/pxdr_state.c
+++ b/src/codec/pxdr_state.c
@@ -93,3 +93,34 @@
 	}
 	return u;
 }
+
+void pxdr_from_health(const struct target_health_list *l, peer_target *room,
+		      peer_health *out)
+{
+	uint32_t i;
+
+	out->targets.targets_len = l->count;
+	out->targets.targets_val = room;
+	for (i = 0; i < l->count; i++)
+		room[i] = (peer_target){ l->list[i].key, l->list[i].calls,
+					 l->list[i].failed_permille,
+					 l->list[i].slowness_milli };
+}
+
+void pxdr_to_health(const peer_health *x, struct target_health_list *out)
+{
+	uint32_t i;
+
+	out->count = cu_min_u32(x->targets.targets_len, TARGET_HEALTH_MAX);
+	for (i = 0; i < out->count; i++) {
+		const peer_target *t = &x->targets.targets_val[i];
+
+		out->list[i] = (struct target_health){
+			.key = t->key,
+			.calls = t->calls,
+			.failed_permille =
+				cu_min_u32(t->failed_permille, PERMILLE),
+			.slowness_milli = t->slowness_milli
+		};
+	}
+}
--- a/src/codec/pxdr_state.h
+++ b/src/codec/pxdr_state.h
@@ -1,12 +1,13 @@
 /*
- * Conversion between struct store_update and the message of FOLLOW_STATE.
- * Steady clocks differ between hosts, so times travel as ages.
+ * Conversion between struct store_update and the message of FOLLOW_STATE, and
+ * between lists of target health and theirs. Steady clocks differ between hosts, so times travel as ages.
  */
 #ifndef PXDR_STATE_H
 #define PXDR_STATE_H
 
 #include "codec/peer.h"
 #include "model/store_update.h"
+#include "model/target_health.h"
 
 /*
  * Fills @out, whose texts point into @u; free with pxdr_state_free().
@@ -22,4 +23,8 @@
 struct store_update *pxdr_to_update(peer_state *x, int64_t sent_us,
 				    int64_t now_us, struct err *err);
 
+void pxdr_from_health(const struct target_health_list *l, peer_target *room,
+		      peer_health *out);
+void pxdr_to_health(const peer_health *x, struct target_health_list *out);
+
 #endif
--- a/src/controller/flw.c
+++ b/src/controller/flw.c
@@ -173,6 +173,34 @@
 	return first_usable(f, f->seeds, 0, now_us);
 }
 
+const struct gw_host *flw_root(const struct flw *f, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->near_count; i++) {
+		const struct entry *e = g_ptr_array_index(f->order, i);
+
+		if (strcmp(e->def.name, f->self.name) == 0)
+			return NULL;
+		if (is_usable(f, e, now_us))
+			return &e->def;
+	}
+	return NULL;
+}
+
+void flw_each_near(const struct flw *f,
+		   void (*fn)(void *ctx, const struct gw_host *h), void *ctx)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->near_count; i++) {
+		const struct entry *e = g_ptr_array_index(f->order, i);
+
+		if (e->def.port && strcmp(e->def.name, f->self.name) != 0)
+			fn(ctx, &e->def);
+	}
+}
+
 /* Position of the entry at @index within its data centre. */
 static uint32_t depth(const struct flw *f, uint32_t index)
 {
--- a/src/controller/flw.h
+++ b/src/controller/flw.h
@@ -47,6 +47,14 @@
 uint32_t flw_rank(const struct flw *f, int64_t now_us);
 /* The host that acts first, or NULL when it is this one or none is known. */
 const struct gw_host *flw_chief(const struct flw *f, int64_t now_us);
+/*
+ * Root of this data centre as far as it is in reach, or NULL when it is this
+ * host or none is known.
+ */
+const struct gw_host *flw_root(const struct flw *f, int64_t now_us);
+/* Calls @fn for each other host of this data centre. */
+void flw_each_near(const struct flw *f,
+		   void (*fn)(void *ctx, const struct gw_host *h), void *ctx);
 /* @name gave no answer, or one that is too old. */
 void flw_peer_failed(struct flw *f, const char *name, int64_t now_us);
 void flw_store_failed(struct flw *f, int64_t now_us);
--- a/src/duty/gw_control.c
+++ b/src/duty/gw_control.c
@@ -225,6 +225,14 @@
 	case MSG_FOLLOW_CALL:
 		gw_source_hold(c, m->body, now_us);
 		break;
+	case MSG_GW_HEALTH:
+		gw_health_seen(c, m->body, now_us);
+		free(m->body);
+		break;
+	case MSG_HEALTH_IN:
+		gw_health_in(c, m->body, now_us);
+		free(m->body);
+		break;
 	case MSG_GW_EVIDENCE:
 		gw_rollout_evidence(c, e->list, e->count, now_us);
 		free(e);
@@ -247,6 +255,7 @@
 	c->state = sst_new();
 	c->follow = flw_new(&o->self);
 	gw_rollout_init(c);
+	c->health = thl_new();
 	for (i = 0; i < o->seed_count; i++)
 		flw_seed(c->follow, o->seeds[i].address, o->seeds[i].port);
 	c->duty = duty_new("control", RING_CAPACITY, NULL, NULL, err);
@@ -284,6 +293,7 @@
 		return;
 	gw_source_free(c);
 	gw_rollout_free(c);
+	thl_free(c->health);
 	dsc_free(c->dsc);
 	flw_free(c->follow);
 	sst_free(c->state);
--- a/src/duty/gw_control_state.h
+++ b/src/duty/gw_control_state.h
@@ -8,6 +8,7 @@
 #include "controller/flw.h"
 #include "controller/gro.h"
 #include "controller/sst.h"
+#include "controller/thl.h"
 #include "duty/duty.h"
 #include "duty/gw_control.h"
 #include "duty/messages.h"
@@ -59,6 +60,10 @@
 	GArray *evidence;
 	/* Armed while a rollout is active. */
 	struct tmr_sub rollout_timer;
+	/* Health of targets as the hosts report it to this one, the root. */
+	struct thl *health;
+	/* Armed while there is something to tell. */
+	struct tmr_sub health_timer;
 };
 
 /* Sends a call to the store duty. */
@@ -87,6 +92,12 @@
 		    uint32_t hold_ms);
 void gw_source_free(struct gw_control *c);
 
+/* Health: what hosts of a data centre know of targets. */
+void gw_health_seen(struct gw_control *c, const struct target_health_list *l,
+		    int64_t now_us);
+void gw_health_in(struct gw_control *c, const struct health_datagram *d,
+		  int64_t now_us);
+
 /* Rollout. */
 void gw_rollout_init(struct gw_control *c);
 void gw_rollout_free(struct gw_control *c);
--- a/src/duty/gw_duty.c
+++ b/src/duty/gw_duty.c
@@ -68,6 +68,19 @@
 	free(e);
 }
 
+static void push_health(void *ctx, const struct target_health_list *list)
+{
+	struct gw_duty *d = ctx;
+	struct target_health_list *l = cu_alloc(1, sizeof(*l));
+	struct msg m = { MSG_GW_HEALTH, l, free };
+
+	*l = *list;
+	if (ring_push(d->control, &m) == ERR_OK)
+		return;
+	log_event(LOG_LEVEL_ERROR, "ring_full", "health of targets dropped");
+	free(l);
+}
+
 static void on_message(void *ctx, int64_t now_us, struct msg *m)
 {
 	struct gw_duty *d = ctx;
@@ -88,6 +101,10 @@
 		gw_set_view(d->gw, m->body, now_us);
 		d->is_ready = gw_ready(d->gw);
 		break;
+	case MSG_GW_HEALTH:
+		gw_hint(d->gw, m->body, now_us);
+		free(m->body);
+		break;
 	case MSG_GW_TUNING:
 		gw_tune(d->gw, m->body);
 		free(m->body);
@@ -102,7 +119,8 @@
 struct gw_duty *gw_duty_new(const struct gw_options *o, struct err *err)
 {
 	struct gw_duty *d = cu_alloc(1, sizeof(*d));
-	struct gw_ops ops = { push_call, push_answer, push_evidence, d };
+	struct gw_ops ops = { push_call, push_answer, push_evidence,
+			      push_health, d };
 
 	d->duty = duty_new("request", RING_CAPACITY, NULL, NULL, err);
 	if (!d->duty) {
--- a/src/duty/messages.h
+++ b/src/duty/messages.h
@@ -13,6 +13,7 @@
 #include "model/exchange.h"
 #include "model/gw_view.h"
 #include "model/heartbeat.h"
+#include "model/target_health.h"
 #include "model/request.h"
 #include "model/view.h"
 #include "model/kv.h"
@@ -46,7 +47,11 @@
 	MSG_FOLLOW_CALL, /* struct follow_call: relay to gateway control */
 	MSG_FOLLOW_REPLY, /* struct follow_reply: gateway control to relay */
 	MSG_GW_TUNING, /* struct gw_tuning: main thread to gateway */
-	MSG_GW_EVIDENCE /* struct gw_evidence: gateway to gateway control */
+	MSG_GW_EVIDENCE, /* struct gw_evidence: gateway to gateway control */
+	/* struct target_health_list: gateway to control, control to gateway */
+	MSG_GW_HEALTH,
+	MSG_HEALTH_SEND, /* struct health_datagram: gateway control to relay */
+	MSG_HEALTH_IN /* struct health_datagram: relay to gateway control */
 };
 
 /* The caller on ingress connection @conn closed it. */
--- a/src/duty/relay.c
+++ b/src/duty/relay.c
@@ -25,6 +25,8 @@
 /* All keys of the largest deployment; see docs/CAPACITY.md. */
 #define STATE_BYTES_MAX (16 * 1048576)
 #define CALL_BYTES_MAX 32768
+/* One list of target health. */
+#define DATAGRAM_BYTES_MAX 1400
 /* The tree gives a host eight followers; its children's come when it fails. */
 #define FOLLOWERS_MAX 256
 /* Connecting, sending and scheduling besides the time that a call is held. */
@@ -46,6 +48,8 @@
 	struct poller *poller;
 	struct ring *control;
 	struct poll_item listener;
+	/* Datagrams of target health. */
+	struct poll_item datagrams;
 	/* Connection number to struct follower. */
 	GHashTable *followers;
 	uint64_t next_id;
@@ -55,8 +59,10 @@
 	uint16_t port;
 	/* Host of the call in flight; empty while there is none. */
 	char call_host[NAME_BYTES];
-	uint32_t xid;
+	uint32_t call_xid;
 	int64_t sent_us;
+	/* Of the last message that this host sent. */
+	uint32_t xid;
 	struct tmr_sub timer;
 };
 
@@ -154,7 +160,7 @@
 	metric_add(M_PEER_RECEIVED_BYTES, len_bytes);
 	if (prpc_read_reply(data, len_bytes, &xid, (xdrproc_t)xdr_peer_state,
 			    &state) &&
-	    xid == r->xid && r->call_host[0])
+	    xid == r->call_xid && r->call_host[0])
 		u = pxdr_to_update(&state, r->sent_us, now_us, &err);
 	xdr_free((xdrproc_t)xdr_peer_state, &state);
 	if (u)
@@ -193,8 +199,10 @@
 
 	for (i = 0; i < f->evidence_count; i++)
 		pxdr_from_evidence(&f->evidence[i], &evidence[i]);
-	return prpc_add_call(rpc_conn_out(r->upstream), ++r->xid, FOLLOW_STATE,
-			     (xdrproc_t)xdr_peer_follow_args, &args);
+	r->call_xid = ++r->xid;
+	return prpc_add_call(rpc_conn_out(r->upstream), r->call_xid,
+			     FOLLOW_STATE, (xdrproc_t)xdr_peer_follow_args,
+			     &args);
 }
 
 static void start_call(struct relay *r, const struct follow *f, int64_t now_us)
@@ -358,6 +366,68 @@
 	pxdr_state_free(&state);
 }
 
+static void send_health(struct relay *r, const struct health_datagram *d)
+{
+	peer_target room[TARGET_HEALTH_MAX];
+	peer_health health;
+	struct buf out CLEANUP_BUF = { 0 };
+	struct sockaddr_storage sa;
+	socklen_t len = addr_fill(d->address, d->port, &sa);
+
+	pxdr_from_health(&d->health, room, &health);
+	if (!len ||
+	    !prpc_add_call(&out, ++r->xid,
+			   d->is_told ? TELL_HEALTH : REPORT_HEALTH,
+			   (xdrproc_t)xdr_peer_health, &health) ||
+	    sendto(r->datagrams.fd, out.data + PRPC_MARK_BYTES,
+		   out.len_bytes - PRPC_MARK_BYTES, MSG_DONTWAIT,
+		   (struct sockaddr *)&sa, len) < 0) {
+		/* The next period's datagram makes up for it. */
+		metric_add(M_PEER_ERRORS, 1);
+		return;
+	}
+	metric_add(M_PEER_SENT, 1);
+	metric_add(M_PEER_SENT_BYTES, out.len_bytes - PRPC_MARK_BYTES);
+}
+
+static void take_datagram(struct relay *r, char *data, size_t len_bytes)
+{
+	struct health_datagram *d;
+	struct msg m = { MSG_HEALTH_IN, NULL, free };
+	peer_health health = { 0 };
+	uint32_t xid = 0;
+	uint32_t procedure = 0;
+	XDR x;
+	int ok = prpc_read_call(data, len_bytes, &x, &xid, &procedure) &&
+		 (procedure == TELL_HEALTH || procedure == REPORT_HEALTH) &&
+		 xdr_peer_health(&x, &health);
+
+	metric_add(M_PEER_RECEIVED, 1);
+	metric_add(M_PEER_RECEIVED_BYTES, len_bytes);
+	if (ok) {
+		d = cu_alloc(1, sizeof(*d));
+		d->is_told = procedure == TELL_HEALTH;
+		pxdr_to_health(&health, &d->health);
+		m.body = d;
+		if (ring_push(r->control, &m) != ERR_OK)
+			free(d);
+	} else {
+		metric_add(M_PEER_ERRORS, 1);
+	}
+	xdr_destroy(&x);
+	xdr_free((xdrproc_t)xdr_peer_health, &health);
+}
+
+static void on_datagram(void *ctx, uint32_t events, int64_t now_us)
+{
+	struct relay *r = ctx;
+	char data[DATAGRAM_BYTES_MAX];
+	ssize_t n = recv(r->datagrams.fd, data, sizeof(data), MSG_DONTWAIT);
+
+	if (n > 0)
+		take_datagram(r, data, (size_t)n);
+}
+
 static void on_message(void *ctx, int64_t now_us, struct msg *m)
 {
 	struct relay *r = ctx;
@@ -367,6 +437,10 @@
 		start_call(r, m->body, now_us);
 		follow_free(m->body);
 		break;
+	case MSG_HEALTH_SEND:
+		send_health(r, m->body);
+		free(m->body);
+		break;
 	case MSG_FOLLOW_REPLY:
 		answer(r, m->body, now_us);
 		follow_reply_free(m->body);
@@ -390,8 +464,7 @@
 	}
 }
 
-static enum err_code open_listener(struct relay *r, const char *address,
-				   uint16_t port, struct err *err)
+static int bound_socket(const char *address, uint16_t port, int type)
 {
 	struct sockaddr_storage sa;
 	socklen_t len = addr_fill(address, port, &sa);
@@ -399,18 +472,35 @@
 	int fd;
 
 	if (!len)
-		return err_set(err, ERR_SETTING, "'%s' is no IP number",
-			       address);
-	fd = socket(sa.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-		    0);
+		return -1;
+	fd = socket(sa.ss_family, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -1;
+	if (type == SOCK_STREAM)
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&sa, len) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/* Both sockets have the same port number. */
+static enum err_code open_sockets(struct relay *r, const char *address,
+				  uint16_t port, struct err *err)
+{
+	int tcp = bound_socket(address, port, SOCK_STREAM);
+	int udp = tcp < 0 ? -1
+			  : bound_socket(address, addr_port(tcp), SOCK_DGRAM);
+
 	r->listener =
-		(struct poll_item){ .fd = fd, .fn = on_listener, .ctx = r };
-	if (fd < 0 ||
-	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) < 0 ||
-	    bind(fd, (struct sockaddr *)&sa, len) < 0 ||
-	    listen(fd, LISTEN_QUEUE) < 0)
+		(struct poll_item){ .fd = tcp, .fn = on_listener, .ctx = r };
+	r->datagrams =
+		(struct poll_item){ .fd = udp, .fn = on_datagram, .ctx = r };
+	if (tcp < 0 || udp < 0 || listen(tcp, LISTEN_QUEUE) < 0)
 		return err_set(err, ERR_IO, "cannot listen on %s:%u: %s",
 			       address, port, strerror(errno));
+	if (poller_add(r->poller, &r->datagrams, EPOLLIN, err) != ERR_OK)
+		return err->code;
 	return poller_add(r->poller, &r->listener, EPOLLIN, err);
 }
 
@@ -419,13 +509,14 @@
 	struct relay *r = cu_alloc(1, sizeof(*r));
 
 	r->listener.fd = -1;
+	r->datagrams.fd = -1;
 	r->followers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					     follower_free);
 	r->poller = poller_new(err);
 	if (r->poller)
 		r->duty = duty_new("relay", RING_CAPACITY, poller_wake,
 				   r->poller, err);
-	if (!r->duty || open_listener(r, address, port, err) != ERR_OK) {
+	if (!r->duty || open_sockets(r, address, port, err) != ERR_OK) {
 		relay_free(r);
 		return NULL;
 	}
@@ -465,6 +556,8 @@
 	g_hash_table_destroy(r->followers);
 	if (r->listener.fd >= 0)
 		close(r->listener.fd);
+	if (r->datagrams.fd >= 0)
+		close(r->datagrams.fd);
 	duty_free(r->duty);
 	poller_free(r->poller);
 	free(r);
--- a/src/duty/relay.h
+++ b/src/duty/relay.h
@@ -1,6 +1,7 @@
 /*
  * The relay duty: passes the state of the store between hosts of the gateway
- * (FOLLOW_STATE of codec/peer.x). It moves bytes only: the control duty says
+ * (FOLLOW_STATE of codec/peer.x) over TCP, and target health over UDP at the
+ * same port number. It moves bytes only: the control duty says
  * whom to follow and when to answer those that follow this host.
  */
 #ifndef RELAY_H
@@ -14,6 +15,7 @@
 #include "model/heartbeat.h"
 #include "model/name.h"
 #include "model/store_update.h"
+#include "model/target_health.h"
 
 /* Evidence on versions in one call. */
 #define FOLLOW_EVIDENCE_MAX 128
@@ -62,6 +64,16 @@
 	struct store_update *update;
 };
 
+/* MSG_HEALTH_SEND and MSG_HEALTH_IN: one datagram to or from a host. */
+struct health_datagram {
+	/* 1: what a root tells its hosts, 0: what a host reports to its root. */
+	uint32_t is_told;
+	/* Of the receiver; empty for one that came in. */
+	char address[ADDRESS_BYTES];
+	uint16_t port;
+	struct target_health_list health;
+};
+
 void follow_free(struct follow *f);
 void follow_call_free(struct follow_call *c);
 void followed_free(struct followed *f);
--- a/src/gateway/4_send.c
+++ b/src/gateway/4_send.c
@@ -407,6 +407,10 @@
 	gw_version_count(service, s->target,
 			 outcome_of(reply, good || (p && is_final(p, reply))),
 			 now_us - s->sent_us, mean_us, now_us);
+	if (reply->code != ERR_CANCELLED || now_us - s->sent_us > mean_us)
+		gw_health_note(s->gw, s->target,
+			       !good && reply->code != ERR_CANCELLED,
+			       now_us - s->sent_us, mean_us, now_us);
 	if (good || (p && is_final(p, reply))) {
 		if (!s->is_extra)
 			hdg_sample(&s->stats->hdg, reply->service_us);
--- a/src/gateway/gw.c
+++ b/src/gateway/gw.c
@@ -89,6 +89,7 @@
 	}
 	g_list_free(list);
 	tmr_cancel(g->timers, &g->report_timer);
+	tmr_cancel(g->timers, &g->health_timer);
 	gw_bound_free_all(g);
 	g_hash_table_destroy(g->reqs);
 	g_hash_table_destroy(g->subs);
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -12,6 +12,7 @@
 #include "model/exchange.h"
 #include "model/gw_view.h"
 #include "model/heartbeat.h"
+#include "model/target_health.h"
 
 struct gw;
 
@@ -23,6 +24,8 @@
 	/* What the calls to versions of a rollout showed; @e is the caller's. */
 	void (*evidence)(void *ctx, const struct rollout_evidence *e,
 			 uint32_t count);
+	/* Targets that failed or were slow of late; @l is the caller's. */
+	void (*health)(void *ctx, const struct target_health_list *l);
 	void *ctx;
 };
 
@@ -56,6 +59,8 @@
 void gw_request(struct gw *g, struct exchange_request *r, int64_t now_us);
 void gw_reply(struct gw *g, struct target_reply *r, int64_t now_us);
 
+/* What all hosts of the data centre have seen of targets. */
+void gw_hint(struct gw *g, const struct target_health_list *l, int64_t now_us);
 void gw_tune(struct gw *g, const struct gw_tuning *t);
 /* The caller on connection @conn closed it: cancels the request's work. */
 void gw_caller_gone(struct gw *g, uint64_t conn, int64_t now_us);
--- /dev/null
+++ b/src/gateway/gw_health.c
@@ -0,0 +1,96 @@
+/* What this host tells others of its targets, and what it hears of them. */
+#include "gateway/gw_internal.h"
+
+/* Reports are gathered for this time. */
+#define REPORT_US (250 * US_PER_MS)
+/* A hint counts until three of the periods in which it is repeated passed. */
+#define HINT_US (800 * US_PER_MS)
+/* Calls that are this much slower than the mean are reported at once. */
+#define SLOW_MILLI 2500
+/* Pauses of a searcher must not pass for its speed. */
+#define SLOWNESS_MAX_MILLI 8000
+#define MILLI 1000
+
+static int is_notable(const struct gw_target *t)
+{
+	return t->seen_failed ||
+	       t->seen_slowness_milli > (uint64_t)t->seen_calls * SLOW_MILLI;
+}
+
+static void add(struct target_health_list *l, struct gw_target *t)
+{
+	l->list[l->count++] = (struct target_health){
+		.key = target_health_key(t->def.id, t->def.born_ms),
+		.calls = t->seen_calls,
+		.failed_permille = t->seen_failed * PERMILLE / t->seen_calls,
+		.slowness_milli =
+			(uint32_t)(t->seen_slowness_milli / t->seen_calls)
+	};
+}
+
+/*
+ * Reports targets that look bad, and good calls to those that all hosts were
+ * told of, so that a target that recovered is known to have.
+ */
+static void on_report(void *ctx, int64_t now_us)
+{
+	struct gw *g = ctx;
+	struct target_health_list l = { 0 };
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->targets);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct gw_target *t = value;
+
+		if (t->seen_calls &&
+		    (is_notable(t) || now_us < t->hint_until_us)) {
+			add(&l, t);
+			if (l.count == TARGET_HEALTH_MAX) {
+				g->ops.health(g->ops.ctx, &l);
+				l.count = 0;
+			}
+		}
+		t->seen_calls = 0;
+		t->seen_failed = 0;
+		t->seen_slowness_milli = 0;
+	}
+	if (l.count)
+		g->ops.health(g->ops.ctx, &l);
+}
+
+void gw_health_note(struct gw *g, struct gw_target *t, int failed,
+		    int64_t took_us, int64_t mean_us, int64_t now_us)
+{
+	int64_t milli = took_us * MILLI / cu_max_i64(mean_us, 1);
+
+	t->seen_calls++;
+	t->seen_failed += (uint32_t)failed;
+	t->seen_slowness_milli +=
+		(uint64_t)cu_min_i64(milli, SLOWNESS_MAX_MILLI);
+	if ((is_notable(t) || now_us < t->hint_until_us) &&
+	    !g->health_timer.pos)
+		tmr_arm(g->timers, &g->health_timer, now_us + REPORT_US,
+			on_report, g);
+}
+
+void gw_hint(struct gw *g, const struct target_health_list *l, int64_t now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+	uint32_t i;
+
+	g_hash_table_iter_init(&it, g->targets);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct gw_target *t = value;
+		uint64_t key = target_health_key(t->def.id, t->def.born_ms);
+
+		for (i = 0; i < l->count && l->list[i].key != key; i++)
+			;
+		if (i == l->count)
+			continue;
+		t->hint_failed_permille = l->list[i].failed_permille;
+		t->hint_slowness_milli = l->list[i].slowness_milli;
+		t->hint_until_us = now_us + HINT_US;
+	}
+}
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -36,6 +36,14 @@
 	/* Smoothed share of calls that failed. */
 	uint32_t failed_permille;
 	uint32_t failures_in_row;
+	/* Not reported yet: calls, those that failed, sum of slowness. */
+	uint32_t seen_calls;
+	uint32_t seen_failed;
+	uint64_t seen_slowness_milli;
+	/* What all hosts have seen, until when it counts. */
+	uint32_t hint_failed_permille;
+	uint32_t hint_slowness_milli;
+	int64_t hint_until_us;
 	/* Not used before this time while others are in reach. */
 	int64_t avoid_until_us;
 	/* Slow start: until when, and the earliest time of the next call. */
@@ -185,6 +193,8 @@
 	GHashTable *routes;
 	/* Armed while a rollout is active. */
 	struct tmr_sub report_timer;
+	/* Armed while a target has something to report. */
+	struct tmr_sub health_timer;
 };
 
 /* One constructor per filter, in the order of the chain. */
@@ -234,6 +244,10 @@
 			      enum gw_group group, int64_t mean_us,
 			      int64_t now_us);
 
+/* Health: a call to @t ended. */
+void gw_health_note(struct gw *g, struct gw_target *t, int failed,
+		    int64_t took_us, int64_t mean_us, int64_t now_us);
+
 /* Versions. */
 void gw_version_bind(struct gw *g, const struct gw_view *view, int64_t now_us);
 /* 1 if @t belongs to @group. */
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -136,10 +136,16 @@
 static int64_t cost(const struct gw *g, const struct gw_target *t,
 		    int64_t mean_us, int64_t now_us)
 {
-	int64_t milli =
-		(int64_t)(t->outstanding + 1) * slowness_milli(t, now_us);
+	int64_t slowness = slowness_milli(t, now_us);
+	int64_t failed = t->failed_permille;
+	int64_t milli;
 
-	milli += milli * FAILURE_WEIGHT * t->failed_permille / PERMILLE;
+	if (now_us < t->hint_until_us) {
+		slowness = cu_max_i64(slowness, t->hint_slowness_milli);
+		failed = cu_max_i64(failed, t->hint_failed_permille);
+	}
+	milli = (int64_t)(t->outstanding + 1) * slowness;
+	milli += milli * FAILURE_WEIGHT * failed / PERMILLE;
 	milli += stall_cost(t, mean_us, now_us);
 	if (strcmp(t->def.data_centre, g->opt.data_centre) != 0)
 		milli += REMOTE_MILLI;
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -427,6 +427,68 @@
 	{ "call", cmd_call },
 };
 
+static void *new_thl(void)
+{
+	return thl_new();
+}
+
+static void free_thl(void *t)
+{
+	thl_free(t);
+}
+
+/* report KEY calls=N [failed=PERMILLE] [slow=MILLI] */
+static void cmd_report(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct target_health_list l = { .count = 1 };
+
+	l.list[0].key = strtoull(argv[0], NULL, 10);
+	l.list[0].calls = script_u32(argc, argv, "calls", 1);
+	l.list[0].failed_permille = script_u32(argc, argv, "failed", 0);
+	l.list[0].slowness_milli = script_u32(argc, argv, "slow", 1000);
+	thl_report(ctx, &l);
+}
+
+/* period [N]: ends N periods and shows what hosts are told in the last. */
+static void cmd_period(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct target_health_list lists[2];
+	uint32_t n = argc ? (uint32_t)atoi(argv[0]) : 1;
+	uint32_t count = 0;
+	uint32_t i;
+
+	while (n-- > 0)
+		count = thl_period(ctx, lists, 2);
+	for (i = 0; i < count && lists[i].count == 1; i++)
+		buf_addf(out, "%llu failed %u permille slow %u\n",
+			 (unsigned long long)lists[i].list[0].key,
+			 lists[i].list[0].failed_permille,
+			 lists[i].list[0].slowness_milli);
+	if (count && lists[0].count > 1)
+		buf_addf(out, "%u lists, %u targets in the first\n", count,
+			 lists[0].count);
+	buf_addf(out, "%s\n", thl_is_active(ctx) ? "active" : "not active");
+}
+
+/* flood N: N targets that fail. */
+static void cmd_flood(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct target_health_list l = { .count = 1 };
+	int i;
+
+	for (i = 0; i < atoi(argv[0]); i++) {
+		l.list[0] = (struct target_health){ 100 + (uint64_t)i, 10, 500,
+						    1000 };
+		thl_report(ctx, &l);
+	}
+}
+
+static const struct script_command thl_commands[] = {
+	{ "report", cmd_report },
+	{ "period", cmd_period },
+	{ "flood", cmd_flood },
+};
+
 static void drop_line(void *ctx, const char *line)
 {
 }
@@ -438,6 +500,8 @@
 		  sst_commands },
 		{ "flw", new_flw, free_flw, countof(flw_commands),
 		  flw_commands },
+		{ "thl", new_thl, free_thl, countof(thl_commands),
+		  thl_commands },
 		{ "gwc", new_gwc, free_gwc, countof(gwc_commands),
 		  gwc_commands },
 	};
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -21,6 +21,9 @@
 	int64_t now_us;
 	struct gw *gw;
 	struct dsc *dsc;
+	/* The last report of targets; shown on demand. */
+	struct target_health_list health;
+	int shows_health;
 	/* What a rollout rules; no service: nothing. */
 	struct version_share share;
 	/* Data centre that is evacuated, or empty. */
@@ -90,6 +93,18 @@
 			 e[i].failures, e[i].slow);
 }
 
+static void on_health(void *ctx, const struct target_health_list *l)
+{
+	struct bench *b = ctx;
+	uint32_t i;
+
+	b->health = *l;
+	for (i = 0; b->out && b->shows_health && i < l->count; i++)
+		buf_addf(b->out, "report calls %u failed %u permille slow %u\n",
+			 l->list[i].calls, l->list[i].failed_permille,
+			 l->list[i].slowness_milli);
+}
+
 static void on_changed(void *ctx, int64_t now_us)
 {
 	struct bench *b = ctx;
@@ -100,7 +115,7 @@
 
 static struct gw *bench_gw(struct bench *b, int64_t started_us)
 {
-	struct gw_ops ops = { on_call, on_answer, on_evidence, b };
+	struct gw_ops ops = { on_call, on_answer, on_evidence, on_health, b };
 	struct gw_options o = { .data_centre = "a",
 				.started_us = started_us,
 				.tuning = { .core_permille = 1000,
@@ -351,6 +366,26 @@
 	gw_set_view(b->gw, v, b->now_us);
 }
 
+/* health: reports are shown from here on. */
+static void cmd_health(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct bench *b = ctx;
+
+	b->shows_health = 1;
+}
+
+/* hint TARGET [failed=PERMILLE] [slow=MILLI]: all hosts have seen this. */
+static void cmd_hint(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct bench *b = ctx;
+	struct target_health_list l = { .count = 1 };
+
+	l.list[0].key = target_health_key(argv[0], 1);
+	l.list[0].failed_permille = script_u32(argc, argv, "failed", 0);
+	l.list[0].slowness_milli = script_u32(argc, argv, "slow", 0);
+	gw_hint(b->gw, &l, b->now_us);
+}
+
 /* tune ratio=PERMILLE slack=N: changed settings take effect. */
 static void cmd_tune(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -484,6 +519,7 @@
 	{ "forget", cmd_forget },   { "request", cmd_request },
 	{ "reply", cmd_reply },	    { "tick", cmd_tick },
 	{ "gone", cmd_gone },	    { "open", cmd_open },
+	{ "health", cmd_health },   { "hint", cmd_hint },
 	{ "split", cmd_split },	    { "tune", cmd_tune },
 };
 
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -184,6 +184,56 @@
 	host_end(&client);
 }
 
+static void send_health(struct host *from, uint16_t port, uint32_t is_told)
+{
+	struct health_datagram *d = cu_alloc(1, sizeof(*d));
+	struct msg m = { MSG_HEALTH_SEND, d, free };
+
+	cu_copy(d->address, sizeof(d->address), "127.0.0.1");
+	d->port = port;
+	d->is_told = is_told;
+	d->health.count = 1;
+	d->health.list[0] = (struct target_health){ 77, 5, 400, 3000 };
+	g_assert_cmpint(ring_push(relay_ring(from->relay), &m), ==, ERR_OK);
+}
+
+/*
+ * Guards against datagrams that are altered, or that spoil the call that is in
+ * flight meanwhile.
+ */
+static void test_health(void)
+{
+	struct host server;
+	struct host client;
+	struct health_datagram *d;
+	struct follow_call *call;
+	struct followed *f;
+	uint32_t i;
+
+	host_begin(&server);
+	host_begin(&client);
+	follow(&client, relay_port(server.relay), 10000);
+	call = take(&server, MSG_FOLLOW_CALL);
+	for (i = 0; i < 2; i++) {
+		send_health(&client, relay_port(server.relay), i);
+		d = take(&server, MSG_HEALTH_IN);
+		g_assert_cmpuint(d->is_told, ==, i);
+		g_assert_cmpuint(d->health.count, ==, 1);
+		g_assert_cmpuint(d->health.list[0].key, ==, 77);
+		g_assert_cmpuint(d->health.list[0].calls, ==, 5);
+		g_assert_cmpuint(d->health.list[0].failed_permille, ==, 400);
+		g_assert_cmpuint(d->health.list[0].slowness_milli, ==, 3000);
+		free(d);
+	}
+	reply_to(&server, call);
+	f = take(&client, MSG_FOLLOWED);
+	g_assert_nonnull(f->update);
+	followed_free(f);
+	follow_call_free(call);
+	host_end(&client);
+	host_end(&server);
+}
+
 static int connect_to(uint16_t port)
 {
 	struct sockaddr_storage sa;
@@ -289,5 +339,6 @@
 	g_test_add_func("/relay/gone", test_gone);
 	g_test_add_func("/relay/garbage", test_garbage);
 	g_test_add_func("/relay/left", test_left);
+	g_test_add_func("/relay/health", test_health);
 	return g_test_run();
 }
