Let the calls at once to a target follow its answer times

One shard had a single searcher left, at 1.1 times what it can do; its 28 calls in work and queue took longer than the goal, so no answer of it was ever in time.

Change: additive increase, multiplicative decrease of the calls at once per target, between one and the share of its connections; half of the route's goal decides.

--- a/src/base/series.h
+++ b/src/base/series.h
@@ -40,16 +40,18 @@
 };
 
 /* DEF(upper bound in us) */
-#define SERIES_BUCKETS(DEF)                                        \
-	DEF(1000)                                                  \
-	DEF(2000)                                                  \
-	DEF(5000)                                                  \
-	DEF(10000)                                                 \
-	DEF(20000)                                                 \
-	DEF(35000)                                                 \
-	DEF(50000)                                                 \
-	DEF(75000) DEF(100000) DEF(150000) DEF(250000) DEF(500000) \
-		DEF(1000000) DEF(2500000) DEF(10000000)
+#define SERIES_BUCKETS(DEF) \
+	DEF(1000)           \
+	DEF(2000)           \
+	DEF(5000)           \
+	DEF(10000)          \
+	DEF(20000)          \
+	DEF(35000)          \
+	DEF(50000)          \
+	DEF(75000)          \
+	DEF(100000)         \
+	DEF(150000)         \
+	DEF(250000) DEF(500000) DEF(1000000) DEF(2500000) DEF(10000000)
 
 /* Names in one family; those beyond share one that is called "other". */
 #define SERIES_NAMES_MAX 256
--- a/src/gateway/4_send.c
+++ b/src/gateway/4_send.c
@@ -167,6 +167,8 @@
 			      .service = p->service,
 			      .stats = p->req->stats,
 			      .sent_us = now_us,
+			      .goal_us = (int64_t)p->req->route->goal_ms *
+					 US_PER_MS,
 			      .is_extra = is_extra };
 	log_call(p, t, is_extra, now_us);
 	g_hash_table_insert(g->subs, &s->call_id, s);
@@ -412,6 +414,7 @@
 			       !good && reply->code != ERR_CANCELLED,
 			       now_us - s->sent_us, mean_us, now_us);
 	if (good || (p && is_final(p, reply))) {
+		gw_target_limit(s->target, reply->service_us, s->goal_us);
 		if (!s->is_extra)
 			hdg_sample(&s->stats->hdg, reply->service_us);
 		gw_target_good(s->target, reply->service_us, mean_us, now_us);
--- a/src/gateway/gw_bound.c
+++ b/src/gateway/gw_bound.c
@@ -151,6 +151,8 @@
 		struct gw_target *t = g_ptr_array_index(s->targets, i);
 
 		t->share = cu_max_u32(1, def->connections / g->host_count);
+		if (!t->limit_milli)
+			t->limit_milli = t->share * MILLI;
 	}
 }
 
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -28,6 +28,11 @@
 	/* Connections, and so calls at once, that this host may have open. */
 	uint32_t share;
 	uint32_t outstanding;
+	/*
+	 * Calls at once that it answers in time, in thousandths; follows its
+	 * answer times, within the share.
+	 */
+	uint32_t limit_milli;
 	/* Open calls, oldest first. */
 	TAILQ_HEAD(, gw_sub) subs;
 	/* Smoothed answer time relative to the route's mean. */
@@ -144,6 +149,7 @@
 	struct gw_service *service;
 	struct gw_route_stats *stats;
 	int64_t sent_us;
+	int64_t goal_us;
 	int is_extra;
 	struct tmr_sub cancel_timer;
 	TAILQ_ENTRY(gw_sub) link;
@@ -231,6 +237,11 @@
 			 int64_t mean_us, int64_t now_us);
 void gw_target_failed(struct gw_target *t, const struct target_reply *r,
 		      int64_t now_us);
+/*
+ * Follows the target's load: @took_us of a call whose answer is worth most
+ * within @goal_us.
+ */
+void gw_target_limit(struct gw_target *t, int64_t took_us, int64_t goal_us);
 struct gw_pick {
 	/* Best target for one more call, or NULL. */
 	struct gw_target *target;
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -22,6 +22,12 @@
 #define REMOTE_MILLI 2500
 /* A call open for this many means is taken as a sign of a pause. */
 #define STALL_MEANS 2
+/*
+ * A call that took longer than this part of its goal lowers the number of calls
+ * that the target gets at once: its queue is longer than answers can wait.
+ */
+#define LIMIT_GOAL_PERMILLE 500
+#define LIMIT_DECREASE_PERMILLE 850
 /* Added cost per failure share, as a multiple of one call. */
 #define FAILURE_WEIGHT 6
 /* Avoided after failures in a row, doubling from the first time span. */
@@ -100,6 +106,19 @@
 		now_us + cu_min_i64(AVOID_MIN_US << doublings, AVOID_MAX_US);
 }
 
+void gw_target_limit(struct gw_target *t, int64_t took_us, int64_t goal_us)
+{
+	uint32_t most = t->share * MILLI;
+
+	if (took_us * PERMILLE > goal_us * LIMIT_GOAL_PERMILLE)
+		t->limit_milli =
+			t->limit_milli * LIMIT_DECREASE_PERMILLE / PERMILLE;
+	else
+		t->limit_milli +=
+			MILLI * MILLI / cu_max_u32(t->limit_milli, MILLI);
+	t->limit_milli = cu_min_u32(cu_max_u32(t->limit_milli, MILLI), most);
+}
+
 static int was_tried(const struct gw_part *p, const struct gw_target *t)
 {
 	uint32_t i;
@@ -159,7 +178,7 @@
 static int has_room(const struct gw_target *t, int64_t now_us,
 		    struct gw_pick *pick)
 {
-	if (t->outstanding >= t->share) {
+	if (t->outstanding >= cu_min_u32(t->share, t->limit_milli / MILLI)) {
 		pick->is_busy = 1;
 		return 0;
 	}
