Send nothing to an address that another target has

A shard's only searcher was gone, a searcher of another shard had its address, and the store was down, so that the entry stayed. As the last resort it got a call of every request, 269 times 421 in the window; each of them was the second arrival of that request at the other shard.

Change: a target that answered 421 gets no call for 30 s, or until its entry names another address. Before, it was avoided for 5 s unless it was the last one.

Ruled out: the hosts' own allowance (304 extra calls at the shard that lost its searcher, and none of the other shards near the bound).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 # make bench-sim  latency and goodput of the request path, simulated
 # make demo     the whole system on loopback
 # make bench    load bench (SCENARIO=name: one scenario)
-# make soak     faults on real processes (SEED=n FOR=seconds)
+# make soak     faults on real processes (SEED=n FOR=seconds; soak-seeds: all
+#               that once failed)
 # make capacity slopes of cost for docs/CAPACITY.md
 # VARIANT=asan|tsan builds into build/asan or build/tsan.
 
@@ -95,6 +96,11 @@
 soak: $(OUT)/cowslippoint $(OUT)/standin $(OUT)/soak-run
 	$(OUT)/soak-run --seed $(or $(SEED),1) --for $(or $(FOR),60)
 
+# Every seed that once failed, for as long as it took then.
+soak-seeds: $(OUT)/cowslippoint $(OUT)/standin $(OUT)/soak-run
+	awk '!/^#/ { print $$1 }' tests/soak/SEEDS | \
+		xargs -I{} $(OUT)/soak-run --seed {} --for 40
+
 demo: $(OUT)/cowslippoint $(OUT)/standin $(OUT)/demo-run
 	$(OUT)/demo-run
 # Simulation of the request path; not part of check.
@@ -141,11 +147,12 @@
 	$(MAKE) -j$$(nproc) tests
 	$(MAKE) -j$$(nproc) tests VARIANT=asan
 	$(MAKE) -j$$(nproc) tests VARIANT=tsan
+	$(MAKE) soak SEED=1 FOR=15
 	tests/run-checks
 
 clean:
 	rm -rf build
 
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
-.PHONY: all demo soak deps tests bench bench-sim capacity format format-check lint \
+.PHONY: all demo soak soak-seeds deps tests bench bench-sim capacity format format-check lint \
 	check clean
--- a/src/gateway/gw_bound.c
+++ b/src/gateway/gw_bound.c
@@ -104,6 +104,9 @@
 	if (def->warmup_left_ms && def->warmup_left_ms != t->def.warmup_left_ms)
 		t->cold_until_us =
 			now_us + (int64_t)def->warmup_left_ms * US_PER_MS;
+	if (strcmp(t->def.address, def->address) != 0 ||
+	    t->def.port != def->port)
+		t->misdirected_until_us = 0;
 	t->def = *def;
 	t->is_usable = !def->is_draining && !def->is_evacuated;
 	if (t->is_usable)
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -51,6 +51,8 @@
 	int64_t hint_until_us;
 	/* Not used before this time while others are in reach. */
 	int64_t avoid_until_us;
+	/* Not used at all before this time: its address is another one's. */
+	int64_t misdirected_until_us;
 	/* Slow start: until when, and the earliest time of the next call. */
 	int64_t cold_until_us;
 	int64_t cold_next_us;
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -35,8 +35,12 @@
 #define AVOID_MAX_US (2 * US_PER_S)
 #define AVOID_FAILURES 2
 #define AVOID_DOUBLINGS_MAX 5
-/* Another target has the address: this one's entry goes within this time. */
-#define MISDIRECTED_AVOID_US (5 * US_PER_S)
+/*
+ * Another target has the address. Each further call would count as an extra one
+ * at that target's service, so there is none until the entry goes or names
+ * another address; while the store is away that takes long.
+ */
+#define MISDIRECTED_US (30 * US_PER_S)
 #define STATUS_MISDIRECTED 421
 
 struct gw_target *gw_target_ref(struct gw_target *t)
@@ -95,7 +99,7 @@
 	t->failed_permille = smooth_failed(t->failed_permille, PERMILLE);
 	t->failures_in_row++;
 	if (r->status == STATUS_MISDIRECTED) {
-		t->avoid_until_us = now_us + MISDIRECTED_AVOID_US;
+		t->misdirected_until_us = now_us + MISDIRECTED_US;
 		return;
 	}
 	if (t->failures_in_row < AVOID_FAILURES &&
@@ -205,8 +209,8 @@
 			s->targets, (i + offset) % s->targets->len);
 		int64_t c;
 
-		if (!t->is_usable || was_tried(p, t) ||
-		    !gw_version_allows(s, t, group) ||
+		if (!t->is_usable || now_us < t->misdirected_until_us ||
+		    was_tried(p, t) || !gw_version_allows(s, t, group) ||
 		    !has_room(t, now_us, &pick))
 			continue;
 		c = cost(g, t, mean_us, now_us);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -196,7 +196,7 @@
 	b->routes[b->route_count++] = join(argc, argv);
 }
 
-/* target ID SERVICE [dc=a] [born=MS] [draining=1] [version=V]: put into discovery. */
+/* target ID SERVICE [dc=a] [born=MS] [draining=1] [version=V] [at=IP]: put into discovery. */
 static void cmd_target(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct bench *b = ctx;
@@ -205,7 +205,8 @@
 	b->out = out;
 	cu_copy(s.id, sizeof(s.id), argv[0]);
 	cu_copy(s.service, sizeof(s.service), argv[1]);
-	cu_copy(s.address, sizeof(s.address), "127.0.0.1");
+	cu_copy(s.address, sizeof(s.address),
+		script_arg(argc, argv, "at", "127.0.0.1"));
 	cu_copy(s.data_centre, sizeof(s.data_centre),
 		script_arg(argc, argv, "dc", "a"));
 	cu_copy(s.version, sizeof(s.version),
