--- a/src/base/sock.h
+++ b/src/base/sock.h
@@ -1,4 +1,4 @@
-/* Socket options that several duties set. */
+/* Sockets and socket options that several duties use. */
 #ifndef SOCK_H
 #define SOCK_H
 
@@ -10,4 +10,10 @@
  */
 void sock_keepalive(int fd, int32_t idle_s, int32_t interval_s, int32_t probes);
 
+/*
+ * Socket that connects to @address, an IP number, without waiting; -1 when it
+ * cannot. Whether it did shows when it can be written to.
+ */
+int sock_connect(const char *address, uint16_t port);
+
 #endif
--- a/src/duty/duty.c
+++ b/src/duty/duty.c
@@ -97,6 +97,17 @@
 	return wait_us(d);
 }
 
+void duty_poll_loop(struct duty *d, struct poller *p, duty_message_fn *fn,
+		    void *ctx)
+{
+	while (!duty_stopping(d)) {
+		int64_t wait_us = duty_poll(d, fn, ctx);
+
+		if (!duty_stopping(d))
+			poller_wait(p, wait_us);
+	}
+}
+
 static void message_loop(struct duty *d)
 {
 	struct msg batch[DUTY_BATCH];
--- a/src/duty/duty.h
+++ b/src/duty/duty.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "base/err.h"
+#include "base/poller.h"
 #include "base/ring.h"
 #include "base/tmr.h"
 
@@ -48,5 +49,11 @@
  * without waiting. Returns the time until the next timer in us, -1 for none.
  */
 int64_t duty_poll(struct duty *d, duty_message_fn *fn, void *ctx);
+/*
+ * For duty_start_loop(): messages, due timers and the sockets of @p, until the
+ * duty stops. The ring's wake callback is poller_wake().
+ */
+void duty_poll_loop(struct duty *d, struct poller *p, duty_message_fn *fn,
+		    void *ctx);
 
 #endif
--- a/src/duty/egress.c
+++ b/src/duty/egress.c
@@ -375,22 +375,10 @@
 
 static int open_socket(const struct target_call *call)
 {
-	struct sockaddr_storage sa;
-	socklen_t len = addr_fill(call->address, call->port, &sa);
-	int fd;
-
-	if (!len)
-		return -1;
-	fd = socket(sa.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-		    0);
-	if (fd < 0)
-		return -1;
-	set_options(fd);
-	if (connect(fd, (struct sockaddr *)&sa, len) < 0 &&
-	    errno != EINPROGRESS) {
-		close(fd);
-		return -1;
-	}
+	int fd = sock_connect(call->address, call->port);
+
+	if (fd >= 0)
+		set_options(fd);
 	return fd;
 }
 
@@ -505,12 +493,7 @@
 {
 	struct egress *e = ctx;
 
-	while (!duty_stopping(d)) {
-		int64_t wait_us = duty_poll(d, on_message, e);
-
-		if (!duty_stopping(d))
-			poller_wait(e->poller, wait_us);
-	}
+	duty_poll_loop(d, e->poller, on_message, e);
 }
 
 struct egress *egress_new(struct err *err)
--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -485,12 +485,7 @@
 {
 	struct ingress *in = ctx;
 
-	while (!duty_stopping(d)) {
-		int64_t wait_us = duty_poll(d, on_message, in);
-
-		if (!duty_stopping(d))
-			poller_wait(in->poller, wait_us);
-	}
+	duty_poll_loop(d, in->poller, on_message, in);
 }
 
 static enum err_code open_listener(struct ingress *in, enum page page,
--- a/src/duty/relay.c
+++ b/src/duty/relay.c
@@ -13,6 +13,7 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "base/poller.h"
+#include "base/sock.h"
 #include "codec/prpc.h"
 #include "codec/pxdr.h"
 #include "codec/pxdr_state.h"
@@ -180,7 +181,7 @@
 		return 1;
 	rpc_conn_free(r->upstream);
 	r->upstream = NULL;
-	fd = rpc_conn_connect(f->address, f->port);
+	fd = sock_connect(f->address, f->port);
 	if (fd >= 0)
 		r->upstream = rpc_conn_new(r->poller, fd, &ops);
 	memcpy(r->address, f->address, sizeof(r->address));
@@ -456,12 +457,7 @@
 {
 	struct relay *r = ctx;
 
-	while (!duty_stopping(d)) {
-		int64_t wait_us = duty_poll(d, on_message, r);
-
-		if (!duty_stopping(d))
-			poller_wait(r->poller, wait_us);
-	}
+	duty_poll_loop(d, r->poller, on_message, r);
 }
 
 static int bound_socket(const char *address, uint16_t port, int type)
--- a/src/duty/rpc_conn.c
+++ b/src/duty/rpc_conn.c
@@ -8,7 +8,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "base/addr.h"
 #include "base/sock.h"
 #include "codec/prpc.h"
 
@@ -132,26 +131,6 @@
 		rpc_conn_flush(c);
 }
 
-int rpc_conn_connect(const char *address, uint16_t port)
-{
-	struct sockaddr_storage sa;
-	socklen_t len = addr_fill(address, port, &sa);
-	int fd;
-
-	if (!len)
-		return -1;
-	fd = socket(sa.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-		    0);
-	if (fd < 0)
-		return -1;
-	if (connect(fd, (struct sockaddr *)&sa, len) < 0 &&
-	    errno != EINPROGRESS) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 struct rpc_conn *rpc_conn_new(struct poller *p, int fd,
 			      const struct rpc_conn_ops *ops)
 {
--- a/src/duty/rpc_conn.h
+++ b/src/duty/rpc_conn.h
@@ -27,8 +27,6 @@
 			      const struct rpc_conn_ops *ops);
 /* Closes the socket. */
 void rpc_conn_free(struct rpc_conn *c);
-/* Socket that connects to @address, or -1. */
-int rpc_conn_connect(const char *address, uint16_t port);
 /* Buffer that records are appended to before rpc_conn_flush(). */
 struct buf *rpc_conn_out(struct rpc_conn *c);
 /* Bytes that wait to be written. */
