Keep fewer connections where targets accept fewer than there are hosts

Change: where 0.6 of a target's connections are fewer than the hosts, idle ones are closed after 2.5 s, and a target with a warm one is preferred by one mean time.

--- a/src/duty/egress.c
+++ b/src/duty/egress.c
@@ -169,12 +169,16 @@
 
 static void make_idle(struct conn *c, int64_t now_us)
 {
+	uint32_t idle_ms = c->idle_ms;
+
+	if (c->call->idle_ms_max)
+		idle_ms = cu_min_u32(idle_ms, c->call->idle_ms_max);
 	detach_call(c);
 	h1_reset(&c->h1);
 	c->state = CONN_IDLE;
 	c->idle_us = now_us;
 	TAILQ_INSERT_HEAD(&c->peer->idle, c, link);
-	tmr_arm(timers(c), &c->timer, now_us + (int64_t)c->idle_ms * US_PER_MS,
+	tmr_arm(timers(c), &c->timer, now_us + (int64_t)idle_ms * US_PER_MS,
 		on_idle_timeout, c);
 }
 
--- a/src/gateway/4_send.c
+++ b/src/gateway/4_send.c
@@ -92,6 +92,7 @@
 	c->deadline_us = r->deadline_us;
 	c->wait_ms = (uint32_t)((r->deadline_us - now_us) / US_PER_MS);
 	c->connection_share = s->target->share;
+	c->idle_ms_max = s->target->is_scarce ? SCARCE_IDLE_MS : 0;
 	c->is_once = !r->route->is_idempotent;
 	return c;
 }
@@ -414,6 +415,7 @@
 			       !good && reply->code != ERR_CANCELLED,
 			       now_us - s->sent_us, mean_us, now_us);
 	if (good || (p && is_final(p, reply))) {
+		s->target->warm_until_us = now_us + SCARCE_IDLE_MS * US_PER_MS;
 		gw_target_limit(s->target, reply->service_us, s->goal_us);
 		if (!s->is_extra)
 			hdg_sample(&s->stats->hdg, reply->service_us);
--- a/src/gateway/gw_bound.c
+++ b/src/gateway/gw_bound.c
@@ -7,6 +7,12 @@
 
 /* Calls to a new target are expected to take the mean of the route. */
 #define SLOWNESS_START_MILLI 1000
+/*
+ * Part of a target's connections that hosts may keep open. After a loss of
+ * power targets hold those of the dead processes for seconds, and there has to
+ * be room for new ones.
+ */
+#define SCARCE_PERMILLE 600
 /* Part of the shared budget that hosts use by their own count. */
 #define BUDGET_PERMILLE 900
 #define MILLI 1000
@@ -154,6 +160,9 @@
 		struct gw_target *t = g_ptr_array_index(s->targets, i);
 
 		t->share = cu_max_u32(1, def->connections / g->host_count);
+		t->is_scarce = def->connections &&
+			       def->connections * SCARCE_PERMILLE / PERMILLE <
+				       g->host_count;
 		if (!t->limit_milli)
 			t->limit_milli = t->share * MILLI;
 	}
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -16,6 +16,9 @@
 /* Targets that one part of a request can have been sent to. */
 #define PART_TARGETS_MAX 8
 
+/* Idle time of connections to targets whose connections are scarce. */
+#define SCARCE_IDLE_MS 2500
+
 struct gw_req;
 struct gw_sub;
 
@@ -27,6 +30,13 @@
 	int is_usable;
 	/* Connections, and so calls at once, that this host may have open. */
 	uint32_t share;
+	/*
+	 * Hosts have less than one connection each with room to spare: idle
+	 * ones are closed soon, and targets with an open one are preferred.
+	 */
+	int is_scarce;
+	/* A connection to it is open until then, unless the target closes it. */
+	int64_t warm_until_us;
 	uint32_t outstanding;
 	/*
 	 * Calls at once that it answers in time, in thousandths; follows its
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -20,6 +20,8 @@
  * on the link included: less than waiting behind one call nearby.
  */
 #define REMOTE_MILLI 2500
+/* The same for a connection that has to be opened. */
+#define CONNECT_MILLI 1000
 /* A call open for this many means is taken as a sign of a pause. */
 #define STALL_MEANS 2
 /*
@@ -172,6 +174,8 @@
 	milli += stall_cost(t, mean_us, now_us);
 	if (strcmp(t->def.data_centre, g->opt.data_centre) != 0)
 		milli += REMOTE_MILLI;
+	if (t->is_scarce && now_us >= t->warm_until_us)
+		milli += CONNECT_MILLI;
 	/* Targets that failed in a row are the last resort. */
 	if (now_us < t->avoid_until_us)
 		milli += (t->avoid_until_us - now_us) * MILLI;
--- a/src/model/exchange.h
+++ b/src/model/exchange.h
@@ -82,6 +82,8 @@
 	uint32_t wait_ms;
 	/* Connections that this host may have open to the target. */
 	uint32_t connection_share;
+	/* The connection is closed after this idle time; 0: as the target says. */
+	uint32_t idle_ms_max;
 	/* 1: must not run twice, so only a connection used lately will do. */
 	uint32_t is_once;
 };
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -88,6 +88,8 @@
 	int listener;
 	uint16_t port;
 	uint64_t next_id;
+	/* Of the calls that follow; 0: as the target says. */
+	uint32_t idle_ms_max;
 };
 
 static void egress_begin(struct egress_case *c)
@@ -127,6 +129,7 @@
 	call->deadline_us = clock_now_us() + WAIT_US;
 	call->wait_ms = 77;
 	call->connection_share = 4;
+	call->idle_ms_max = c->idle_ms_max;
 	call->is_once = (uint32_t)once;
 	g_assert_cmpint(ring_push(egress_ring(c->egress), &m), ==, ERR_OK);
 	return c->next_id;
@@ -290,6 +293,29 @@
 	close(fd);
 }
 
+/*
+ * Guards against connections that stay open to targets whose connections are
+ * scarce. The target closes nothing by itself here.
+ */
+static void test_idle(void)
+{
+	struct egress_case c;
+	struct target_reply *r;
+	int fd;
+
+	egress_begin(&c);
+	c.idle_ms_max = 1;
+	call(&c, "r1", 0);
+	fd = accept(c.listener, NULL, NULL);
+	expect(fd, "\r\n\r\n");
+	put(fd, HEAD_OK "Content-Length: 1\r\n\r\nx");
+	r = reply(&c);
+	g_assert_cmpint(r->code, ==, ERR_OK);
+	target_reply_free(r);
+	expect_end(fd);
+	egress_end(&c);
+}
+
 /* Guards against calls without an end: refused, and cancelled ones. */
 static void test_ends(void)
 {
@@ -554,6 +580,7 @@
 	g_test_add_func("/egress/cut", test_cut);
 	g_test_add_func("/egress/no-length", test_no_length);
 	g_test_add_func("/egress/not-run", test_not_run);
+	g_test_add_func("/egress/idle", test_idle);
 	g_test_add_func("/egress/ends", test_ends);
 	g_test_add_func("/ingress/exchange", test_exchange);
 	g_test_add_func("/ingress/gone", test_gone);
