Count the soak's requests for every configuration that may be in force

The trace shows all hosts at version 16, the newest that the store had; the writes of 17 and later fell into a store outage, but the check counted the requests of the moving route for the service of the newest version written.

Change: they count for the services of all versions from the newest acknowledged one on. Ratio and fixed number of the bound are unchanged.

--- a/tests/soak/load.c
+++ b/tests/soak/load.c
@@ -255,8 +255,15 @@
 		}
 		break;
 	case KIND_MOVE:
-		world_move_service(w->version, name);
-		ledger_request_for(w->ledger, name);
+		/*
+		 * Any version from the newest that the store acknowledged on may
+		 * be in force: one without an acknowledgement need not be there
+		 * (seed 107).
+		 */
+		for (i = w->acked_version; i <= w->version; i++) {
+			world_move_service(i, name);
+			ledger_request_for(w->ledger, name);
+		}
 		break;
 	default:
 		ledger_request_for(w->ledger, "one");
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -202,8 +202,10 @@
 	w->acked_us[version] = INT64_MAX;
 	w->version = version;
 	ok = world_put(w, "op/config", text);
-	if (ok)
+	if (ok) {
 		w->acked_us[version] = clock_now_us();
+		w->acked_version = version;
+	}
 	free(text);
 	return ok;
 }
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -66,6 +66,8 @@
 	_Atomic int64_t store_troubled_us;
 	/* Configuration version and when the store acknowledged each. */
 	_Atomic uint32_t version;
+	/* Newest version that the store acknowledged. */
+	_Atomic uint32_t acked_version;
 	_Atomic int64_t acked_us[WORLD_VERSIONS_MAX];
 	char dir[200];
 	uint64_t seed;
