egress: Drop copied answers and end endless ones

Cause: answers to the calls of parts carry no request ID, so a second copy of an answer that came while the next call was in flight on the connection was taken for its answer. Blank lines, interim responses and chunk extensions without end were read until the deadline of the call, and unfinished answers of many targets together could use up the memory of a host (4 MB for each of 135 parts).

Change: a connection keeps hashes of the stamps of its last four answers and drops an answer without an ID that repeats one. The reader of HTTP messages bounds the framing and the number of interim responses. Above 32 MB of unfinished answers the call with the longest one fails.

Result: /egress/copy, /egress/endless and /egress/many-long fail before the change and pass after it. Ruled out before: a copy that carries an ID, one that comes with the answer and one on an idle connection (/egress/stray, /egress/extra).

--- a/src/codec/http1.c
+++ b/src/codec/http1.c
@@ -4,6 +4,10 @@
 #include <strings.h>
 
 #define STATUS_INFORMATIONAL_MAX 199
+/* Interim responses (1xx) before a response; a target sends one or two. */
+#define INTERIM_MAX 8
+/* Framing that is accepted in any case: the limits may be very small. */
+#define FRAMING_BYTES_MIN 16384
 
 static int fail(struct http1_reader *h, enum err_code code)
 {
@@ -139,14 +143,34 @@
 	buf_free(&h->body);
 }
 
-void http1_reset(struct http1_reader *h)
+static void begin_message(struct http1_reader *h)
 {
 	clear_message(h);
 	if (HTTP_PARSER_ERRNO(&h->parser) == HPE_PAUSED)
 		http_parser_pause(&h->parser, 0);
 }
 
-size_t http1_parse(struct http1_reader *h, const char *data, size_t len)
+void http1_reset(struct http1_reader *h)
+{
+	begin_message(h);
+	h->message_bytes = 0;
+	h->interim_count = 0;
+}
+
+/* Fails a message that goes on after all that the limits allow. */
+static void check_size(struct http1_reader *h)
+{
+	uint64_t bytes_max =
+		2 * ((uint64_t)h->limits.head_bytes + h->limits.body_bytes) +
+		FRAMING_BYTES_MIN;
+
+	if (h->message_bytes > bytes_max && h->state != HTTP1_COMPLETE &&
+	    h->state != HTTP1_BAD)
+		fail(h, ERR_TOO_LARGE);
+}
+
+static size_t parse_message(struct http1_reader *h, const char *data,
+			    size_t len)
 {
 	size_t used = http_parser_execute(&h->parser, &settings, data, len);
 	enum http_errno error = HTTP_PARSER_ERRNO(&h->parser);
@@ -156,11 +180,30 @@
 	/* A protocol switch is refused: what follows it is not HTTP/1.1. */
 	if (h->parser.upgrade && h->state != HTTP1_BAD)
 		fail(h, ERR_BAD_FIELD);
-	if (h->state == HTTP1_COMPLETE && h->kind == HTTP1_RESPONSE &&
-	    http1_status(h) <= STATUS_INFORMATIONAL_MAX) {
-		http1_reset(h);
-		return used + http1_parse(h, data + used, len - used);
-	}
+	h->message_bytes += used;
+	check_size(h);
+	return used;
+}
+
+/* Drops an interim response; returns 1 if the message read was one. */
+static int skip_interim(struct http1_reader *h)
+{
+	if (h->state != HTTP1_COMPLETE || h->kind != HTTP1_RESPONSE ||
+	    http1_status(h) > STATUS_INFORMATIONAL_MAX)
+		return 0;
+	if (++h->interim_count > INTERIM_MAX)
+		fail(h, ERR_TOO_LARGE);
+	else
+		begin_message(h);
+	return h->state != HTTP1_BAD;
+}
+
+size_t http1_parse(struct http1_reader *h, const char *data, size_t len)
+{
+	size_t used = parse_message(h, data, len);
+
+	while (skip_interim(h) && used < len)
+		used += parse_message(h, data + used, len - used);
 	return used;
 }
 
--- a/src/codec/http1.h
+++ b/src/codec/http1.h
@@ -27,7 +27,11 @@
 	HTTP1_BAD
 };
 
-/* Largest sizes accepted; the head counts as http1_reader.head_bytes. */
+/*
+ * Largest sizes accepted; the head counts as http1_reader.head_bytes. A message
+ * with its framing, blank lines and interim responses (1xx) before it, chunk
+ * headers and extensions, may have twice as many bytes as both together.
+ */
 struct http1_limits {
 	uint32_t head_bytes;
 	uint32_t body_bytes;
@@ -48,11 +52,11 @@
 	/*
 	 * Reason of HTTP1_BAD: ERR_BAD_FIELD when the bytes are not valid
 	 * HTTP/1.1 or switch to another protocol; ERR_TOO_LARGE for the head,
-	 * also for too many fields, or the body; ERR_TARGET_CLOSED when the
-	 * stream ended too early.
+	 * also for too many fields, the body, the framing, or too many interim
+	 * responses; ERR_TARGET_CLOSED when the stream ended too early.
 	 */
 	enum err_code error;
-	/* With ERR_TOO_LARGE: 1 for the head, 0 for the body. */
+	/* With ERR_TOO_LARGE: 1 for the head, else 0. */
 	uint32_t head_too_large;
 	/* Set by the user of the reader for the response to a HEAD request. */
 	uint32_t is_head_response;
@@ -66,6 +70,9 @@
 	uint32_t head_bytes;
 	/* 1 if the part of the head read last belongs to a field's value. */
 	uint32_t in_value;
+	/* Bytes read since http1_reset(), and interim responses among them. */
+	uint64_t message_bytes;
+	uint32_t interim_count;
 };
 
 void http1_init(struct http1_reader *h, enum http1_kind kind,
--- a/src/duty/egress.c
+++ b/src/duty/egress.c
@@ -9,6 +9,7 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #include "base/addr.h"
 #include "base/clock.h"
@@ -45,6 +46,17 @@
  * more fails the call.
  */
 #define STRAYS_MAX 4
+/*
+ * Stamps of the last answers on a connection. An answer with one of them is a
+ * second copy of that answer.
+ */
+#define STAMPS_KEPT 4
+/*
+ * Bytes of unfinished answers on all connections together. Beyond that the
+ * call with the longest one fails, so that targets which send without end do
+ * not use up the memory of a small host.
+ */
+#define BUFFERED_BYTES_MAX (32 * 1048576)
 /* TCP keep-alive: idle time before the first probe, also the probe interval. */
 #define KEEPALIVE_S 1
 /* Probes without an answer after which a connection counts as broken. */
@@ -81,6 +93,11 @@
 	uint32_t stray_count;
 	/* Requests sent on this connection. */
 	uint32_t request_count;
+	/* Hashes of the stamps of the last answers; 0: none. */
+	uint64_t stamps[STAMPS_KEPT];
+	uint32_t next_stamp;
+	/* Bytes of the unfinished answer in @h1. */
+	size_t buffered_bytes;
 	/* End of the time to connect, of the call or of the idle time. */
 	struct timer_entry timer;
 	/* Place in the pool's list of idle connections. */
@@ -95,6 +112,8 @@
 	GHashTable *pools;
 	/* Call ID to the struct conn that carries the call. */
 	GHashTable *calls;
+	/* Sum of conn.buffered_bytes. */
+	size_t buffered_bytes;
 	/* Buffer that all connections receive into. */
 	char scratch[READ_BYTES];
 };
@@ -132,6 +151,12 @@
 	push_reply(e, r);
 }
 
+static void set_buffered(struct conn *c, size_t bytes)
+{
+	c->egress->buffered_bytes += bytes - c->buffered_bytes;
+	c->buffered_bytes = bytes;
+}
+
 /* Frees the call that @c carries and forgets its ID. */
 static void detach_call(struct conn *c)
 {
@@ -152,6 +177,7 @@
 	timer_queue_cancel(timers(c), &c->timer);
 	poller_remove(e->poller, &c->item);
 	close(c->item.fd);
+	set_buffered(c, 0);
 	http1_clear(&c->h1);
 	buf_free(&c->out);
 	free(c);
@@ -193,6 +219,7 @@
 		timeout_ms = util_min_u32(timeout_ms, c->call->idle_timeout_ms);
 	detach_call(c);
 	http1_reset(&c->h1);
+	set_buffered(c, 0);
 	c->state = CONN_IDLE;
 	c->idle_since_us = now_us;
 	TAILQ_INSERT_HEAD(&c->pool->idle, c, idle_link);
@@ -210,15 +237,37 @@
 			ms > 2 * IDLE_MARGIN_MS ? ms - IDLE_MARGIN_MS : ms / 2;
 }
 
+/* Hash of the answer's stamp; 0 if it has none. */
+static uint64_t stamp_hash(const struct conn *c)
+{
+	const char *stamp = platform_reply_stamp(&c->h1);
+
+	return stamp ? XXH3_64bits(stamp, strlen(stamp)) : 0;
+}
+
+/* 1 if one of the last answers on the connection had the same stamp. */
+static int is_copy(const struct conn *c)
+{
+	uint64_t hash = stamp_hash(c);
+	uint32_t i;
+
+	for (i = 0; hash && i < STAMPS_KEPT; i++) {
+		if (c->stamps[i] == hash)
+			return 1;
+	}
+	return 0;
+}
+
 /*
  * 1 if the answer belongs to the call. The answer to the call of a part carries
- * no request ID; it is taken to belong to the latest request on the connection.
+ * no request ID; it is taken to belong to the latest request on the connection,
+ * unless it is a second copy of an earlier answer, which a target may send late.
  */
 static int is_expected(const struct conn *c)
 {
 	const char *id = platform_reply_request_id(&c->h1);
 
-	return !id || strcmp(id, c->call->request_id) == 0;
+	return id ? strcmp(id, c->call->request_id) == 0 : !is_copy(c);
 }
 
 /*
@@ -237,6 +286,7 @@
 	struct target_reply *r = util_alloc(1, sizeof(*r));
 
 	r->call_id = c->call->call_id;
+	c->stamps[c->next_stamp++ % STAMPS_KEPT] = stamp_hash(c);
 	platform_reply_decode(&c->h1, r);
 	if (r->not_run && !may_trust_not_run(c))
 		r->not_run = 0;
@@ -263,19 +313,45 @@
 	return 1;
 }
 
+/* Fails the call whose unfinished answer is the longest one. */
+static void drop_longest(struct egress *e)
+{
+	struct conn *longest = NULL;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, e->calls);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct conn *c = value;
+
+		if (!longest || c->buffered_bytes > longest->buffered_bytes)
+			longest = c;
+	}
+	if (longest)
+		conn_fail(longest, ERR_TARGET_SIZE);
+}
+
 static void parse_input(struct conn *c, const char *data, size_t len,
 			int64_t now_us)
 {
+	struct egress *e = c->egress;
 	size_t used = 0;
 
 	do {
 		used += http1_parse(&c->h1, data + used, len - used);
 		if (c->h1.state == HTTP1_BAD) {
-			conn_fail(c, ERR_TARGET_CLOSED);
+			conn_fail(c, c->h1.error == ERR_TOO_LARGE
+					     ? ERR_TARGET_SIZE
+					     : ERR_TARGET_CLOSED);
 			return;
 		}
-		if (c->h1.state != HTTP1_COMPLETE)
+		if (c->h1.state != HTTP1_COMPLETE) {
+			set_buffered(c, c->h1.body.len_bytes +
+						c->h1.field_text.len_bytes);
+			if (e->buffered_bytes > BUFFERED_BYTES_MAX)
+				drop_longest(e);
 			return;
+		}
 		if (is_expected(c)) {
 			on_answer(c, len - used, now_us);
 			return;
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -232,6 +232,166 @@
 	egress_end(&c);
 }
 
+/*
+ * Guards against taking a second copy of an answer, which arrives while the next
+ * request is in flight on the same connection, for the answer to that request.
+ * The answers carry no request ID, as those of parts.
+ */
+static void test_copy(void)
+{
+	static const char first[] = "HTTP/1.1 200 OK\r\n"
+				    "Cowslippoint-Server-Stamp: s1\r\n"
+				    "Content-Length: 3\r\n\r\nold";
+	struct egress_case c;
+	struct target_reply *r;
+	int fd;
+
+	egress_begin(&c);
+	call(&c, "r1", 0);
+	fd = accept(c.listener, NULL, NULL);
+	expect(fd, "\r\n\r\n");
+	put(fd, first);
+	target_reply_free(reply(&c));
+	call(&c, "r2", 0);
+	expect(fd, "\r\n\r\n");
+	put(fd, first);
+	put(fd, "HTTP/1.1 200 OK\r\nCowslippoint-Server-Stamp: s2\r\n"
+		"Content-Length: 3\r\n\r\nnew");
+	r = reply(&c);
+	g_assert_cmpstr(r->stamp, ==, "s2");
+	g_assert_cmpstr(r->body.data, ==, "new");
+	target_reply_free(r);
+	egress_end(&c);
+	close(fd);
+}
+
+/* Sends @text again and again until the other end has closed @fd. */
+static void put_until_closed(int fd, const char *text)
+{
+	int64_t end_us = clock_now_us() + WAIT_US;
+
+	while (send(fd, text, strlen(text), MSG_NOSIGNAL) > 0)
+		g_assert_cmpint(clock_now_us(), <, end_us);
+	close(fd);
+}
+
+/*
+ * Guards against answers that never end: in each place in which a target can
+ * send bytes without end, the call fails and the connection is closed long
+ * before the call's deadline.
+ */
+static void test_endless(void)
+{
+	static const struct {
+		/* Sent once, and then without end. */
+		const char *begin;
+		const char *repeat;
+	} answers[] = {
+		{ "", "\r\n" },
+		{ "", "no answer at all " },
+		{ "", "HTTP/1.1 100 Continue\r\n\r\n" },
+		{ "HTTP/1.1 200 ", "very " },
+		{ "HTTP/1.1 200 OK\r\nX-", "Name" },
+		{ "HTTP/1.1 200 OK\r\nX: ", "value " },
+		{ "HTTP/1.1 200 OK\r\n", "X: y\r\n" },
+		{ HEAD_OK "\r\n", "body without a length " },
+		{ HEAD_OK "Content-Length: 99999999999\r\n\r\n", "body " },
+		{ HEAD_OK "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r"
+								"\n" },
+		{ HEAD_OK "Transfer-Encoding: chunked\r\n\r\n4;", "x=y;" },
+		{ HEAD_OK "Transfer-Encoding: chunked\r\n\r\n", "1;extension-"
+								"of-a-chunk="
+								"that-is-much-"
+								"longer-than-"
+								"it\r\nb\r\n" },
+		{ HEAD_OK "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: "
+								     "y\r\n" },
+		{ HEAD_OK "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", "value"
+									" " },
+		{ HEAD_OK "Content-Length: 2\r\n\r\nok", "after the answer" },
+	};
+	uint32_t i;
+
+	for (i = 0; i < countof(answers); i++) {
+		struct egress_case c;
+		struct target_reply *r;
+		int64_t from_us = clock_now_us();
+		int fd;
+
+		egress_begin(&c);
+		call(&c, "r1", 0);
+		fd = accept(c.listener, NULL, NULL);
+		expect(fd, "\r\n\r\n");
+		put(fd, answers[i].begin);
+		put_until_closed(fd, answers[i].repeat);
+		r = reply(&c);
+		if (i + 1 < countof(answers))
+			g_assert_cmpint(r->code, !=, ERR_OK);
+		else
+			g_assert_cmpstr(r->body.data, ==, "ok");
+		g_assert_cmpint(r->code, !=, ERR_TARGET_TIMEOUT);
+		g_assert_cmpuint(r->not_run, ==, 0);
+		target_reply_free(r);
+		g_assert_cmpint(clock_now_us() - from_us, <, WAIT_US);
+		egress_end(&c);
+	}
+}
+
+/* Bytes of unfinished answers that the duty keeps at most. */
+#define BUFFERED_MAX (32 * 1048576)
+/* Calls whose answers together are longer than what the duty may keep. */
+#define LONG_ANSWERS 12
+/* Bytes of each of them, below the limit for one answer. */
+#define LONG_ANSWER_BYTES (3 * 1048576 + 524288)
+
+/*
+ * Guards against unfinished answers of many targets that together use up the
+ * memory of the host: some of the calls fail, and those that are left may go
+ * on.
+ */
+static void test_many_long(void)
+{
+	char *bytes CLEANUP_FREE = util_alloc(LONG_ANSWER_BYTES, 1);
+	int fds[LONG_ANSWERS];
+	struct egress_case c;
+	uint32_t failed = 0;
+	uint32_t i;
+
+	egress_begin(&c);
+	for (i = 0; i < LONG_ANSWERS; i++)
+		call(&c, "r1", 0);
+	for (i = 0; i < LONG_ANSWERS; i++) {
+		fds[i] = accept(c.listener, NULL, NULL);
+		expect(fds[i], "\r\n\r\n");
+		put(fds[i], HEAD_OK "Content-Length: 4000000\r\n\r\n");
+	}
+	for (i = 0; i < LONG_ANSWERS; i++) {
+		size_t sent = 0;
+
+		while (sent < LONG_ANSWER_BYTES) {
+			ssize_t n = send(fds[i], bytes + sent,
+					 LONG_ANSWER_BYTES - sent,
+					 MSG_NOSIGNAL);
+
+			if (n <= 0)
+				break;
+			sent += (size_t)n;
+		}
+	}
+	while (failed * LONG_ANSWER_BYTES <
+	       LONG_ANSWERS * LONG_ANSWER_BYTES - BUFFERED_MAX) {
+		struct target_reply *r = reply(&c);
+
+		g_assert_cmpint(r->code, ==, ERR_TARGET_SIZE);
+		target_reply_free(r);
+		failed++;
+	}
+	g_assert_cmpuint(failed, <, LONG_ANSWERS);
+	egress_end(&c);
+	for (i = 0; i < LONG_ANSWERS; i++)
+		close(fds[i]);
+}
+
 /* Guards against taking an answer that was cut off for a complete one. */
 static void test_cut(void)
 {
@@ -619,6 +779,9 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/egress/request", test_request);
 	g_test_add_func("/egress/stray", test_stray);
+	g_test_add_func("/egress/copy", test_copy);
+	g_test_add_func("/egress/endless", test_endless);
+	g_test_add_func("/egress/many-long", test_many_long);
 	g_test_add_func("/egress/extra", test_extra);
 	g_test_add_func("/egress/cut", test_cut);
 	g_test_add_func("/egress/no-length", test_no_length);
