gateway: Heed targets that are leaving or ask for a pause

Cause: Server-Leaving and the Retry-After of a 503 were not read. A target that was leaving got calls until its entry in the store said so, and one that asked for a pause got the next call after at most 2 s.

Change: an answer with Server-Leaving ends new calls to that process, first calls, hedges and retries alike, also when its entry is gone and back; a new process under the ID is called again. A pause is kept as stated, up to 60 s: overload is over within seconds, and after it a single call asks again. A Retry-After that is no number of seconds is ignored and counted. Requests that no target may answer in their time are refused at once with the time until enough targets may be called; a gathered answer does not wait for parts that come back too late. A warm-up that a target states is taken for at most 300 s.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -35,6 +35,8 @@
 	    "Sub-requests that failed")                                        \
 	DEF(METRIC_TARGET_CONNECTS, "target_connects_total", "counter",        \
 	    "Connections opened to targets")                                   \
+	DEF(METRIC_TARGET_PAUSES_IGNORED, "target_pauses_ignored_total",       \
+	    "counter", "Retry-After of targets that was not valid")            \
 	DEF(METRIC_SILENT_CONNECTIONS, "silent_connections_total", "counter",  \
 	    "Connections closed as silent")                                    \
 	DEF(METRIC_REQUESTS_OPEN, "requests_open", "gauge",                    \
--- a/src/gateway/4_send.c
+++ b/src/gateway/4_send.c
@@ -34,9 +34,9 @@
 	SEND_NONE
 };
 
-static int has_time(const struct gw_req *r, int64_t now_us)
+int gw_req_has_time(const struct gw_req *r, int64_t at_us)
 {
-	return r->deadline_us - now_us > SEND_TIME_MIN_US;
+	return r->deadline_us - at_us > SEND_TIME_MIN_US;
 }
 
 static void send_cancel(struct gw *g, uint64_t call_id)
@@ -201,7 +201,7 @@
 	       p->tried_count - p->not_run_count < p->req->route->attempts_max;
 }
 
-static void on_cold_over(void *ctx, int64_t now_us)
+static void on_next_call(void *ctx, int64_t now_us)
 {
 	gw_send_waiting(ctx, now_us);
 }
@@ -216,10 +216,10 @@
 	struct gw_pick pick = gw_version_pick(
 		p, is_extra, p->req->stats->hedge.mean_us, now_us);
 
-	if (pick.cold_next_call_us)
-		timer_queue_arm(p->req->gw->timers, &p->service->cold_timer,
-				pick.cold_next_call_us, on_cold_over,
-				p->service);
+	if (pick.next_call_us)
+		timer_queue_arm(p->req->gw->timers,
+				&p->service->next_call_timer, pick.next_call_us,
+				on_next_call, p->service);
 	if (!pick.target)
 		return pick.has_full_target ? SEND_BUSY : SEND_NONE;
 	if (is_extra &&
@@ -252,7 +252,7 @@
 	struct gw_part *p = ctx;
 
 	if (p->phase != PART_OPEN || !has_attempt_left(p) ||
-	    !has_time(p->req, now_us))
+	    !gw_req_has_time(p->req, now_us))
 		return;
 	if (may_hedge(p, now_us) && try_send(p, 1, now_us) == SEND_DONE)
 		metric_add(METRIC_HEDGES, 1);
@@ -358,7 +358,7 @@
 static int may_retry(const struct gw_part *p, const struct target_reply *r,
 		     int64_t now_us)
 {
-	if (!has_attempt_left(p) || !has_time(p->req, now_us))
+	if (!has_attempt_left(p) || !gw_req_has_time(p->req, now_us))
 		return 0;
 	return p->req->route->is_idempotent || r->not_run;
 }
@@ -459,9 +459,7 @@
 	} else {
 		gw_target_failed(call->target, reply, now_us);
 	}
-	if (reply->warmup_left_ms > 0)
-		call->target->cold_until_us =
-			now_us + (int64_t)reply->warmup_left_ms * US_PER_MS;
+	gw_target_heard(call->target, reply, now_us);
 	if (!p)
 		target_reply_free(reply);
 	else if (good || is_final(p, reply))
@@ -492,7 +490,7 @@
 	uint32_t fill_permille = 0;
 	uint32_t i;
 
-	if (!has_time(r, now_us))
+	if (!gw_req_has_time(r, now_us))
 		return gw_req_refuse(r, 503, ERR_DEADLINE, 0);
 	metric_add(METRIC_SHARDS_ASKED, r->part_count);
 	for (i = 0; i < r->part_count; i++) {
--- a/src/gateway/5_answer.c
+++ b/src/gateway/5_answer.c
@@ -27,6 +27,22 @@
 	return 1;
 }
 
+/* Time until each service whose part failed may be called again. */
+static uint32_t retry_after_ms(const struct gw_req *r, int64_t now_us)
+{
+	int64_t at_us = now_us;
+	uint32_t i;
+
+	for (i = 0; i < r->part_count; i++) {
+		if (r->parts[i].phase == PART_FAILED)
+			at_us = util_max_i64(at_us, gw_target_first_call_us(
+							    r->parts[i].service,
+							    now_us));
+	}
+	return util_max_u32(RETRY_AFTER_MS,
+			    (uint32_t)((at_us - now_us) / US_PER_MS) + 1);
+}
+
 static enum filter_step refuse(struct gw_req *r, int64_t now_us)
 {
 	int is_late = now_us >= r->deadline_us;
@@ -34,7 +50,7 @@
 	if (has_not_run(r))
 		return gw_req_refuse(r, 503,
 				     is_late ? ERR_DEADLINE : ERR_NO_REPLICA,
-				     is_late ? 0 : RETRY_AFTER_MS);
+				     is_late ? 0 : retry_after_ms(r, now_us));
 	if (is_late)
 		return gw_req_refuse(r, 504, ERR_DEADLINE, 0);
 	return gw_req_refuse(
--- a/src/gateway/gw.c
+++ b/src/gateway/gw.c
@@ -246,7 +246,7 @@
 
 int gw_ready(const struct gw *g)
 {
-	return g->binding && g_hash_table_size(g->targets) > 0;
+	return g->binding && g->target_count > 0;
 }
 
 uint32_t gw_open_count(const struct gw *g)
--- a/src/gateway/gw_binding.c
+++ b/src/gateway/gw_binding.c
@@ -117,13 +117,15 @@
 	struct gw_target *t = get_target(g, def);
 
 	if (def->warmup_left_ms && def->warmup_left_ms != t->def.warmup_left_ms)
-		t->cold_until_us =
-			now_us + (int64_t)def->warmup_left_ms * US_PER_MS;
+		gw_target_set_warmup(t, def->warmup_left_ms, now_us);
 	if (strcmp(t->def.address, def->address) != 0 ||
 	    t->def.port != def->port)
 		t->misdirected_until_us = 0;
 	t->def = *def;
-	t->is_usable = !def->is_draining && !def->is_evacuated;
+	g->target_count += !def->is_draining && !def->is_evacuated;
+	t->is_usable = !def->is_draining && !def->is_evacuated &&
+		       !t->is_leaving;
+	gw_target_keep_leaving(t, now_us);
 	if (t->is_usable)
 		g_ptr_array_add(get_service(g, def->service)->targets, t);
 }
@@ -131,8 +133,10 @@
 static gboolean is_unused(gpointer key, gpointer value, gpointer ctx)
 {
 	const struct gw_target *t = value;
+	const int64_t *now_us = ctx;
 
-	return !t->is_usable && t->outstanding == 0;
+	return !t->is_usable && t->outstanding == 0 &&
+	       *now_us >= t->kept_until_us;
 }
 
 static void unbind_targets(struct gw *g)
@@ -205,6 +209,7 @@
 
 	g->host_count = util_max_u32(1, v->host_count);
 	unbind_targets(g);
+	g->target_count = 0;
 	for (i = 0; i < v->target_count; i++)
 		bind_target(g, &v->targets[i], now_us);
 	if (v->config && (!g->binding || g->binding->config != v->config)) {
@@ -217,7 +222,7 @@
 	}
 	set_all_limits(g);
 	gw_version_bind(g, v, now_us);
-	g_hash_table_foreach_remove(g->targets, is_unused, NULL);
+	g_hash_table_foreach_remove(g->targets, is_unused, &now_us);
 }
 
 void gw_free_state(struct gw *g)
@@ -230,7 +235,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct gw_service *s = value;
 
-		timer_queue_cancel(g->timers, &s->cold_timer);
+		timer_queue_cancel(g->timers, &s->next_call_timer);
 		g_ptr_array_free(s->targets, TRUE);
 		free(s);
 	}
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -27,8 +27,14 @@
 	uint32_t refs;
 	/* Entry of the last view that contained the target. */
 	struct target_entry def;
-	/* 1: in the view in force, neither draining nor evacuated. */
+	/* 1: in the view in force, neither draining, evacuated nor leaving. */
 	int is_usable;
+	/* 1: an answer of this process said that it is leaving. */
+	int is_leaving;
+	/* The target asked for no call from this host before this time. */
+	int64_t paused_until_us;
+	/* Until this time a target that is not in use is kept. */
+	int64_t kept_until_us;
 	/*
 	 * Connections that this host may have open to the target; a connection
 	 * carries one call at a time.
@@ -140,8 +146,11 @@
 	/* Parts that wait until a target has room, oldest first. */
 	TAILQ_HEAD(, gw_part) waiting;
 	uint32_t waiting_count;
-	/* Armed while parts wait until a cold target may get its next call. */
-	struct timer_entry cold_timer;
+	/*
+	 * Armed while parts wait until a cold or paused target may get its next
+	 * call.
+	 */
+	struct timer_entry next_call_timer;
 };
 
 /* Statistics of the routes of one name; kept across configurations. */
@@ -226,6 +235,8 @@
 	int64_t partial_after_us;
 	/* 1: partial_after_us has passed. */
 	int accepts_partial;
+	/* A part waits for paused targets that may be called before this time. */
+	int64_t wait_until_us;
 	/* 1: all calls and the answer are logged, on all hosts alike. */
 	int is_traced;
 	/* 1: the chain runs, so gw_req_resume() does nothing. */
@@ -248,6 +259,8 @@
 	struct chain chain;
 	/* NULL until a configuration is known. */
 	struct gw_binding *binding;
+	/* Targets of the view that the store says may get new work. */
+	uint32_t target_count;
 	/* Hosts that share the limits of a service, this one included. */
 	uint32_t host_count;
 	uint64_t last_call_id;
@@ -280,6 +293,8 @@
  */
 enum filter_step gw_req_refuse(struct gw_req *r, uint32_t status,
 			       enum err_code code, uint32_t retry_after_ms);
+/* 1 if a call sent at @at_us can still be answered before the deadline. */
+int gw_req_has_time(const struct gw_req *r, int64_t at_us);
 /*
  * Runs filter "answer" again; if @r is decided then, answers the caller and
  * frees @r. Does nothing while the chain runs.
@@ -325,14 +340,31 @@
 	/* Best target for one more call, or NULL. */
 	struct gw_target *target;
 	/*
-	 * 1: a usable target was left out because it has no room now, or is
-	 * cold and may not get its next call yet.
+	 * 1: a usable target was left out because it has no room now, or
+	 * because it is cold or paused and may get its next call only later in
+	 * the time of the request.
 	 */
 	int has_full_target;
-	/* Earliest next call of the cold targets left out; 0: none left out. */
-	int64_t cold_next_call_us;
+	/*
+	 * Earliest next call of the cold and paused targets left out; 0: none
+	 * left out.
+	 */
+	int64_t next_call_us;
 };
 
+/* The target states that its warm-up takes @left_ms more. */
+void gw_target_set_warmup(struct gw_target *t, uint32_t left_ms,
+			  int64_t now_us);
+/* Keeps a target that is leaving after it has left the view. */
+void gw_target_keep_leaving(struct gw_target *t, int64_t now_us);
+/* Takes over what the target says in @reply of itself. */
+void gw_target_heard(struct gw_target *t, const struct target_reply *reply,
+		     int64_t now_us);
+/*
+ * Time at which the first target of @s that is paused may be called again;
+ * @now_us if one is not paused, or there is none.
+ */
+int64_t gw_target_first_call_us(const struct gw_service *s, int64_t now_us);
 /* Picks a target of @s and @group that part @p has not tried. */
 struct gw_pick gw_target_pick(struct gw_service *s, const struct gw_part *p,
 			      enum gw_version_group group, int64_t mean_us,
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -1,6 +1,7 @@
 /* Statistics of each target, and the choice of the target for a call. */
 #include <string.h>
 
+#include "base/log.h"
 #include "gateway/gw_internal.h"
 
 #define MILLI 1000
@@ -54,6 +55,22 @@
  */
 #define MISDIRECTED_US (30 * US_PER_S)
 #define STATUS_MISDIRECTED 421
+/*
+ * Longest pause that a target may ask for. Overload is over within seconds; a
+ * target that leaves for longer says so in other ways. After this time a single
+ * call finds out whether a longer pause was meant.
+ */
+#define PAUSE_MAX_MS (60 * MS_PER_S)
+/*
+ * Longest warm-up that a target may state; a larger figure is a mistake, which
+ * must not keep the target at its cold rate for days.
+ */
+#define WARMUP_MAX_MS (300 * MS_PER_S)
+/*
+ * A process that is leaving may lose its entry in the store and get it back;
+ * this time is longer than any process takes to leave.
+ */
+#define LEAVING_KEPT_US (600 * (int64_t)US_PER_S)
 
 struct gw_target *gw_target_ref(struct gw_target *t)
 {
@@ -123,6 +140,77 @@
 		now_us + util_min_i64(AVOID_MIN_US << doublings, AVOID_MAX_US);
 }
 
+static void set_kept_until(struct gw_target *t, int64_t at_us)
+{
+	t->kept_until_us = util_max_i64(t->kept_until_us, at_us);
+}
+
+void gw_target_set_warmup(struct gw_target *t, uint32_t left_ms, int64_t now_us)
+{
+	left_ms = util_min_u32(left_ms, WARMUP_MAX_MS);
+	t->cold_until_us = now_us + (int64_t)left_ms * US_PER_MS;
+}
+
+void gw_target_keep_leaving(struct gw_target *t, int64_t now_us)
+{
+	if (t->is_leaving)
+		set_kept_until(t, now_us + LEAVING_KEPT_US);
+}
+
+static void set_leaving(struct gw_target *t, int64_t now_us)
+{
+	if (!t->is_leaving)
+		log_event(LOG_LEVEL_INFO, "target_leaving",
+			  "target %s service %s says that it is leaving, %u "
+			  "calls open",
+			  t->def.id, t->def.service, t->outstanding);
+	t->is_leaving = 1;
+	t->is_usable = 0;
+	gw_target_keep_leaving(t, now_us);
+}
+
+/* Once the pause is over, calls are sent one at a time until one succeeds. */
+static void set_pause(struct gw_target *t, uint32_t pause_ms, int64_t now_us)
+{
+	int64_t until_us =
+		now_us +
+		(int64_t)util_min_u32(pause_ms, PAUSE_MAX_MS) * US_PER_MS;
+
+	log_event(LOG_LEVEL_INFO, "target_paused",
+		  "target %s service %s asks for a pause of %u ms", t->def.id,
+		  t->def.service, pause_ms);
+	t->paused_until_us = util_max_i64(t->paused_until_us, until_us);
+	t->concurrency_limit_milli = MILLI;
+	set_kept_until(t, t->paused_until_us);
+}
+
+void gw_target_heard(struct gw_target *t, const struct target_reply *reply,
+		     int64_t now_us)
+{
+	if (reply->warmup_left_ms > 0)
+		gw_target_set_warmup(t, (uint32_t)reply->warmup_left_ms,
+				     now_us);
+	if (reply->is_leaving)
+		set_leaving(t, now_us);
+	if (reply->pause_ms)
+		set_pause(t, reply->pause_ms, now_us);
+}
+
+int64_t gw_target_first_call_us(const struct gw_service *s, int64_t now_us)
+{
+	int64_t first_us = 0;
+	uint32_t i;
+
+	for (i = 0; i < s->targets->len; i++) {
+		const struct gw_target *t = g_ptr_array_index(s->targets, i);
+
+		if (t->is_usable &&
+		    (!first_us || t->paused_until_us < first_us))
+			first_us = util_max_i64(t->paused_until_us, 1);
+	}
+	return util_max_i64(first_us, now_us);
+}
+
 void gw_target_adapt_limit(struct gw_target *t, int64_t took_us,
 			   int64_t goal_us)
 {
@@ -201,10 +289,25 @@
 	return cost_milli;
 }
 
-/* 1 if @t may get a call now; otherwise sets in @pick why not. */
-static int has_room(const struct gw_target *t, int64_t now_us,
-		    struct gw_pick *pick)
+/* Leaves out a target until @at_us, within the time of the request or not. */
+static void leave_out(const struct gw_req *r, int64_t at_us,
+		      struct gw_pick *pick)
+{
+	if (at_us >= r->wait_until_us || !gw_req_has_time(r, at_us))
+		return;
+	pick->has_full_target = 1;
+	if (!pick->next_call_us || at_us < pick->next_call_us)
+		pick->next_call_us = at_us;
+}
+
+/* 1 if @t may get a call of @r now; otherwise sets in @pick why not. */
+static int has_room(const struct gw_target *t, const struct gw_req *r,
+		    int64_t now_us, struct gw_pick *pick)
 {
+	if (now_us < t->paused_until_us) {
+		leave_out(r, t->paused_until_us, pick);
+		return 0;
+	}
 	if (t->outstanding >=
 	    util_min_u32(t->connection_limit,
 			 t->concurrency_limit_milli / MILLI)) {
@@ -214,9 +317,8 @@
 	if (now_us >= t->cold_until_us || now_us >= t->cold_next_call_us)
 		return 1;
 	pick->has_full_target = 1;
-	if (!pick->cold_next_call_us ||
-	    t->cold_next_call_us < pick->cold_next_call_us)
-		pick->cold_next_call_us = t->cold_next_call_us;
+	if (!pick->next_call_us || t->cold_next_call_us < pick->next_call_us)
+		pick->next_call_us = t->cold_next_call_us;
 	return 0;
 }
 
@@ -237,7 +339,7 @@
 
 		if (!t->is_usable || now_us < t->misdirected_until_us ||
 		    was_tried(p, t) || !gw_version_allows(s, t, group) ||
-		    !has_room(t, now_us, &pick))
+		    !has_room(t, p->req, now_us, &pick))
 			continue;
 		cost_milli = call_cost_milli(g, t, mean_us, now_us);
 		if (!pick.target || cost_milli < best_cost_milli) {
--- a/src/model/exchange.h
+++ b/src/model/exchange.h
@@ -121,6 +121,13 @@
 	struct buf body;
 	/* Rest of its warm-up that the target states; -1: not stated. */
 	int32_t warmup_left_ms;
+	/* 1: the target is leaving and wants no new call. */
+	uint32_t is_leaving;
+	/*
+	 * Time for which the target, which turned the call away, wants no call
+	 * from this host; 0: not stated.
+	 */
+	uint32_t pause_ms;
 	/* Time from sending the request to the end of the reply. */
 	int64_t service_us;
 };
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -13,6 +13,7 @@
 #include "base/addr.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/metric.h"
 #include "duty/egress.h"
 #include "duty/ingress.h"
 #include "duty/messages.h"
@@ -392,6 +393,72 @@
 		close(fds[i]);
 }
 
+/*
+ * Guards against overlooking what a target says of itself: that it is leaving,
+ * in any answer, and for how long it wants no call, in a 503. A time that is
+ * not valid is ignored and counted.
+ */
+static void test_notices(void)
+{
+	static const struct {
+		const char *head;
+		uint32_t is_leaving;
+		uint32_t pause_ms;
+		uint32_t ignored;
+	} answers[] = {
+		{ "200 OK\r\nServer-Leaving: 1", 1, 0, 0 },
+		{ "500 Failed\r\nserver-leaving: 1", 1, 0, 0 },
+		{ "503 Busy\r\nServer-Leaving: 0", 0, 0, 0 },
+		{ "503 Busy\r\nRetry-After: 2\r\nServer-Leaving: 1", 1, 2000,
+		  0 },
+		{ "503 Busy\r\nRetry-After: 0.25", 0, 250, 0 },
+		{ "503 Busy\r\nRetry-After: 0.0004", 0, 1, 0 },
+		{ "503 Busy\r\nRetry-After: 0", 0, 0, 0 },
+		{ "503 Busy\r\nRetry-After: 99999999999999999999", 0,
+		  UINT32_MAX, 0 },
+		{ "503 Busy\r\nRetry-After: -1", 0, 0, 1 },
+		{ "503 Busy\r\nRetry-After: soon", 0, 0, 1 },
+		{ "503 Busy\r\nRetry-After: 1e9", 0, 0, 1 },
+		{ "503 Busy\r\nRetry-After: nan", 0, 0, 1 },
+		{ "503 Busy\r\nRetry-After: 1.2.3", 0, 0, 1 },
+		{ "503 Busy\r\nRetry-After:", 0, 0, 1 },
+		{ "503 Busy\r\nRetry-After: Fri, 31 Dec 1999 23:59:59 GMT", 0,
+		  0, 1 },
+		{ "429 Busy\r\nRetry-After: 2", 0, 0, 0 },
+		{ "200 OK\r\nRetry-After: 2", 0, 0, 0 },
+	};
+	struct egress_case c;
+	uint32_t i;
+	int fd = -1;
+
+	egress_begin(&c);
+	for (i = 0; i < countof(answers); i++) {
+		g_autofree char *text = g_strdup_printf("HTTP/1.1 "
+							"%s\r\nContent-Length: "
+							"0\r\n\r\n",
+							answers[i].head);
+		uint64_t ignored = metric_get(METRIC_TARGET_PAUSES_IGNORED);
+		struct target_reply *r;
+
+		call(&c, "r1", 0);
+		if (fd < 0)
+			fd = accept(c.listener, NULL, NULL);
+		expect(fd, "\r\n\r\n");
+		put(fd, text);
+		r = reply(&c);
+		g_assert_cmpuint(r->is_leaving, ==, answers[i].is_leaving);
+		g_assert_cmpuint(r->pause_ms, ==, answers[i].pause_ms);
+		g_assert_cmpuint(metric_get(METRIC_TARGET_PAUSES_IGNORED), ==,
+				 ignored + answers[i].ignored);
+		/* Callers are not told that a target is leaving. */
+		g_assert_true(!r->fields.data ||
+			      !strcasestr(r->fields.data, "server-leaving"));
+		target_reply_free(r);
+	}
+	egress_end(&c);
+	close(fd);
+}
+
 /* Guards against taking an answer that was cut off for a complete one. */
 static void test_cut(void)
 {
@@ -782,6 +849,7 @@
 	g_test_add_func("/egress/copy", test_copy);
 	g_test_add_func("/egress/endless", test_endless);
 	g_test_add_func("/egress/many-long", test_many_long);
+	g_test_add_func("/egress/notices", test_notices);
 	g_test_add_func("/egress/extra", test_extra);
 	g_test_add_func("/egress/cut", test_cut);
 	g_test_add_func("/egress/no-length", test_no_length);
