platform, codec: Refuse odd entries of the store in every form

A page of the listing whose entries cannot be read was asked for for ever, or ended the listing, so that the other targets were taken as gone.

The next page begins after the last key that can be read; a listing that cannot go on is an error, never taken as whole. A log line with bytes that are not UTF-8 is repaired instead of lost.

Ruled out: nesting of 100,000 levels and numbers of 400 digits, which jansson refuses.

--- a/src/base/addr.c
+++ b/src/base/addr.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <stdlib.h>
 #include <string.h>
 
 socklen_t addr_parse(const char *address, uint16_t port,
@@ -24,6 +25,25 @@
 	return 0;
 }
 
+uint16_t addr_parse_port(const char *text)
+{
+	size_t digits = strspn(text, "0123456789");
+	unsigned long port;
+
+	/* Five digits cannot overflow the number. */
+	if (!digits || digits > 5 || text[digits])
+		return 0;
+	port = strtoul(text, NULL, 10);
+	return port <= UINT16_MAX ? (uint16_t)port : 0;
+}
+
+int addr_is_numeric(const char *address)
+{
+	struct sockaddr_storage sa;
+
+	return addr_parse(address, 0, &sa) > 0;
+}
+
 uint16_t addr_local_port(int fd)
 {
 	union {
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -66,16 +66,18 @@
 				   const GLogField *fields, gsize count,
 				   gpointer user_data)
 {
+	g_autofree char *msg = NULL;
 	char ts[40];
 	json_t *line;
 	char *text;
 
 	(void)user_data;
 	format_ts(ts, sizeof(ts));
+	/* A line with bytes that are not UTF-8, or cut, would be lost. */
+	msg = g_utf8_make_valid(field_value(fields, count, "MESSAGE"), -1);
 	line = json_pack("{s:s,s:s,s:s,s:s,s:s}", "ts", ts, "level",
 			 glib_level_name(level), "host", log_host, "event",
-			 field_value(fields, count, "EVENT"), "msg",
-			 field_value(fields, count, "MESSAGE"));
+			 field_value(fields, count, "EVENT"), "msg", msg);
 	text = line ? json_dumps(line, JSON_COMPACT) : NULL;
 	json_decref(line);
 	if (!text)
--- a/src/codec/gw_host_json.c
+++ b/src/codec/gw_host_json.c
@@ -2,6 +2,11 @@
 
 #include <jansson.h>
 
+#include "base/addr.h"
+
+/* Thousandths of a core; the largest hosts have hundreds of cores. */
+#define CORE_PERMILLE_MAX 1000000
+
 char *gw_host_json_encode(const struct host_entry *h)
 {
 	json_t *doc = json_pack("{s:s,s:s,s:i,s:i}", "data_centre",
@@ -20,13 +25,15 @@
 	json_t *doc = json_loadb(json, json_bytes, 0, NULL);
 	const char *data_centre = "";
 	const char *address = "";
-	int port = 0;
-	int core_permille = 0;
+	json_int_t port = 0;
+	json_int_t core_permille = 0;
 	int ok = doc &&
-		 json_unpack(doc, "{s:s,s:s,s:i,s:i}", "data_centre",
+		 json_unpack(doc, "{s:s,s:s,s:I,s:I}", "data_centre",
 			     &data_centre, "address", &address, "port", &port,
 			     "core_permille", &core_permille) == 0 &&
 		 port >= 0 && port <= UINT16_MAX && core_permille >= 0 &&
+		 core_permille <= CORE_PERMILLE_MAX &&
+		 (!port || addr_is_numeric(address)) &&
 		 util_copy_str(out->data_centre, sizeof(out->data_centre),
 			       data_centre) &&
 		 util_copy_str(out->address, sizeof(out->address), address);
--- a/src/model/kv.h
+++ b/src/model/kv.h
@@ -96,8 +96,12 @@
 	 * understood or their keys do not begin with the prefix.
 	 */
 	uint32_t skipped_count;
-	/* Used by the driver only: 1 if another page of the listing follows. */
+	/*
+	 * Used by the driver only: 1 if another page of the listing follows, and
+	 * the last key of this page that could be read, also of a skipped entry.
+	 */
 	uint32_t has_more;
+	char last_key[KV_KEY_BYTES];
 	/* LEASE_GRANT: the new lease. */
 	uint64_t lease;
 	uint32_t pair_count;
--- a/src/model/route.c
+++ b/src/model/route.c
@@ -1,5 +1,6 @@
 #include "model/route.h"
 
+#include <math.h>
 #include <stdatomic.h>
 #include <string.h>
 
@@ -56,6 +57,7 @@
 				 const struct route *r, struct err *err)
 {
 	size_t len = r->prefix ? strlen(r->prefix) : 0;
+	double weight_sum = 0;
 	uint32_t i;
 
 	if (!r->name || !r->host_name || !len || r->prefix[0] != '/' ||
@@ -84,7 +86,15 @@
 				       "route '%.64s' names a service that is "
 				       "not defined",
 				       r->name);
+		if (!(r->parts[i].weight >= 0))
+			weight_sum = NAN;
+		weight_sum += r->parts[i].weight;
 	}
+	if (!(weight_sum > 0 && isfinite(weight_sum)))
+		return err_set(err, ERR_CFG_FIELD,
+			       "route '%.64s': accepted weights of 0 or more, "
+			       "and a sum above 0",
+			       r->name);
 	return ERR_OK;
 }
 
--- a/tests/script.c
+++ b/tests/script.c
@@ -162,6 +162,35 @@
 		register_file(area, dir, g_ptr_array_index(files, i));
 }
 
+/* Appends @word with each <TEXT*COUNT> in it expanded. */
+static void add_expanded(const char *word, struct buf *text)
+{
+	const char *start = strchr(word, '<');
+	const char *star = start ? strchr(start, '*') : NULL;
+	const char *end = star ? strchr(star, '>') : NULL;
+	int64_t count;
+
+	if (!end) {
+		buf_add(text, word, strlen(word));
+		return;
+	}
+	buf_add(text, word, (size_t)(start - word));
+	for (count = g_ascii_strtoll(star + 1, NULL, 10); count > 0; count--)
+		buf_add(text, start + 1, (size_t)(star - start - 1));
+	add_expanded(end + 1, text);
+}
+
+void script_text(uint32_t argc, char **argv, uint32_t from, struct buf *text)
+{
+	uint32_t i;
+
+	for (i = from; i < argc; i++) {
+		if (i > from)
+			buf_add(text, " ", 1);
+		add_expanded(argv[i], text);
+	}
+}
+
 int script_main(int argc, char **argv, const struct script_area *areas,
 		uint32_t area_count)
 {
--- a/tests/script.h
+++ b/tests/script.h
@@ -44,6 +44,12 @@
 uint32_t script_u32(uint32_t argc, char **argv, const char *name,
 		    uint32_t fallback);
 
+/*
+ * Appends the words from position @from on to @text, joined by blanks;
+ * <TEXT*COUNT> in a word stands for COUNT times TEXT, such as <x*70>.
+ */
+void script_text(uint32_t argc, char **argv, uint32_t from, struct buf *text);
+
 /* Folder of all scripts, relative to the one that tests run in. */
 #define SCRIPT_DIR "tests/scripts"
 
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -1,7 +1,6 @@
 /*
  * Scripted runs over the JSON codecs of callers, targets and claims. The rest
- * of a script line is the body; <TEXT*COUNT> in it stands for COUNT times TEXT,
- * such as <x*70>.
+ * of a script line is the body, with script_text().
  */
 #include <glib.h>
 #include <inttypes.h>
@@ -17,29 +16,6 @@
 	return util_alloc(1, 1);
 }
 
-/* Joins the words from position @from on, with <TEXT*COUNT> expanded. */
-static void body_of(uint32_t argc, char **argv, uint32_t from, struct buf *body)
-{
-	uint32_t i;
-
-	for (i = from; i < argc; i++) {
-		char *start = strchr(argv[i], '<');
-		char *star = start ? strchr(start, '*') : NULL;
-		int64_t count = star ? g_ascii_strtoll(star + 1, NULL, 10) : 0;
-
-		if (i > from)
-			buf_add(body, " ", 1);
-		if (!star) {
-			buf_add(body, argv[i], strlen(argv[i]));
-			continue;
-		}
-		buf_add(body, argv[i], (size_t)(start - argv[i]));
-		while (count-- > 0)
-			buf_add(body, start + 1, (size_t)(star - start - 1));
-		buf_addf(body, "%s", strchr(star, '>') + 1);
-	}
-}
-
 static void decode_request(enum request_op op, uint32_t argc, char **argv,
 			   struct buf *out)
 {
@@ -47,7 +23,7 @@
 	struct err err = { 0 };
 	struct request *r;
 
-	body_of(argc, argv, 0, &body);
+	script_text(argc, argv, 0, &body);
 	r = caller_json_decode(op, body.data ? body.data : "", body.len_bytes,
 			       &err);
 	if (!r) {
@@ -132,7 +108,7 @@
 	struct buf body CLEANUP_BUF = { 0 };
 	uint32_t i;
 
-	body_of(argc, argv, 1, &body);
+	script_text(argc, argv, 1, &body);
 	target_json_decode(r, (uint32_t)script_int(argc, argv, "status", 200),
 			   body.data, body.len_bytes);
 	buf_addf(out, "%s not_run=%u request=%s sub=%" PRIu64 " shard=%s",
@@ -154,7 +130,7 @@
 	struct once_claim claim = { .token = "" };
 	char *text;
 
-	body_of(argc, argv, 0, &body);
+	script_text(argc, argv, 0, &body);
 	if (!claim_json_decode(&claim, body.data ? body.data : "",
 			       body.len_bytes)) {
 		buf_addf(out, "refused\n");
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -9,6 +9,7 @@
 #include <pthread.h>
 #include <string.h>
 
+#include "base/log.h"
 #include "duty/messages.h"
 #include "duty/store.h"
 #include "fake_http.h"
@@ -391,6 +392,64 @@
 	fixture_stop(&f);
 }
 
+/*
+ * Pages of a listing: one of odd entries only, one with odd entries at its end,
+ * the last one; and from request 3 on a page without a key, which says that
+ * there are more.
+ */
+static enum fake_action odd_pages(void *ctx, const struct fake_request *r,
+				  uint32_t *status, struct buf *out)
+{
+	static const char *const pages[] = {
+		"{\"items\":[{\"key\":\"servers/a\",\"rev\":\"x\"},"
+		"{\"key\":\"servers/b\"}],\"hasMore\":true,\"atRev\":9}",
+		"{\"items\":[{\"key\":\"servers/c\",\"rev\":5,\"value\":"
+		"\"eA==\"},{\"key\":\"servers/d\",\"rev\":-6},7],"
+		"\"hasMore\":true,\"atRev\":10}",
+		"{\"items\":[{\"key\":\"servers/e\",\"rev\":8,\"value\":"
+		"\"eA==\"}],\"hasMore\":false,\"atRev\":11}",
+		"{\"items\":[7],\"hasMore\":true,\"atRev\":11}",
+	};
+
+	record_request(ctx, r);
+	buf_addf(out, "%s", pages[util_min_u32(r->number, countof(pages) - 1)]);
+	return FAKE_REPLY;
+}
+
+#define RANGE "GET /api/kv-range?prefix=servers/"
+
+/*
+ * Guards against a listing that asks for the same page for ever, or ends early,
+ * because of odd entries, and against taking a part of the listing for the
+ * whole.
+ */
+static void test_odd_pages(void)
+{
+	struct kv_call call = { .op = KV_WATCH,
+				.key = "servers/",
+				.is_one_shot = 1,
+				.ttl_ms = 1000 };
+	struct kv_reply *r;
+	struct fixture f;
+
+	fixture_start(&f, odd_pages);
+	submit(&f, call);
+	r = await(&f);
+	g_assert_cmpint(r->result.err.code, ==, ERR_OK);
+	g_assert_cmpuint(r->result.rev, ==, 9);
+	g_assert_cmpuint(r->result.pair_count, ==, 2);
+	g_assert_cmpstr(r->result.pairs[0].key, ==, "servers/c");
+	g_assert_cmpstr(r->result.pairs[1].key, ==, "servers/e");
+	kv_reply_free(r);
+	g_assert_cmpint(call_code(&f, call), ==, ERR_STORE_ANSWER);
+	pthread_mutex_lock(&f.lock);
+	g_assert_cmpstr(f.seen->str, ==,
+			RANGE "\n" RANGE "&after=servers/b\n" RANGE
+			      "&after=servers/d\n" RANGE "\n");
+	pthread_mutex_unlock(&f.lock);
+	fixture_stop(&f);
+}
+
 /*
  * Guards against calls that wait until their timeout for a store that refuses
  * connections.
@@ -409,14 +468,20 @@
 	fixture_stop(&f);
 }
 
+static void drop_line(void *ctx, const char *line)
+{
+}
+
 int main(int argc, char **argv)
 {
 	apr_initialize();
 	g_test_init(&argc, &argv, NULL);
+	log_init("test", drop_line, NULL);
 	g_test_add_func("/store/codes", test_codes);
 	g_test_add_func("/store/lost-write", test_lost_write);
 	g_test_add_func("/store/silent", test_silent);
 	g_test_add_func("/store/watch", test_watch);
+	g_test_add_func("/store/odd-pages", test_odd_pages);
 	g_test_add_func("/store/down", test_down);
 	return g_test_run();
 }
