control: Go on reading while the store holds more changes

Cause: an answer to a watch holds at most about 500 changes and does not say that there are more. A host took each answer for the present state. When 405 searchers of a new set of shards warm up, they write 340 entries a second, so hosts lagged behind while they counted as current.

The next call goes out at once, and the state counts as confirmed, for this host and its followers, only when an answer is whole.

Also adds the fuzzing targets of all decoders, run briefly by make check.

--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,11 @@
 # make bench    load bench (SCENARIO=name: one scenario)
 # make soak     faults on real processes (SEED=n FOR=seconds; soak-seeds: all
 #               that once failed)
+# make fuzz     short fuzzing of all decoders (RUNS=n; DECODERS=names)
 # make capacity slopes of cost for docs/CAPACITY.md
 # VARIANT=asan|tsan builds into build/asan or build/tsan.
 
-PACKAGES = gcc make pkg-config clang-format clang-tidy git \
+PACKAGES = gcc make pkg-config clang clang-format clang-tidy git \
 	libapr1-dev libaprutil1-dev libmicrohttpd-dev libargtable2-dev \
 	libglib2.0-dev libtirpc-dev rpcsvc-proto libjansson-dev libxxhash-dev \
 	libcurl4-openssl-dev libhttp-parser-dev
@@ -101,6 +102,36 @@
 	awk '!/^#/ { print $$1 }' tests/soak/SEEDS | \
 		xargs -I{} $(OUT)/soak-run --seed {} --for 40
 
+# A short run of libFuzzer over each decoder, from a fixed seed. RUNS sets its
+# length, DECODERS chooses the decoders. New inputs go to the build folder.
+DECODERS = target host config rollout store answer request peer
+FUZZ_FLAGS = -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined
+FUZZ_SRC = tests/fuzz/fuzz_decoders.c $(wildcard platform/*_json.c \
+	platform/platform_*.c src/codec/*.c src/model/*.c src/base/*.c \
+	src/decide/*.c)
+FUZZ_OBJ = $(patsubst %.c,$(BUILD)/fuzz/%.o,$(FUZZ_SRC))
+
+$(BUILD)/fuzz/%.o: %.c
+	@mkdir -p $(dir $@)
+	@echo "CC $@"
+	@clang $(CPPFLAGS) -std=gnu11 -O1 -g $(FUZZ_FLAGS) -MMD -MP -c -o $@ $<
+
+$(BUILD)/fuzz/fuzz: $(FUZZ_OBJ)
+	@echo "LD $@"
+	@clang $(FUZZ_FLAGS) -o $@ $^ $(LDLIBS)
+
+fuzz: $(BUILD)/fuzz/fuzz
+	@for d in $(DECODERS); do \
+		mkdir -p $(BUILD)/fuzz/new/$$d; \
+		DECODER=$$d $(BUILD)/fuzz/fuzz -seed=1 \
+			-runs=$(or $(RUNS),20000) -max_len=16384 -timeout=10 \
+			-artifact_prefix=$(BUILD)/fuzz/$$d- \
+			$(BUILD)/fuzz/new/$$d tests/fuzz/corpus/$$d \
+			>$(BUILD)/fuzz/$$d.log 2>&1 || \
+			{ tail -n 40 $(BUILD)/fuzz/$$d.log; exit 1; }; \
+		echo "fuzz $$d: $$(tail -n 1 $(BUILD)/fuzz/$$d.log)"; \
+	done
+
 demo: $(OUT)/cowslippoint $(OUT)/standin $(OUT)/demo-run
 	$(OUT)/demo-run
 # Simulation of the request path; not part of check.
@@ -147,6 +178,7 @@
 	$(MAKE) -j$$(nproc) tests
 	$(MAKE) -j$$(nproc) tests VARIANT=asan
 	$(MAKE) -j$$(nproc) tests VARIANT=tsan
+	$(MAKE) -j$$(nproc) fuzz
 	$(MAKE) soak SEED=1 FOR=15
 	tests/run-checks
 
@@ -154,5 +186,5 @@
 	rm -rf build
 
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
-.PHONY: all demo soak soak-seeds deps tests bench bench-sim capacity format format-check lint \
+.PHONY: all demo fuzz soak soak-seeds deps tests bench bench-sim capacity format format-check lint \
 	check clean
--- a/src/duty/gw_control_source.c
+++ b/src/duty/gw_control_source.c
@@ -136,14 +136,20 @@
 	}
 }
 
+/* Reads what has changed in the store, unless a read is in flight. */
+static void read_store(struct gw_control *c)
+{
+	if (c->is_reading)
+		return;
+	c->is_reading = 1;
+	call_store(c, READ_WAIT_MS, STORE_CALL_READ);
+}
+
 static void on_age_limit(void *ctx, int64_t now_us)
 {
 	struct gw_control *c = ctx;
 
-	if (!c->is_reading) {
-		c->is_reading = 1;
-		call_store(c, READ_WAIT_MS, STORE_CALL_READ);
-	}
+	read_store(c);
 	arm_age_limit(c, now_us + apply_part_us(c, AGE_LIMIT_PERMILLE) / 2);
 }
 
@@ -286,7 +292,7 @@
 {
 	struct store_update u = { .rev = r->rev,
 				  .is_full = r->is_full,
-				  .confirmed_us = now_us,
+				  .confirmed_us = r->has_more ? 0 : now_us,
 				  .pair_count = r->pair_count,
 				  .pairs = r->pairs };
 
@@ -311,7 +317,7 @@
 		next_us += RETRY_US;
 	} else {
 		apply_store_result(c, r, now_us);
-		if (r->pair_count)
+		if (r->pair_count && !r->has_more)
 			next_us += gap_us(c);
 	}
 	arm_next_call(c, next_us);
@@ -321,10 +327,13 @@
 			  int64_t now_us)
 {
 	c->is_reading = 0;
-	if (r->err.code != ERR_OK)
+	if (r->err.code != ERR_OK) {
 		on_store_lost(c, &r->err, now_us);
-	else
-		apply_store_result(c, r, now_us);
+		return;
+	}
+	apply_store_result(c, r, now_us);
+	if (r->has_more)
+		read_store(c);
 }
 
 void gw_control_follow_done(struct gw_control *c, const struct follow_result *f,
--- a/src/model/kv.h
+++ b/src/model/kv.h
@@ -97,10 +97,14 @@
 	 */
 	uint32_t skipped_count;
 	/*
-	 * Used by the driver only: 1 if another page of the listing follows, and
-	 * the last key of this page that could be read, also of a skipped entry.
+	 * WATCH: 1 if the store may hold more changes than the pairs, so that
+	 * they do not show its present state; another call goes on from rev.
 	 */
 	uint32_t has_more;
+	/*
+	 * Used by the driver only: last key of a page of a listing that could be
+	 * read, also of a skipped entry.
+	 */
 	char last_key[KV_KEY_BYTES];
 	/* LEASE_GRANT: the new lease. */
 	uint64_t lease;
--- a/tests/test_entries.c
+++ b/tests/test_entries.c
@@ -117,10 +117,32 @@
 	kv_result_clear(&r);
 }
 
+/* events N [bytes=N]: the store's answer to a watch, with N changes. */
+static void cmd_events(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct kv_call call = { .op = KV_WATCH, .rev = 1, .key = "" };
+	struct buf text CLEANUP_BUF = { 0 };
+	struct kv_result r = { 0 };
+	uint32_t n = (uint32_t)strtoul(argv[0], NULL, 10);
+	uint32_t i;
+
+	buf_addf(&text, "{\"events\":[");
+	for (i = 0; i < n; i++)
+		buf_addf(&text,
+			 "%s{\"key\":\"k%u\",\"rev\":%u,\"value\":\"e30=\"}",
+			 i ? "," : "", i, i + 2);
+	buf_addf(&text, "],\"atRev\":%u,\"x\":\"%*s\"}", n + 1,
+		 (int)script_int(argc, argv, "bytes", 1), "");
+	kv_json_decode(&call, 200, text.data, text.len_bytes, &r);
+	if (!refused(&r.err, out))
+		buf_addf(out, "%u pairs, more %u\n", r.pair_count, r.has_more);
+	kv_result_clear(&r);
+}
+
 static const struct script_command commands[] = {
 	{ "target", cmd_target }, { "host", cmd_host },
 	{ "config", cmd_config }, { "order", cmd_order },
-	{ "list", cmd_list },
+	{ "list", cmd_list },	  { "events", cmd_events },
 };
 
 int main(int argc, char **argv)
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -378,12 +378,14 @@
 	read_pairs(u, argc, argv);
 	r->rev = script_u32(argc, argv, "rev", 0);
 	r->is_full = script_u32(argc, argv, "full", 0);
+	r->has_more = script_u32(argc, argv, "more", 0);
 	r->pairs = u->pairs;
 	r->pair_count = u->pair_count;
 }
 
 /*
- * watched down | watched rev=N [full=1] PAIR@REV...: the result of the watch.
+ * watched down | watched rev=N [full=1] [more=1] PAIR@REV...: the result of the
+ * watch; more=1: the store may hold more changes.
  */
 static void cmd_watched(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
