ingress: Serve callers that connect while the host leaves

Cause: a leaving host accepted at most 32 of the connections that wait in the listen queue and closed the listener, which resets the others; a connection that was accepted just before and whose first request was on the way was closed as idle. With all connections taken, or without descriptors, the duty spun on the listener.

Change: all waiting connections are accepted before the listener is closed. One that has brought no request yet stays open for 0.5 s after it was accepted. When none can be added, the duty waits 50 ms before the next attempt.

--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -25,6 +25,14 @@
 #define READ_BYTES 16384
 /* Connections accepted in a row before open ones are served again. */
 #define ACCEPT_BATCH 32
+/* Wait before the next attempt to accept when no connection can be added. */
+#define ACCEPT_RETRY_MS 50
+/*
+ * When this host leaves, a connection that was accepted less than this long ago
+ * and brought no request yet stays open for as long: its first request may be
+ * on the way.
+ */
+#define FIRST_REQUEST_MS 500
 /* Limits until a configuration is known. */
 #define HEAD_BYTES_DEFAULT 16384
 #define BODY_BYTES_DEFAULT 262144
@@ -49,6 +57,8 @@
 	struct ingress *in;
 	enum listener_kind kind;
 	struct poller_item item;
+	/* Armed while no connection can be added. */
+	struct timer_entry retry_timer;
 };
 
 enum conn_state { CONN_READING, CONN_WAITING, CONN_WRITING };
@@ -71,6 +81,7 @@
 	uint32_t rtt_us;
 	/* Requests of this connection that were decoded. */
 	uint32_t requests;
+	int64_t accepted_us;
 	/*
 	 * Closes a connection that is idle, receives a request or sends an
 	 * answer for too long. Not armed while an answer is awaited from the
@@ -388,6 +399,7 @@
 	c->in = in;
 	c->id = ++in->next_id;
 	c->kind = l->kind;
+	c->accepted_us = now_us;
 	c->item = (struct poller_item){ .fd = fd, .fn = on_conn, .ctx = c };
 	http1_init(&c->h1, HTTP1_REQUEST, &limits);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
@@ -405,29 +417,56 @@
 	arm_timeout(c, now_us, in->idle_timeout_ms);
 }
 
+enum accept_result { ACCEPT_DONE, ACCEPT_NONE, ACCEPT_FAILED };
+
+static enum accept_result accept_one(struct listener *l, int64_t now_us)
+{
+	int fd = accept4(l->item.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd >= 0) {
+		add_conn(l, fd, now_us);
+		return ACCEPT_DONE;
+	}
+	if (errno == EINTR || errno == ECONNABORTED)
+		return ACCEPT_DONE;
+	if (errno == EAGAIN)
+		return ACCEPT_NONE;
+	log_event(LOG_LEVEL_ERROR, "accept_failed", "%s", strerror(errno));
+	return ACCEPT_FAILED;
+}
+
+static void on_accept_retry(void *ctx, int64_t now_us)
+{
+	struct listener *l = ctx;
+
+	poller_set_events(l->in->poller, &l->item, EPOLLIN);
+}
+
+/* Waits before the next attempt; the listener would wake the poller at once. */
+static void delay_accept(struct listener *l, int64_t now_us)
+{
+	poller_set_events(l->in->poller, &l->item, 0);
+	timer_queue_arm(duty_timers(l->in->duty), &l->retry_timer,
+			now_us + ACCEPT_RETRY_MS * US_PER_MS, on_accept_retry,
+			l);
+}
+
+static int is_full(const struct listener *l)
+{
+	return l->kind == LISTENER_CALLER &&
+	       g_hash_table_size(l->in->conns) >= l->in->opt.connections_max;
+}
+
 static void on_listener(void *ctx, uint32_t events, int64_t now_us)
 {
 	struct listener *l = ctx;
+	enum accept_result result = ACCEPT_DONE;
 	int i;
 
-	for (i = 0; i < ACCEPT_BATCH; i++) {
-		int fd;
-
-		if (l->kind == LISTENER_CALLER &&
-		    g_hash_table_size(l->in->conns) >=
-			    l->in->opt.connections_max)
-			return;
-		fd = accept4(l->item.fd, NULL, NULL,
-			     SOCK_NONBLOCK | SOCK_CLOEXEC);
-		if (fd < 0) {
-			if (errno != EAGAIN && errno != EINTR &&
-			    errno != ECONNABORTED)
-				log_event(LOG_LEVEL_ERROR, "accept_failed",
-					  "%s", strerror(errno));
-			return;
-		}
-		add_conn(l, fd, now_us);
-	}
+	for (i = 0; i < ACCEPT_BATCH && result == ACCEPT_DONE; i++)
+		result = is_full(l) ? ACCEPT_FAILED : accept_one(l, now_us);
+	if (result == ACCEPT_FAILED)
+		delay_accept(l, now_us);
 }
 
 static void on_answer(struct ingress *in, struct exchange_answer *a,
@@ -449,8 +488,15 @@
 	return recv(c->item.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-/* Closes the caller connections that wait for a request. */
-static void close_idle(struct ingress *in)
+/* 1 if the first request on @c may be on the way. */
+static int is_new(const struct conn *c, int64_t now_us)
+{
+	return !c->requests &&
+	       now_us - c->accepted_us < FIRST_REQUEST_MS * US_PER_MS;
+}
+
+/* Closes the caller connections that wait for a request, new ones soon. */
+static void close_idle(struct ingress *in, int64_t now_us)
 {
 	GHashTableIter it;
 	gpointer value;
@@ -461,8 +507,12 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct conn *c = value;
 
-		if (c->kind == LISTENER_CALLER && c->state == CONN_READING &&
-		    c->h1.state == HTTP1_IDLE && !has_input(c))
+		if (c->kind != LISTENER_CALLER || c->state != CONN_READING ||
+		    c->h1.state != HTTP1_IDLE || has_input(c))
+			continue;
+		if (is_new(c, now_us))
+			arm_timeout(c, now_us, FIRST_REQUEST_MS);
+		else
 			g_ptr_array_add(idle, c);
 	}
 	for (i = 0; i < idle->len; i++)
@@ -474,23 +524,24 @@
 {
 	if (l->item.fd < 0)
 		return;
+	timer_queue_cancel(duty_timers(in->duty), &l->retry_timer);
 	poller_remove(in->poller, &l->item);
 	close(l->item.fd);
 	l->item.fd = -1;
 }
 
 /*
- * Accepts up to ACCEPT_BATCH connections that wait in the listen queue, because
- * closing the listener resets those left in it.
+ * Accepts all connections that wait in the listen queue, because closing the
+ * listener resets those left in it.
  */
 static void leave(struct ingress *in, int64_t now_us)
 {
 	struct listener *l = &in->listeners[LISTENER_CALLER];
 
-	if (l->item.fd >= 0)
-		on_listener(l, EPOLLIN, now_us);
+	while (l->item.fd >= 0 && accept_one(l, now_us) == ACCEPT_DONE)
+		;
 	close_listener(in, l);
-	close_idle(in);
+	close_idle(in, now_us);
 	in->has_left = 1;
 }
 
@@ -534,8 +585,11 @@
 			       at->address);
 	fd = socket(sa.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
 		    0);
-	*l = (struct listener){ in, kind, { .fd = fd, .fn = on_listener } };
-	l->item.ctx = l;
+	*l = (struct listener){
+		.in = in,
+		.kind = kind,
+		.item = { .fd = fd, .fn = on_listener, .ctx = l }
+	};
 	if (fd < 0 ||
 	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) < 0 ||
 	    bind(fd, (struct sockaddr *)&sa, len) < 0 ||
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -623,9 +623,13 @@
 	return port;
 }
 
-static void ingress_begin(struct ingress_case *c)
+/* Callers that the ingress duty serves at the same time. */
+#define CONNECTIONS_MAX 64
+
+/* Opens the listeners; nothing is accepted until the duty is started. */
+static void ingress_open(struct ingress_case *c)
 {
-	struct ingress_options options = { .connections_max = 64,
+	struct ingress_options options = { .connections_max = CONNECTIONS_MAX,
 					   .is_ready = is_ready,
 					   .ready_ctx = c };
 	struct err err = { 0 };
@@ -643,6 +647,13 @@
 	options.requests = c->requests;
 	c->ingress = ingress_new(&options, &err);
 	g_assert_nonnull(c->ingress);
+}
+
+static void ingress_begin(struct ingress_case *c)
+{
+	struct err err = { 0 };
+
+	ingress_open(c);
 	g_assert_cmpint(ingress_start(c->ingress, &err), ==, ERR_OK);
 }
 
@@ -834,6 +845,73 @@
 	ingress_end(&c);
 }
 
+/* Callers that connect just before the host leaves. */
+#define LEAVE_CALLERS 100
+
+/*
+ * Guards against a planned stop under load that cuts off requests whose
+ * connections wait to be accepted, or were accepted just before: here all of
+ * them connect before the ingress duty runs, every other one sends its request
+ * only when the host has left.
+ */
+static void test_leave_accepted(void)
+{
+	struct msg m = { MSG_LEAVE, NULL, NULL };
+	int fds[LEAVE_CALLERS];
+	struct ingress_case c;
+	struct err err = { 0 };
+	uint32_t i;
+
+	ingress_open(&c);
+	for (i = 0; i < LEAVE_CALLERS; i++) {
+		fds[i] = connect_to(c.caller_port);
+		if (i % 2 == 0)
+			put(fds[i], HEAD_GET "\r\n");
+	}
+	ingress_drain(c.ingress);
+	g_assert_cmpint(ring_push(ingress_ring(c.ingress), &m), ==, ERR_OK);
+	g_assert_cmpint(ingress_start(c.ingress, &err), ==, ERR_OK);
+	for (i = 0; i < LEAVE_CALLERS / 2; i++)
+		exchange_request_free(take(c.requests, MSG_EXCHANGE_REQUEST));
+	for (i = 1; i < LEAVE_CALLERS; i += 2)
+		put(fds[i], HEAD_GET "\r\n");
+	for (i = 0; i < LEAVE_CALLERS / 2; i++)
+		exchange_request_free(take(c.requests, MSG_EXCHANGE_REQUEST));
+	ingress_end(&c);
+	for (i = 0; i < LEAVE_CALLERS; i++)
+		close(fds[i]);
+}
+
+/*
+ * Guards against a duty that spins while it can accept no connection: with all
+ * connections taken, another caller waits until one of them is closed.
+ */
+static void test_full(void)
+{
+	int fds[CONNECTIONS_MAX];
+	struct ingress_case c;
+	int64_t cpu_us;
+	uint32_t i;
+	int late;
+
+	ingress_begin(&c);
+	for (i = 0; i < CONNECTIONS_MAX; i++)
+		fds[i] = connect_to(c.caller_port);
+	while (ingress_caller_count(c.ingress) < CONNECTIONS_MAX)
+		g_usleep(1000);
+	late = connect_to(c.caller_port);
+	put(late, HEAD_GET "\r\n");
+	cpu_us = clock_cpu_us();
+	g_usleep(300 * US_PER_MS);
+	g_assert_cmpint(clock_cpu_us() - cpu_us, <, 100 * US_PER_MS);
+	close(fds[0]);
+	exchange_request_free(take(c.requests, MSG_EXCHANGE_REQUEST));
+	ingress_end(&c);
+	for (i = 1; i < CONNECTIONS_MAX; i++)
+		close(fds[i]);
+	close(late);
+}
+
 /* Drops log lines: GLib's harness ends the test at a warning that it sees. */
 static void drop_line(void *ctx, const char *line)
 {
@@ -861,5 +939,7 @@
 	g_test_add_func("/ingress/malformed", test_malformed);
 	g_test_add_func("/ingress/ready", test_ready);
 	g_test_add_func("/ingress/leave", test_leave);
+	g_test_add_func("/ingress/leave-accepted", test_leave_accepted);
+	g_test_add_func("/ingress/full", test_full);
 	return g_test_run();
 }
