scatter, target: Leave silent connections behind

Cause: a shard has at most three sub-requests in flight. When all of them are on open connections that have turned silent, the shard has no answer until the contract's time is over, and a target may have several such connections, of which libcurl takes the oldest first. On an overloaded machine hosts open more connections to each target, so that this happened in serve-silent.

Change: the third and later sub-requests for a shard go over a new connection. When a reused connection turns out silent, transfers to that target use no connection that was open then.

Tried and dropped: a repeat on the same replica when there is no other one; prop_path found targets with more than they bear.

--- a/src/duty/target_duty.c
+++ b/src/duty/target_duty.c
@@ -26,6 +26,11 @@
  * it.
  */
 #define IDLE_MAX_S 10L
+/*
+ * libcurl compares the age of a connection in whole seconds, so that a limit
+ * below this age could admit an older connection.
+ */
+#define LIFETIME_MIN_US (3 * (int64_t)US_PER_S)
 #define POLL_MAX_MS 1000
 /*
  * Idle connections that libcurl keeps; enough for all connections that this
@@ -44,6 +49,8 @@
 	 * first.
 	 */
 	GQueue waiting;
+	/* Time when a reused connection last turned out silent; 0: never. */
+	int64_t silent_us;
 };
 
 /* One sub-request or cancellation on a connection. */
@@ -295,6 +302,30 @@
 	curl_easy_setopt(easy, CURLOPT_READDATA, x);
 }
 
+/*
+ * Keeps the transfer off connections that were open when one of them turned
+ * silent, and off those that were idle for too long. Until the age of a
+ * connection shows which they are, each transfer has one of its own, which is
+ * closed after it, so that their number keeps to the limit.
+ */
+static void limit_connection_age(const struct transfer *x)
+{
+	int64_t age_us = clock_now_us() - x->origin->silent_us;
+
+	curl_easy_setopt(x->easy, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
+	if (x->sub->needs_new_connection)
+		curl_easy_setopt(x->easy, CURLOPT_FRESH_CONNECT, 1L);
+	if (!x->origin->silent_us)
+		return;
+	if (age_us < LIFETIME_MIN_US) {
+		curl_easy_setopt(x->easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(x->easy, CURLOPT_FORBID_REUSE, 1L);
+	} else if (age_us < 2 * IDLE_MAX_S * US_PER_S) {
+		curl_easy_setopt(x->easy, CURLOPT_MAXLIFETIME_CONN,
+				 (long)(age_us / US_PER_S) - 1);
+	}
+}
+
 static void set_options(struct transfer *x, uint32_t timeout_ms)
 {
 	CURL *easy = x->easy;
@@ -310,7 +341,7 @@
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, x->duty->headers);
 	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
-	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
+	limit_connection_age(x);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, x);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, x);
@@ -319,8 +350,14 @@
 
 static void grace_over(void *ctx, int64_t now_us)
 {
+	struct transfer *x = ctx;
+	long connects = 0;
+
 	metric_add(METRIC_SILENT_CONNECTIONS, 1);
-	finish_transfer(ctx, CURLE_OPERATION_TIMEDOUT);
+	curl_easy_getinfo(x->easy, CURLINFO_NUM_CONNECTS, &connects);
+	if (!connects)
+		x->origin->silent_us = now_us;
+	finish_transfer(x, CURLE_OPERATION_TIMEDOUT);
 }
 
 static struct origin *find_origin(struct target_duty *t,
--- a/src/filter/6_scatter.c
+++ b/src/filter/6_scatter.c
@@ -18,6 +18,11 @@
  * wait before them.
  */
 #define QUEUE_MISSES_MAX 16
+/*
+ * Sub-requests for a shard without an answer after which the next one has a new
+ * connection: the open ones may all have turned silent.
+ */
+#define NEW_CONNECTION_ATTEMPTS 2
 /* A retry with less time than this until the cutoff is not sent. */
 #define RETRY_TIME_MIN_US 1000
 
@@ -145,6 +150,7 @@
 			     r->request->is_idempotent;
 	msg->deadline_us = r->cutoff_us;
 	msg->connection_limit = target_connections_per_host(&sub->target->def);
+	msg->needs_new_connection = sub->needs_new_connection;
 	return msg;
 }
 
@@ -173,6 +179,7 @@
 	sub->sent_us = now_us;
 	sub->slow_after_us = delay_us;
 	sub->is_hedge = is_hedge;
+	sub->needs_new_connection = s->attempts >= NEW_CONNECTION_ATTEMPTS;
 	util_copy_str(sub->service, sizeof(sub->service),
 		      r->index->layout->service);
 	util_copy_str(sub->request_id, sizeof(sub->request_id), r->request->id);
--- a/src/filter/pipeline_internal.h
+++ b/src/filter/pipeline_internal.h
@@ -120,6 +120,8 @@
 	char service[NAME_BYTES];
 	enum request_op op;
 	int64_t sent_us;
+	/* As in struct subrequest_msg. */
+	uint32_t needs_new_connection;
 	/* Hedge delay at the time of sending: a longer answer time is slow. */
 	int64_t slow_after_us;
 	int is_hedge;
--- a/src/model/request.h
+++ b/src/model/request.h
@@ -81,6 +81,11 @@
 	int64_t deadline_us;
 	/* Connections that this host may have open to the target. */
 	uint32_t connection_limit;
+	/*
+	 * 1: is sent on a new connection, because earlier sub-requests for the
+	 * shard had no answer and open connections may be silent.
+	 */
+	uint32_t needs_new_connection;
 	/* 1: asks the target to cancel sub-request sub_id. */
 	uint32_t is_cancel;
 };
