base: Wait by clocks that jumps and suspensions do not mislead

Cause: a duty without sockets waits for its ring with a condition variable of APR, which ends a timed wait by the time of day. When that jumped back by 60 s during the wait, hedges and deadlines of the gateway were 60 s late. And the steady clock of all timers stands still while the machine is suspended, so a host that woke up took state, leases and idle connections for as fresh as before.

Change: the ring waits by the monotonic clock, with the POSIX calls, as APR offers none for this. The clock of timers and deadlines counts the time of a suspension.

--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -14,7 +14,7 @@
 
 int64_t clock_now_us(void)
 {
-	return read_us(CLOCK_MONOTONIC);
+	return read_us(CLOCK_BOOTTIME);
 }
 
 int64_t clock_wall_us(void)
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -7,7 +7,11 @@
 
 #include <stdint.h>
 
-/* Monotonic time in us since an arbitrary start, for timers and deadlines. */
+/*
+ * Monotonic time in us since an arbitrary start, for timers and deadlines. It
+ * counts the time for which the machine was suspended, so that what was due or
+ * has expired meanwhile is known to be so afterwards.
+ */
 int64_t clock_now_us(void);
 /* Wall-clock time in us since 1970-01-01 UTC. */
 int64_t clock_wall_us(void);
--- a/src/base/ring.c
+++ b/src/base/ring.c
@@ -1,17 +1,21 @@
 #include "base/ring.h"
 
-#include <apr_pools.h>
-#include <apr_thread_cond.h>
-#include <apr_thread_mutex.h>
+#include <pthread.h>
+#include <time.h>
 
 #define RING_CAPACITY_MAX 1048576
+#define NS_PER_US 1000
+#define NS_PER_S 1000000000
 
 struct ring {
-	apr_pool_t *pool;
 	/* Protects the members from head on. */
-	apr_thread_mutex_t *lock;
-	/* Signalled by a push onto an empty ring and by ring_close(). */
-	apr_thread_cond_t *ready;
+	pthread_mutex_t lock;
+	/*
+	 * Signalled by a push onto an empty ring and by ring_close(). It waits
+	 * by the monotonic clock; a condition variable of APR waits by the time
+	 * of day, which may jump, and would hold up the timers of its duty.
+	 */
+	pthread_cond_t ready;
 	ring_wake_fn *wake;
 	void *wake_ctx;
 	uint32_t capacity;
@@ -25,6 +29,7 @@
 struct ring *ring_new(uint32_t capacity, ring_wake_fn *wake, void *ctx,
 		      struct err *err)
 {
+	pthread_condattr_t attr;
 	struct ring *r;
 
 	if (capacity < 1 || capacity > RING_CAPACITY_MAX) {
@@ -36,15 +41,11 @@
 	r->capacity = capacity;
 	r->wake = wake;
 	r->wake_ctx = ctx;
-	if (apr_pool_create(&r->pool, NULL) != APR_SUCCESS ||
-	    apr_thread_mutex_create(&r->lock, APR_THREAD_MUTEX_DEFAULT,
-				    r->pool) != APR_SUCCESS ||
-	    apr_thread_cond_create(&r->ready, r->pool) != APR_SUCCESS) {
-		err_set(err, ERR_INTERNAL,
-			"cannot create a ring's mutex or condition variable");
-		free(r);
-		return NULL;
-	}
+	pthread_mutex_init(&r->lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&r->ready, &attr);
+	pthread_condattr_destroy(&attr);
 	return r;
 }
 
@@ -58,7 +59,8 @@
 		if (m.drop)
 			m.drop(m.body);
 	}
-	apr_pool_destroy(r->pool);
+	pthread_cond_destroy(&r->ready);
+	pthread_mutex_destroy(&r->lock);
 	free(r);
 }
 
@@ -67,7 +69,7 @@
 	enum err_code code = ERR_OK;
 	int was_empty = 0;
 
-	apr_thread_mutex_lock(r->lock);
+	pthread_mutex_lock(&r->lock);
 	if (r->closed) {
 		code = ERR_STOPPING;
 	} else if (r->count == r->capacity) {
@@ -77,9 +79,9 @@
 		r->slots[(r->head + r->count) % r->capacity] = *m;
 		r->count++;
 		if (was_empty)
-			apr_thread_cond_signal(r->ready);
+			pthread_cond_signal(&r->ready);
 	}
-	apr_thread_mutex_unlock(r->lock);
+	pthread_mutex_unlock(&r->lock);
 	if (was_empty && r->wake)
 		r->wake(r->wake_ctx);
 	return code;
@@ -101,38 +103,50 @@
 {
 	uint32_t n;
 
-	apr_thread_mutex_lock(r->lock);
+	pthread_mutex_lock(&r->lock);
 	n = take_locked(r, out, max);
-	apr_thread_mutex_unlock(r->lock);
+	pthread_mutex_unlock(&r->lock);
 	return n;
 }
 
+static void timed_wait(struct ring *r, int64_t wait_us)
+{
+	struct timespec until;
+	int64_t until_ns;
+
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until_ns = until.tv_nsec + wait_us % US_PER_S * NS_PER_US;
+	until.tv_sec += wait_us / US_PER_S + until_ns / NS_PER_S;
+	until.tv_nsec = until_ns % NS_PER_S;
+	pthread_cond_timedwait(&r->ready, &r->lock, &until);
+}
+
 uint32_t ring_wait(struct ring *r, struct msg *out, uint32_t max,
 		   int64_t wait_us)
 {
 	uint32_t n;
 
-	apr_thread_mutex_lock(r->lock);
+	pthread_mutex_lock(&r->lock);
 	while (r->count == 0 && !r->closed && wait_us != 0) {
 		if (wait_us < 0) {
-			apr_thread_cond_wait(r->ready, r->lock);
+			pthread_cond_wait(&r->ready, &r->lock);
 			continue;
 		}
 		/* One timed wait is enough: the caller rechecks its timers. */
-		apr_thread_cond_timedwait(r->ready, r->lock, wait_us);
+		timed_wait(r, wait_us);
 		break;
 	}
 	n = take_locked(r, out, max);
-	apr_thread_mutex_unlock(r->lock);
+	pthread_mutex_unlock(&r->lock);
 	return n;
 }
 
 void ring_close(struct ring *r)
 {
-	apr_thread_mutex_lock(r->lock);
+	pthread_mutex_lock(&r->lock);
 	r->closed = 1;
-	apr_thread_cond_signal(r->ready);
-	apr_thread_mutex_unlock(r->lock);
+	pthread_cond_signal(&r->ready);
+	pthread_mutex_unlock(&r->lock);
 	if (r->wake)
 		r->wake(r->wake_ctx);
 }
@@ -141,8 +155,8 @@
 {
 	int closed;
 
-	apr_thread_mutex_lock(r->lock);
+	pthread_mutex_lock(&r->lock);
 	closed = r->closed && r->count == 0;
-	apr_thread_mutex_unlock(r->lock);
+	pthread_mutex_unlock(&r->lock);
 	return closed;
 }
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -6,7 +6,12 @@
 #include <glib.h>
 #include <inttypes.h>
 #include <string.h>
+#include <sys/syscall.h>
+#include <sys/time.h>
+#include <time.h>
+#include <unistd.h>
 
+#include "base/clock.h"
 #include "base/ring.h"
 #include "base/timer_queue.h"
 #include "duty/serve_options.h"
@@ -222,11 +227,74 @@
 	g_assert_cmpuint(rows, ==, p.rows);
 }
 
+/* What the functions below add to the time of day and the boot time, in s. */
+static time_t time_of_day_step_s;
+static time_t suspended_s;
+
+/*
+ * Both stand for the functions of the C library, for other libraries as well,
+ * as the clocks of a machine cannot be moved here.
+ */
+int clock_gettime(clockid_t id, struct timespec *ts)
+{
+	if (syscall(SYS_clock_gettime, id, ts) != 0)
+		return -1;
+	if (id == CLOCK_BOOTTIME)
+		ts->tv_sec += suspended_s;
+	return 0;
+}
+
+int gettimeofday(struct timeval *tv, void *tz)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	tv->tv_sec = ts.tv_sec + time_of_day_step_s;
+	tv->tv_usec = ts.tv_nsec / 1000;
+	return 0;
+}
+
+/*
+ * Guards against a duty whose timers are late by seconds because the time of day
+ * has jumped back while it waits: a wait that was meant to end 60 s later by the
+ * time of day still ends in time.
+ */
+static void test_clock_step(void)
+{
+	struct err err = { 0 };
+	struct ring *r = ring_new(1, NULL, NULL, &err);
+	int64_t from_us = clock_now_us();
+	struct msg m;
+
+	time_of_day_step_s = 60;
+	g_assert_cmpuint(ring_wait(r, &m, 1, 20 * US_PER_MS), ==, 0);
+	time_of_day_step_s = 0;
+	g_assert_cmpint(clock_now_us() - from_us, >=, 20 * US_PER_MS);
+	g_assert_cmpint(clock_now_us() - from_us, <, 30 * (int64_t)US_PER_S);
+	ring_free(r);
+}
+
+/*
+ * Guards against a clock that stands still while the machine is suspended: a
+ * host would go on with state, leases and connections that have expired
+ * meanwhile.
+ */
+static void test_clock_suspended(void)
+{
+	int64_t from_us = clock_now_us();
+
+	suspended_s = 100;
+	g_assert_cmpint(clock_now_us() - from_us, >=, 100 * (int64_t)US_PER_S);
+	suspended_s = 0;
+}
+
 int main(int argc, char **argv)
 {
 	apr_initialize();
 	g_test_init(&argc, &argv, NULL);
 	script_register(&area, SCRIPT_DIR);
 	g_test_add_func("/docs/errors", test_errors_page);
+	g_test_add_func("/ring/clock-step", test_clock_step);
+	g_test_add_func("/clock/suspended", test_clock_suspended);
 	return g_test_run();
 }
