control: Drop odd values of the greatest size

Cause: an entry of another writer may have a megabyte. Each host kept it and passed it on to eight followers, 0.4 s of a link of 22 Mbit/s each time it changed.

Change: the value of a key other than the configuration that has more than 64 KB is dropped with a log line. Its entry stays, and names nothing.

--- a/src/duty/gw_control_source.c
+++ b/src/duty/gw_control_source.c
@@ -28,6 +28,12 @@
 #define ROLLOUT_WAIT_MS 200
 /* Wait after a failed call; the store duty adds its own backoff. */
 #define RETRY_US (150 * US_PER_MS)
+/*
+ * Longest value that is kept of a key other than the configuration. The entries
+ * of targets and hosts have some hundred bytes; a longer one is odd, and is not
+ * passed on to all followers.
+ */
+#define VALUE_BYTES_MAX 65536
 /* Wait time of a watch that only asks whether something has changed. */
 #define READ_WAIT_MS 1
 
@@ -287,6 +293,26 @@
 	host_tree_store_failed(c->host_tree, now_us);
 }
 
+/* Drops values that are too long; the decoders refuse what is left. */
+static void drop_long_values(const struct kv_result *r)
+{
+	const char *name;
+	uint32_t i;
+
+	for (i = 0; i < r->pair_count; i++) {
+		struct kv_pair *p = &r->pairs[i];
+
+		if (p->value_bytes <= VALUE_BYTES_MAX ||
+		    platform_key_parse(p->key, &name) == PLATFORM_KEY_CONFIG)
+			continue;
+		log_event(LOG_LEVEL_WARNING, "store_value_dropped",
+			  "value of '%s' at revision %llu has %u bytes", p->key,
+			  (unsigned long long)p->rev, p->value_bytes);
+		p->value[0] = '\0';
+		p->value_bytes = 0;
+	}
+}
+
 static void apply_store_result(struct gw_control *c, const struct kv_result *r,
 			       int64_t now_us)
 {
@@ -303,6 +329,7 @@
 	}
 	c->is_store_lost = 0;
 	host_tree_store_ok(c->host_tree);
+	drop_long_values(r);
 	apply_update(c, &u, now_us);
 }
 
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -26,10 +26,15 @@
 	u->pairs = util_alloc(argc, sizeof(u->pairs[0]));
 	for (i = 0; i < argc; i++) {
 		struct kv_pair *p = &u->pairs[u->pair_count];
-		g_auto(GStrv) pair_rev = g_strsplit(argv[i], "@", 2);
-		g_auto(GStrv) key_value = g_strsplit(pair_rev[0], "=", 2);
-		int is_deleted = pair_rev[0][0] == '-';
-
+		struct buf word CLEANUP_BUF = { 0 };
+		g_auto(GStrv) pair_rev = NULL;
+		g_auto(GStrv) key_value = NULL;
+		int is_deleted;
+
+		script_text(i + 1, argv, i, &word);
+		pair_rev = g_strsplit(word.data, "@", 2);
+		key_value = g_strsplit(pair_rev[0], "=", 2);
+		is_deleted = pair_rev[0][0] == '-';
 		if (!pair_rev[1])
 			continue;
 		p->rev = strtoull(pair_rev[1], NULL, 10);
