soak: Play leaving targets, pauses and answers without end

Cause: the soak knew targets that drain by their entries, none that say so in their answers, none that ask for a pause and none that send without end.

Change: three kinds of fault: leave (no more than a few late calls of each host that does not know it yet, drain), rest and endless.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -14,6 +14,8 @@
 #define BEGIN_SPREAD_US (1200 * US_PER_MS)
 /* Added to the checks' time limits: scheduling delays of soak and store. */
 #define SLACK_US (500 * US_PER_MS)
+/* Calls at once to one target by a host that does not know that it leaves. */
+#define LEAVING_CALLS_MAX 8
 #define ROLLOUT_S 6
 #define ROLLOUT_SETTLE_US (2 * (int64_t)US_PER_S)
 
@@ -35,6 +37,8 @@
 	const struct fault_kind *kind;
 	int64_t end_us;
 	int64_t began_us;
+	/* testbed_starts() at that time. */
+	uint32_t starts;
 	uint32_t host;
 	/* Target that only this fault may change; NULL: none. */
 	struct target_entry *target;
@@ -358,6 +362,68 @@
 	testbed_announce(f->testbed, s, "ready");
 }
 
+/* All answers of the target say that it is leaving; the store does not. */
+static int64_t leave_begin(struct faults *f, struct active_fault *a)
+{
+	if (!take_target(f, a))
+		return 0;
+	a->began_us = clock_now_us();
+	a->starts = testbed_starts(f->testbed);
+	a->target->late_count = 0;
+	a->target->late_from_us =
+		a->began_us + TESTBED_DRAIN_MS * US_PER_MS + SLACK_US;
+	a->target->says_leaving = 1;
+	return TESTBED_DRAIN_MS * US_PER_MS + SLACK_US +
+	       draw_duration_us(f, 1000, 3000);
+}
+
+/*
+ * A host that has not called the target since may do so late, with a few calls
+ * at once, and so may one that has been started meanwhile.
+ */
+static void leave_end(struct faults *f, struct active_fault *a)
+{
+	struct target_entry *s = a->target;
+	uint32_t hosts = TESTBED_HOSTS + testbed_starts(f->testbed) - a->starts;
+
+	if (s->late_count > LEAVING_CALLS_MAX * hosts)
+		ledger_violation(f->testbed->ledger, RULE_DRAIN,
+				 "target %s %u got %u requests after it said "
+				 "that it was leaving, %u hosts",
+				 s->service, s->instance, s->late_count, hosts);
+	s->late_from_us = 0;
+	testbed_withdraw(f->testbed, s);
+	s->says_leaving = 0;
+	s->instance++;
+	testbed_announce(f->testbed, s, "ready");
+}
+
+static int64_t rest_begin(struct faults *f, struct active_fault *a)
+{
+	if (!take_target(f, a))
+		return 0;
+	a->target->pause_ms = 100 + draw(f, 2000);
+	return draw_duration_us(f, 500, 3000);
+}
+
+static void rest_end(struct faults *f, struct active_fault *a)
+{
+	a->target->pause_ms = 0;
+}
+
+static int64_t endless_begin(struct faults *f, struct active_fault *a)
+{
+	if (!take_target(f, a))
+		return 0;
+	a->target->endless_permille = 50 + draw(f, 300);
+	return draw_duration_us(f, 500, 3000);
+}
+
+static void endless_end(struct faults *f, struct active_fault *a)
+{
+	a->target->endless_permille = 0;
+}
+
 static int64_t config_begin(struct faults *f, struct active_fault *a)
 {
 	testbed_configure(f->testbed);
@@ -536,6 +602,9 @@
 	{ "grey", partial_failure_begin, partial_failure_end },
 	{ "searcher_link", target_link_begin, target_link_end },
 	{ "replace", replace_begin, replace_end },
+	{ "leave", leave_begin, leave_end },
+	{ "rest", rest_begin, rest_end },
+	{ "endless", endless_begin, endless_end },
 	{ "config", config_begin, no_end },
 	{ "config_storm", config_storm_begin, no_end },
 	{ "evacuate", evacuate_begin, evacuate_end },
--- a/tests/soak/targets.c
+++ b/tests/soak/targets.c
@@ -13,6 +13,8 @@
 #define SERVICE_US (4 * US_PER_MS)
 #define SLOT_COUNT 4
 #define QUEUE_MAX 16
+/* More than the 4 MB that a host reads of one answer. */
+#define ENDLESS_BYTES (5 * 1048576)
 #define RUN_S 3600
 /* Interval at which changes of is_down and stopping are noticed. */
 #define ROUND_US (5 * US_PER_MS)
@@ -96,6 +98,17 @@
 	return rng_below(&s->targets->rng, PERMILLE) < permille;
 }
 
+/*
+ * Begins an answer that is longer than any host reads; the connection ends when
+ * the host closes it.
+ */
+static void send_endless(struct http_conn *c)
+{
+	char *body CLEANUP_FREE = util_alloc(ENDLESS_BYTES, 1);
+
+	http_reply_fields(c, 200, "", body, ENDLESS_BYTES, HTTP_WHOLE);
+}
+
 static void send_answer(struct job *j)
 {
 	struct server *s = j->server;
@@ -104,7 +117,14 @@
 	struct buf body CLEANUP_BUF = { 0 };
 	int failed = draw_permille(s, s->entry.fail_permille);
 
+	http_set_user(j->conn, NULL);
+	if (draw_permille(s, s->entry.endless_permille)) {
+		send_endless(j->conn);
+		return;
+	}
 	buf_addf(&fields, "Cowslippoint-Server-Stamp: %s\r\n", j->stamp);
+	if (s->entry.says_leaving)
+		buf_addf(&fields, "Server-Leaving: 1\r\n");
 	if (!j->is_part)
 		buf_addf(&fields, "Cowslippoint-Request-Id: %s\r\n", j->id);
 	if (j->is_part) {
@@ -113,7 +133,6 @@
 	} else {
 		buf_addf(&body, "id=%s stamp=%s", j->id, j->stamp);
 	}
-	http_set_user(j->conn, NULL);
 	http_reply_fields(j->conn, failed ? 500 : 200, fields.data, body.data,
 			  body.len_bytes,
 			  s->entry.answers_twice ? HTTP_TWICE : HTTP_WHOLE);
@@ -160,6 +179,25 @@
 			  HTTP_WHOLE);
 }
 
+/* Asks the host for a pause. */
+static void refuse_for(struct http_conn *c, uint32_t pause_ms)
+{
+	struct buf fields CLEANUP_BUF = { 0 };
+
+	buf_addf(&fields,
+		 "Cowslippoint-Not-Executed: 1\r\nRetry-After: %u.%03u\r\n",
+		 pause_ms / MS_PER_S, pause_ms % MS_PER_S);
+	http_reply_fields(c, 503, fields.data, "", 0, HTTP_WHOLE);
+}
+
+static void count_late(struct target_entry *e)
+{
+	int64_t from_us = e->late_from_us;
+
+	if (from_us && clock_now_us() >= from_us)
+		e->late_count++;
+}
+
 static void on_request(void *ctx, struct http_conn *c,
 		       const struct http_request *r)
 {
@@ -186,6 +224,12 @@
 		return;
 	}
 	ledger_arrived(s->targets->ledger, j->id, s->entry.service);
+	count_late(&s->entry);
+	if (s->entry.pause_ms) {
+		free(j);
+		refuse_for(c, s->entry.pause_ms);
+		return;
+	}
 	if (g_queue_get_length(s->queue) >= QUEUE_MAX) {
 		free(j);
 		refuse(c, 503);
--- a/tests/soak/targets.h
+++ b/tests/soak/targets.h
@@ -39,6 +39,18 @@
 	_Atomic uint32_t lost_permille;
 	/* 1: sends each answer twice. */
 	_Atomic int answers_twice;
+	/* 1: each answer says that the target is leaving. */
+	_Atomic int says_leaving;
+	/*
+	 * From this time on a target that is leaving counts requests; 0: never.
+	 * Requests that it counted.
+	 */
+	_Atomic int64_t late_from_us;
+	_Atomic uint32_t late_count;
+	/* Turns all requests away and asks for a pause of this long; 0: not. */
+	_Atomic uint32_t pause_ms;
+	/* Share of the answers whose body does not end. */
+	_Atomic uint32_t endless_permille;
 	/* Requests that it ran, and the time at which the last one began. */
 	_Atomic uint64_t run_count;
 	_Atomic int64_t last_run_us;
--- a/tests/soak/testbed.c
+++ b/tests/soak/testbed.c
@@ -434,3 +434,13 @@
 	proxy_free(tb->proxy);
 	proc_kill(&tb->store);
 }
+
+uint32_t testbed_starts(const struct testbed *tb)
+{
+	uint32_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < TESTBED_HOSTS; i++)
+		sum += tb->hosts[i].incarnation;
+	return sum;
+}
--- a/tests/soak/testbed.h
+++ b/tests/soak/testbed.h
@@ -119,4 +119,7 @@
 /* Sends @json to the store stand-in's control port, which switches a fault. */
 void testbed_store_fault(struct testbed *tb, const char *json);
 
+/* Starts of all hosts so far. */
+uint32_t testbed_starts(const struct testbed *tb);
+
 #endif
