decide: Choose the host that gathers a request with many parts

Change: a decision of its own compares the time that a gather keeps this host busy with that of other hosts, hop included, and forwards it if that takes at most half. A gatherer says how many it can take at once. Nothing uses it yet.

Result: decide-forward plays hosts that are alike, strong and weak ones, full and failed ones, and data centres without targets.

--- a/tests/test_decide.c
+++ b/tests/test_decide.c
@@ -10,6 +10,7 @@
 #include "decide/admission.h"
 #include "decide/balancer.h"
 #include "decide/extra_budget.h"
+#include "decide/forward.h"
 #include "decide/merge.h"
 #include "decide/hedge_delay.h"
 #include "decide/rendezvous.h"
@@ -18,6 +19,7 @@
 #include "script.h"
 
 #define TARGETS_MAX 4
+#define CANDIDATES_MAX 8
 
 struct decide_ctx {
 	/* Time that is passed to the modules. */
@@ -29,6 +31,8 @@
 	struct rng rng;
 	/* By the number that scripts give as t=; NULL until "target". */
 	struct target_state *targets[TARGETS_MAX];
+	uint32_t candidate_count;
+	struct forward_candidate candidates[CANDIDATES_MAX];
 };
 
 static void *decide_new(void)
@@ -397,6 +401,80 @@
 			 script_u32(argc, argv, "need", 1000))));
 }
 
+static struct forward_power read_power(uint32_t argc, char **argv)
+{
+	return (struct forward_power){ script_u32(argc, argv, "core", 120),
+				       script_u32(argc, argv, "link", 22) };
+}
+
+/*
+ * candidate [core=PERMILLE] [link=MBPS] [remote=PARTS] [far=1] [open=N]
+ * [avoid=MS]: one more host that may gather.
+ */
+static void cmd_candidate(void *ctx, uint32_t argc, char **argv,
+			  struct buf *out)
+{
+	struct decide_ctx *c = ctx;
+
+	c->candidates[c->candidate_count++] = (struct forward_candidate){
+		.power = read_power(argc, argv),
+		.remote_part_count = script_u32(argc, argv, "remote", 0),
+		.is_near = !script_u32(argc, argv, "far", 0),
+		.open_count = script_u32(argc, argv, "open", 0),
+		.avoid_until_us = c->now_us +
+				  script_int(argc, argv, "avoid", 0) * US_PER_MS
+	};
+}
+
+/* nobody: forgets the candidates. */
+static void cmd_nobody(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	((struct decide_ctx *)ctx)->candidate_count = 0;
+}
+
+/*
+ * gather PARTS [bytes=N] [core=PERMILLE] [link=MBPS] [remote=PARTS]: prints
+ * which candidates this host forwards 60 requests to.
+ */
+static void cmd_gather(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct decide_ctx *c = ctx;
+	struct forward_power self = read_power(argc, argv);
+	struct forward_load load = { (uint32_t)strtoul(argv[0], NULL, 10),
+				     script_u32(argc, argv, "bytes", 1400) };
+	uint32_t remote = script_u32(argc, argv, "remote", 0);
+	uint32_t counts[CANDIDATES_MAX + 1] = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < 60; i++) {
+		uint32_t at = forward_pick(&self, remote, c->candidates,
+					   c->candidate_count, &load, &c->rng,
+					   c->now_us);
+
+		counts[at == FORWARD_NONE ? CANDIDATES_MAX : at]++;
+	}
+	buf_addf(out, "takes %" PRId64 " us here; here %u",
+		 forward_gather_us(&self, &load, remote),
+		 counts[CANDIDATES_MAX]);
+	for (i = 0; i < c->candidate_count; i++)
+		buf_addf(out, " %u", counts[i]);
+	buf_addf(out, "\n");
+}
+
+/* accept PARTS GOAL_MS [core=PERMILLE] [link=MBPS]: how many at once. */
+static void cmd_accept(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct forward_power self = read_power(argc, argv);
+	struct forward_load load = { (uint32_t)strtoul(argv[0], NULL, 10),
+				     1400 };
+	uint32_t n = 0;
+
+	while (n < 1000 &&
+	       forward_may_accept(&self, &load, n, atoll(argv[1]) * US_PER_MS))
+		n++;
+	buf_addf(out, "%u at once\n", n);
+}
+
 static const struct script_command commands[] = {
 	{ "wait", cmd_wait },	      { "budget", cmd_budget },
 	{ "contract", cmd_contract }, { "enter", cmd_enter },
@@ -406,7 +484,9 @@
 	{ "announce", cmd_announce }, { "pick", cmd_pick },
 	{ "owners", cmd_owners },     { "once", cmd_once },
 	{ "written", cmd_written },   { "read", cmd_read },
-	{ "coverage", cmd_coverage },
+	{ "coverage", cmd_coverage }, { "candidate", cmd_candidate },
+	{ "nobody", cmd_nobody },     { "gather", cmd_gather },
+	{ "accept", cmd_accept },
 };
 
 static const struct script_area area = {
