--- a/src/codec/gw_settings.h
+++ b/src/codec/gw_settings.h
@@ -36,6 +36,8 @@
 	uint32_t descriptors;
 	/* Share of one processor core that the host has; may exceed 1000. */
 	uint32_t core_permille;
+	/* Rate of the host's link; 0: not stated. */
+	uint32_t link_mbps;
 	/* Time that the deployment leaves between SIGTERM and SIGKILL. */
 	uint32_t grace_ms;
 	/* Longest time until a new configuration is in force. */
--- a/src/codec/peer.h
+++ b/src/codec/peer.h
@@ -27,6 +27,10 @@
 #define PEER_ENTRIES_MAX 65536
 #define PEER_EVIDENCE_MAX 128
 #define PEER_HEALTH_MAX 48
+#define PEER_WIRE_ID_MAX 127
+#define PEER_METHOD_MAX 23
+#define PEER_FORWARD_MAX 16384
+#define PEER_STAMPS_MAX 262144
 
 struct peer_notice {
 	char *target;
@@ -149,6 +153,43 @@
 };
 typedef struct peer_state peer_state;
 
+struct peer_forward {
+	u_quad_t config_version;
+	u_int limit_ms;
+	u_int goal_ms;
+	char *id;
+	char *host_name;
+	char *method;
+	char *uri;
+	struct {
+		u_int fields_len;
+		char *fields_val;
+	} fields;
+	u_int has_body;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+};
+typedef struct peer_forward peer_forward;
+
+struct peer_forwarded {
+	u_int status;
+	u_int code;
+	u_int retry_after_ms;
+	u_int merged;
+	u_int missing;
+	struct {
+		u_int stamps_len;
+		char *stamps_val;
+	} stamps;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+};
+typedef struct peer_forwarded peer_forwarded;
+
 #define COWSLIPPOINT_PEER 0x20c05711
 #define PEER_V1 1
 
@@ -168,6 +209,12 @@
 #define TELL_HEALTH 5
 extern  void * tell_health_1(peer_health , CLIENT *);
 extern  void * tell_health_1_svc(peer_health , struct svc_req *);
+#define FORWARD 6
+extern  peer_forwarded * forward_1(peer_forward , CLIENT *);
+extern  peer_forwarded * forward_1_svc(peer_forward , struct svc_req *);
+#define CANCEL_FORWARD 7
+extern  void * cancel_forward_1(u_int , CLIENT *);
+extern  void * cancel_forward_1_svc(u_int , struct svc_req *);
 extern int cowslippoint_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -186,6 +233,12 @@
 #define TELL_HEALTH 5
 extern  void * tell_health_1();
 extern  void * tell_health_1_svc();
+#define FORWARD 6
+extern  peer_forwarded * forward_1();
+extern  peer_forwarded * forward_1_svc();
+#define CANCEL_FORWARD 7
+extern  void * cancel_forward_1();
+extern  void * cancel_forward_1_svc();
 extern int cowslippoint_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -203,6 +256,8 @@
 extern  bool_t xdr_peer_health (XDR *, peer_health*);
 extern  bool_t xdr_peer_entry (XDR *, peer_entry*);
 extern  bool_t xdr_peer_state (XDR *, peer_state*);
+extern  bool_t xdr_peer_forward (XDR *, peer_forward*);
+extern  bool_t xdr_peer_forwarded (XDR *, peer_forwarded*);
 
 #else /* K&R C */
 extern bool_t xdr_peer_notice ();
@@ -216,6 +271,8 @@
 extern bool_t xdr_peer_health ();
 extern bool_t xdr_peer_entry ();
 extern bool_t xdr_peer_state ();
+extern bool_t xdr_peer_forward ();
+extern bool_t xdr_peer_forwarded ();
 
 #endif /* K&R C */
 
--- a/src/codec/peer.x
+++ b/src/codec/peer.x
@@ -1,5 +1,7 @@
 /*
- * Messages between hosts (ONC RPC). HEARTBEAT is one-way over UDP: the server
+ * Messages between hosts (ONC RPC). FORWARD is a call over TCP: a host has a
+ * gathered request answered by another one; CANCEL_FORWARD on the same
+ * connection is one-way and names the transaction ID of the call. HEARTBEAT is one-way over UDP: the server
  * sends no reply. FETCH_CONFIG is a call over TCP. FOLLOW_STATE is a call over
  * TCP that the server answers when it knows more than the client, when it has
  * heard from the store again, or after hold_ms. REPORT_HEALTH and TELL_HEALTH
@@ -20,6 +22,10 @@
 const PEER_ENTRIES_MAX = 65536;
 const PEER_EVIDENCE_MAX = 128;
 const PEER_HEALTH_MAX = 48;
+const PEER_WIRE_ID_MAX = 127;
+const PEER_METHOD_MAX = 23;
+const PEER_FORWARD_MAX = 16384;
+const PEER_STAMPS_MAX = 262144;
 
 struct peer_notice {
 	string target<PEER_NAME_MAX>;
@@ -107,6 +113,29 @@
 	peer_entry entries<PEER_ENTRIES_MAX>;
 };
 
+struct peer_forward {
+	unsigned hyper config_version;
+	unsigned int limit_ms;
+	unsigned int goal_ms;
+	string id<PEER_WIRE_ID_MAX>;
+	string host_name<PEER_WIRE_ID_MAX>;
+	string method<PEER_METHOD_MAX>;
+	string uri<PEER_FORWARD_MAX>;
+	opaque fields<PEER_FORWARD_MAX>;
+	unsigned int has_body;
+	opaque body<PEER_FORWARD_MAX>;
+};
+
+struct peer_forwarded {
+	unsigned int status;
+	unsigned int code;
+	unsigned int retry_after_ms;
+	unsigned int merged;
+	unsigned int missing;
+	opaque stamps<PEER_STAMPS_MAX>;
+	opaque body<PEER_JSON_MAX>;
+};
+
 program COWSLIPPOINT_PEER {
 	version PEER_V1 {
 		void HEARTBEAT(peer_heartbeat) = 1;
@@ -114,5 +143,7 @@
 		peer_state FOLLOW_STATE(peer_follow_args) = 3;
 		void REPORT_HEALTH(peer_health) = 4;
 		void TELL_HEALTH(peer_health) = 5;
+		peer_forwarded FORWARD(peer_forward) = 6;
+		void CANCEL_FORWARD(unsigned int) = 7;
 	} = 1;
 } = 0x20c05711;
--- a/src/codec/peer_xdr.c
+++ b/src/codec/peer_xdr.c
@@ -304,3 +304,108 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_peer_forward (XDR *xdrs, peer_forward *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->limit_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->goal_ms))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->id, PEER_WIRE_ID_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->host_name, PEER_WIRE_ID_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->method, PEER_METHOD_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->uri, PEER_FORWARD_MAX))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->fields.fields_val, (u_int *) &objp->fields.fields_len, PEER_FORWARD_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->has_body))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_FORWARD_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_forwarded (XDR *xdrs, peer_forwarded *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->status))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->code))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->merged))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->missing))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->status);
+		IXDR_PUT_U_LONG(buf, objp->code);
+		IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
+		IXDR_PUT_U_LONG(buf, objp->merged);
+		IXDR_PUT_U_LONG(buf, objp->missing);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->stamps.stamps_val, (u_int *) &objp->stamps.stamps_len, PEER_STAMPS_MAX))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_JSON_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->status))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->code))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->merged))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->missing))
+				 return FALSE;
+
+		} else {
+		objp->status = IXDR_GET_U_LONG(buf);
+		objp->code = IXDR_GET_U_LONG(buf);
+		objp->retry_after_ms = IXDR_GET_U_LONG(buf);
+		objp->merged = IXDR_GET_U_LONG(buf);
+		objp->missing = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->stamps.stamps_val, (u_int *) &objp->stamps.stamps_len, PEER_STAMPS_MAX))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_JSON_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->code))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->merged))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->missing))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->stamps.stamps_val, (u_int *) &objp->stamps.stamps_len, PEER_STAMPS_MAX))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_JSON_MAX))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/controller/host_tree.c
+++ b/src/controller/host_tree.c
@@ -206,6 +206,22 @@
 	return NULL;
 }
 
+uint32_t host_tree_count(const struct host_tree *t)
+{
+	return t->order->len;
+}
+
+void host_tree_fill(const struct host_tree *t, struct host_entry *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < t->order->len; i++) {
+		const struct tree_host *host = g_ptr_array_index(t->order, i);
+
+		out[i] = host->def;
+	}
+}
+
 void host_tree_each_dc_peer(const struct host_tree *t,
 			    void (*fn)(void *ctx,
 				       const struct host_entry *host),
--- a/src/controller/host_tree.h
+++ b/src/controller/host_tree.h
@@ -61,6 +61,9 @@
  */
 const struct host_entry *host_tree_root_peer(const struct host_tree *t,
 					     int64_t now_us);
+uint32_t host_tree_count(const struct host_tree *t);
+/* Writes the entries of all hosts, this one included, to @out. */
+void host_tree_fill(const struct host_tree *t, struct host_entry *out);
 /* Calls @fn for each other host of this data centre that has a port. */
 void host_tree_each_dc_peer(const struct host_tree *t,
 			    void (*fn)(void *ctx,
--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -155,6 +155,7 @@
 		      settings->peer_endpoint.address);
 	o.self.port = settings->peer_endpoint.port;
 	o.self.core_permille = settings->core_permille;
+	o.self.link_mbps = settings->link_mbps;
 	for (i = 0; i < settings->seed_count; i++) {
 		util_copy_str(o.seeds[i].address, sizeof(o.seeds[i].address),
 			      settings->seeds[i].address);
@@ -168,7 +169,8 @@
 	return (struct gw_tuning){ .extra_call_permille =
 					   settings->retry_permille,
 				   .extra_call_slack = settings->retry_slack,
-				   .core_permille = settings->core_permille };
+				   .core_permille = settings->core_permille,
+				   .link_mbps = settings->link_mbps };
 }
 
 static enum err_code create_duties(struct gateway *g, struct err *err)
@@ -179,6 +181,8 @@
 
 	util_copy_str(o.data_centre, sizeof(o.data_centre),
 		      g->settings.data_centre);
+	if (g->settings.peer_endpoint.port)
+		util_copy_str(o.host, sizeof(o.host), g->settings.host);
 	g->logger = logger_duty_new(stdout, err);
 	if (g->logger)
 		create_store(g, o.seed, err);
@@ -202,9 +206,11 @@
 	    egress_start(g->egress, gw_duty_ring(g->request), err) != ERR_OK ||
 	    gw_duty_start(g->request, ingress_ring(g->ingress),
 			  egress_ring(g->egress), gw_control_ring(g->control),
+			  g->relay ? relay_ring(g->relay) : NULL,
 			  err) != ERR_OK ||
-	    (g->relay && relay_start(g->relay, gw_control_ring(g->control),
-				     err) != ERR_OK) ||
+	    (g->relay &&
+	     relay_start(g->relay, gw_control_ring(g->control),
+			 gw_duty_ring(g->request), err) != ERR_OK) ||
 	    gw_control_start(g->control, err) != ERR_OK)
 		return err->code;
 	return ingress_start(g->ingress, err);
@@ -219,6 +225,13 @@
 	return sigtimedwait(signals, NULL, &ts) > 0;
 }
 
+/* 1 if no caller and no other host waits for an answer. */
+static int is_finished(const struct gateway *g)
+{
+	return ingress_is_finished(g->ingress) &&
+	       (!g->relay || !relay_forwarded_count(g->relay));
+}
+
 /*
  * Graceful shutdown: the host reports at once that it is not ready. Until the
  * load balancer has noticed, new connections are served, and each connection is
@@ -234,11 +247,14 @@
 
 	log_event(LOG_LEVEL_INFO, "leaving", "draining for %d ms", LEAVE_MS);
 	ingress_drain(g->ingress);
+	if (ring_push(gw_duty_ring(g->request), &m) != ERR_OK)
+		log_event(LOG_LEVEL_WARNING, "ring_full",
+			  "forwarded requests are still accepted");
 	wait_signal(signals, util_min_i64(LEAVE_MS, g->settings.grace_ms / 2));
 	if (ring_push(ingress_ring(g->ingress), &m) != ERR_OK)
 		log_event(LOG_LEVEL_WARNING, "ring_full",
 			  "idle caller connections stay open");
-	while (!ingress_is_finished(g->ingress) && clock_now_us() < deadline_us)
+	while (!is_finished(g) && clock_now_us() < deadline_us)
 		wait_signal(signals, FINISH_POLL_MS);
 	log_event(LOG_LEVEL_INFO, "stopped", "%u requests unfinished",
 		  ingress_caller_count(g->ingress));
@@ -295,6 +311,7 @@
 	g->settings.retry_permille = settings->retry_permille;
 	g->settings.retry_slack = settings->retry_slack;
 	g->settings.core_permille = settings->core_permille;
+	g->settings.link_mbps = settings->link_mbps;
 	g->settings.grace_ms = settings->grace_ms;
 	if (ring_push(gw_duty_ring(g->request), &m) != ERR_OK) {
 		log_event(LOG_LEVEL_ERROR, "ring_full",
--- a/src/duty/gw_duty.c
+++ b/src/duty/gw_duty.c
@@ -16,6 +16,8 @@
 	struct ring *ingress;
 	struct ring *egress;
 	struct ring *control;
+	/* NULL: there is none, and nothing is forwarded. */
+	struct ring *relay;
 	/* Result of gw_ready() with the latest view. */
 	_Atomic int is_ready;
 };
@@ -42,12 +44,31 @@
 	target_call_free(call);
 }
 
+static void drop_forward(void *body)
+{
+	forward_call_free(body);
+}
+
+static void push_forward(void *ctx, struct forward_call *call)
+{
+	struct gw_duty *d = ctx;
+	struct msg m = { MSG_FORWARD_CALL, call, drop_forward };
+
+	if (d->relay && ring_push(d->relay, &m) == ERR_OK)
+		return;
+	/* The request is then given up after a part of its time. */
+	log_event(LOG_LEVEL_ERROR, "ring_full", "forwarded request dropped");
+	forward_call_free(call);
+}
+
 static void push_answer(void *ctx, struct exchange_answer *a)
 {
 	struct gw_duty *d = ctx;
 	struct msg m = { MSG_EXCHANGE_ANSWER, a, drop_answer };
+	struct ring *to = a->conn_id & EXCHANGE_CONN_FORWARDED ? d->relay
+							       : d->ingress;
 
-	if (ring_push(d->ingress, &m) == ERR_OK)
+	if (ring_push(to, &m) == ERR_OK)
 		return;
 	log_event(LOG_LEVEL_ERROR, "ring_full", "answer dropped");
 	exchange_answer_free(a);
@@ -94,6 +115,12 @@
 	case MSG_TARGET_REPLY:
 		gw_on_reply(d->gw, m->body, now_us);
 		break;
+	case MSG_FORWARD_REPLY:
+		gw_on_forward_reply(d->gw, m->body, now_us);
+		break;
+	case MSG_LEAVE:
+		gw_leave(d->gw);
+		break;
 	case MSG_EXCHANGE_CALLER_GONE:
 		gw_caller_gone(d->gw, gone->conn, now_us);
 		free(gone);
@@ -120,7 +147,8 @@
 struct gw_duty *gw_duty_new(const struct gw_options *o, struct err *err)
 {
 	struct gw_duty *d = util_alloc(1, sizeof(*d));
-	struct gw_ops ops = { push_call, push_answer, push_rollout_reports,
+	struct gw_ops ops = { push_call,   push_forward,
+			      push_answer, push_rollout_reports,
 			      push_health, d };
 
 	d->duty = duty_new("request", RING_CAPACITY, NULL, NULL, err);
@@ -134,8 +162,9 @@
 
 enum err_code gw_duty_start(struct gw_duty *d, struct ring *ingress,
 			    struct ring *egress, struct ring *control,
-			    struct err *err)
+			    struct ring *relay, struct err *err)
 {
+	d->relay = relay;
 	d->ingress = ingress;
 	d->egress = egress;
 	d->control = control;
--- a/src/duty/gw_duty.h
+++ b/src/duty/gw_duty.h
@@ -15,10 +15,10 @@
 struct gw_duty;
 
 struct gw_duty *gw_duty_new(const struct gw_options *o, struct err *err);
-/* @ingress, @egress, @control: rings of these duties. */
+/* Rings of these duties; @relay may be NULL: nothing is forwarded. */
 enum err_code gw_duty_start(struct gw_duty *d, struct ring *ingress,
 			    struct ring *egress, struct ring *control,
-			    struct err *err);
+			    struct ring *relay, struct err *err);
 struct ring *gw_duty_ring(struct gw_duty *d);
 /* Any thread: 1 when requests can be served, as gw_ready() says. */
 int gw_duty_is_ready(void *gw_duty);
--- a/src/duty/messages.h
+++ b/src/duty/messages.h
@@ -13,6 +13,7 @@
 #include "duty/admin_call.h"
 #include "model/request_report.h"
 #include "model/exchange.h"
+#include "model/forward_call.h"
 #include "model/gw_view.h"
 #include "model/heartbeat.h"
 #include "model/target_health.h"
@@ -39,8 +40,8 @@
 	MSG_CONFIG_FETCH_RESULT,
 	MSG_CONFIG, /* struct cfg_revision: control to peer_listen */
 	/*
-	 * No body: main thread to control, request and ingress; a graceful
-	 * shutdown begins.
+	 * No body: main thread to control, request, gateway and ingress; a
+	 * graceful shutdown begins.
 	 */
 	MSG_LEAVE,
 	MSG_LOG_LINE, /* char: any duty to logger */
@@ -48,6 +49,12 @@
 	/* struct exchange_caller_gone: ingress to gateway */
 	MSG_EXCHANGE_CALLER_GONE,
 	MSG_EXCHANGE_ANSWER, /* struct exchange_answer: gateway to ingress */
+	/*
+	 * MSG_EXCHANGE_REQUEST, _CALLER_GONE and _ANSWER of a forwarded request
+	 * pass between gateway and relay.
+	 */
+	MSG_FORWARD_CALL, /* struct forward_call: gateway to relay */
+	MSG_FORWARD_REPLY, /* struct forward_reply: relay to gateway */
 	MSG_TARGET_CALL, /* struct target_call: gateway to egress */
 	MSG_TARGET_REPLY, /* struct target_reply: egress to gateway */
 	MSG_GW_VIEW, /* struct gw_view: gateway control to gateway */
--- a/src/duty/relay.c
+++ b/src/duty/relay.c
@@ -17,9 +17,7 @@
 #include "codec/peer_rpc.h"
 #include "codec/peer_msg.h"
 #include "codec/peer_msg_state.h"
-#include "duty/duty.h"
-#include "duty/messages.h"
-#include "duty/rpc_conn.h"
+#include "duty/relay_internal.h"
 
 #define RING_CAPACITY 1024
 #define LISTEN_QUEUE 128
@@ -31,49 +29,14 @@
 #define DATAGRAM_BYTES_MAX 1400
 /*
  * The tree gives a host eight followers; when one of them fails, its followers
- * come to this host.
+ * come to this host. A gatherer has a connection of each host that forwards.
  */
-#define FOLLOWERS_MAX 256
+#define FOLLOWERS_MAX 2048
 /* Time to connect, send and schedule, added to the hold time of a call. */
 #define ANSWER_MARGIN_MS 400
 /* A follower that leaves more than this unread is disconnected. */
 #define UNSENT_BYTES_MAX (2 * STATE_BYTES_MAX)
 
-/* A host that follows this one. */
-struct follower {
-	struct relay *relay;
-	uint64_t id;
-	struct rpc_conn *conn;
-	/* 1 while a call of this follower waits for its answer. */
-	int is_waiting;
-};
-
-struct relay {
-	struct duty *duty;
-	struct poller *poller;
-	struct ring *control;
-	struct poller_item listener;
-	/* UDP socket for datagrams of target health. */
-	struct poller_item datagrams;
-	/* struct follower.id to struct follower. */
-	GHashTable *followers;
-	uint64_t next_id;
-	/* Connection to the host that this one calls; NULL: not connected. */
-	struct rpc_conn *upstream;
-	/* Address and port of the other end of @upstream. */
-	char upstream_address[ADDRESS_BYTES];
-	uint16_t upstream_port;
-	/* Host that the call in flight goes to; empty while there is none. */
-	char call_host[NAME_BYTES];
-	/* RPC transaction ID of the call, and the time at which it was sent. */
-	uint32_t call_xid;
-	int64_t call_sent_us;
-	/* RPC transaction ID of the last call or datagram that was sent. */
-	uint32_t last_xid;
-	/* Armed while a call is in flight; due when its answer is too late. */
-	struct timer_entry call_timer;
-};
-
 void follow_request_free(struct follow_request *f)
 {
 	if (!f)
@@ -249,6 +212,7 @@
 {
 	struct follower *f = p;
 
+	relay_forward_lost(f);
 	rpc_conn_free(f->conn);
 	free(f);
 }
@@ -297,11 +261,23 @@
 	return 0;
 }
 
+/* FOLLOW_STATE of a host; 0 when it is not valid. */
+static int take_follow_call(struct follower *f, uint32_t xid, XDR *x,
+			    int64_t now_us)
+{
+	peer_follow_args args = { 0 };
+	int ok = !f->is_waiting && xdr_peer_follow_args(x, &args) &&
+		 push_call(f, make_call(f, xid, &args, now_us));
+
+	xdr_free((xdrproc_t)xdr_peer_follow_args, &args);
+	f->is_waiting |= ok;
+	return ok;
+}
+
 static void on_follower_record(void *ctx, char *data, size_t len_bytes,
 			       int64_t now_us)
 {
 	struct follower *f = ctx;
-	peer_follow_args args = { 0 };
 	uint32_t xid = 0;
 	uint32_t procedure = 0;
 	XDR x;
@@ -309,16 +285,18 @@
 
 	metric_add(METRIC_PEER_MESSAGES_RECEIVED, 1);
 	metric_add(METRIC_PEER_RECEIVED_BYTES, len_bytes);
-	ok = peer_rpc_read_call(data, len_bytes, &x, &xid, &procedure) &&
-	     procedure == FOLLOW_STATE && !f->is_waiting &&
-	     xdr_peer_follow_args(&x, &args) &&
-	     push_call(f, make_call(f, xid, &args, now_us));
+	if (!peer_rpc_read_call(data, len_bytes, &x, &xid, &procedure))
+		ok = 0;
+	else if (procedure == FORWARD)
+		ok = relay_forward_received(f, xid, &x, now_us);
+	else if (procedure == CANCEL_FORWARD)
+		ok = relay_forward_cancelled(f, &x);
+	else
+		ok = procedure == FOLLOW_STATE &&
+		     take_follow_call(f, xid, &x, now_us);
 	xdr_destroy(&x);
-	xdr_free((xdrproc_t)xdr_peer_follow_args, &args);
-	if (ok) {
-		f->is_waiting = 1;
+	if (ok)
 		return;
-	}
 	metric_add(METRIC_PEER_ERRORS, 1);
 	on_follower_lost(f, now_us);
 }
@@ -459,6 +437,12 @@
 		send_health(r, m->body);
 		free(m->body);
 		break;
+	case MSG_FORWARD_CALL:
+		relay_forward_call(r, m->body, now_us);
+		break;
+	case MSG_EXCHANGE_ANSWER:
+		relay_forward_answer(r, m->body);
+		break;
 	case MSG_FOLLOWER_REPLY:
 		answer(r, m->body, now_us);
 		follower_reply_free(m->body);
@@ -525,6 +509,7 @@
 
 	r->listener.fd = -1;
 	r->datagrams.fd = -1;
+	relay_forward_init(r);
 	r->followers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					     follower_free);
 	r->poller = poller_new(err);
@@ -539,9 +524,10 @@
 }
 
 enum err_code relay_start(struct relay *r, struct ring *control,
-			  struct err *err)
+			  struct ring *requests, struct err *err)
 {
 	r->control = control;
+	r->requests = requests;
 	return duty_start_loop(r->duty, run, r, err);
 }
 
@@ -550,6 +536,11 @@
 	return duty_ring(r->duty);
 }
 
+uint32_t relay_forwarded_count(struct relay *r)
+{
+	return r->forwarded_count;
+}
+
 uint16_t relay_port(const struct relay *r)
 {
 	return addr_local_port(r->listener.fd);
@@ -569,6 +560,7 @@
 		timer_queue_cancel(duty_timers(r->duty), &r->call_timer);
 	rpc_conn_free(r->upstream);
 	g_hash_table_destroy(r->followers);
+	relay_forward_free(r);
 	if (r->listener.fd >= 0)
 		close(r->listener.fd);
 	if (r->datagrams.fd >= 0)
--- a/src/duty/relay.h
+++ b/src/duty/relay.h
@@ -1,8 +1,10 @@
 /*
  * The relay duty: passes the state of the store between hosts of the gateway
  * (FOLLOW_STATE of codec/peer.x) over TCP, and target health (REPORT_HEALTH and
- * TELL_HEALTH) over UDP at the same port number. It makes no decisions: the
- * control duty says which host to follow and when to answer followers.
+ * TELL_HEALTH) over UDP at the same port number, and forwarded requests with
+ * their answers (FORWARD) over TCP. It makes no decisions: the control duty says
+ * which host to follow and when to answer followers, the request duty which
+ * host a request is forwarded to.
  */
 #ifndef RELAY_H
 #define RELAY_H
@@ -91,9 +93,11 @@
 
 /* Listens on @address at @port; port 0: one that the system chooses. */
 struct relay *relay_new(const char *address, uint16_t port, struct err *err);
-/* @control: ring of the control duty. */
+/* @control, @requests: rings of the control and of the request duty. */
 enum err_code relay_start(struct relay *r, struct ring *control,
-			  struct err *err);
+			  struct ring *requests, struct err *err);
+/* Any thread: requests of other hosts that this one has not answered yet. */
+uint32_t relay_forwarded_count(struct relay *r);
 struct ring *relay_ring(struct relay *r);
 /* Port that the duty listens on. */
 uint16_t relay_port(const struct relay *r);
--- a/src/gateway/1_route.c
+++ b/src/gateway/1_route.c
@@ -38,6 +38,19 @@
 	       util_max_i64(r->gw->opt.tuning.core_permille, 1);
 }
 
+/* The host that forwarded the request has taken off what it needs. */
+static void set_forwarded_times(struct gw_req *r)
+{
+	const struct exchange_request *in = r->request;
+
+	r->deadline_us =
+		in->received_us + (int64_t)in->caller_timeout_ms * US_PER_MS;
+	r->partial_after_us = in->received_us +
+			      (int64_t)in->goal_ms * US_PER_MS -
+			      build_answer_us(r);
+	r->partial_after_us = util_min_i64(r->partial_after_us, r->deadline_us);
+}
+
 static void set_times(struct gw_req *r)
 {
 	const struct exchange_request *in = r->request;
@@ -46,6 +59,11 @@
 		GOAL_MARGIN_MIN_US, goal_us * GOAL_MARGIN_PERMILLE / PERMILLE);
 	int64_t wait_ms = r->route->timeout_ms;
 
+	if (in->is_forwarded) {
+		set_forwarded_times(r);
+		return;
+	}
+
 	if (in->caller_timeout_ms)
 		wait_ms = util_min_i64(wait_ms, in->caller_timeout_ms);
 	r->deadline_us = in->received_us + wait_ms * US_PER_MS -
@@ -60,7 +78,8 @@
 {
 	struct gw_req *r = item;
 
-	if (!r->binding)
+	if (!r->binding ||
+	    r->binding->config->version < r->request->config_version_min)
 		return gw_req_refuse(r, 503, ERR_NO_CONFIG, NO_CONFIG_RETRY_MS);
 	r->route = route_find(r->binding->config, r->request->host_name,
 			      r->request->message->uri);
--- a/src/gateway/4_plan.c
+++ b/src/gateway/4_plan.c
@@ -1,4 +1,4 @@
-/* Filter 3: selects the services that the request asks. */
+/* Filter 4: selects the services that the request asks. */
 #include "gateway/gw_internal.h"
 
 /*
--- a/src/gateway/5_send.c
+++ b/src/gateway/5_send.c
@@ -1,5 +1,5 @@
 /*
- * Filter 4: sends one call per part; chooses targets, sends hedges and retries,
+ * Filter 5: sends one call per part; chooses targets, sends hedges and retries,
  * and cancels calls.
  */
 #include <string.h>
@@ -138,13 +138,14 @@
 }
 
 static void set_next_cold_call(struct gw_target *t, const struct gw *g,
-			       uint32_t cold_requests_per_s, int64_t now_us)
+			       const struct gw_service *s, int64_t now_us)
 {
-	if (now_us >= t->cold_until_us || !cold_requests_per_s)
+	if (now_us >= t->cold_until_us || !s->cold_requests_per_s)
 		return;
-	/* Each host sends its equal share of the rate at equal intervals. */
-	t->cold_next_call_us = now_us + (int64_t)US_PER_S * g->host_count /
-						cold_requests_per_s;
+	/* Each host sends its share of the rate at equal intervals. */
+	t->cold_next_call_us =
+		now_us + (int64_t)(US_PER_MS * gw_host_divisor_milli(g, s) /
+				   s->cold_requests_per_s);
 }
 
 /* Logs each extra call, and the first calls of traced requests. */
@@ -187,7 +188,7 @@
 	g_hash_table_insert(g->calls, &call->call_id, call);
 	TAILQ_INSERT_TAIL(&t->calls, call, link);
 	t->outstanding++;
-	set_next_cold_call(t, g, p->service->cold_requests_per_s, now_us);
+	set_next_cold_call(t, g, p->service, now_us);
 	p->open[p->open_count++] = call;
 	p->tried_targets[p->tried_count++] = gw_target_ref(t);
 	metric_add(METRIC_SUBREQUESTS_SENT, 1);
@@ -340,11 +341,30 @@
 	       r->status != 408 && r->status != 429;
 }
 
+/* Bytes of the status line and of the fields that are not kept. */
+#define REPLY_HEAD_BYTES 80
+/* Answers over which the size of a part's answer is smoothed. */
+#define PART_BYTES_SMOOTHING 16
+
+static void add_part_bytes(struct gw_route_stats *s,
+			   const struct target_reply *reply)
+{
+	uint32_t bytes = (uint32_t)(reply->fields.len_bytes +
+				    reply->body.len_bytes + REPLY_HEAD_BYTES);
+
+	s->part_bytes =
+		s->part_bytes
+			? (s->part_bytes * (PART_BYTES_SMOOTHING - 1) + bytes) /
+				  PART_BYTES_SMOOTHING
+			: bytes;
+}
+
 static void part_answered(struct gw_part *p, struct target_reply *reply,
 			  int64_t now_us)
 {
 	struct gw_req *r = p->req;
 
+	add_part_bytes(r->stats, reply);
 	dequeue(p);
 	target_reply_free(p->reply);
 	p->reply = reply;
--- a/src/gateway/6_answer.c
+++ b/src/gateway/6_answer.c
@@ -1,4 +1,4 @@
-/* Filter 5: decides when the request is answered, and with what. */
+/* Filter 6: decides when the request is answered, and with what. */
 #include "decide/topk.h"
 #include "gateway/gw_internal.h"
 
--- a/src/gateway/gw.c
+++ b/src/gateway/gw.c
@@ -23,8 +23,8 @@
 {
 	struct gw *g = util_alloc(1, sizeof(*g));
 	struct filter filters[] = {
-		gw_filter_route(g), gw_filter_admit(g),	 gw_filter_plan(g),
-		gw_filter_send(g),  gw_filter_answer(g),
+		gw_filter_route(g), gw_filter_admit(g), gw_filter_forward(g),
+		gw_filter_plan(g),  gw_filter_send(g),	gw_filter_answer(g),
 	};
 	uint32_t i;
 
@@ -37,6 +37,9 @@
 		chain_add(&g->chain, &filters[i]);
 	g->reqs = g_hash_table_new(g_int64_hash, g_int64_equal);
 	g->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g->forwards = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free);
+	g->gatherers = g_ptr_array_new();
 	g->targets = g_hash_table_new_full(g_str_hash, g_str_equal, free,
 					   unref_target);
 	g->services = g_hash_table_new(g_str_hash, g_str_equal);
@@ -93,6 +96,9 @@
 	gw_free_state(g);
 	g_hash_table_destroy(g->reqs);
 	g_hash_table_destroy(g->calls);
+	g_hash_table_destroy(g->forwards);
+	g_ptr_array_free(g->gatherers, TRUE);
+	g_hash_table_destroy(g->hosts);
 	g_hash_table_destroy(g->targets);
 	g_hash_table_destroy(g->services);
 	g_hash_table_destroy(g->routes);
@@ -169,7 +175,7 @@
 		  r->answered_count, r->part_count, r->failed_count);
 }
 
-static void finish_req(struct gw_req *r, int64_t now_us)
+void gw_req_finish(struct gw_req *r, int64_t now_us)
 {
 	struct gw *g = r->gw;
 
@@ -189,7 +195,12 @@
 	step = chain_run(&r->gw->chain, &r->chain_pos, r, now_us);
 	r->is_running = 0;
 	if (step == FILTER_DONE)
-		finish_req(r, now_us);
+		gw_req_finish(r, now_us);
+}
+
+void gw_req_continue(struct gw_req *r, int64_t now_us)
+{
+	run_chain(r, now_us);
 }
 
 void gw_req_resume(struct gw_req *r, int64_t now_us)
@@ -227,6 +238,23 @@
 	gw_call_finish(call, reply, now_us);
 }
 
+void gw_on_forward_reply(struct gw *g, struct forward_reply *reply,
+			 int64_t now_us)
+{
+	struct gw_req *r = g_hash_table_lookup(g->forwards, &reply->call_id);
+
+	if (!r) {
+		forward_reply_free(reply);
+		return;
+	}
+	gw_forward_finish(r, reply, now_us);
+}
+
+void gw_leave(struct gw *g)
+{
+	g->is_leaving = 1;
+}
+
 void gw_caller_gone(struct gw *g, uint64_t conn, int64_t now_us)
 {
 	struct gw_req *r = g_hash_table_lookup(g->reqs, &conn);
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -12,6 +12,7 @@
 
 #include "base/timer_queue.h"
 #include "model/exchange.h"
+#include "model/forward_call.h"
 #include "model/gw_view.h"
 #include "model/heartbeat.h"
 #include "model/target_health.h"
@@ -21,6 +22,11 @@
 struct gw_ops {
 	/* Sends or cancels a call to a target; takes ownership of @call. */
 	void (*send)(void *ctx, struct target_call *call);
+	/*
+	 * Forwards a request to another host, or cancels that; takes ownership
+	 * of @call.
+	 */
+	void (*forward)(void *ctx, struct forward_call *call);
 	/* Answers a caller; takes ownership of @answer. */
 	void (*answer)(void *ctx, struct exchange_answer *answer);
 	/*
@@ -50,9 +56,13 @@
 	uint32_t extra_call_slack;
 	/* Processor time that this host has, in thousandths of a core. */
 	uint32_t core_permille;
+	/* Rate of this host's link; 0: unknown, it forwards nothing. */
+	uint32_t link_mbps;
 };
 
 struct gw_options {
+	/* Name of this host in its entry. */
+	char host[NAME_BYTES];
 	/* This host's data centre; targets in it are preferred. */
 	char data_centre[NAME_BYTES];
 	struct gw_tuning tuning;
@@ -65,10 +75,12 @@
 		  struct timer_queue *timers);
 void gw_free(struct gw *g);
 
-/* Each of these three takes ownership of its second argument. */
+/* Each of these four takes ownership of its second argument. */
 void gw_set_view(struct gw *g, struct gw_view *v, int64_t now_us);
 void gw_on_request(struct gw *g, struct exchange_request *in, int64_t now_us);
 void gw_on_reply(struct gw *g, struct target_reply *reply, int64_t now_us);
+void gw_on_forward_reply(struct gw *g, struct forward_reply *reply,
+			 int64_t now_us);
 
 /*
  * Takes over what all hosts of the data centre observed of targets lately. Does
@@ -84,6 +96,8 @@
 void gw_caller_gone(struct gw *g, uint64_t conn, int64_t now_us);
 /* 1 when a configuration is in force and targets are known. */
 int gw_ready(const struct gw *g);
+/* A graceful shutdown begins: forwarded requests are refused from now on. */
+void gw_leave(struct gw *g);
 /* Number of requests in flight. */
 uint32_t gw_open_count(const struct gw *g);
 
--- a/src/gateway/gw_binding.c
+++ b/src/gateway/gw_binding.c
@@ -58,6 +58,8 @@
 	s = util_alloc(1, sizeof(*s));
 	hedge_delay_init(&s->hedge, &hedge_policy);
 	s->series = series_get(SERIES_ROUTE, r->name);
+	s->remote_counts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, free, NULL);
 	/* Assumed until there are answers: a goal leaves time for several. */
 	s->hedge.mean_us = (int64_t)r->goal_ms * US_PER_MS / 8;
 	g_hash_table_insert(g->routes, util_strdup(r->name), s);
@@ -161,9 +163,10 @@
 static void set_limits(struct gw *g, const struct service *def,
 		       struct gw_service *s)
 {
-	uint32_t slack_milli = g->opt.tuning.extra_call_slack *
-			       ALLOWANCE_PERMILLE / g->host_count * MILLI /
-			       PERMILLE;
+	uint64_t divisor_milli = gw_host_divisor_milli(g, s);
+	uint32_t slack_milli =
+		(uint32_t)((uint64_t)g->opt.tuning.extra_call_slack *
+			   ALLOWANCE_PERMILLE * MILLI / divisor_milli);
 	uint32_t i;
 
 	s->cold_requests_per_s = def->cold_requests_per_s;
@@ -176,23 +179,43 @@
 		struct gw_target *t = g_ptr_array_index(s->targets, i);
 
 		t->connection_limit = util_max_u32(
-			1, def->target_connections_max / g->host_count);
-		t->has_scarce_connections = def->target_connections_max &&
-					    def->target_connections_max *
-							    SCARCE_PERMILLE /
-							    PERMILLE <
-						    g->host_count;
+			1, (uint32_t)((uint64_t)def->target_connections_max *
+				      MILLI / divisor_milli));
+		t->has_scarce_connections =
+			def->target_connections_max &&
+			(uint64_t)def->target_connections_max *
+					SCARCE_PERMILLE <
+				divisor_milli;
 		if (!t->concurrency_limit_milli)
 			t->concurrency_limit_milli =
 				t->connection_limit * MILLI;
 	}
 }
 
+/* Marks the services that are parts of routes that gather. */
+static void mark_shards(struct gw *g, const struct route_config *c)
+{
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < c->service_count; i++)
+		g->binding->services[i]->is_shard = 0;
+	for (i = 0; i < c->route_count; i++) {
+		const struct route *r = &c->routes[i];
+
+		g_hash_table_remove_all(g->binding->routes[i]->remote_counts);
+		for (k = 0; r->is_gather && k < r->part_count; k++)
+			g->binding->services[r->parts[k].service]->is_shard = 1;
+	}
+}
+
 static void set_all_limits(struct gw *g)
 {
 	const struct route_config *c = g->binding ? g->binding->config : NULL;
 	uint32_t i;
 
+	if (c)
+		mark_shards(g, c);
 	for (i = 0; c && i < c->service_count; i++)
 		set_limits(g, &c->services[i], g->binding->services[i]);
 }
@@ -220,6 +243,7 @@
 			  (unsigned long long)v->config->version,
 			  v->config->route_count, v->config->service_count);
 	}
+	gw_host_bind(g, v);
 	set_all_limits(g);
 	gw_version_bind(g, v, now_us);
 	g_hash_table_foreach_remove(g->targets, is_unused, &now_us);
@@ -243,6 +267,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct gw_route_stats *s = value;
 
+		g_hash_table_destroy(s->remote_counts);
 		free(s->credit);
 		free(s);
 	}
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -8,6 +8,7 @@
 
 #include "base/rng.h"
 #include "base/series.h"
+#include "decide/forward.h"
 #include "decide/hedge_delay.h"
 #include "decide/extra_window.h"
 #include "filter/chain.h"
@@ -104,6 +105,19 @@
 	uint32_t slow;
 };
 
+/* What this host knows of another host; kept across views. */
+struct gw_host {
+	/* Entry of the last view that contained the host. */
+	struct host_entry def;
+	/* 1: in the view in force. */
+	int is_known;
+	/* Requests that were forwarded to it and are open. */
+	uint32_t open_count;
+	uint32_t failures_in_row;
+	/* No request is forwarded to it before this time. */
+	int64_t avoid_until_us;
+};
+
 /* How a rollout divides the requests of a service among its versions. */
 struct gw_version_split {
 	int is_active;
@@ -139,6 +153,8 @@
 	GPtrArray *targets;
 	/* Allowance for extra calls. */
 	struct extra_window extra_calls;
+	/* 1: a part of a route that gathers. */
+	int is_shard;
 	/* Calls that a cold target gets from all hosts; 0: not limited. */
 	uint32_t cold_requests_per_s;
 	struct gw_version_split version_split;
@@ -157,6 +173,13 @@
 struct gw_route_stats {
 	struct hedge_delay hedge;
 	struct series *series;
+	/* Smoothed size of a part's answer with its head; 0: none was seen. */
+	uint32_t part_bytes;
+	/*
+	 * Data centre to the number of parts without a target there, for those
+	 * that were asked for since the last view.
+	 */
+	GHashTable *remote_counts;
 	/*
 	 * Credit of each part in the weighted choice among the parts of a route
 	 * that splits.
@@ -241,6 +264,14 @@
 	int is_traced;
 	/* 1: the chain runs, so gw_req_resume() does nothing. */
 	int is_running;
+	/* Host that the request was forwarded to; NULL: none has it now. */
+	struct gw_host *gatherer;
+	uint64_t forward_id;
+	int64_t forwarded_us;
+	/* Hosts that the request was forwarded to. */
+	uint32_t forward_count;
+	/* Armed while the request is forwarded. */
+	struct timer_entry forward_timer;
 	uint32_t part_count;
 	struct gw_part *parts;
 	uint32_t answered_count;
@@ -268,6 +299,23 @@
 	GHashTable *reqs;
 	/* Call ID to struct gw_call. */
 	GHashTable *calls;
+	/* Forward ID to struct gw_req, while it is forwarded. */
+	GHashTable *forwards;
+	/* Name to struct gw_host. */
+	GHashTable *hosts;
+	/* Other hosts of the view that gather requests: struct gw_host. */
+	GPtrArray *gatherers;
+	/*
+	 * Hosts that gather requests for the others, this one included; 0:
+	 * every host gathers, because they are alike or some do not state their
+	 * links.
+	 */
+	uint32_t gatherer_count;
+	/* 1: this host is one of them. */
+	int is_gatherer;
+	/* Forwarded requests of other hosts that are open. */
+	uint32_t forwarded_count;
+	int is_leaving;
 	/* "ID/start time" to struct gw_target. */
 	GHashTable *targets;
 	/* Name to struct gw_service. */
@@ -283,6 +331,7 @@
 /* One constructor per filter, in the order of the chain. */
 struct filter gw_filter_route(struct gw *g);
 struct filter gw_filter_admit(struct gw *g);
+struct filter gw_filter_forward(struct gw *g);
 struct filter gw_filter_plan(struct gw *g);
 struct filter gw_filter_send(struct gw *g);
 struct filter gw_filter_answer(struct gw *g);
@@ -302,18 +351,49 @@
 void gw_req_resume(struct gw_req *r, int64_t now_us);
 
 /*
- * 4_send.c: ends @call with @reply: updates the target's statistics, answers,
+ * 5_send.c: ends @call with @reply: updates the target's statistics, answers,
  * retries or fails the part, and sends waiting parts. Frees @call and takes
  * ownership of @reply.
  */
 void gw_call_finish(struct gw_call *call, struct target_reply *reply,
 		    int64_t now_us);
 /*
- * 4_send.c: sends or fails the parts that wait for targets of @s, oldest first,
+ * 5_send.c: sends or fails the parts that wait for targets of @s, oldest first,
  * until one has to wait on.
  */
 void gw_send_waiting(struct gw_service *s, int64_t now_us);
 
+/*
+ * Goes on with the filter after the one that let @r wait; if @r is decided
+ * then, answers the caller and frees @r.
+ */
+void gw_req_continue(struct gw_req *r, int64_t now_us);
+/* Answers the caller with r->answer and frees @r. */
+void gw_req_finish(struct gw_req *r, int64_t now_us);
+
+/*
+ * 3_forward.c: the gatherer has answered, or could not be asked; takes ownership
+ * of @reply.
+ */
+void gw_forward_finish(struct gw_req *r, struct forward_reply *reply,
+		       int64_t now_us);
+/* gw_host.c: takes over the hosts of @v and who of them gathers. */
+void gw_host_bind(struct gw *g, const struct gw_view *v);
+/*
+ * gw_host.c: number of hosts, in thousandths, among which the limits of @s are
+ * to be divided for the share of this host. The sum of the shares of all hosts
+ * is at most one.
+ */
+uint64_t gw_host_divisor_milli(const struct gw *g, const struct gw_service *s);
+struct forward_power gw_host_power(const struct gw *g);
+/* gw_host.c: load of a request on @r's route. */
+struct forward_load gw_host_load(const struct gw_req *r);
+/* gw_host.c: parts of @r's route without a target in @data_centre. */
+uint32_t gw_host_remote_count(const struct gw_req *r, const char *data_centre);
+/* gw_host.c: a request that was forwarded to @h was answered, or was not. */
+void gw_host_answered(struct gw_host *h);
+void gw_host_failed(struct gw_host *h, int64_t now_us);
+
 /* gw_binding.c */
 void gw_bind(struct gw *g, struct gw_view *v, int64_t now_us);
 void gw_binding_unref(struct gw_binding *b);
--- a/src/model/exchange.h
+++ b/src/model/exchange.h
@@ -51,8 +51,21 @@
 	uint32_t rtt_us;
 	/* 1 if this is the first request on the connection. */
 	uint32_t is_first_on_conn;
+	/*
+	 * 1: another host has forwarded the request, which gathers. The
+	 * connection stands for that call, caller_timeout_ms for what is left
+	 * of the caller's time, and the next two members are set.
+	 */
+	uint32_t is_forwarded;
+	/* Lowest version of the configuration with which it may be handled. */
+	uint64_t config_version_min;
+	/* Time from received_us within which an answer is worth most. */
+	uint32_t goal_ms;
 };
 
+/* Set in the conn_id of forwarded requests, which no caller has. */
+#define EXCHANGE_CONN_FORWARDED (1ULL << 63)
+
 void exchange_request_free(struct exchange_request *r);
 
 struct exchange_answer {
--- a/src/model/gw_view.c
+++ b/src/model/gw_view.c
@@ -32,5 +32,6 @@
 		return;
 	route_config_unref(v->config);
 	free(v->targets);
+	free(v->entries);
 	free(v);
 }
--- a/src/model/gw_view.h
+++ b/src/model/gw_view.h
@@ -11,6 +11,7 @@
 #include "model/exchange.h"
 #include "model/gw_rollout.h"
 #include "model/route.h"
+#include "model/store_update.h"
 
 /* Target: one process of a service, as its entry in the store describes it. */
 struct target_entry {
@@ -47,6 +48,9 @@
 	struct target_entry *targets;
 	/* Hosts of the gateway that may be running, this one included. */
 	uint32_t host_count;
+	/* Entries of the hosts that are known, this one included. */
+	uint32_t entry_count;
+	struct host_entry *entries;
 	/* Versions whose share of the requests depends on a rollout. */
 	uint32_t share_count;
 	struct gw_version_share shares[GW_ROLLOUTS_MAX];
--- a/src/model/store_update.h
+++ b/src/model/store_update.h
@@ -35,6 +35,8 @@
 	uint16_t port;
 	/* Processor time that the host has; 1000: one whole core. */
 	uint32_t core_permille;
+	/* Rate of its link; 0: unknown, and it takes no forwarded requests. */
+	uint32_t link_mbps;
 };
 
 #endif
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -19,6 +19,7 @@
 #define ROUTES_MAX 16
 #define PARTS_MAX 16
 #define TARGETS_MAX 64
+#define HOSTS_MAX 16
 
 struct fixture {
 	struct timer_queue *timers;
@@ -47,6 +48,9 @@
 	char *routes[ROUTES_MAX];
 	uint32_t service_count;
 	char *services[ROUTES_MAX];
+	/* Entries of the hosts in the next view. */
+	uint32_t entry_count;
+	struct host_entry entries[HOSTS_MAX];
 };
 
 static void on_call(void *ctx, struct target_call *c)
@@ -62,6 +66,22 @@
 	target_call_free(c);
 }
 
+static void on_forward(void *ctx, struct forward_call *c)
+{
+	struct fixture *f = ctx;
+
+	if (f->out && c->is_cancel)
+		buf_addf(f->out, "cancel forward %u\n", (uint32_t)c->call_id);
+	else if (f->out)
+		buf_addf(f->out,
+			 "forward %u to %s request %s limit %u ms goal %u ms "
+			 "version %u\n",
+			 (uint32_t)c->call_id, c->address, c->request->id,
+			 c->request->caller_timeout_ms, c->request->goal_ms,
+			 (uint32_t)c->request->config_version_min);
+	forward_call_free(c);
+}
+
 /* Prints the first byte of each record, see add_records(). */
 static void show_records(struct buf *out, const struct buf *body)
 {
@@ -131,9 +151,11 @@
 
 static struct gw *fixture_gw(struct fixture *f, int64_t started_us)
 {
-	struct gw_ops ops = { on_call, on_answer, on_rollout_reports,
+	struct gw_ops ops = { on_call,		on_forward,
+			      on_answer,	on_rollout_reports,
 			      on_health_report, f };
-	struct gw_options options = { .data_centre = "a",
+	struct gw_options options = { .host = "h1",
+				      .data_centre = "a",
 				      .started_us = started_us,
 				      .tuning = { .core_permille = 1000,
 						  .extra_call_permille = 200,
@@ -395,7 +417,11 @@
 		return;
 	}
 	v->config = config;
-	v->host_count = script_u32(argc, argv, "hosts", 1);
+	v->host_count = script_u32(argc, argv, "hosts",
+				   util_max_u32(f->entry_count, 1));
+	v->entry_count = f->entry_count;
+	v->entries = util_alloc(f->entry_count, sizeof(v->entries[0]));
+	memcpy(v->entries, f->entries, f->entry_count * sizeof(v->entries[0]));
 	discovery_fill(f->discovery, v->targets);
 	if (f->share.service[0])
 		v->shares[v->share_count++] = f->share;
@@ -425,14 +451,87 @@
 	gw_on_target_health(f->gw, &list, f->now_us);
 }
 
-/* tune [ratio=PERMILLE] [slack=N]: changes settings of the running gateway. */
+/* Adds a record for each of @letters; all its bytes are that letter. */
+static void add_records(struct buf *body, const char *letters)
+{
+	for (; *letters; letters++) {
+		char record[TOPK_RECORD_BYTES];
+
+		memset(record, *letters, sizeof(record));
+		buf_add(body, record, sizeof(record));
+	}
+}
+
+/*
+ * host NAME [dc=a] [core=PERMILLE] [link=MBPS]: the entry of a host in the next
+ * view; its address is its name. This host is h1.
+ */
+static void cmd_host(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct fixture *f = ctx;
+	struct host_entry *e = &f->entries[f->entry_count++];
+
+	util_copy_str(e->name, sizeof(e->name), argv[0]);
+	util_copy_str(e->address, sizeof(e->address), argv[0]);
+	util_copy_str(e->data_centre, sizeof(e->data_centre),
+		      script_arg(argc, argv, "dc", "a"));
+	e->port = 1;
+	e->core_permille = script_u32(argc, argv, "core", 120);
+	e->link_mbps = script_u32(argc, argv, "link", 22);
+}
+
+/*
+ * forwarded ID [status=N] [code=NAME] [records=LETTERS] [missing=N] |
+ * forwarded ID failed [not_sent=1]: what came back from a gatherer.
+ */
+static void cmd_forwarded(void *ctx, uint32_t argc, char **argv,
+			  struct buf *out)
+{
+	struct fixture *f = ctx;
+	struct forward_reply *r = util_alloc(1, sizeof(*r));
+	struct exchange_answer *a;
+
+	f->out = out;
+	r->call_id = strtoull(argv[0], NULL, 10);
+	if (argc > 1 && strcmp(argv[1], "failed") == 0) {
+		r->code = ERR_PEER_RPC;
+		r->not_sent = script_u32(argc, argv, "not_sent", 0);
+		gw_on_forward_reply(f->gw, r, f->now_us);
+		return;
+	}
+	a = util_alloc(1, sizeof(*a));
+	a->status = script_u32(argc, argv, "status", 200);
+	a->code = a->status == 200   ? ERR_OK
+		  : a->status == 503 ? ERR_OVERLOADED
+				     : ERR_INCOMPLETE;
+	a->is_merged = a->status == 200;
+	a->missing_part_count = script_u32(argc, argv, "missing", 0);
+	buf_addf(&a->part_stamps, "p1");
+	add_records(&a->body, script_arg(argc, argv, "records", ""));
+	r->answer = a;
+	gw_on_forward_reply(f->gw, r, f->now_us);
+}
+
+/* leave: a graceful shutdown begins. */
+static void cmd_leave(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct fixture *f = ctx;
+
+	gw_leave(f->gw);
+}
+
+/*
+ * tune [ratio=PERMILLE] [slack=N] [core=PERMILLE] [link=MBPS]: changes settings
+ * of the running gateway.
+ */
 static void cmd_tune(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct fixture *f = ctx;
 	struct gw_tuning tuning = {
 		.extra_call_permille = script_u32(argc, argv, "ratio", 200),
 		.extra_call_slack = script_u32(argc, argv, "slack", 56),
-		.core_permille = 1000
+		.core_permille = script_u32(argc, argv, "core", 1000),
+		.link_mbps = script_u32(argc, argv, "link", 0)
 	};
 
 	gw_tune(f->gw, &tuning);
@@ -447,8 +546,9 @@
 }
 
 /*
- * request CONN ROUTE [id=ID] [wait=MS]: a request of the caller on connection
- * CONN, which waits at most MS for the answer.
+ * request CONN ROUTE [id=ID] [wait=MS] [forwarded=MS] [version=N]: a request of
+ * the caller on connection CONN, which waits at most MS for the answer;
+ * forwarded: of another host, with so much time until the goal.
  */
 static void cmd_request(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -465,6 +565,9 @@
 	util_copy_str(r->id, sizeof(r->id), script_arg(argc, argv, "id", "r"));
 	r->caller_timeout_ms = script_u32(argc, argv, "wait", 0);
 	r->received_us = f->now_us;
+	r->goal_ms = script_u32(argc, argv, "forwarded", 0);
+	r->is_forwarded = r->goal_ms > 0;
+	r->config_version_min = script_u32(argc, argv, "version", 0);
 	gw_on_request(f->gw, r, f->now_us);
 }
 
@@ -488,17 +591,6 @@
 	return ERR_OK;
 }
 
-/* Adds a record for each of @letters; all its bytes are that letter. */
-static void add_records(struct buf *body, const char *letters)
-{
-	for (; *letters; letters++) {
-		char record[TOPK_RECORD_BYTES];
-
-		memset(record, *letters, sizeof(record));
-		buf_add(body, record, sizeof(record));
-	}
-}
-
 /*
  * reply CALL [status=N] [stamp=none] [records=LETTERS] [body=TEXT]
  * [not_run=1] [code=closed|connect|timeout|cancelled] [took=MS] [leaving=1]
@@ -584,6 +676,9 @@
 	{ "hint", cmd_hint },
 	{ "split", cmd_split },
 	{ "tune", cmd_tune },
+	{ "host", cmd_host },
+	{ "forwarded", cmd_forwarded },
+	{ "leave", cmd_leave },
 };
 
 /* A valid settings file: its fields with values in JSON. */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -23,8 +23,9 @@
 
 struct host {
 	struct relay *relay;
-	/* Ring to the control duty. */
+	/* Rings to the control duty and to the request duty. */
 	struct ring *control;
+	struct ring *requests;
 };
 
 static void host_begin(struct host *h)
@@ -32,9 +33,11 @@
 	struct err err = { 0 };
 
 	h->control = ring_new(RING_SIZE, NULL, NULL, &err);
+	h->requests = ring_new(RING_SIZE, NULL, NULL, &err);
 	h->relay = relay_new("127.0.0.1", 0, &err);
 	g_assert_nonnull(h->relay);
-	g_assert_cmpint(relay_start(h->relay, h->control, &err), ==, ERR_OK);
+	g_assert_cmpint(relay_start(h->relay, h->control, h->requests, &err),
+			==, ERR_OK);
 }
 
 static void host_end(struct host *h)
@@ -42,18 +45,24 @@
 	relay_stop(h->relay);
 	relay_free(h->relay);
 	ring_free(h->control);
+	ring_free(h->requests);
 }
 
-/* Waits for a message, which must be of @type; returns its body. */
-static void *take(struct host *h, uint32_t type)
+/* Waits for a message on @ring, which must be of @type; returns its body. */
+static void *take_from(struct ring *ring, uint32_t type)
 {
 	struct msg m;
 
-	g_assert_cmpuint(ring_wait(h->control, &m, 1, WAIT_US), ==, 1);
+	g_assert_cmpuint(ring_wait(ring, &m, 1, WAIT_US), ==, 1);
 	g_assert_cmpuint(m.type, ==, type);
 	return m.body;
 }
 
+static void *take(struct host *h, uint32_t type)
+{
+	return take_from(h->control, type);
+}
+
 static void free_follow(void *body)
 {
 	follow_request_free(body);
@@ -357,6 +366,166 @@
 {
 }
 
+/* Forwards request @call_id to the host on @port, or cancels that. */
+static void forward(struct host *h, uint16_t port, uint64_t call_id,
+		    int is_cancel)
+{
+	struct forward_call *c = util_alloc(1, sizeof(*c));
+	struct msg m = { MSG_FORWARD_CALL, c, NULL };
+
+	c->call_id = call_id;
+	c->is_cancel = (uint32_t)is_cancel;
+	util_copy_str(c->address, sizeof(c->address), "127.0.0.1");
+	c->port = port;
+	if (!is_cancel) {
+		c->request = util_alloc(1, sizeof(*c->request));
+		c->request->message = http_message_new();
+		util_copy_str(c->request->message->method,
+			      sizeof(c->request->message->method), "GET");
+		c->request->message->uri = util_strdup("/all/x?y=z");
+		buf_addf(&c->request->message->fields, "Host: h\r\n");
+		util_copy_str(c->request->id, sizeof(c->request->id), "r1");
+		util_copy_str(c->request->host_name,
+			      sizeof(c->request->host_name), "h");
+		c->request->caller_timeout_ms = 900;
+		c->request->goal_ms = 90;
+		c->request->config_version_min = 7;
+	}
+	g_assert_cmpint(ring_push(relay_ring(h->relay), &m), ==, ERR_OK);
+}
+
+/* Waits for a forwarded request and checks that it has come over whole. */
+static uint64_t take_forwarded(struct host *h)
+{
+	struct exchange_request *r =
+		take_from(h->requests, MSG_EXCHANGE_REQUEST);
+	uint64_t conn_id = r->conn_id;
+
+	g_assert_cmpstr(r->message->method, ==, "GET");
+	g_assert_cmpstr(r->message->uri, ==, "/all/x?y=z");
+	g_assert_cmpstr(r->message->fields.data, ==, "Host: h\r\n");
+	g_assert_cmpstr(r->id, ==, "r1");
+	g_assert_cmpstr(r->host_name, ==, "h");
+	g_assert_cmpuint(r->caller_timeout_ms, ==, 900);
+	g_assert_cmpuint(r->goal_ms, ==, 90);
+	g_assert_cmpuint(r->config_version_min, ==, 7);
+	g_assert_cmpuint(r->is_forwarded, ==, 1);
+	g_assert_true((conn_id & EXCHANGE_CONN_FORWARDED) != 0);
+	exchange_request_free(r);
+	return conn_id;
+}
+
+/* Has the gatherer answer the request of @conn_id with two records. */
+static void answer_forwarded(struct host *h, uint64_t conn_id)
+{
+	struct exchange_answer *a = util_alloc(1, sizeof(*a));
+	struct msg m = { MSG_EXCHANGE_ANSWER, a, NULL };
+
+	a->conn_id = conn_id;
+	a->status = 200;
+	a->is_merged = 1;
+	a->missing_part_count = 1;
+	buf_addf(&a->part_stamps, "s1, s2");
+	buf_addf(&a->body, "records");
+	g_assert_cmpint(ring_push(relay_ring(h->relay), &m), ==, ERR_OK);
+}
+
+/*
+ * Guards against forwarded requests and answers that are altered or mixed up on
+ * the way: two are open on one connection and are answered in reverse order.
+ */
+static void test_forward(void)
+{
+	struct host gatherer;
+	struct host host;
+	uint64_t conns[2];
+	uint64_t i;
+
+	host_begin(&gatherer);
+	host_begin(&host);
+	for (i = 0; i < 2; i++) {
+		forward(&host, relay_port(gatherer.relay), i + 1, 0);
+		conns[i] = take_forwarded(&gatherer);
+	}
+	g_assert_cmpuint(relay_forwarded_count(gatherer.relay), ==, 2);
+	for (i = 2; i > 0; i--) {
+		struct forward_reply *r;
+
+		answer_forwarded(&gatherer, conns[i - 1]);
+		r = take_from(host.requests, MSG_FORWARD_REPLY);
+		g_assert_cmpuint(r->call_id, ==, i);
+		g_assert_cmpint(r->code, ==, ERR_OK);
+		g_assert_cmpstr(r->answer->part_stamps.data, ==, "s1, s2");
+		g_assert_cmpstr(r->answer->body.data, ==, "records");
+		g_assert_cmpuint(r->answer->missing_part_count, ==, 1);
+		forward_reply_free(r);
+	}
+	g_assert_cmpuint(relay_forwarded_count(gatherer.relay), ==, 0);
+	host_end(&host);
+	host_end(&gatherer);
+}
+
+/*
+ * Guards against targets that work on for a caller that has left, or for a host
+ * that has ended, and against an answer that comes after the cancellation.
+ */
+static void test_forward_cancelled(void)
+{
+	struct exchange_caller_gone *gone;
+	struct host gatherer;
+	struct host host;
+	uint64_t conn;
+
+	host_begin(&gatherer);
+	host_begin(&host);
+	forward(&host, relay_port(gatherer.relay), 1, 0);
+	conn = take_forwarded(&gatherer);
+	forward(&host, 0, 1, 1);
+	forward(&host, relay_port(gatherer.relay), 1, 1);
+	gone = take_from(gatherer.requests, MSG_EXCHANGE_CALLER_GONE);
+	g_assert_cmpuint(gone->conn, ==, conn);
+	free(gone);
+	answer_forwarded(&gatherer, conn);
+	forward(&host, relay_port(gatherer.relay), 2, 0);
+	conn = take_forwarded(&gatherer);
+	host_end(&host);
+	gone = take_from(gatherer.requests, MSG_EXCHANGE_CALLER_GONE);
+	g_assert_cmpuint(gone->conn, ==, conn);
+	free(gone);
+	host_end(&gatherer);
+}
+
+/*
+ * Guards against a request that is taken for not run although the gatherer may
+ * have it, or the other way round: a port without a listener certainly got
+ * nothing; a gatherer that ends may have begun.
+ */
+static void test_forward_fails(void)
+{
+	struct forward_reply *r;
+	struct host gatherer;
+	struct host host;
+	uint16_t port;
+
+	host_begin(&gatherer);
+	host_begin(&host);
+	port = relay_port(gatherer.relay);
+	forward(&host, port, 1, 0);
+	take_forwarded(&gatherer);
+	host_end(&gatherer);
+	r = take_from(host.requests, MSG_FORWARD_REPLY);
+	g_assert_cmpint(r->code, ==, ERR_PEER_RPC);
+	g_assert_cmpuint(r->not_sent, ==, 0);
+	forward_reply_free(r);
+	forward(&host, port, 2, 0);
+	r = take_from(host.requests, MSG_FORWARD_REPLY);
+	g_assert_cmpint(r->code, ==, ERR_PEER_RPC);
+	g_assert_cmpuint(r->not_sent, ==, 1);
+	g_assert_cmpuint(r->call_id, ==, 2);
+	forward_reply_free(r);
+	host_end(&host);
+}
+
 int main(int argc, char **argv)
 {
 	apr_initialize();
@@ -368,5 +537,8 @@
 	g_test_add_func("/relay/garbage", test_garbage);
 	g_test_add_func("/relay/left", test_left);
 	g_test_add_func("/relay/health", test_health);
+	g_test_add_func("/relay/forward", test_forward);
+	g_test_add_func("/relay/forward-cancelled", test_forward_cancelled);
+	g_test_add_func("/relay/forward-fails", test_forward_fails);
 	return g_test_run();
 }
