--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -747,7 +747,9 @@
 		g_file_set_contents(path, argv[0] + 1, -1, NULL);
 	else
 		g_file_set_contents(path, json.data, -1, NULL);
-	if (gw_settings_load(path, &set, &err) == ERR_OK)
+	if (gw_settings_load(path, &set, &err) == ERR_OK && set.link_mbps)
+		buf_addf(out, "link %u Mbit/s\n", set.link_mbps);
+	else if (err.code == ERR_OK)
 		buf_addf(out,
 			 "host %s store %s:%u retry %u permille peer port %u "
 			 "seeds %u exposure %u permille\n",
