soak: Have two hosts gather for the others

Cause: all hosts of the soak were alike, so that nothing was forwarded under its faults.

Change: two of the five state a fast link. A link of 0 in the settings means that it is unknown, as without the setting.

--- a/src/codec/gw_settings.c
+++ b/src/codec/gw_settings.c
@@ -137,7 +137,7 @@
 		(uint32_t)(read_number(&r, "core_share", 0.001, 1e3) *
 			   PERMILLE);
 	if (json_object_get(doc, "link_mbps"))
-		out->link_mbps = (uint32_t)read_number(&r, "link_mbps", 1, 1e6);
+		out->link_mbps = (uint32_t)read_number(&r, "link_mbps", 0, 1e6);
 	out->grace_ms = (uint32_t)(read_number(&r, "grace_s", 0, GRACE_S_MAX) *
 				   MS_PER_S);
 	out->config_apply_ms =
--- a/tests/soak/testbed.c
+++ b/tests/soak/testbed.c
@@ -17,6 +17,13 @@
 #define CALLER_PORT 18226
 #define READY_PORT 18227
 #define PEER_PORT 18224
+/*
+ * Hosts that state a fast link, and the links that all state: the others have
+ * these hosts gather for them.
+ */
+#define GATHERERS 2
+#define GATHERER_LINK_MBPS 1000
+#define HOST_LINK_MBPS 1
 /* Time in which a started host must become ready. */
 #define READY_WAIT_US (10 * (int64_t)US_PER_S)
 #define POLL_US (20 * US_PER_MS)
@@ -255,9 +262,12 @@
 			 tb->hosts[i].address, PEER_PORT);
 	buf_addf(&out,
 		 "],\"store_reads_per_s\":2000,\"store_writes_per_s\":400,"
-		 "\"descriptors\":1000,\"core_share\":1,\"grace_s\":%u,"
+		 "\"descriptors\":1000,\"core_share\":1,\"link_mbps\":%u,"
+		 "\"grace_s\":%u,"
 		 "\"config_apply_ms\":%u,\"drain_ms\":%u,\"retry_ratio\":%g,"
 		 "\"retry_slack\":%u,\"canary_share\":%g}\n",
+		 h < tb->hosts + GATHERERS ? GATHERER_LINK_MBPS
+					   : HOST_LINK_MBPS,
 		 TESTBED_GRACE_S, TESTBED_APPLY_MS, TESTBED_DRAIN_MS,
 		 (double)TESTBED_RETRY_PERMILLE / PERMILLE, TESTBED_RETRY_SLACK,
 		 (double)TESTBED_EXPOSURE_PERMILLE / PERMILLE);
