gateway: Count gatherers that may only be cut off

Change: the number of gatherers among which limits are divided falls only after 60 s, as that of the hosts does.

--- a/src/gateway/gw_binding.c
+++ b/src/gateway/gw_binding.c
@@ -243,7 +243,7 @@
 			  (unsigned long long)v->config->version,
 			  v->config->route_count, v->config->service_count);
 	}
-	gw_host_bind(g, v);
+	gw_host_bind(g, v, now_us);
 	set_all_limits(g);
 	gw_version_bind(g, v, now_us);
 	g_hash_table_foreach_remove(g->targets, is_unused, &now_us);
--- a/src/gateway/gw_host.c
+++ b/src/gateway/gw_host.c
@@ -23,6 +23,8 @@
 #define FORWARD_AVOID_MIN_US (500 * US_PER_MS)
 #define FORWARD_AVOID_MAX_US (4 * US_PER_S)
 #define FORWARD_DOUBLINGS_MAX 3
+/* As long as the control duty counts a host whose entry is gone. */
+#define SHARE_GRACE_US (60 * (int64_t)US_PER_S)
 
 static struct forward_power power_of(const struct host_entry *e)
 {
@@ -96,36 +98,53 @@
 	return best;
 }
 
-void gw_host_bind(struct gw *g, const struct gw_view *v)
+/* Finds the gatherers among the hosts of @v, the fastest of which is @best. */
+static void find_gatherers(struct gw *g, const struct gw_view *v,
+			   const struct host_entry *best,
+			   const struct forward_load *load)
 {
-	struct forward_load load = { PARTS_TYPICAL, PART_BYTES_DEFAULT };
-	const struct host_entry *best = find_best(v, &load);
-	struct forward_power best_power;
+	struct forward_power best_power = power_of(best);
 	struct forward_power self = gw_host_power(g);
 	uint32_t i;
 
+	g->is_gatherer = forward_is_gatherer(&self, &best_power, load);
+	for (i = 0; i < v->entry_count; i++) {
+		const struct host_entry *e = &v->entries[i];
+		struct forward_power power = power_of(e);
+
+		if (!forward_is_gatherer(&power, &best_power, load))
+			continue;
+		g->gatherer_count++;
+		if (strcmp(e->name, g->opt.host) != 0)
+			g_ptr_array_add(g->gatherers, get_host(g, e));
+	}
+}
+
+static void set_share_count(struct gw *g, int64_t now_us)
+{
+	if (g->gatherer_count < g->gatherer_share_count &&
+	    now_us < g->gatherer_share_until_us)
+		return;
+	g->gatherer_share_count = g->gatherer_count;
+	g->gatherer_share_until_us = now_us + SHARE_GRACE_US;
+}
+
+void gw_host_bind(struct gw *g, const struct gw_view *v, int64_t now_us)
+{
+	struct forward_load load = { PARTS_TYPICAL, PART_BYTES_DEFAULT };
+	const struct host_entry *best = find_best(v, &load);
+
 	forget_hosts(g);
 	g->gatherer_count = 0;
 	g->is_gatherer = 1;
-	if (best && g->opt.host[0]) {
-		best_power = power_of(best);
-		g->is_gatherer = forward_is_gatherer(&self, &best_power, &load);
-		for (i = 0; i < v->entry_count; i++) {
-			const struct host_entry *e = &v->entries[i];
-			struct forward_power power = power_of(e);
-
-			if (!forward_is_gatherer(&power, &best_power, &load))
-				continue;
-			g->gatherer_count++;
-			if (strcmp(e->name, g->opt.host) != 0)
-				g_ptr_array_add(g->gatherers, get_host(g, e));
-		}
-		/* All hosts are alike, or nearly. */
-		if (g->gatherer_count == v->entry_count)
-			g->gatherer_count = 0;
-	}
-	if (!g->gatherer_count)
+	if (best && g->opt.host[0])
+		find_gatherers(g, v, best, &load);
+	/* All hosts are alike, or nearly. */
+	if (g->gatherer_count == v->entry_count) {
+		g->gatherer_count = 0;
 		g_ptr_array_set_size(g->gatherers, 0);
+	}
+	set_share_count(g, now_us);
 	g_hash_table_foreach_remove(g->hosts, is_unused, NULL);
 }
 
@@ -134,7 +153,7 @@
 	if (!g->gatherer_count || !s->is_shard)
 		return (uint64_t)g->host_count * MILLI;
 	if (g->is_gatherer)
-		return (uint64_t)g->gatherer_count * MILLI * PERMILLE /
+		return (uint64_t)g->gatherer_share_count * MILLI * PERMILLE /
 		       GATHERER_PERMILLE;
 	return (uint64_t)g->host_count * MILLI * PERMILLE /
 	       (PERMILLE - GATHERER_PERMILLE);
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -313,6 +313,13 @@
 	uint32_t gatherer_count;
 	/* 1: this host is one of them. */
 	int is_gatherer;
+	/*
+	 * Gatherers among which their limits are divided: those of the last
+	 * while, until gatherer_share_until_us. A host whose entry is gone may
+	 * only be cut off from the store, and goes on with its part.
+	 */
+	uint32_t gatherer_share_count;
+	int64_t gatherer_share_until_us;
 	/* Forwarded requests of other hosts that are open. */
 	uint32_t forwarded_count;
 	int is_leaving;
@@ -378,7 +385,7 @@
 void gw_forward_finish(struct gw_req *r, struct forward_reply *reply,
 		       int64_t now_us);
 /* gw_host.c: takes over the hosts of @v and who of them gathers. */
-void gw_host_bind(struct gw *g, const struct gw_view *v);
+void gw_host_bind(struct gw *g, const struct gw_view *v, int64_t now_us);
 /*
  * gw_host.c: number of hosts, in thousandths, among which the limits of @s are
  * to be divided for the share of this host. The sum of the shares of all hosts
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -480,6 +480,24 @@
 	e->link_mbps = script_u32(argc, argv, "link", 22);
 }
 
+/* hosts NAME...: only these hosts have entries in the views that follow. */
+static void cmd_hosts(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct fixture *f = ctx;
+	uint32_t n = 0;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < f->entry_count; i++) {
+		for (k = 0;
+		     k < argc && strcmp(f->entries[i].name, argv[k]) != 0; k++)
+			;
+		if (k < argc)
+			f->entries[n++] = f->entries[i];
+	}
+	f->entry_count = n;
+}
+
 /*
  * forwarded ID [status=N] [code=NAME] [records=LETTERS] [missing=N] |
  * forwarded ID failed [not_sent=1]: what came back from a gatherer.
@@ -677,6 +695,7 @@
 	{ "split", cmd_split },
 	{ "tune", cmd_tune },
 	{ "host", cmd_host },
+	{ "hosts", cmd_hosts },
 	{ "forwarded", cmd_forwarded },
 	{ "leave", cmd_leave },
 };
