relay: Count a forwarded request before it is passed on

Cause: the request duty could see a forwarded request before it was counted, so a host that ends at that moment could take itself for finished.

Change: the request is entered in the tables and counted before it is pushed to the ring, and removed again if the ring is full.

--- a/src/duty/relay_forward.c
+++ b/src/duty/relay_forward.c
@@ -277,6 +277,26 @@
 	forward_call_free(call);
 }
 
+static void set_forwarded_count(struct relay *r)
+{
+	r->forwarded_count = g_hash_table_size(r->forwarded);
+}
+
+static void add_forwarded(struct follower *f, struct forwarded *entry)
+{
+	g_hash_table_insert(f->forwarded, &entry->xid, entry);
+	g_hash_table_insert(f->relay->forwarded, &entry->conn_id, entry);
+	set_forwarded_count(f->relay);
+}
+
+/* Frees @entry. */
+static void remove_forwarded(struct follower *f, struct forwarded *entry)
+{
+	g_hash_table_remove(f->forwarded, &entry->xid);
+	g_hash_table_remove(f->relay->forwarded, &entry->conn_id);
+	set_forwarded_count(f->relay);
+}
+
 static void drop_request(void *body)
 {
 	exchange_request_free(body);
@@ -307,16 +327,14 @@
 	entry->xid = xid;
 	request->conn_id = entry->conn_id;
 	request->received_us = now_us;
+	/* Counted before anybody can see it, for a host that is leaving. */
+	add_forwarded(f, entry);
 	m.body = request;
-	if (ring_push(r->requests, &m) != ERR_OK) {
-		free(entry);
-		exchange_request_free(request);
-		return 0;
-	}
-	g_hash_table_insert(f->forwarded, &entry->xid, entry);
-	g_hash_table_insert(r->forwarded, &entry->conn_id, entry);
-	r->forwarded_count = g_hash_table_size(r->forwarded);
-	return 1;
+	if (ring_push(r->requests, &m) == ERR_OK)
+		return 1;
+	remove_forwarded(f, entry);
+	exchange_request_free(request);
+	return 0;
 }
 
 static void push_gone(struct relay *r, uint64_t conn_id)
@@ -341,9 +359,7 @@
 	if (!entry)
 		return 1;
 	push_gone(f->relay, entry->conn_id);
-	g_hash_table_remove(f->forwarded, &xid);
-	g_hash_table_remove(f->relay->forwarded, &entry->conn_id);
-	f->relay->forwarded_count = g_hash_table_size(f->relay->forwarded);
+	remove_forwarded(f, entry);
 	return 1;
 }
 
@@ -363,7 +379,7 @@
 	}
 	g_hash_table_destroy(f->forwarded);
 	f->forwarded = NULL;
-	f->relay->forwarded_count = g_hash_table_size(f->relay->forwarded);
+	set_forwarded_count(f->relay);
 }
 
 void relay_forward_answer(struct relay *r, struct exchange_answer *a)
@@ -383,9 +399,7 @@
 			metric_add(METRIC_PEER_MESSAGES_SENT, 1);
 			rpc_conn_flush(f->conn);
 		}
-		g_hash_table_remove(f->forwarded, &entry->xid);
-		g_hash_table_remove(r->forwarded, &a->conn_id);
-		r->forwarded_count = g_hash_table_size(r->forwarded);
+		remove_forwarded(f, entry);
 	}
 	exchange_answer_free(a);
 }
