target: Open new connections only within the share of a target

Change: the sockets of each target are counted where libcurl opens and closes them; a new connection is forced only while the limit allows one more.

--- a/src/duty/target_duty.c
+++ b/src/duty/target_duty.c
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/metric.h"
@@ -51,6 +53,8 @@
 	GQueue waiting;
 	/* Time when a reused connection last turned out silent; 0: never. */
 	int64_t silent_us;
+	/* Open sockets, those of libcurl's idle connections included. */
+	uint32_t socket_count;
 };
 
 /* One sub-request or cancellation on a connection. */
@@ -302,22 +306,55 @@
 	curl_easy_setopt(easy, CURLOPT_READDATA, x);
 }
 
+static curl_socket_t open_socket(void *ctx, curlsocktype purpose,
+				 struct curl_sockaddr *address)
+{
+	struct origin *o = ctx;
+	int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
+			address->protocol);
+
+	if (fd < 0)
+		return CURL_SOCKET_BAD;
+	o->socket_count++;
+	return fd;
+}
+
+static int close_socket(void *ctx, curl_socket_t fd)
+{
+	struct origin *o = ctx;
+
+	o->socket_count--;
+	return close(fd);
+}
+
+static void count_sockets(const struct transfer *x)
+{
+	curl_easy_setopt(x->easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+	curl_easy_setopt(x->easy, CURLOPT_OPENSOCKETDATA, x->origin);
+	curl_easy_setopt(x->easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+	curl_easy_setopt(x->easy, CURLOPT_CLOSESOCKETDATA, x->origin);
+}
+
 /*
  * Keeps the transfer off connections that were open when one of them turned
  * silent, and off those that were idle for too long. Until the age of a
  * connection shows which they are, each transfer has one of its own, which is
- * closed after it, so that their number keeps to the limit.
+ * closed after it. libcurl keeps the idle ones meanwhile, so that this is done
+ * only as long as the limit allows one more.
  */
 static void limit_connection_age(const struct transfer *x)
 {
 	int64_t age_us = clock_now_us() - x->origin->silent_us;
+	int has_room = x->origin->socket_count < x->sub->connection_limit;
 
 	curl_easy_setopt(x->easy, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
-	if (x->sub->needs_new_connection)
+	if (x->sub->needs_new_connection && has_room)
 		curl_easy_setopt(x->easy, CURLOPT_FRESH_CONNECT, 1L);
 	if (!x->origin->silent_us)
 		return;
 	if (age_us < LIFETIME_MIN_US) {
+		if (!has_room)
+			return;
 		curl_easy_setopt(x->easy, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(x->easy, CURLOPT_FORBID_REUSE, 1L);
 	} else if (age_us < 2 * IDLE_MAX_S * US_PER_S) {
@@ -341,6 +378,7 @@
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, x->duty->headers);
 	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+	count_sockets(x);
 	limit_connection_age(x);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, x);
@@ -553,9 +591,10 @@
 		return;
 	duty_free(t->duty);
 	g_ptr_array_unref(t->idle);
+	/* Closes the idle connections, whose origins count them. */
+	curl_multi_cleanup(t->multi);
 	g_hash_table_destroy(t->open);
 	g_hash_table_destroy(t->origins);
 	curl_slist_free_all(t->headers);
-	curl_multi_cleanup(t->multi);
 	free(t);
 }
