--- a/src/decide/forward.c
+++ b/src/decide/forward.c
@@ -6,16 +6,16 @@
 /* Processor time of a whole core for one part: call, answer and merge. */
 #define PART_CPU_US 60
 /*
- * Allowance for a part that comes from another data centre: the way there and
- * back, spread over the parts, and the price of its bytes.
+ * Allowance for a part that comes from another data centre: its share of the
+ * longer round trip, and the price of its bytes.
  */
 #define REMOTE_PART_US 100
-/* Way to the gatherer and back, and the time to read and write there. */
+/* Round trip to the gatherer, and its time to read the request and answer. */
 #define HOP_NEAR_US (4 * US_PER_MS)
 #define HOP_FAR_US (7 * US_PER_MS)
 /*
- * A request is forwarded if that takes at most one in FORWARD_GAIN of the time
- * that it takes here: a second host is one more that can fail.
+ * A request is forwarded only if it then takes at most 1 / FORWARD_GAIN of the
+ * time that it takes here, because each further host may fail.
  */
 #define FORWARD_GAIN 2
 
--- a/src/duty/relay_forward.c
+++ b/src/duty/relay_forward.c
@@ -31,6 +31,7 @@
 	GHashTable *calls;
 	/* Bytes given to the connection so far. */
 	uint64_t added_bytes;
+	/* Time of the last answer, or of the connection. */
 	int64_t heard_us;
 	/* Armed while connecting. */
 	struct timer_entry connect_timer;
@@ -355,7 +356,7 @@
 	if (!xdr_u_int(x, &xid))
 		return 0;
 	entry = f->forwarded ? g_hash_table_lookup(f->forwarded, &xid) : NULL;
-	/* The answer may have crossed the cancellation. */
+	/* The answer was sent before the cancellation arrived. */
 	if (!entry)
 		return 1;
 	push_gone(f->relay, entry->conn_id);
--- a/src/gateway/3_forward.c
+++ b/src/gateway/3_forward.c
@@ -10,8 +10,8 @@
 #include "gateway/gw_internal.h"
 
 /*
- * Kept back from the time limit and from the goal for the way of the answer: it
- * takes one way between data centres, and 2 ms of a slow link.
+ * Kept back from the time limit and from the goal until the answer is here: one
+ * way between data centres, and 2 ms on a slow link.
  */
 #define LIMIT_MARGIN_US (4 * US_PER_MS)
 #define GOAL_MARGIN_US (7 * US_PER_MS)
@@ -196,7 +196,7 @@
  * 1 if the gatherer has sent no call for the request and will send none: it has
  * refused it, or its configuration has no such route.
  */
-static int has_not_run(const struct forward_reply *reply)
+static int gatherer_has_not_run(const struct forward_reply *reply)
 {
 	if (reply->code != ERR_OK)
 		return (int)reply->not_sent;
@@ -213,7 +213,7 @@
 		       int64_t now_us)
 {
 	struct gw_host *h = r->gatherer;
-	int not_run = has_not_run(reply);
+	int not_run = gatherer_has_not_run(reply);
 
 	detach(r);
 	if (reply->code != ERR_OK)
