--- a/src/codec/peer.x
+++ b/src/codec/peer.x
@@ -1,11 +1,11 @@
 /*
  * Messages between hosts (ONC RPC). FORWARD is a call over TCP: a host has a
  * gathered request answered by another one; CANCEL_FORWARD on the same
- * connection is one-way and names the transaction ID of the call. HEARTBEAT is one-way over UDP: the server
- * sends no reply. FETCH_CONFIG is a call over TCP. FOLLOW_STATE is a call over
- * TCP that the server answers when it knows more than the client, when it has
- * heard from the store again, or after hold_ms. REPORT_HEALTH and TELL_HEALTH
- * are one-way over UDP.
+ * connection is one-way and names the transaction ID of the call. HEARTBEAT is
+ * one-way over UDP: the server sends no reply. FETCH_CONFIG is a call over TCP.
+ * FOLLOW_STATE is a call over TCP that the server answers when it knows more
+ * than the client, when it has heard from the store again, or after hold_ms.
+ * REPORT_HEALTH and TELL_HEALTH are one-way over UDP.
  */
 %#include "codec/xdr_text.h"
 
--- a/src/decide/forward.h
+++ b/src/decide/forward.h
@@ -1,9 +1,9 @@
 /*
  * Decides which host gathers a request with many parts: the host that has it, or
- * one with a faster link and more processor time, the gatherer, nearer to the
- * targets. A host of 22 Mbit/s takes 46 ms to receive 90 parts of 1,400 bytes,
- * one of 200 Mbit/s 5 ms. Few gatherers also keep connections to all targets
- * open, and each sees enough answers to know how fast a target is.
+ * a gatherer, which is a host with a faster link and more processor time. A host
+ * of 22 Mbit/s takes 46 ms to receive 90 parts of 1,400 bytes, one of 200 Mbit/s
+ * 5 ms. Few gatherers also keep connections to all targets open, and each sees
+ * enough answers to know how fast a target is.
  */
 #ifndef FORWARD_H
 #define FORWARD_H
--- a/src/gateway/2_admit.c
+++ b/src/gateway/2_admit.c
@@ -33,10 +33,10 @@
 
 static int compare_times(const void *a, const void *b)
 {
-	const int64_t *at_us = a;
-	const int64_t *bt_us = b;
+	const int64_t *a_us = a;
+	const int64_t *b_us = b;
 
-	return *at_us < *bt_us ? -1 : *at_us > *bt_us;
+	return *a_us < *b_us ? -1 : *a_us > *b_us;
 }
 
 /* Time at which enough services have a target that may be called. */
