--- a/review/rig/early.c
+++ b/review/rig/early.c
@@ -121,6 +121,7 @@
 			 number, letter, number, len);
 
 	memset(body, letter, len);
+	rig_log("client: sends %c%d", letter, number);
 	if (*fd < 0)
 		*fd = rig_connect(rig_gateway_port);
 	rig_write(*fd, head, (size_t)n);
--- a/review/rig/exit.c
+++ b/review/rig/exit.c
@@ -54,6 +54,7 @@
 
 		rig_header(m, "Cowslippoint-Request-Id", id, sizeof(id));
 		len = size_of((unsigned)atoi(id + 1) * 7);
+		rig_log("searcher: runs %s", id);
 		rig_sleep_ms(4);
 		n = snprintf(head, sizeof(head),
 			     "HTTP/1.1 200 OK\r\n"
@@ -116,6 +117,7 @@
 		/* The listener is closed: the balancer sends it elsewhere. */
 		if (fd < 0)
 			break;
+		rig_log("client: sends r%d", id);
 		pthread_mutex_lock(&lock);
 		sent++;
 		pthread_mutex_unlock(&lock);
@@ -123,10 +125,13 @@
 		    rig_write(fd, filler, len) &&
 		    rig_read_head(fd, m, 6000) == 1 &&
 		    rig_read_body(fd, m, 2000)) {
+			rig_log("client: r%d is answered %d", id,
+				rig_status(m));
 			pthread_mutex_lock(&lock);
 			answered++;
 			pthread_mutex_unlock(&lock);
 		} else {
+			rig_log("client: r%d has no answer", id);
 			close(fd);
 			fd = -1;
 		}
--- a/review/rig/head.c
+++ b/review/rig/head.c
@@ -107,6 +107,7 @@
 			 method, number, method[0], number);
 	int result;
 
+	rig_log("client: sends %s %c%d", method, method[0], number);
 	rig_write(fd, head, (size_t)n);
 	result = rig_read_head(fd, m, 4000);
 	if (result == 1 && rig_status(m) < 0)
--- a/review/rig/late.c
+++ b/review/rig/late.c
@@ -86,6 +86,7 @@
 			copies += rig_trouble;
 			continue;
 		}
+		rig_log("searcher of shard %d: runs %s", c->shard, id);
 		rig_sleep_ms(WORK_MS);
 		n = make_answer(text, sizeof(text), c->shard, id);
 		rig_write(c->fd, text, (size_t)n);
@@ -152,6 +153,7 @@
 		     "Cowslippoint-Request-Id: %s\r\n"
 		     "Cowslippoint-Deadline-Ms: 1000\r\n\r\n",
 		     number, id);
+	rig_log("client: sends %s", id);
 	rig_write(fd, head, (size_t)n);
 	if (rig_read_head(fd, m, 3000) == 1 && rig_read_body(fd, m, 1000)) {
 		ok = 1;
@@ -159,15 +161,15 @@
 			   sizeof(stamps));
 		strcpy(copy, stamps);
 		if (rig_status(m) == 200 && has_foreign(copy, id)) {
-			rig_log("client: %s gets the parts '%s' and the "
-				"records '%s'",
+			rig_log("client: WRONG: %s gets the parts '%s' and "
+				"the records '%s'",
 				id, stamps, m->body);
 			pthread_mutex_lock(&lock);
 			wrong++;
 			pthread_mutex_unlock(&lock);
-		} else if (rig_status(m) != 200) {
-			rig_log("client: %s is answered %d", id,
-				rig_status(m));
+		} else {
+			rig_log("client: %s is answered %d, parts '%s'", id,
+				rig_status(m), stamps);
 		}
 	}
 	rig_free(m);
@@ -220,29 +222,31 @@
 		rig_thread(searcher_main, s);
 		rig_put_searcher(id, service, port, 1);
 	}
-	rig_store_put(
-		"op/config",
-		"{\"version\":7,\"routes\":[{\"name\":\"r1\","
-		"\"host\":\"sweep.example\",\"prefix\":\"/p/\","
-		"\"type\":\"idempotent\",\"timeoutMs\":1000,\"goalMs\":100,"
-		"\"priority\":1,\"gather\":[\"shard0\",\"shard1\"],"
-		"\"attempts\":2,\"topK\":50,\"minRequired\":0.89}],"
-		"\"services\":[{\"name\":\"shard0\","
-		"\"healthPath\":\"/healthz\",\"maxConns\":26,"
-		"\"protocol\":\"h1\",\"tls\":false,\"warmupS\":3.0,"
-		"\"warmupPerS\":0.0},{\"name\":\"shard1\","
-		"\"healthPath\":\"/healthz\",\"maxConns\":26,"
-		"\"protocol\":\"h1\",\"tls\":false,\"warmupS\":3.0,"
-		"\"warmupPerS\":0.0}],\"limits\":{\"maxHeaderBytes\":16384,"
-		"\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
-		"\"idleTimeoutMs\":15000}}");
+	rig_store_put("op/config",
+		      "{\"version\":7,\"routes\":[{\"name\":\"r1\","
+		      "\"host\":\"sweep.example\",\"prefix\":\"/p/\","
+		      "\"type\":\"idempotent\",\"timeoutMs\":1000,\"goalMs\":"
+		      "100,"
+		      "\"priority\":1,\"gather\":[\"shard0\",\"shard1\"],"
+		      "\"attempts\":2,\"topK\":50,\"minRequired\":0.89}],"
+		      "\"services\":[{\"name\":\"shard0\","
+		      "\"healthPath\":\"/healthz\",\"maxConns\":26,"
+		      "\"protocol\":\"h1\",\"tls\":false,\"warmupS\":3.0,"
+		      "\"warmupPerS\":0.0},{\"name\":\"shard1\","
+		      "\"healthPath\":\"/healthz\",\"maxConns\":26,"
+		      "\"protocol\":\"h1\",\"tls\":false,\"warmupS\":3.0,"
+		      "\"warmupPerS\":0.0}],\"limits\":{\"maxHeaderBytes\":"
+		      "16384,"
+		      "\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
+		      "\"idleTimeoutMs\":15000}}");
 	rig_gateway_start();
 	for (i = 0; i < CLIENTS; i++)
 		rig_thread(client_main, NULL);
 	while (sent < REQUESTS)
 		rig_sleep_ms(50);
 	rig_sleep_ms(2000);
-	rig_log("%d requests, %d second copies, %d wrong answers: rule MIXED %s",
+	rig_log("%d requests, %d second copies, %d wrong answers: rule MIXED "
+		"%s",
 		REQUESTS, copies, wrong, wrong ? "is broken" : "held");
 	rig_end();
 	return wrong ? RIG_BROKEN : RIG_HELD;
--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -409,17 +409,15 @@
 		at += sprintf(at, "%s{\"key\":\"%s\",\"rev\":%llu,",
 			      n++ ? "," : "", it->key,
 			      (unsigned long long)it->rev);
-		at += it->value
-			      ? sprintf(at,
-					"\"value\":\"%s\",\"created\":%llu,"
-					"\"lease\":%llu}",
-					it->value,
-					(unsigned long long)it->created,
-					(unsigned long long)it->lease)
-			      : sprintf(at, "\"deleted\":true}");
+		at += it->value ? sprintf(at,
+					  "\"value\":\"%s\",\"created\":%llu,"
+					  "\"lease\":%llu}",
+					  it->value,
+					  (unsigned long long)it->created,
+					  (unsigned long long)it->lease)
+				: sprintf(at, "\"deleted\":true}");
 	}
-	sprintf(at, "],%s\"atRev\":%llu}", tail,
-		(unsigned long long)store_rev);
+	sprintf(at, "],%s\"atRev\":%llu}", tail, (unsigned long long)store_rev);
 	return out;
 }
 
@@ -433,7 +431,8 @@
 static void serve_watch(int fd, const char *head)
 {
 	uint64_t after = query_number(head, "after=");
-	int64_t until_ms = rig_now_ms() + (int64_t)query_number(head, "waitMs=");
+	int64_t until_ms = rig_now_ms() + (int64_t)query_number(head, "waitMs"
+								      "=");
 	char *body;
 
 	pthread_mutex_lock(&store_lock);
@@ -493,8 +492,7 @@
 		answer(fd, 412, body);
 		return;
 	}
-	put_base64(key, value,
-		   writes ? query_number(writes, "\"lease\":") : 0);
+	put_base64(key, value, writes ? query_number(writes, "\"lease\":") : 0);
 	snprintf(body, sizeof(body), "{\"rev\":%llu}",
 		 (unsigned long long)store_rev);
 	pthread_mutex_unlock(&store_lock);
