egress: Close a connection whose request was answered early

Cause: a target may answer a long request before it has read the body, keep the connection and read on later. Egress made the connection idle as soon as the answer was complete and started the next request with an empty output buffer, so the rest of the body was lost and the next request took its place.

Closing is right whatever the target does next: it reads bytes of the body, then the end of the stream.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -31,6 +31,8 @@
 	    "Cancelled sub-requests")                                          \
 	DEF(METRIC_STRAY_ANSWERS, "stray_answers_total", "counter",            \
 	    "Target answers dropped as late, crossed or duplicate")            \
+	DEF(METRIC_EARLY_ANSWERS, "early_answers_total", "counter",            \
+	    "Target answers that came before their request was sent whole")    \
 	DEF(METRIC_TARGET_ERRORS, "target_errors_total", "counter",            \
 	    "Sub-requests that failed")                                        \
 	DEF(METRIC_TARGET_CONNECTS, "target_connects_total", "counter",        \
--- a/src/duty/egress.c
+++ b/src/duty/egress.c
@@ -18,6 +18,7 @@
 #include "base/poller.h"
 #include "base/sock.h"
 #include "codec/http1.h"
+#include "decide/reuse.h"
 #include "duty/duty.h"
 #include "duty/messages.h"
 #include "platform/platform_http.h"
@@ -81,6 +82,7 @@
 	struct buf out;
 	/* Bytes of @out that the socket has taken. */
 	size_t out_sent_bytes;
+	struct reuse reuse;
 	/* The call in flight; NULL while idle. */
 	struct target_call *call;
 	/* Time at which the latest request was sent. */
@@ -284,6 +286,9 @@
 static void on_answer(struct conn *c, size_t extra, int64_t now_us)
 {
 	struct target_reply *r = util_alloc(1, sizeof(*r));
+	struct reuse_answer answer = { .keep_alive = (uint32_t)http1_keep_alive(
+					       &c->h1),
+				       .has_extra = extra > 0 };
 
 	r->call_id = c->call->call_id;
 	c->stamps[c->next_stamp++ % STAMPS_KEPT] = stamp_hash(c);
@@ -293,11 +298,12 @@
 	r->service_us = now_us - c->sent_us;
 	push_reply(c->egress, r);
 	update_idle_timeout(c);
-	if (extra || !http1_keep_alive(&c->h1)) {
+	if (!c->reuse.is_written)
+		metric_add(METRIC_EARLY_ANSWERS, 1);
+	if (reuse_answered(&c->reuse, &answer))
+		make_idle(c, now_us);
+	else
 		conn_free(c);
-		return;
-	}
-	make_idle(c, now_us);
 }
 
 /*
@@ -421,6 +427,7 @@
 		}
 		c->out_sent_bytes += (size_t)n;
 	}
+	reuse_written(&c->reuse);
 	poller_set_events(c->egress->poller, &c->item, EPOLLIN | EPOLLRDHUP);
 	return 1;
 }
@@ -433,6 +440,7 @@
 	c->request_count++;
 	c->out.len_bytes = 0;
 	c->out_sent_bytes = 0;
+	reuse_begin(&c->reuse);
 	http1_reset(&c->h1);
 	c->h1.is_head_response = strcmp(c->call->message->method, "HEAD") == 0;
 	platform_call_encode(c->call, &c->out);
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -119,9 +119,12 @@
 	close(c->listener);
 }
 
-/* Has the egress duty call the target; returns the ID of the call. */
-static uint64_t call(struct egress_case *c, const char *request_id,
-		     int at_most_once)
+/*
+ * Has the egress duty call the target with a body of @body_bytes; returns the
+ * ID of the call.
+ */
+static uint64_t call_with_body(struct egress_case *c, const char *request_id,
+			       int at_most_once, size_t body_bytes)
 {
 	struct target_call *call = util_alloc(1, sizeof(*call));
 	struct msg m = { MSG_TARGET_CALL, call, NULL };
@@ -132,6 +135,13 @@
 		      "GET");
 	call->message->uri = util_strdup("/a/b?c=d");
 	buf_addf(&call->message->fields, "Host: h\r\n");
+	if (body_bytes) {
+		char *body CLEANUP_FREE = util_alloc(body_bytes, 1);
+
+		memset(body, 'b', body_bytes);
+		buf_add(&call->message->body, body, body_bytes);
+		call->message->has_body = 1;
+	}
 	util_copy_str(call->request_id, sizeof(call->request_id), request_id);
 	util_copy_str(call->target_id, sizeof(call->target_id), "t1");
 	util_copy_str(call->address, sizeof(call->address), "127.0.0.1");
@@ -145,6 +155,12 @@
 	return c->last_call_id;
 }
 
+static uint64_t call(struct egress_case *c, const char *request_id,
+		     int at_most_once)
+{
+	return call_with_body(c, request_id, at_most_once, 0);
+}
+
 /* Waits for the reply to a call. */
 static struct target_reply *reply(struct egress_case *c)
 {
@@ -233,6 +249,72 @@
 	egress_end(&c);
 }
 
+/* Longer than what both sockets of a connection buffer. */
+#define UNREAD_BODY_BYTES (24 * 1048576)
+
+/* Reads to the end of the stream; what comes must be bytes of the body only. */
+static void expect_body_only(int fd)
+{
+	char bytes[16384];
+	ssize_t n;
+
+	while ((n = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
+		ssize_t i;
+
+		for (i = 0; i < n; i++)
+			g_assert_cmpint(bytes[i], ==, 'b');
+	}
+	close(fd);
+}
+
+/*
+ * Guards against a request that is sent where the rest of an earlier one is
+ * due: a target answers a long request, with a refusal or a success, before it
+ * has read the body, keeps the connection and reads on later.
+ */
+static void test_early(void)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 503 Busy\r\nCowslippoint-Not-Executed: 1\r\n",
+		HEAD_OK,
+	};
+	uint64_t counted = metric_get(METRIC_EARLY_ANSWERS);
+	struct egress_case c;
+	uint32_t i;
+
+	egress_begin(&c);
+	for (i = 0; i < countof(heads); i++) {
+		g_autofree char *text = g_strdup_printf("%sCowslippoint-"
+							"Request-Id: r1\r\n"
+							"Content-Length: "
+							"2\r\n\r\nok",
+							heads[i]);
+		struct target_reply *r;
+		int early;
+		int fd;
+
+		call_with_body(&c, "r1", 0, UNREAD_BODY_BYTES);
+		early = accept(c.listener, NULL, NULL);
+		expect(early, "\r\n\r\n");
+		put(early, text);
+		r = reply(&c);
+		g_assert_cmpint(r->code, ==, ERR_OK);
+		g_assert_cmpstr(r->body.data, ==, "ok");
+		target_reply_free(r);
+		call(&c, "r2", 0);
+		expect_body_only(early);
+		fd = accept(c.listener, NULL, NULL);
+		expect(fd, "GET /a/b?c=d HTTP/1.1\r\n");
+		put(fd, HEAD_OK "Content-Length: 0\r\nConnection: "
+				"close\r\n\r\n");
+		target_reply_free(reply(&c));
+		close(fd);
+	}
+	egress_end(&c);
+	g_assert_cmpuint(metric_get(METRIC_EARLY_ANSWERS), ==,
+			 counted + countof(heads));
+}
+
 /*
  * Guards against taking a second copy of an answer, which arrives while the next
  * request is in flight on the same connection, for the answer to that request.
@@ -924,6 +1006,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/egress/request", test_request);
 	g_test_add_func("/egress/stray", test_stray);
+	g_test_add_func("/egress/early", test_early);
 	g_test_add_func("/egress/copy", test_copy);
 	g_test_add_func("/egress/endless", test_endless);
 	g_test_add_func("/egress/many-long", test_many_long);
