store, target, ctl: Take an answer whose head was cut off for no answer

What users could see: a condition that the store refused (412) counted as "the key does not exist" when its answer was cut off within the head. In serve, a target's status counted without the body that has to confirm it. Operators of a similar system reported a 200 with an empty body from a head that was cut.

Cause: libcurl ends a transfer with success when the connection is closed after the first line of the head and before the field that frames the body.

Evidence: tests/test_cut.c sends every beginning of 13 answers and closes. Before this change /cut/store gave 502 (conflict, revision 0) where 503 is due (write of unknown outcome), /cut/target 401 where 405 is due. After it all pass. The gateway's own reader passed before and after (/cut/egress, three framings), as do calls between hosts (/relay/forward-cut, every byte).

Change: base/curl_head.c watches for the line that ends the head; a transfer without it counts as partial. Every user of libcurl in the product has it.

--- a/src/ctl/ctl_main.c
+++ b/src/ctl/ctl_main.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "base/curl_head.h"
 #include "ctl/ctl.h"
 
 #define CONNECT_MS 2000L
@@ -81,12 +82,14 @@
 	CURL *curl = curl_easy_init();
 	struct curl_slist *list = make_headers(token);
 	char url[512];
+	struct curl_head head;
 	CURLcode result;
 	long status = 0;
 
 	snprintf(url, sizeof(url), "http://%s/admin/v1/%s", admin, path);
 	set_options(curl, url, method, body, list, out);
-	result = curl_easy_perform(curl);
+	curl_head_watch(&head, curl);
+	result = curl_head_result(&head, curl_easy_perform(curl));
 	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
 	*http_status = (uint32_t)status;
 	curl_slist_free_all(list);
--- a/src/duty/target_duty.c
+++ b/src/duty/target_duty.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "base/curl_head.h"
 #include "base/metric.h"
 #include "codec/target_json.h"
 #include "duty/duty.h"
@@ -67,6 +68,7 @@
 	size_t request_bytes;
 	/* Bytes of request_body that libcurl has read; see on_read(). */
 	size_t request_read_bytes;
+	struct curl_head head;
 	/* Body of the answer. */
 	struct buf body;
 	/* 1: the answer exceeds TARGET_JSON_BODY_BYTES_MAX. */
@@ -261,6 +263,7 @@
 		start_waiting(t, origin);
 		return;
 	}
+	code = curl_head_result(&x->head, code);
 	r = util_alloc(1, sizeof(*r));
 	r->sub_id = x->sub->sub_id;
 	r->new_connection = connects > 0;
@@ -382,6 +385,7 @@
 	limit_connection_age(x);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, x);
+	curl_head_watch(&x->head, easy);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, x);
 	set_body(x);
 }
--- a/tests/fake_http.c
+++ b/tests/fake_http.c
@@ -70,6 +70,10 @@
 		send_all(c->fd, head.data, head.len_bytes);
 		send_all(c->fd, out.data, out.len_bytes);
 		break;
+	case FAKE_RAW:
+		send_all(c->fd, out.data, out.len_bytes);
+		close_connection(c);
+		break;
 	case FAKE_CLOSE:
 		close_connection(c);
 		break;
--- a/tests/fake_http.h
+++ b/tests/fake_http.h
@@ -21,10 +21,16 @@
 	const char *body;
 };
 
-/* Answer, close the connection, or leave it open without an answer. */
-enum fake_action { FAKE_REPLY, FAKE_CLOSE, FAKE_SILENT };
+/*
+ * Answer; send @out as it is and close the connection; close it; or leave it
+ * open without an answer.
+ */
+enum fake_action { FAKE_REPLY, FAKE_RAW, FAKE_CLOSE, FAKE_SILENT };
 
-/* Runs on the server's thread; fills @status and @out for FAKE_REPLY. */
+/*
+ * Runs on the server's thread; fills @status and @out for FAKE_REPLY, @out for
+ * FAKE_RAW.
+ */
 typedef enum fake_action fake_http_fn(void *ctx, const struct fake_request *r,
 				      uint32_t *status, struct buf *out);
 
--- /dev/null
+++ b/tests/test_cut.c
@@ -0,0 +1,320 @@
+/*
+ * Answers that are cut off: each reader of answers gets every beginning of a
+ * whole answer, after which the connection is closed. Guards against a cut
+ * answer that is taken for a whole one, or for a statement that it may not make.
+ */
+#include <apr_general.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "decide/kv_limiter.h"
+#include "duty/egress.h"
+#include "duty/messages.h"
+#include "duty/target_duty.h"
+#include "fake_http.h"
+#include "platform/kv_http.h"
+
+/* Longest wait for a result; after it the test fails. */
+#define WAIT_US (20 * (int64_t)US_PER_S)
+#define RING_SIZE 256
+
+/* The answer of the server, and how many bytes of it are sent. */
+struct cut_answer {
+	const char *text;
+	size_t sent_bytes;
+};
+
+static enum fake_action cut(void *ctx, const struct fake_request *r,
+			    uint32_t *status, struct buf *out)
+{
+	const struct cut_answer *a = ctx;
+
+	buf_add(out, a->text, a->sent_bytes);
+	return FAKE_RAW;
+}
+
+/*
+ * Bytes of @text with which libcurl takes it for whole. It does not wait for the
+ * line feed that ends the trailer: a chunked body is whole with its last chunk,
+ * which comes before (RFC 9112, section 8).
+ */
+static size_t whole_bytes(const char *text)
+{
+	size_t len = strlen(text);
+
+	return g_str_has_suffix(text, "\r\n0\r\n\r\n") ? len - 1 : len;
+}
+
+/* Waits for a message, which must be of @type; returns its body. */
+static void *take(struct ring *ring, uint32_t type)
+{
+	struct msg m;
+
+	g_assert_cmpuint(ring_wait(ring, &m, 1, WAIT_US), ==, 1);
+	g_assert_cmpuint(m.type, ==, type);
+	return m.body;
+}
+
+#define HEAD_STAMP "HTTP/1.1 200 OK\r\nCowslippoint-Server-Stamp: s1\r\n"
+
+/* Calls a target through @e; 1 if it answered. */
+static int egress_call(struct egress *e, struct ring *replies, uint16_t port)
+{
+	struct target_call *call = util_alloc(1, sizeof(*call));
+	struct msg m = { MSG_TARGET_CALL, call, NULL };
+	struct target_reply *r;
+	int is_answered;
+
+	call->call_id = 1;
+	call->message = http_message_new();
+	util_copy_str(call->message->method, sizeof(call->message->method),
+		      "GET");
+	call->message->uri = util_strdup("/a");
+	buf_addf(&call->message->fields, "Host: h\r\n");
+	util_copy_str(call->request_id, sizeof(call->request_id), "r1");
+	util_copy_str(call->target_id, sizeof(call->target_id), "t1");
+	util_copy_str(call->address, sizeof(call->address), "127.0.0.1");
+	call->port = port;
+	call->deadline_us = clock_now_us() + WAIT_US;
+	call->connection_limit = 4;
+	g_assert_cmpint(ring_push(egress_ring(e), &m), ==, ERR_OK);
+	r = take(replies, MSG_TARGET_REPLY);
+	is_answered = r->code == ERR_OK;
+	if (is_answered)
+		g_assert_cmpstr(r->body.data, ==, "records");
+	else
+		g_assert_cmpuint(r->not_run, ==, 0);
+	target_reply_free(r);
+	return is_answered;
+}
+
+/* Reported of a similar system: a head that is cut made a 200 without a body. */
+static void test_egress(void)
+{
+	static const char *const texts[] = {
+		HEAD_STAMP "Content-Length: 7\r\n\r\nrecords",
+		HEAD_STAMP "Transfer-Encoding: chunked\r\n\r\n"
+			   "3\r\nrec\r\n4\r\nords\r\n0\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\n" HEAD_STAMP "Content-Length: "
+		"7\r\n\r\nrecords",
+	};
+	struct err err = { 0 };
+	struct ring *replies = ring_new(RING_SIZE, NULL, NULL, &err);
+	struct egress *e = egress_new(&err);
+	uint32_t i;
+
+	g_assert_cmpint(egress_start(e, replies, &err), ==, ERR_OK);
+	for (i = 0; i < countof(texts); i++) {
+		struct cut_answer a = { .text = texts[i] };
+		size_t len = strlen(a.text);
+
+		for (a.sent_bytes = 0; a.sent_bytes <= len; a.sent_bytes++) {
+			struct fake_http *server = fake_http_new(cut, &a);
+
+			g_assert_cmpint(egress_call(e, replies,
+						    fake_http_port(server)),
+					==, a.sent_bytes == len);
+			fake_http_free(server);
+		}
+	}
+	egress_stop(e);
+	egress_free(e);
+	ring_free(replies);
+}
+
+/* Has serve search a target; returns the code of the result. */
+static enum err_code target_call(struct target_duty *t, struct ring *results,
+				 uint16_t port, uint32_t *not_run)
+{
+	struct subrequest_msg *sub = util_alloc(1, sizeof(*sub));
+	struct msg m = { MSG_SUBREQUEST, sub, NULL };
+	struct subrequest_result *r;
+	enum err_code code;
+
+	sub->sub_id = 1;
+	sub->op = OP_SEARCH;
+	sub->text = util_strdup("q");
+	sub->limit = 3;
+	sub->is_idempotent = 1;
+	util_copy_str(sub->request_id, sizeof(sub->request_id), "r1");
+	util_copy_str(sub->address, sizeof(sub->address), "127.0.0.1");
+	sub->port = port;
+	sub->deadline_us = clock_now_us() + WAIT_US;
+	sub->connection_limit = 4;
+	g_assert_cmpint(ring_push(target_duty_ring(t), &m), ==, ERR_OK);
+	r = take(results, MSG_SUBREQUEST_RESULT);
+	code = r->code;
+	*not_run = r->not_run;
+	subrequest_result_free(r);
+	return code;
+}
+
+/* libcurl reports success when the connection ends within the head. */
+static void test_target(void)
+{
+	static const struct {
+		const char *text;
+		enum err_code code;
+		uint32_t not_run;
+	} answers[] = {
+		{ "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 11\r\n\r\n"
+		  "{\"hits\":[]}",
+		  ERR_OK, 0 },
+		{ "HTTP/1.1 429 Busy\r\nX-A: b\r\nContent-Length: 16\r\n\r\n"
+		  "{\"error\":\"shed\"}",
+		  ERR_TARGET_SHED, 1 },
+		{ "HTTP/1.1 404 Gone\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "19\r\n{\"error\":\"snapshot_gone\"}\r\n0\r\n\r\n",
+		  ERR_TARGET_SNAPSHOT, 1 },
+	};
+	struct err err = { 0 };
+	struct ring *results = ring_new(RING_SIZE, NULL, NULL, &err);
+	struct target_duty *t = target_duty_new(RING_SIZE, results, &err);
+	uint32_t not_run;
+	uint32_t i;
+
+	g_assert_cmpint(target_duty_start(t, &err), ==, ERR_OK);
+	for (i = 0; i < countof(answers); i++) {
+		struct cut_answer a = { .text = answers[i].text };
+
+		for (; a.sent_bytes <= strlen(a.text); a.sent_bytes++) {
+			int is_whole = a.sent_bytes >= whole_bytes(a.text);
+			struct fake_http *server = fake_http_new(cut, &a);
+
+			g_assert_cmpint(
+				target_call(t, results, fake_http_port(server),
+					    &not_run),
+				==,
+				is_whole ? answers[i].code : ERR_TARGET_CLOSED);
+			g_assert_cmpuint(not_run, ==,
+					 is_whole ? answers[i].not_run : 0);
+			fake_http_free(server);
+		}
+	}
+	target_duty_stop(t);
+	target_duty_free(t);
+	ring_free(results);
+}
+
+struct store_result {
+	int is_done;
+	enum err_code code;
+	uint64_t rev;
+};
+
+static void on_done(void *ctx, const struct kv_result *r)
+{
+	struct store_result *out = ctx;
+
+	out->is_done = 1;
+	out->code = r->err.code;
+	out->rev = r->rev;
+}
+
+/* Makes one call of @op to a store that answers as @a says. */
+static struct store_result store_call(enum kv_op op, struct cut_answer *a)
+{
+	struct fake_http *server = fake_http_new(cut, a);
+	struct kv_call call = { .op = op, .timeout_ms = 10000, .lease = 5 };
+	struct store_result result = { 0 };
+	int64_t end_us = clock_now_us() + WAIT_US;
+	struct err err = { 0 };
+	struct kv_http *http =
+		kv_http_new("127.0.0.1", fake_http_port(server), &err);
+	struct kv_driver driver = kv_http_driver(http);
+
+	util_copy_str(call.key, sizeof(call.key), "k");
+	if (op == KV_CAS) {
+		call.value = util_strdup("v");
+		call.value_bytes = 1;
+	}
+	driver.start(driver.driver_ctx, &call, on_done, &result);
+	while (!result.is_done) {
+		g_assert_cmpint(clock_now_us(), <, end_us);
+		kv_http_poll(http, 100);
+	}
+	kv_http_free(http);
+	fake_http_free(server);
+	return result;
+}
+
+/*
+ * Of a condition that failed, a cut answer would say that the key does not
+ * exist.
+ */
+static void test_store(void)
+{
+	static const struct {
+		enum kv_op op;
+		const char *text;
+		enum err_code code;
+		uint64_t rev;
+	} answers[] = {
+		{ KV_CAS,
+		  "HTTP/1.1 412 No\r\nContent-Length: 31\r\n\r\n"
+		  "{\"items\":[{\"key\":\"k\",\"rev\":7}]}",
+		  ERR_STORE_CONFLICT, 7 },
+		{ KV_CAS,
+		  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "a\r\n{\"rev\":13}\r\n0\r\n\r\n",
+		  ERR_OK, 13 },
+		{ KV_GET,
+		  "HTTP/1.1 404 None\r\nX-A: b\r\nContent-Length: 2\r\n\r\n"
+		  "{}",
+		  ERR_STORE_NOT_FOUND, 0 },
+		{ KV_GET,
+		  "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 34\r\n\r\n"
+		  "{\"key\":\"k\",\"rev\":3,\"value\":\"dg==\"}",
+		  ERR_OK, 3 },
+		{ KV_WATCH,
+		  "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 22\r\n\r\n"
+		  "{\"items\":[],\"atRev\":9}",
+		  ERR_OK, 9 },
+		{ KV_LEASE_RENEW,
+		  "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 2\r\n\r\n"
+		  "{}",
+		  ERR_OK, 0 },
+		{ KV_LEASE_RENEW,
+		  "HTTP/1.1 404 None\r\nX-A: b\r\nContent-Length: 2\r\n\r\n"
+		  "{}",
+		  ERR_STORE_NOT_FOUND, 0 },
+	};
+	uint32_t i;
+
+	for (i = 0; i < countof(answers); i++) {
+		struct cut_answer a = { .text = answers[i].text };
+		enum err_code cut_code = kv_op_is_write(answers[i].op)
+						 ? ERR_STORE_UNKNOWN
+						 : ERR_STORE_DOWN;
+
+		for (; a.sent_bytes <= strlen(a.text); a.sent_bytes++) {
+			int is_whole = a.sent_bytes >= whole_bytes(a.text);
+			struct store_result r = store_call(answers[i].op, &a);
+
+			g_assert_cmpint(r.code, ==,
+					is_whole ? answers[i].code : cut_code);
+			if (is_whole)
+				g_assert_cmpuint(r.rev, ==, answers[i].rev);
+		}
+	}
+}
+
+/* Drops log lines: GLib's harness ends the test at a warning that it sees. */
+static void drop_line(void *ctx, const char *line)
+{
+}
+
+int main(int argc, char **argv)
+{
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_NOTHING);
+	log_init("test", drop_line, NULL);
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/cut/egress", test_egress);
+	g_test_add_func("/cut/target", test_target);
+	g_test_add_func("/cut/store", test_store);
+	return g_test_run();
+}
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -17,34 +17,12 @@
 #include "duty/egress.h"
 #include "duty/ingress.h"
 #include "duty/messages.h"
+#include "loopback.h"
 
 /* Longest wait for a message; after it the test fails. */
 #define WAIT_US (20 * (int64_t)US_PER_S)
 #define RING_SIZE 256
 
-/* Listens on a free port of loopback, which is written to @port. */
-static int listen_any(uint16_t *port)
-{
-	struct sockaddr_storage sa;
-	socklen_t len = addr_parse("127.0.0.1", 0, &sa);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	g_assert_cmpint(bind(fd, (struct sockaddr *)&sa, len), ==, 0);
-	g_assert_cmpint(listen(fd, 16), ==, 0);
-	*port = addr_local_port(fd);
-	return fd;
-}
-
-static int connect_to(uint16_t port)
-{
-	struct sockaddr_storage sa;
-	socklen_t len = addr_parse("127.0.0.1", port, &sa);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	g_assert_cmpint(connect(fd, (struct sockaddr *)&sa, len), ==, 0);
-	return fd;
-}
-
 static void put(int fd, const char *text)
 {
 	g_assert_cmpint(send(fd, text, strlen(text), MSG_NOSIGNAL), ==,
@@ -108,7 +86,7 @@
 	c->egress = egress_new(&err);
 	g_assert_nonnull(c->egress);
 	g_assert_cmpint(egress_start(c->egress, c->replies, &err), ==, ERR_OK);
-	c->listener = listen_any(&c->port);
+	c->listener = loopback_listen(&c->port);
 }
 
 static void egress_end(struct egress_case *c)
@@ -676,7 +654,7 @@
 	g_assert_cmpint(r->code, ==, ERR_TARGET_CONNECT);
 	g_assert_cmpuint(r->not_run, ==, 1);
 	target_reply_free(r);
-	c.listener = listen_any(&c.port);
+	c.listener = loopback_listen(&c.port);
 	egress_end(&c);
 }
 
@@ -701,7 +679,7 @@
 {
 	uint16_t port;
 
-	close(listen_any(&port));
+	close(loopback_listen(&port));
 	return port;
 }
 
@@ -776,7 +754,7 @@
 	int fd;
 
 	ingress_begin(&c);
-	fd = connect_to(c.caller_port);
+	fd = loopback_connect(c.caller_port);
 	for (i = 0; i < 2; i++) {
 		put(fd, HEAD_GET "Cowslippoint-Deadline-Ms: 900\r\nX-A: b\r\n"
 				 "Connection: keep-alive\r\n"
@@ -811,7 +789,7 @@
 	int fd;
 
 	ingress_begin(&c);
-	fd = connect_to(c.caller_port);
+	fd = loopback_connect(c.caller_port);
 	put(fd, HEAD_GET "\r\n");
 	r = take(c.requests, MSG_EXCHANGE_REQUEST);
 	close(fd);
@@ -849,7 +827,7 @@
 
 	ingress_begin(&c);
 	for (i = 0; i < countof(cases); i++) {
-		int fd = connect_to(c.caller_port);
+		int fd = loopback_connect(c.caller_port);
 
 		put(fd, cases[i].request);
 		if (cases[i].status)
@@ -870,7 +848,7 @@
 	int fd;
 
 	ingress_begin(&c);
-	fd = connect_to(c.ready_port);
+	fd = loopback_connect(c.ready_port);
 	put(fd, get);
 	expect(fd, "NO_CONFIG");
 	c.is_ready = 1;
@@ -902,8 +880,8 @@
 	int late;
 
 	ingress_begin(&c);
-	idle = connect_to(c.caller_port);
-	busy = connect_to(c.caller_port);
+	idle = loopback_connect(c.caller_port);
+	busy = loopback_connect(c.caller_port);
 	put(busy, HEAD_GET "\r\n");
 	r = take(c.requests, MSG_EXCHANGE_REQUEST);
 	ingress_drain(c.ingress);
@@ -946,7 +924,7 @@
 
 	ingress_open(&c);
 	for (i = 0; i < LEAVE_CALLERS; i++) {
-		fds[i] = connect_to(c.caller_port);
+		fds[i] = loopback_connect(c.caller_port);
 		if (i % 2 == 0)
 			put(fds[i], HEAD_GET "\r\n");
 	}
@@ -978,10 +956,10 @@
 
 	ingress_begin(&c);
 	for (i = 0; i < CONNECTIONS_MAX; i++)
-		fds[i] = connect_to(c.caller_port);
+		fds[i] = loopback_connect(c.caller_port);
 	while (ingress_caller_count(c.ingress) < CONNECTIONS_MAX)
 		g_usleep(1000);
-	late = connect_to(c.caller_port);
+	late = loopback_connect(c.caller_port);
 	put(late, HEAD_GET "\r\n");
 	cpu_us = clock_cpu_us();
 	g_usleep(300 * US_PER_MS);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -13,9 +13,11 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "codec/peer.h"
+#include "codec/peer_msg_forward.h"
 #include "codec/peer_rpc.h"
 #include "duty/messages.h"
 #include "duty/relay.h"
+#include "loopback.h"
 
 /* Longest wait for a message; after it the test fails. */
 #define WAIT_US (20 * (int64_t)US_PER_S)
@@ -263,16 +265,6 @@
 	host_end(&server);
 }
 
-static int connect_to(uint16_t port)
-{
-	struct sockaddr_storage sa;
-	socklen_t len = addr_parse("127.0.0.1", port, &sa);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	g_assert_cmpint(connect(fd, (struct sockaddr *)&sa, len), ==, 0);
-	return fd;
-}
-
 static void put(int fd, const void *data, size_t len_bytes)
 {
 	g_assert_cmpint(send(fd, data, len_bytes, MSG_NOSIGNAL), ==,
@@ -304,13 +296,13 @@
 	int fd;
 
 	host_begin(&server);
-	fd = connect_to(relay_port(server.relay));
+	fd = loopback_connect(relay_port(server.relay));
 	put(fd, "GET / HTTP/1.1\r\n\r\n", 18);
 	expect_end(fd);
-	fd = connect_to(relay_port(server.relay));
+	fd = loopback_connect(relay_port(server.relay));
 	put(fd, long_record, sizeof(long_record));
 	expect_end(fd);
-	fd = connect_to(relay_port(server.relay));
+	fd = loopback_connect(relay_port(server.relay));
 	put(fd, wrong_body, sizeof(wrong_body));
 	expect_end(fd);
 	/* A second call while the first one is held. */
@@ -318,7 +310,7 @@
 			  (xdrproc_t)xdr_peer_follow_args, &args);
 	peer_rpc_add_call(&calls, 2, FOLLOW_STATE,
 			  (xdrproc_t)xdr_peer_follow_args, &args);
-	fd = connect_to(relay_port(server.relay));
+	fd = loopback_connect(relay_port(server.relay));
 	put(fd, calls.data, calls.len_bytes);
 	expect_end(fd);
 	follower_call_free(take(&server, MSG_FOLLOWER_CALL));
@@ -344,7 +336,7 @@
 	host_begin(&client);
 	peer_rpc_add_call(&call_bytes, 1, FOLLOW_STATE,
 			  (xdrproc_t)xdr_peer_follow_args, &args);
-	fd = connect_to(relay_port(server.relay));
+	fd = loopback_connect(relay_port(server.relay));
 	put(fd, call_bytes.data, call_bytes.len_bytes);
 	left = take(&server, MSG_FOLLOWER_CALL);
 	close(fd);
@@ -530,6 +522,82 @@
 	host_end(&host);
 }
 
+/* Reads one call from @fd and returns its RPC transaction ID. */
+static uint32_t read_call(int fd)
+{
+	char data[4096];
+	size_t len = 0;
+	uint32_t xid = 0;
+	uint32_t procedure = 0;
+	XDR x;
+
+	while (peer_rpc_record_bytes(data, len, sizeof(data)) == 0) {
+		ssize_t n = recv(fd, data + len, sizeof(data) - len, 0);
+
+		g_assert_cmpint(n, >, 0);
+		len += (size_t)n;
+	}
+	g_assert_cmpint(peer_rpc_read_call(data + PEER_RPC_MARK_BYTES,
+					   len - PEER_RPC_MARK_BYTES, &x, &xid,
+					   &procedure),
+			==, 1);
+	g_assert_cmpuint(procedure, ==, FORWARD);
+	xdr_destroy(&x);
+	return xid;
+}
+
+/* Sends the first @bytes of an answer to call @xid; returns its whole length. */
+static size_t send_answer(int fd, uint32_t xid, size_t bytes)
+{
+	struct exchange_answer a = { .status = 200, .is_merged = 1 };
+	struct buf out CLEANUP_BUF = { 0 };
+	peer_forwarded x;
+
+	buf_addf(&a.part_stamps, "s1, s2");
+	buf_addf(&a.body, "records");
+	peer_msg_from_answer(&a, &x);
+	g_assert_cmpint(peer_rpc_add_reply(&out, xid,
+					   (xdrproc_t)xdr_peer_forwarded, &x),
+			==, 1);
+	put(fd, out.data, bytes < out.len_bytes ? bytes : out.len_bytes);
+	buf_free(&a.part_stamps);
+	buf_free(&a.body);
+	return out.len_bytes;
+}
+
+/*
+ * Guards against taking a merged answer that was cut off, at any byte, for a
+ * whole one, or the request for not run.
+ */
+static void test_forward_cut(void)
+{
+	struct forward_reply *r;
+	struct host host;
+	size_t bytes = 0;
+	size_t len;
+
+	host_begin(&host);
+	do {
+		uint16_t port;
+		int listener = loopback_listen(&port);
+		int fd;
+
+		forward(&host, port, bytes + 1, 0);
+		fd = accept(listener, NULL, NULL);
+		len = send_answer(fd, read_call(fd), bytes);
+		close(fd);
+		close(listener);
+		r = take_from(host.requests, MSG_FORWARD_REPLY);
+		g_assert_cmpuint(r->not_sent, ==, 0);
+		g_assert_cmpint(r->code, ==,
+				bytes < len ? ERR_PEER_RPC : ERR_OK);
+		if (r->answer)
+			g_assert_cmpstr(r->answer->body.data, ==, "records");
+		forward_reply_free(r);
+	} while (++bytes <= len);
+	host_end(&host);
+}
+
 int main(int argc, char **argv)
 {
 	apr_initialize();
@@ -544,5 +612,6 @@
 	g_test_add_func("/relay/forward", test_forward);
 	g_test_add_func("/relay/forward-cancelled", test_forward_cancelled);
 	g_test_add_func("/relay/forward-fails", test_forward_fails);
+	g_test_add_func("/relay/forward-cut", test_forward_cut);
 	return g_test_run();
 }
