gateway: Free nothing before all threads have ended, and send nothing then

Cause: store_free() ended the watch that is nearly always in flight and pushed its result to the ring of the control duty, which was freed before. In the same way gw_free() cancelled forwarded requests through the relay's ring.

A start that fails half way stops what had started.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,8 @@
 TEST_BIN = $(patsubst tests/%.c,$(OUT)/%,$(TEST_SRC))
 STANDIN_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/standin/*.c)))
 SOAK_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tests/soak/*.c)) \
-	tests/proc.c tests/client.c $(filter-out tests/standin/main%.c, \
+	tests/proc.c tests/client.c tests/caller.c tests/store_client.c \
+	$(filter-out tests/standin/main%.c, \
 	$(sort $(wildcard tests/standin/*.c))))
 CAPACITY_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tools/capacity/*.c)))
 BENCH_OBJ = $(patsubst %.c,$(OUT)/%.o,$(sort $(wildcard tools/bench/*.c tests/naive/*.c)))
--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -260,25 +260,31 @@
 		  ingress_caller_count(g->ingress));
 }
 
+/*
+ * Ends the threads, those that send to others before these. They send in both
+ * directions, so nothing is freed before all have ended; a push to the ring of
+ * a thread that has ended is refused.
+ */
 static void stop_duties(struct gateway *g)
 {
 	ingress_stop(g->ingress);
-	gw_control_stop(g->control);
+	gw_duty_stop(g->request);
+	egress_stop(g->egress);
 	if (g->relay)
 		relay_stop(g->relay);
-	egress_stop(g->egress);
-	gw_duty_stop(g->request);
+	gw_control_stop(g->control);
 	store_stop(g->store);
 	store_join(g->store);
 }
 
+/* Freeing a duty sends nothing, so the order does not matter. */
 static void gateway_free(struct gateway *g)
 {
-	gw_control_free(g->control);
-	relay_free(g->relay);
 	ingress_free(g->ingress);
-	egress_free(g->egress);
 	gw_duty_free(g->request);
+	egress_free(g->egress);
+	relay_free(g->relay);
+	gw_control_free(g->control);
 	store_free(g->store);
 	logger_duty_free(g->logger);
 	free(g);
@@ -405,9 +411,13 @@
 	/* Blocked before other threads start, so only this one gets them. */
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
-	if (create_duties(g, &err) != ERR_OK ||
-	    start_duties(g, &err) != ERR_OK) {
+	if (create_duties(g, &err) != ERR_OK) {
+		err_print(stderr, &err);
+		return 1;
+	}
+	if (start_duties(g, &err) != ERR_OK) {
 		err_print(stderr, &err);
+		stop_duties(g);
 		return 1;
 	}
 	log_event(LOG_LEVEL_INFO, "started", "data centre %s",
--- a/src/duty/relay.c
+++ b/src/duty/relay.c
@@ -556,6 +556,7 @@
 {
 	if (!r)
 		return;
+	r->is_freeing = 1;
 	if (r->duty)
 		timer_queue_cancel(duty_timers(r->duty), &r->call_timer);
 	rpc_conn_free(r->upstream);
--- a/src/duty/relay_forward.c
+++ b/src/duty/relay_forward.c
@@ -340,10 +340,14 @@
 
 static void push_gone(struct relay *r, uint64_t conn_id)
 {
-	struct exchange_caller_gone *gone = util_alloc(1, sizeof(*gone));
-	struct msg m = { MSG_EXCHANGE_CALLER_GONE, gone, free };
+	struct exchange_caller_gone *gone;
+	struct msg m = { MSG_EXCHANGE_CALLER_GONE, NULL, free };
 
+	if (r->is_freeing)
+		return;
+	gone = util_alloc(1, sizeof(*gone));
 	gone->conn = conn_id;
+	m.body = gone;
 	if (ring_push(r->requests, &m) != ERR_OK)
 		free(gone);
 }
--- a/src/duty/relay_internal.h
+++ b/src/duty/relay_internal.h
@@ -58,6 +58,8 @@
 	uint64_t last_forwarded_id;
 	/* Number of @forwarded, for other threads. */
 	_Atomic uint32_t forwarded_count;
+	/* 1 during relay_free(): nothing is sent to the request duty. */
+	uint32_t is_freeing;
 };
 
 /* relay_forward.c */
--- a/src/duty/store.c
+++ b/src/duty/store.c
@@ -37,6 +37,8 @@
 	_Atomic uint32_t host_count;
 	/* Doubly linked list of the jobs in progress. */
 	struct job *jobs;
+	/* 1 during store_free(): results of jobs are dropped. */
+	uint32_t is_freeing;
 };
 
 /* One store call, from its MSG_KV_REQUEST until its reply was pushed. */
@@ -78,8 +80,11 @@
 {
 	struct job *j = ctx;
 	struct msg m = { MSG_KV_REPLY, j->reply, drop_reply };
-	enum err_code code = ring_push(j->request->reply_to, &m);
+	enum err_code code = ERR_STOPPING;
 
+	/* The ring may be gone by the time at which the store is freed. */
+	if (!j->store->is_freeing)
+		code = ring_push(j->request->reply_to, &m);
 	if (code == ERR_RING_FULL) {
 		timer_queue_arm(duty_timers(j->store->duty), &j->timer,
 				now_us + REPLY_RETRY_US, deliver, j);
@@ -339,6 +344,7 @@
 
 	if (!s)
 		return;
+	s->is_freeing = 1;
 	kv_http_free(s->http);
 	for (j = s->jobs; j; j = next) {
 		next = j->next;
--- a/src/duty/store.h
+++ b/src/duty/store.h
@@ -33,6 +33,7 @@
 void store_set_host_count(struct store *s, uint32_t host_count);
 void store_stop(struct store *s);
 void store_join(struct store *s);
+/* Drops the calls in flight; nothing is sent to their rings any more. */
 void store_free(struct store *s);
 
 #endif
--- a/src/gateway/gw.c
+++ b/src/gateway/gw.c
@@ -67,6 +67,16 @@
 	free(r);
 }
 
+static void drop_send(void *ctx, struct target_call *call)
+{
+	target_call_free(call);
+}
+
+static void drop_forward(void *ctx, struct forward_call *call)
+{
+	forward_call_free(call);
+}
+
 void gw_free(struct gw *g)
 {
 	GList *list;
@@ -74,6 +84,8 @@
 
 	if (!g)
 		return;
+	g->ops.send = drop_send;
+	g->ops.forward = drop_forward;
 	list = g_hash_table_get_values(g->reqs);
 	for (node = list; node; node = node->next) {
 		struct gw_req *r = node->data;
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -73,6 +73,7 @@
 
 struct gw *gw_new(const struct gw_ops *ops, const struct gw_options *options,
 		  struct timer_queue *timers);
+/* Ends the requests in flight without an answer, and calls no callback. */
 void gw_free(struct gw *g);
 
 /* Each of these four takes ownership of its second argument. */
--- a/tests/soak/caller.h
+++ b/tests/caller.h
@@ -1,6 +1,6 @@
 /* A caller's connection to a host, used for one request at a time. */
-#ifndef SOAK_CALLER_H
-#define SOAK_CALLER_H
+#ifndef CALLER_H
+#define CALLER_H
 
 #include <stdint.h>
 
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -19,15 +19,7 @@
 
 void cluster_init(const char *argv0)
 {
-	g_autofree char *dir = g_path_get_dirname(argv0);
-
-	snprintf(host_program, sizeof(host_program), "%s/cowslippoint", dir);
-	g_setenv("TSAN_OPTIONS", "halt_on_error=1", TRUE);
-	/*
-	 * The sanitizers do not see the lock of GLib's own allocator and take a
-	 * block that it hands from one thread to another for a data race.
-	 */
-	g_setenv("G_SLICE", "always-malloc", TRUE);
+	proc_sibling(argv0, "cowslippoint", host_program, sizeof(host_program));
 }
 
 void cluster_start_store(struct cluster *c)
--- a/tests/fake_http.c
+++ b/tests/fake_http.c
@@ -9,7 +9,7 @@
 
 #include "base/addr.h"
 
-#define CONNECTIONS_MAX 64
+#define CONNECTIONS_MAX 256
 #define READ_BYTES 65536
 
 struct connection {
@@ -51,10 +51,12 @@
 /* Handles the whole request in the buffer of @c, whose body begins at @body. */
 static void answer(struct fake_http *f, struct connection *c, char *body)
 {
+	struct buf fields CLEANUP_BUF = { 0 };
 	struct fake_request r = { .connection = (uint32_t)(c - f->connections),
 				  .on_connection = c->requests++,
 				  .number = f->requests++,
-				  .body = body };
+				  .body = body,
+				  .fields = &fields };
 	struct buf out CLEANUP_BUF = { 0 };
 	struct buf head CLEANUP_BUF = { 0 };
 	uint32_t status = 200;
@@ -65,8 +67,9 @@
 	util_copy_str(r.line, sizeof(r.line), c->in.data);
 	switch (f->fn(f->ctx, &r, &status, &out)) {
 	case FAKE_REPLY:
-		buf_addf(&head, "HTTP/1.1 %u X\r\nContent-Length: %zu\r\n\r\n",
-			 status, out.len_bytes);
+		buf_addf(&head,
+			 "HTTP/1.1 %u X\r\n%sContent-Length: %zu\r\n\r\n",
+			 status, fields.data ? fields.data : "", out.len_bytes);
 		send_all(c->fd, head.data, head.len_bytes);
 		send_all(c->fd, out.data, out.len_bytes);
 		break;
--- a/tests/fake_http.h
+++ b/tests/fake_http.h
@@ -19,6 +19,8 @@
 	char line[512];
 	/* As received; "" without a body. */
 	const char *body;
+	/* Header lines of the answer may be added for FAKE_REPLY. */
+	struct buf *fields;
 };
 
 /*
--- a/tests/proc.c
+++ b/tests/proc.c
@@ -55,6 +55,21 @@
 	return 1;
 }
 
+void proc_sibling(const char *argv0, const char *name, char *path,
+		  size_t size_bytes)
+{
+	const char *slash = strrchr(argv0, '/');
+
+	snprintf(path, size_bytes, "%.*s%s",
+		 slash ? (int)(slash - argv0) + 1 : 0, argv0, name);
+	setenv("TSAN_OPTIONS", "halt_on_error=1", 1);
+	/*
+	 * The sanitizers do not see the lock of GLib's own allocator and take a
+	 * block that it hands from one thread to another for a data race.
+	 */
+	setenv("G_SLICE", "always-malloc", 1);
+}
+
 int proc_start(struct proc *p, const char *const *argv, const char *log_path,
 	       uint32_t timeout_ms)
 {
--- a/tests/proc.h
+++ b/tests/proc.h
@@ -5,6 +5,7 @@
 #ifndef PROC_H
 #define PROC_H
 
+#include <stddef.h>
 #include <stdint.h>
 #include <sys/types.h>
 
@@ -23,6 +24,12 @@
 	char text[8192];
 };
 
+/*
+ * Writes the path of program @name that was built like this program, whose
+ * argv[0] is @argv0, and has a sanitizer's report end such a program.
+ */
+void proc_sibling(const char *argv0, const char *name, char *path,
+		  size_t size_bytes);
 /*
  * Starts argv[0] with its standard error in @log_path (NULL: inherited) and
  * waits up to @timeout_ms for a line that begins with "ready". The child is
--- a/tests/soak/testbed.c
+++ b/tests/soak/testbed.c
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "caller.h"
 #include "client.h"
+#include "store_client.h"
 
 #define START_MS 5000
 #define STORE_CALL_TIMEOUT_MS 1500
@@ -44,37 +45,10 @@
  * Goes to the store directly and not through a proxy: it works also while hosts
  * cannot reach the store.
  */
-static int txn(struct testbed *tb, const char *key, const char *value)
-{
-	struct client_answer a;
-	json_t *doc;
-	char *text;
-	int ok;
-
-	if (value) {
-		g_autofree char *coded =
-			g_base64_encode((const guchar *)value, strlen(value));
-
-		doc = json_pack("{s:[],s:[{s:s,s:s,s:i}],s:[]}", "expect",
-				"writes", "key", key, "value", coded, "lease",
-				0, "delete");
-	} else {
-		doc = json_pack("{s:[],s:[],s:[s]}", "expect", "writes",
-				"delete", key);
-	}
-	text = json_dumps(doc, JSON_COMPACT);
-	json_decref(doc);
-	client_call(&a, "POST", tb->store_port, "/api/kv-txn", text,
-		    STORE_CALL_TIMEOUT_MS);
-	ok = a.status == 200;
-	client_clear(&a);
-	free(text);
-	return ok;
-}
-
 int testbed_put(struct testbed *tb, const char *key, const char *value)
 {
-	return txn(tb, key, value);
+	return store_client_put(tb->store_port, key, value,
+				STORE_CALL_TIMEOUT_MS);
 }
 
 char *testbed_get(struct testbed *tb, const char *key)
