serve: End the edits in flight before the controllers are freed

What operators saw: serve ended with SIGSEGV when it was stopped while an edit waited for the store.

Cause: the controllers were freed before the control duty, whose configuration then ended the edit through them (log_edit() in control_admin.c).

--- a/src/duty/serve.c
+++ b/src/duty/serve.c
@@ -386,8 +386,9 @@
 	request_duty_free(s->request);
 	caller_duty_free(s->caller);
 	target_duty_free(s->target);
-	controllers_free(s->controllers);
+	/* Edits in flight end with an error, which the controllers take. */
 	control_free(s->control);
+	controllers_free(s->controllers);
 	peer_listen_free(s->peer_listen);
 	peer_send_free(s->peer_send);
 	peer_fetch_free(s->peer_fetch);
@@ -418,8 +419,13 @@
 	 */
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
-	if (create(s, &err) != ERR_OK || start(s, &err) != ERR_OK) {
+	if (create(s, &err) != ERR_OK) {
+		err_print(stderr, &err);
+		return 1;
+	}
+	if (start(s, &err) != ERR_OK) {
 		err_print(stderr, &err);
+		stop(s);
 		return 1;
 	}
 	print_ready(s);
--- a/tests/test_serve.c
+++ b/tests/test_serve.c
@@ -21,9 +21,11 @@
 
 struct serve {
 	struct cluster cluster;
-	/* Thread of the lookup that runs in the background, or NULL. */
+	/* Thread of the call that runs in the background, or NULL. */
 	GThread *background;
 	struct client_answer background_answer;
+	const char *background_method;
+	const char *background_path;
 	char *background_body;
 	uint16_t background_port;
 };
@@ -295,11 +297,23 @@
 {
 	struct serve *s = data;
 
-	client_call(&s->background_answer, "POST", s->background_port,
-		    "/v1/lookup", s->background_body, CLUSTER_TIMEOUT_MS);
+	client_call(&s->background_answer, s->background_method,
+		    s->background_port, s->background_path, s->background_body,
+		    CLUSTER_TIMEOUT_MS);
 	return NULL;
 }
 
+/* Sends a call in a thread of its own; takes ownership of @body. */
+static void start_background(struct serve *s, const char *method, uint16_t port,
+			     const char *path, char *body)
+{
+	s->background_method = method;
+	s->background_port = port;
+	s->background_path = path;
+	s->background_body = body;
+	s->background = g_thread_new("background", run_background, s);
+}
+
 /*
  * lookup_background host=N id=ID: sends the lookup in a thread of its own,
  * while the script continues.
@@ -309,13 +323,27 @@
 {
 	struct serve *s = ctx;
 
-	s->background_body = lookup_body(argc, argv);
-	s->background_port =
-		cluster_caller_port(&s->cluster, host_arg(argc, argv));
-	s->background = g_thread_new("background", run_background, s);
+	start_background(s, "POST",
+			 cluster_caller_port(&s->cluster, host_arg(argc, argv)),
+			 "/v1/lookup", lookup_body(argc, argv));
 }
 
-/* join: waits for the answer to lookup_background and prints it. */
+/*
+ * contract_background host=N: edits the contract of "acme" while the script
+ * continues.
+ */
+static void cmd_contract_background(void *ctx, uint32_t argc, char **argv,
+				    struct buf *out)
+{
+	struct serve *s = ctx;
+	char *body CLEANUP_FREE = cluster_contract(ANSWER_MS, 500);
+
+	start_background(s, "PUT",
+			 cluster_admin_port(&s->cluster, host_arg(argc, argv)),
+			 "/admin/v1/contracts/acme", g_strdup(body));
+}
+
+/* join: waits for the answer to the call in the background and prints it. */
 static void cmd_join(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct serve *s = ctx;
@@ -383,6 +411,17 @@
 	control(cluster_target_control(&s->cluster), argv[0], out);
 }
 
+/* Waits until a counter of a stand-in has a value, see /control/wait. */
+static void wait_counter(uint16_t port, const char *query, struct buf *out)
+{
+	g_autofree char *path = g_strdup_printf("/control/wait?%s", query);
+	struct client_answer a;
+
+	client_call(&a, "GET", port, path, NULL, CLUSTER_TIMEOUT_MS);
+	buf_addf(out, "%s\n", a.status == 200 ? "reached" : "not reached");
+	client_clear(&a);
+}
+
 /*
  * await QUERY: waits until a counter of the targets has a value, see
  * /control/wait.
@@ -390,15 +429,32 @@
 static void cmd_await(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct serve *s = ctx;
-	g_autofree char *path = g_strdup_printf("/control/wait?%s", argv[0]);
+
+	wait_counter(cluster_target_control(&s->cluster), argv[0], out);
+}
+
+/* reset_store: sets the counters of the store to 0. */
+static void cmd_reset_store(void *ctx, uint32_t argc, char **argv,
+			    struct buf *out)
+{
+	struct serve *s = ctx;
 	struct client_answer a;
 
-	client_call(&a, "GET", cluster_target_control(&s->cluster), path, NULL,
-		    CLUSTER_TIMEOUT_MS);
-	buf_addf(out, "%s\n", a.status == 200 ? "reached" : "not reached");
+	client_call(&a, "POST", cluster_store_control(&s->cluster),
+		    "/control/reset", "{}", CLUSTER_TIMEOUT_MS);
+	buf_addf(out, "%s\n", client_text(&a, "error"));
 	client_clear(&a);
 }
 
+/* await_store QUERY: like await, for a counter of the store. */
+static void cmd_await_store(void *ctx, uint32_t argc, char **argv,
+			    struct buf *out)
+{
+	struct serve *s = ctx;
+
+	wait_counter(cluster_store_control(&s->cluster), argv[0], out);
+}
+
 static void cmd_kill(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct serve *s = ctx;
@@ -457,12 +513,15 @@
 	{ "search", cmd_search },
 	{ "lookup", cmd_lookup },
 	{ "lookup_background", cmd_lookup_background },
+	{ "contract_background", cmd_contract_background },
 	{ "join", cmd_join },
 	{ "outcome", cmd_outcome },
 	{ "executions", cmd_executions },
 	{ "store", cmd_store },
 	{ "targets", cmd_targets },
 	{ "await", cmd_await },
+	{ "await_store", cmd_await_store },
+	{ "reset_store", cmd_reset_store },
 	{ "kill", cmd_kill },
 	{ "pause", cmd_pause },
 	{ "continue", cmd_continue },
