gateway: End all requests before a planned stop

Cause: a stop had a time limit for the process and none for its requests; each kept its own deadline and was dropped at the end.

Change: the request path knows when the host stops. In the last 0.4 s ingress refuses by itself. The same knowledge holds without a stop: a cold target whose next call comes after a request's deadline no longer keeps it waiting until then.

--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -35,8 +35,13 @@
  * one a second, to send them elsewhere.
  */
 #define LEAVE_MS 3500
-/* Part of the grace time that is kept for stopping the threads. */
+/*
+ * All requests are answered this long before the end of the grace time. The
+ * rest is for writing the answers and for stopping the threads.
+ */
 #define STOP_MS 400
+/* Of STOP_MS, the time for writing the answers. */
+#define LAST_ANSWERS_MS 250
 #define FINISH_POLL_MS 20
 /* Interval at which the settings file is checked for changes. */
 #define SETTINGS_PERIOD_S 2
@@ -232,30 +237,60 @@
 	       (!g->relay || !relay_forwarded_count(g->relay));
 }
 
+static void wait_finished(const struct gateway *g, const sigset_t *signals,
+			  int64_t until_us)
+{
+	while (!is_finished(g) && clock_now_us() < until_us)
+		wait_signal(signals, FINISH_POLL_MS);
+}
+
+static void order_leave(struct gateway *g, int64_t stop_us)
+{
+	struct gw_leave_order *order = util_alloc(1, sizeof(*order));
+	struct msg m = { MSG_GW_LEAVE, order, free };
+
+	order->stop_us = stop_us;
+	if (ring_push(gw_duty_ring(g->request), &m) == ERR_OK)
+		return;
+	log_event(LOG_LEVEL_WARNING, "ring_full",
+		  "requests may outlast the grace time");
+	free(order);
+}
+
+static void tell_ingress(struct gateway *g, uint32_t type)
+{
+	struct msg m = { type, NULL, NULL };
+
+	if (ring_push(ingress_ring(g->ingress), &m) != ERR_OK)
+		log_event(LOG_LEVEL_WARNING, "ring_full",
+			  "idle caller connections stay open");
+}
+
 /*
  * Graceful shutdown: the host reports at once that it is not ready. Until the
  * load balancer has noticed, new connections are served, and each connection is
- * closed after its answer. Then no more are accepted, idle ones are closed, and
- * requests in flight may finish until the grace time ends.
+ * closed after its answer. Then no more are accepted, and idle ones are closed.
+ * Requests are answered until stop_us, or refused once it is known that they
+ * would not end by then (gw_leave()).
  */
 static void shut_down(struct gateway *g, const sigset_t *signals)
 {
-	int64_t deadline_us =
-		clock_now_us() +
-		((int64_t)g->settings.grace_ms - STOP_MS) * US_PER_MS;
-	struct msg m = { MSG_LEAVE, NULL, NULL };
-
-	log_event(LOG_LEVEL_INFO, "leaving", "draining for %d ms", LEAVE_MS);
+	int64_t now_us = clock_now_us();
+	int64_t grace_us = (int64_t)g->settings.grace_ms * US_PER_MS;
+	int64_t stop_us = now_us + grace_us - STOP_MS * US_PER_MS;
+	int64_t leave_ms = util_min_i64(LEAVE_MS, g->settings.grace_ms / 2);
+
+	log_event(LOG_LEVEL_INFO, "leaving",
+		  "draining for %lld ms, stopping after %lld ms",
+		  (long long)leave_ms,
+		  (long long)((stop_us - now_us) / US_PER_MS));
 	ingress_drain(g->ingress);
-	if (ring_push(gw_duty_ring(g->request), &m) != ERR_OK)
-		log_event(LOG_LEVEL_WARNING, "ring_full",
-			  "forwarded requests are still accepted");
-	wait_signal(signals, util_min_i64(LEAVE_MS, g->settings.grace_ms / 2));
-	if (ring_push(ingress_ring(g->ingress), &m) != ERR_OK)
-		log_event(LOG_LEVEL_WARNING, "ring_full",
-			  "idle caller connections stay open");
-	while (!is_finished(g) && clock_now_us() < deadline_us)
-		wait_signal(signals, FINISH_POLL_MS);
+	order_leave(g, stop_us);
+	wait_signal(signals, leave_ms);
+	tell_ingress(g, MSG_LEAVE);
+	wait_finished(g, signals, stop_us);
+	tell_ingress(g, MSG_CLOSE);
+	wait_finished(g, signals, stop_us + LAST_ANSWERS_MS * US_PER_MS);
 	log_event(LOG_LEVEL_INFO, "stopped", "%u requests unfinished",
 		  ingress_caller_count(g->ingress));
 }
--- a/src/duty/gw_duty.c
+++ b/src/duty/gw_duty.c
@@ -107,6 +107,7 @@
 {
 	struct gw_duty *d = ctx;
 	struct exchange_caller_gone *gone = m->body;
+	struct gw_leave_order *leave = m->body;
 
 	switch (m->type) {
 	case MSG_EXCHANGE_REQUEST:
@@ -118,8 +119,9 @@
 	case MSG_FORWARD_REPLY:
 		gw_on_forward_reply(d->gw, m->body, now_us);
 		break;
-	case MSG_LEAVE:
-		gw_leave(d->gw);
+	case MSG_GW_LEAVE:
+		gw_leave(d->gw, leave->stop_us, now_us);
+		free(leave);
 		break;
 	case MSG_EXCHANGE_CALLER_GONE:
 		gw_caller_gone(d->gw, gone->conn, now_us);
--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -33,6 +33,8 @@
  * on the way.
  */
 #define FIRST_REQUEST_MS 500
+/* A caller that this host refuses, because it ends, may ask another at once. */
+#define RETRY_ELSEWHERE_MS 20
 /* Limits until a configuration is known. */
 #define HEAD_BYTES_DEFAULT 16384
 #define BODY_BYTES_DEFAULT 262144
@@ -109,6 +111,8 @@
 	_Atomic int has_left;
 	/* 1 once ingress_drain() was called. */
 	_Atomic int is_draining;
+	/* 1 once MSG_CLOSE was handled: requests are refused. */
+	int is_closing;
 	/* Buffer that all connections receive into. */
 	char scratch[READ_BYTES];
 };
@@ -225,6 +229,15 @@
 	return flush(c, now_us);
 }
 
+static int refuse_stopping(struct conn *c, int64_t now_us)
+{
+	struct exchange_answer a = { .status = 503,
+				     .code = ERR_STOPPING,
+				     .retry_after_ms = RETRY_ELSEWHERE_MS };
+
+	return respond(c, &a, now_us);
+}
+
 static int respond_error(struct conn *c, uint32_t status, enum err_code code,
 			 int64_t now_us)
 {
@@ -315,7 +328,8 @@
 	case LISTENER_METRICS:
 		return answer_metrics(c, now_us);
 	default:
-		return forward(c, now_us);
+		return c->in->is_closing ? refuse_stopping(c, now_us)
+					 : forward(c, now_us);
 	}
 }
 
@@ -495,7 +509,10 @@
 	       now_us - c->accepted_us < FIRST_REQUEST_MS * US_PER_MS;
 }
 
-/* Closes the caller connections that wait for a request, new ones soon. */
+/*
+ * Closes the caller connections that wait for a request, new ones soon. When the
+ * process is about to end, those with a part of a request are closed as well.
+ */
 static void close_idle(struct ingress *in, int64_t now_us)
 {
 	GHashTableIter it;
@@ -508,9 +525,11 @@
 		struct conn *c = value;
 
 		if (c->kind != LISTENER_CALLER || c->state != CONN_READING ||
-		    c->h1.state != HTTP1_IDLE || has_input(c))
+		    has_input(c))
 			continue;
-		if (is_new(c, now_us))
+		if (c->h1.state != HTTP1_IDLE && !in->is_closing)
+			continue;
+		if (is_new(c, now_us) && !in->is_closing)
 			arm_timeout(c, now_us, FIRST_REQUEST_MS);
 		else
 			g_ptr_array_add(idle, c);
@@ -556,6 +575,10 @@
 	case MSG_LEAVE:
 		leave(in, now_us);
 		break;
+	case MSG_CLOSE:
+		in->is_closing = 1;
+		close_idle(in, now_us);
+		break;
 	default:
 		if (m->drop)
 			m->drop(m->body);
--- a/src/duty/ingress.h
+++ b/src/duty/ingress.h
@@ -50,7 +50,9 @@
 void ingress_drain(struct ingress *in);
 /*
  * Any thread: number of open caller connections. After MSG_LEAVE no new one is
- * accepted, and each one left has a request that is not answered yet.
+ * accepted, and each one left has a request that is not answered yet, or not
+ * read to its end. After MSG_CLOSE, the latter are closed, and requests that
+ * have come meanwhile are refused.
  */
 uint32_t ingress_caller_count(struct ingress *in);
 /* Any thread: 1 once MSG_LEAVE was handled and no caller is connected. */
--- a/src/duty/messages.h
+++ b/src/duty/messages.h
@@ -40,10 +40,13 @@
 	MSG_CONFIG_FETCH_RESULT,
 	MSG_CONFIG, /* struct cfg_revision: control to peer_listen */
 	/*
-	 * No body: main thread to control, request, gateway and ingress; a
-	 * graceful shutdown begins.
+	 * No body: main thread to control, request and ingress; a graceful
+	 * shutdown begins. For ingress, the load balancer sends no more.
 	 */
 	MSG_LEAVE,
+	MSG_GW_LEAVE, /* struct gw_leave_order: main thread to gateway */
+	/* No body: main thread to ingress; the process is about to end. */
+	MSG_CLOSE,
 	MSG_LOG_LINE, /* char: any duty to logger */
 	MSG_EXCHANGE_REQUEST, /* struct exchange_request: ingress to gateway */
 	/* struct exchange_caller_gone: ingress to gateway */
@@ -79,6 +82,11 @@
 	uint64_t conn;
 };
 
+/* A graceful shutdown begins; all requests have to end by @stop_us. */
+struct gw_leave_order {
+	int64_t stop_us;
+};
+
 /* Results of calls to the versions of services in a rollout. */
 struct rollout_report_list {
 	uint32_t count;
--- a/src/gateway/1_route.c
+++ b/src/gateway/1_route.c
@@ -74,6 +74,16 @@
 	r->partial_after_us = util_min_i64(r->partial_after_us, r->deadline_us);
 }
 
+void gw_req_limit_times(struct gw_req *r)
+{
+	int64_t stop_us = r->gw->stop_us;
+
+	if (!stop_us)
+		return;
+	r->deadline_us = util_min_i64(r->deadline_us, stop_us);
+	r->partial_after_us = util_min_i64(r->partial_after_us, stop_us);
+}
+
 static enum filter_step enter(void *ctx, void *item, int64_t now_us)
 {
 	struct gw_req *r = item;
@@ -87,6 +97,7 @@
 		return gw_req_refuse(r, 404, ERR_NOT_FOUND, 0);
 	r->stats = r->binding->routes[r->route - r->binding->config->routes];
 	set_times(r);
+	gw_req_limit_times(r);
 	return FILTER_NEXT;
 }
 
--- a/src/gateway/2_admit.c
+++ b/src/gateway/2_admit.c
@@ -39,7 +39,10 @@
 	return *a_us < *b_us ? -1 : *a_us > *b_us;
 }
 
-/* Time at which enough services have a target that may be called. */
+/*
+ * Time at which enough services have a target that may be called; on a host that
+ * leaves, including the time for those that wait already.
+ */
 static int64_t first_call_us(const struct gw_req *r, uint32_t services_min,
 			     int64_t now_us)
 {
@@ -48,9 +51,14 @@
 		util_alloc(route->part_count, sizeof(*times_us));
 	uint32_t i;
 
-	for (i = 0; i < route->part_count; i++)
-		times_us[i] = gw_target_first_call_us(
-			r->binding->services[route->parts[i].service], now_us);
+	for (i = 0; i < route->part_count; i++) {
+		const struct gw_service *s =
+			r->binding->services[route->parts[i].service];
+
+		times_us[i] = r->gw->stop_us
+				      ? gw_leave_call_us(s, r, now_us)
+				      : gw_target_first_call_us(s, now_us);
+	}
 	qsort(times_us, route->part_count, sizeof(*times_us), compare_times);
 	return times_us[services_min - 1];
 }
@@ -70,6 +78,8 @@
 	if (route->part_count - full_count < services_min)
 		return gw_req_refuse(r, 503, ERR_OVERLOADED, OVERLOAD_RETRY_MS);
 	at_us = first_call_us(r, services_min, now_us);
+	if (at_us > gw_leave_last_call_us(r))
+		return gw_leave_refuse(r);
 	if (!gw_req_has_time(r, at_us) && at_us > now_us)
 		return gw_req_refuse(r, 503, ERR_NO_REPLICA,
 				     (uint32_t)((at_us - now_us) / US_PER_MS) +
--- a/src/gateway/3_forward.c
+++ b/src/gateway/3_forward.c
@@ -63,6 +63,15 @@
 	gw_req_finish(r, now_us);
 }
 
+void gw_forward_limit_time(struct gw_req *r)
+{
+	struct timer_entry *t = &r->forward_timer;
+
+	if (r->gatherer && t->due_us > r->deadline_us)
+		timer_queue_arm(r->gw->timers, t, r->deadline_us, on_give_up,
+				r);
+}
+
 static struct gw_host *pick(struct gw_req *r, int64_t now_us)
 {
 	struct gw *g = r->gw;
@@ -159,7 +168,7 @@
 	struct forward_power self = gw_host_power(g);
 	struct forward_load load = gw_host_load(r);
 
-	if (g->is_leaving)
+	if (g->stop_us)
 		return gw_req_refuse(r, 503, ERR_STOPPING, 0);
 	if (!r->route->is_gather ||
 	    !forward_may_accept(&self, &load, g->forwarded_count,
--- a/src/gateway/5_send.c
+++ b/src/gateway/5_send.c
@@ -36,7 +36,8 @@
 
 int gw_req_has_time(const struct gw_req *r, int64_t at_us)
 {
-	return r->deadline_us - at_us > SEND_TIME_MIN_US;
+	return r->deadline_us - at_us > SEND_TIME_MIN_US &&
+	       at_us <= gw_leave_last_call_us(r);
 }
 
 static void send_cancel(struct gw *g, uint64_t call_id)
@@ -72,13 +73,21 @@
 {
 	if (p->phase != PART_WAITING)
 		return;
+	timer_queue_cancel(p->req->gw->timers, &p->wait_timer);
 	TAILQ_REMOVE(&p->service->waiting, p, link);
 	p->service->waiting_count--;
 	p->phase = PART_OPEN;
 }
 
+static void on_wait_end(void *ctx, int64_t now_us);
+
 static void enqueue(struct gw_part *p)
 {
+	struct gw *g = p->req->gw;
+
+	if (g->stop_us)
+		timer_queue_arm(g->timers, &p->wait_timer,
+				gw_leave_last_call_us(p->req), on_wait_end, p);
 	if (p->phase == PART_WAITING)
 		return;
 	TAILQ_INSERT_TAIL(&p->service->waiting, p, link);
@@ -270,6 +279,11 @@
 	gw_req_resume(p->req, now_us);
 }
 
+static void on_wait_end(void *ctx, int64_t now_us)
+{
+	part_failed(ctx, now_us);
+}
+
 /*
  * Sends a call for a part that has none in flight. Queues the part if no target
  * has room, and fails it if none is usable or an extra call is not allowed.
@@ -293,6 +307,36 @@
 	}
 }
 
+static void on_deadline(void *ctx, int64_t now_us)
+{
+	gw_req_resume(ctx, now_us);
+}
+
+static void on_partial_time(void *ctx, int64_t now_us)
+{
+	struct gw_req *r = ctx;
+
+	r->accepts_partial = 1;
+	gw_req_resume(r, now_us);
+}
+
+void gw_send_recheck(struct gw_req *r, int64_t now_us)
+{
+	uint32_t i;
+
+	if (!r->parts)
+		return;
+	timer_queue_arm(r->gw->timers, &r->deadline_timer, r->deadline_us,
+			on_deadline, r);
+	if (r->partial_timer.armed_pos)
+		timer_queue_arm(r->gw->timers, &r->partial_timer,
+				r->partial_after_us, on_partial_time, r);
+	for (i = 0; i < r->part_count; i++) {
+		if (r->parts[i].phase == PART_WAITING)
+			attempt(&r->parts[i], now_us);
+	}
+}
+
 void gw_send_waiting(struct gw_service *s, int64_t now_us)
 {
 	uint32_t n = s->waiting_count;
@@ -491,19 +535,6 @@
 	gw_send_waiting(service, now_us);
 }
 
-static void on_deadline(void *ctx, int64_t now_us)
-{
-	gw_req_resume(ctx, now_us);
-}
-
-static void on_partial_time(void *ctx, int64_t now_us)
-{
-	struct gw_req *r = ctx;
-
-	r->accepts_partial = 1;
-	gw_req_resume(r, now_us);
-}
-
 static enum filter_step enter(void *ctx, void *item, int64_t now_us)
 {
 	struct gw_req *r = item;
@@ -511,7 +542,8 @@
 	uint32_t i;
 
 	if (!gw_req_has_time(r, now_us))
-		return gw_req_refuse(r, 503, ERR_DEADLINE, 0);
+		return r->gw->stop_us ? gw_leave_refuse(r)
+				      : gw_req_refuse(r, 503, ERR_DEADLINE, 0);
 	metric_add(METRIC_SHARDS_ASKED, r->part_count);
 	for (i = 0; i < r->part_count; i++) {
 		struct extra_window *w = &r->parts[i].service->extra_calls;
--- a/src/gateway/6_answer.c
+++ b/src/gateway/6_answer.c
@@ -47,12 +47,16 @@
 {
 	int is_late = now_us >= r->deadline_us;
 
+	if (has_not_run(r) && r->gw->stop_us)
+		return gw_leave_refuse(r);
 	if (has_not_run(r))
 		return gw_req_refuse(r, 503,
 				     is_late ? ERR_DEADLINE : ERR_NO_REPLICA,
 				     is_late ? 0 : retry_after_ms(r, now_us));
 	if (is_late)
-		return gw_req_refuse(r, 504, ERR_DEADLINE, 0);
+		return gw_req_refuse(
+			r, 504, r->gw->stop_us ? ERR_STOPPING : ERR_DEADLINE,
+			0);
 	return gw_req_refuse(
 		r, 502,
 		r->route->is_gather ? ERR_INCOMPLETE : ERR_TARGET_STATUS, 0);
--- a/src/gateway/gw.c
+++ b/src/gateway/gw.c
@@ -262,11 +262,6 @@
 	gw_forward_finish(r, reply, now_us);
 }
 
-void gw_leave(struct gw *g)
-{
-	g->is_leaving = 1;
-}
-
 void gw_caller_gone(struct gw *g, uint64_t conn, int64_t now_us)
 {
 	struct gw_req *r = g_hash_table_lookup(g->reqs, &conn);
--- a/src/gateway/gw.h
+++ b/src/gateway/gw.h
@@ -97,8 +97,12 @@
 void gw_caller_gone(struct gw *g, uint64_t conn, int64_t now_us);
 /* 1 when a configuration is in force and targets are known. */
 int gw_ready(const struct gw *g);
-/* A graceful shutdown begins: forwarded requests are refused from now on. */
-void gw_leave(struct gw *g);
+/*
+ * A graceful shutdown begins. All requests are answered by @stop_us, later ones
+ * too; one that would not end by then is refused as soon as that is known.
+ * Forwarded requests of other hosts are refused from now on.
+ */
+void gw_leave(struct gw *g, int64_t stop_us, int64_t now_us);
 /* Number of requests in flight. */
 uint32_t gw_open_count(const struct gw *g);
 
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -221,6 +221,11 @@
 	 */
 	struct target_reply *reply;
 	struct timer_entry hedge_timer;
+	/*
+	 * Armed in PART_WAITING while the host leaves: from then on a call would
+	 * not end in time.
+	 */
+	struct timer_entry wait_timer;
 	/* Position in service->waiting in PART_WAITING. */
 	TAILQ_ENTRY(gw_part) link;
 };
@@ -322,7 +327,8 @@
 	int64_t gatherer_share_until_us;
 	/* Forwarded requests of other hosts that are open. */
 	uint32_t forwarded_count;
-	int is_leaving;
+	/* Time by which all requests end because the host leaves; 0: stays. */
+	int64_t stop_us;
 	/* "ID/start time" to struct gw_target. */
 	GHashTable *targets;
 	/* Name to struct gw_service. */
@@ -370,6 +376,25 @@
  */
 void gw_send_waiting(struct gw_service *s, int64_t now_us);
 
+/*
+ * 5_send.c: fails the parts of @r that wait and that may not be called any more,
+ * or not in time, since the host leaves.
+ */
+void gw_send_recheck(struct gw_req *r, int64_t now_us);
+
+/* 1_route.c: shortens the times of @r to those of a host that leaves. */
+void gw_req_limit_times(struct gw_req *r);
+/* 3_forward.c: the same for the time that a gatherer has, if one has @r. */
+void gw_forward_limit_time(struct gw_req *r);
+
+/* gw_leave.c: latest time at which a call of @r may be sent; INT64_MAX: any. */
+int64_t gw_leave_last_call_us(const struct gw_req *r);
+/* gw_leave.c: time at which a call of @r to @s is expected to be sent. */
+int64_t gw_leave_call_us(const struct gw_service *s, const struct gw_req *r,
+			 int64_t now_us);
+/* gw_leave.c: refuses @r, which has not run, because the host leaves. */
+enum filter_step gw_leave_refuse(struct gw_req *r);
+
 /*
  * Goes on with the filter after the one that let @r wait; if @r is decided
  * then, answers the caller and frees @r.
@@ -447,9 +472,16 @@
 /* Takes over what the target says in @reply of itself. */
 void gw_target_heard(struct gw_target *t, const struct target_reply *reply,
 		     int64_t now_us);
+/* Calls that usable targets take at once from this host, and those open. */
+struct gw_room {
+	uint32_t call_limit;
+	uint32_t outstanding;
+};
+
+struct gw_room gw_target_room(const struct gw_service *s);
 /*
- * Time at which the first target of @s that is paused may be called again;
- * @now_us if one is not paused, or there is none.
+ * Time at which the first target of @s that is paused or cold may be called
+ * again; @now_us if one is neither, or there is none.
  */
 int64_t gw_target_first_call_us(const struct gw_service *s, int64_t now_us);
 /* Picks a target of @s and @group that part @p has not tried. */
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -196,6 +196,12 @@
 		set_pause(t, reply->pause_ms, now_us);
 }
 
+/* Time from which the warm-up of @t allows this host's next call. */
+static int64_t warm_call_us(const struct gw_target *t)
+{
+	return util_min_i64(t->cold_next_call_us, t->cold_until_us);
+}
+
 int64_t gw_target_first_call_us(const struct gw_service *s, int64_t now_us)
 {
 	int64_t first_us = 0;
@@ -204,13 +210,38 @@
 	for (i = 0; i < s->targets->len; i++) {
 		const struct gw_target *t = g_ptr_array_index(s->targets, i);
 
-		if (t->is_usable &&
-		    (!first_us || t->paused_until_us < first_us))
-			first_us = util_max_i64(t->paused_until_us, 1);
+		int64_t at_us =
+			util_max_i64(t->paused_until_us, warm_call_us(t));
+
+		if (t->is_usable && (!first_us || at_us < first_us))
+			first_us = util_max_i64(at_us, 1);
 	}
 	return util_max_i64(first_us, now_us);
 }
 
+/* Calls at once that @t gets from this host. */
+static uint32_t call_limit(const struct gw_target *t)
+{
+	return util_min_u32(t->connection_limit,
+			    t->concurrency_limit_milli / MILLI);
+}
+
+struct gw_room gw_target_room(const struct gw_service *s)
+{
+	struct gw_room room = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < s->targets->len; i++) {
+		const struct gw_target *t = g_ptr_array_index(s->targets, i);
+
+		if (!t->is_usable)
+			continue;
+		room.call_limit += call_limit(t);
+		room.outstanding += t->outstanding;
+	}
+	return room;
+}
+
 void gw_target_adapt_limit(struct gw_target *t, int64_t took_us,
 			   int64_t goal_us)
 {
@@ -293,7 +324,7 @@
 static void leave_out(const struct gw_req *r, int64_t at_us,
 		      struct gw_pick *pick)
 {
-	if (at_us >= r->wait_until_us || !gw_req_has_time(r, at_us))
+	if (!gw_req_has_time(r, at_us))
 		return;
 	pick->has_full_target = 1;
 	if (!pick->next_call_us || at_us < pick->next_call_us)
@@ -305,20 +336,17 @@
 		    int64_t now_us, struct gw_pick *pick)
 {
 	if (now_us < t->paused_until_us) {
-		leave_out(r, t->paused_until_us, pick);
+		if (t->paused_until_us < r->wait_until_us)
+			leave_out(r, t->paused_until_us, pick);
 		return 0;
 	}
-	if (t->outstanding >=
-	    util_min_u32(t->connection_limit,
-			 t->concurrency_limit_milli / MILLI)) {
+	if (t->outstanding >= call_limit(t)) {
 		pick->has_full_target = 1;
 		return 0;
 	}
-	if (now_us >= t->cold_until_us || now_us >= t->cold_next_call_us)
+	if (now_us >= warm_call_us(t))
 		return 1;
-	pick->has_full_target = 1;
-	if (!pick->next_call_us || t->cold_next_call_us < pick->next_call_us)
-		pick->next_call_us = t->cold_next_call_us;
+	leave_out(r, warm_call_us(t), pick);
 	return 0;
 }
 
--- a/tests/caller.c
+++ b/tests/caller.c
@@ -85,24 +85,35 @@
 	return CALLER_TIMEOUT;
 }
 
-enum caller_result caller_exchange(struct caller *c, const char *address,
-				   uint16_t port, const char *text,
-				   uint32_t timeout_ms)
+enum caller_result caller_open(struct caller *c, const char *address,
+			       uint16_t port)
+{
+	if (c->fd < 0)
+		c->fd = open_socket(address, port);
+	return c->fd < 0 ? CALLER_REFUSED : CALLER_OK;
+}
+
+enum caller_result caller_read(struct caller *c, uint32_t timeout_ms)
 {
 	int64_t until_us = clock_now_us() + (int64_t)timeout_ms * US_PER_MS;
 	enum caller_result result;
 
-	if (c->fd < 0)
-		c->fd = open_socket(address, port);
-	if (c->fd < 0)
-		return CALLER_REFUSED;
 	http1_reset(&c->answer);
-	if (send(c->fd, text, strlen(text), MSG_NOSIGNAL) < 0) {
-		caller_close(c);
-		return CALLER_CLOSED;
-	}
 	result = read_answer(c, until_us);
 	if (result != CALLER_OK || !http1_keep_alive(&c->answer))
 		caller_close(c);
 	return result;
 }
+
+enum caller_result caller_exchange(struct caller *c, const char *address,
+				   uint16_t port, const char *text,
+				   uint32_t timeout_ms)
+{
+	if (caller_open(c, address, port) != CALLER_OK)
+		return CALLER_REFUSED;
+	if (send(c->fd, text, strlen(text), MSG_NOSIGNAL) < 0) {
+		caller_close(c);
+		return CALLER_CLOSED;
+	}
+	return caller_read(c, timeout_ms);
+}
--- a/tests/caller.h
+++ b/tests/caller.h
@@ -29,6 +29,14 @@
 void caller_close(struct caller *c);
 /* Closes the connection and frees the answer. */
 void caller_clear(struct caller *c);
+/* Connects unless that was done; CALLER_OK or CALLER_REFUSED. */
+enum caller_result caller_open(struct caller *c, const char *address,
+			       uint16_t port);
+/*
+ * Reads the answer to the request that was sent on c->fd; see
+ * caller_exchange().
+ */
+enum caller_result caller_read(struct caller *c, uint32_t timeout_ms);
 /*
  * Sends @text over the open connection, or else a new one to @address, and
  * reads the answer into c->answer; blocks for up to @timeout_ms. The connection
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -530,12 +530,15 @@
 	gw_on_forward_reply(f->gw, r, f->now_us);
 }
 
-/* leave: a graceful shutdown begins. */
+/* leave [stop=MS]: a graceful shutdown begins, all requests end within MS. */
 static void cmd_leave(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct fixture *f = ctx;
 
-	gw_leave(f->gw);
+	f->out = out;
+	gw_leave(f->gw,
+		 f->now_us + script_int(argc, argv, "stop", 60000) * US_PER_MS,
+		 f->now_us);
 }
 
 /*
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -4,10 +4,12 @@
  * process is built like the test program, so that a sanitizer's report ends it.
  */
 #include <glib.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -20,10 +22,13 @@
 
 #define START_MS 20000
 #define CALL_MS 10000
-#define TARGETS 4
+#define TARGETS 6
 /* Time that a target takes for a request. */
 #define SERVICE_US (2 * US_PER_MS)
+/* Time for which a busy target wants no request. */
+#define BUSY_S 8
 #define CALLERS_MAX 32
+#define HELD_MAX 32
 #define CALLER_PORT 18226
 #define READY_PORT 18227
 #define PEER_PORT 18224
@@ -42,7 +47,7 @@
 	uint32_t grace_s;
 	struct fake_http *targets[TARGETS];
 	/* Protects @run. */
-	GMutex lock;
+	pthread_mutex_t lock;
 	/* Paths of the requests that a target has run. */
 	GHashTable *run;
 	GThread *callers[CALLERS_MAX];
@@ -51,13 +56,18 @@
 	_Atomic uint32_t answered;
 	/* Requests that a target has run and that got no answer. */
 	_Atomic uint32_t lost;
+	/* Connections with a request whose last byte is not sent. */
+	struct caller held[HELD_MAX];
+	uint32_t held_count;
+	/* SIGKILL follows at this time if the process has not ended. */
+	int64_t grace_end_us;
 };
 
 static void *stop_new(void)
 {
 	struct stop *s = util_alloc(1, sizeof(*s));
 
-	g_mutex_init(&s->lock);
+	pthread_mutex_init(&s->lock, NULL);
 	s->run = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return s;
 }
@@ -70,13 +80,15 @@
 	proc_kill(&s->host);
 	for (i = 0; i < s->caller_count; i++)
 		g_thread_join(s->callers[i]);
+	for (i = 0; i < s->held_count; i++)
+		caller_clear(&s->held[i]);
 	for (i = 0; i < TARGETS; i++) {
 		if (s->targets[i])
 			fake_http_free(s->targets[i]);
 	}
 	proc_kill(&s->store);
 	g_hash_table_destroy(s->run);
-	g_mutex_clear(&s->lock);
+	pthread_mutex_destroy(&s->lock);
 	free(s);
 }
 
@@ -84,22 +96,34 @@
 {
 	int found;
 
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	found = g_hash_table_contains(s->run, path);
-	g_mutex_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
 	return found;
 }
 
-/* Runs on the thread of a target. */
+/*
+ * Runs on the thread of a target: requests for /mute/ get no answer, those for
+ * /busy/ are turned away.
+ */
 static enum fake_action run_request(void *ctx, const struct fake_request *r,
 				    uint32_t *status, struct buf *out)
 {
 	struct stop *s = ctx;
 	const char *path = strchr(r->line, ' ') + 1;
 
-	g_mutex_lock(&s->lock);
+	if (g_str_has_prefix(path, "/busy/")) {
+		*status = 503;
+		buf_addf(r->fields,
+			 "Cowslippoint-Not-Executed: 1\r\nRetry-After: %d\r\n",
+			 BUSY_S);
+		return FAKE_REPLY;
+	}
+	pthread_mutex_lock(&s->lock);
 	g_hash_table_add(s->run, g_strdup(path));
-	g_mutex_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
+	if (g_str_has_prefix(path, "/mute/"))
+		return FAKE_SILENT;
 	g_usleep(SERVICE_US);
 	buf_addf(r->fields, "Cowslippoint-Server-Stamp: %s\r\n", path);
 	buf_addf(out, "%s", path);
@@ -113,35 +137,75 @@
 		g_error("the store does not take %s", key);
 }
 
-static void start_targets(struct stop *s)
+/* The services, each with a route of its name, and the type of the route. */
+static const struct {
+	const char *name;
+	const char *type;
+	uint32_t target_count;
+} services[] = {
+	{ "one", "non_idempotent", 4 },
+	{ "mute", "non_idempotent", 1 },
+	{ "busy", "idempotent", 1 },
+};
+
+static void put_config(struct stop *s)
 {
+	g_autoptr(GString) text = g_string_new("{\"version\":1,\"routes\":[");
 	uint32_t i;
 
-	for (i = 0; i < TARGETS; i++) {
-		g_autofree char *key = g_strdup_printf("servers/t%u", i);
-		g_autofree char *value = NULL;
-
-		s->targets[i] = fake_http_new(run_request, s);
-		value = g_strdup_printf("{\"service\":\"desk\",\"address\":"
-					"\"127.0.0.1:%u\","
-					"\"zone\":\"a\",\"version\":\"v1\","
-					"\"capacity\":4,"
-					"\"phase\":\"ready\",\"warmupLeftMs\":"
-					"0,\"seq\":1,"
-					"\"born\":1}",
-					fake_http_port(s->targets[i]));
-		put(s, key, value);
+	for (i = 0; i < countof(services); i++)
+		g_string_append_printf(text,
+				       "%s{\"name\":\"%s\",\"host\":\"stop."
+				       "example\","
+				       "\"prefix\":\"/%s/\",\"type\":\"%s\","
+				       "\"timeoutMs\":10000,\"goalMs\":400,"
+				       "\"priority\":1,"
+				       "\"attempts\":2,\"service\":\"%s\"}",
+				       i ? "," : "", services[i].name,
+				       services[i].name, services[i].type,
+				       services[i].name);
+	g_string_append(text, "],\"services\":[");
+	for (i = 0; i < countof(services); i++)
+		g_string_append_printf(text,
+				       "%s{\"name\":\"%s\",\"healthPath\":\"/"
+				       "healthz\","
+				       "\"maxConns\":400,\"protocol\":\"h1\","
+				       "\"tls\":false,"
+				       "\"warmupS\":0,\"warmupPerS\":0}",
+				       i ? "," : "", services[i].name);
+	g_string_append(text, "],\"limits\":{\"maxHeaderBytes\":16384,"
+			      "\"maxBodyBytes\":262144,"
+			      "\"headerTimeoutMs\":3000,"
+			      "\"idleTimeoutMs\":15000}}");
+	put(s, "op/config", text->str);
+}
+
+static void start_targets(struct stop *s)
+{
+	uint32_t n = 0;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < countof(services); i++) {
+		for (k = 0; k < services[i].target_count; k++, n++) {
+			g_autofree char *key =
+				g_strdup_printf("servers/t%u", n);
+			g_autofree char *value = NULL;
+
+			s->targets[n] = fake_http_new(run_request, s);
+			value = g_strdup_printf("{\"service\":\"%s\","
+						"\"address\":\"127.0.0.1:%u\","
+						"\"zone\":\"a\","
+						"\"version\":\"v1\","
+						"\"capacity\":4,"
+						"\"phase\":\"ready\","
+						"\"warmupLeftMs\":0,"
+						"\"seq\":1,\"born\":1}",
+						services[i].name,
+						fake_http_port(s->targets[n]));
+			put(s, key, value);
+		}
 	}
-	put(s, "op/config",
-	    "{\"version\":1,\"routes\":[{\"name\":\"one\","
-	    "\"host\":\"stop.example\",\"prefix\":\"/one/\","
-	    "\"type\":\"non_idempotent\",\"timeoutMs\":4000,\"goalMs\":400,"
-	    "\"priority\":1,\"attempts\":2,\"service\":\"desk\"}],"
-	    "\"services\":[{\"name\":\"desk\",\"healthPath\":\"/healthz\","
-	    "\"maxConns\":400,\"protocol\":\"h1\",\"tls\":false,"
-	    "\"warmupS\":0,\"warmupPerS\":0}],"
-	    "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
-	    "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
 }
 
 static void write_settings(struct stop *s)
@@ -200,6 +264,7 @@
 	if (proc_start(&s->store, store, NULL, START_MS) != 0)
 		g_error("cannot start the store stand-in");
 	start_targets(s);
+	put_config(s);
 	write_settings(s);
 	if (proc_spawn(&s->host, host, s->log_path) != 0)
 		g_error("cannot start %s", host_program);
@@ -257,6 +322,89 @@
 	buf_addf(out, s->answered < answers ? "not answered\n" : "answered\n");
 }
 
+/*
+ * hold N ROUTE: opens N connections and sends a request on each, but for its
+ * last byte.
+ */
+static void cmd_hold(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct stop *s = ctx;
+	uint32_t n = (uint32_t)strtoul(argv[0], NULL, 10);
+
+	while (n-- > 0 && s->held_count < HELD_MAX) {
+		struct caller *c = &s->held[s->held_count++];
+		uint32_t number = ++s->next_request;
+		g_autofree char *text =
+			g_strdup_printf("POST /%s/%u HTTP/1.1\r\nHost: "
+					"stop.example\r\n"
+					"Cowslippoint-Request-Id: r%u\r\n"
+					"Cowslippoint-Deadline-Ms: 10000\r\n"
+					"Content-Length: 2\r\n\r\nb",
+					argv[1], number, number);
+
+		caller_init(c);
+		if (caller_open(c, s->address, CALLER_PORT) != CALLER_OK ||
+		    send(c->fd, text, strlen(text), MSG_NOSIGNAL) !=
+			    (ssize_t)strlen(text))
+			g_error("the host does not take a request");
+	}
+}
+
+/* send: sends the last bytes of the requests on hold. */
+static void cmd_send(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct stop *s = ctx;
+	uint32_t i;
+
+	for (i = 0; i < s->held_count; i++)
+		send(s->held[i].fd, "y", 1, MSG_NOSIGNAL);
+}
+
+/*
+ * answers: prints the status of the answer to each request that was on hold,
+ * 0 for a connection that ended without one.
+ */
+static void cmd_answers(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct stop *s = ctx;
+	uint32_t i;
+
+	for (i = 0; i < s->held_count; i++) {
+		struct caller *c = &s->held[i];
+		int is_read = caller_read(c, CALL_MS) == CALLER_OK;
+
+		buf_addf(out, "%s%u", i ? " " : "",
+			 is_read ? http1_status(&c->answer) : 0);
+		caller_clear(c);
+	}
+	buf_addf(out, "\n");
+	s->held_count = 0;
+}
+
+/* term: SIGTERM. */
+static void cmd_term(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct stop *s = ctx;
+
+	s->grace_end_us = clock_now_us() + (int64_t)s->grace_s * US_PER_S;
+	proc_signal(&s->host, SIGTERM);
+}
+
+/* closed: waits until the host accepts no connection. */
+static void cmd_closed(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct stop *s = ctx;
+	enum caller_result result;
+	struct caller c;
+
+	caller_init(&c);
+	do {
+		result = caller_open(&c, s->address, CALLER_PORT);
+		caller_close(&c);
+		g_usleep(POLL_US);
+	} while (result == CALLER_OK);
+}
+
 /* Waits until the host's process has ended, at the latest at @until_us. */
 static int has_ended(struct stop *s, int64_t until_us)
 {
@@ -273,15 +421,14 @@
 }
 
 /*
- * stop: SIGTERM, and SIGKILL when the grace time is over, as the platform does;
- * prints how the process has ended.
+ * ended: SIGKILL when the grace time is over, as the platform does; prints how
+ * the process has ended.
  */
-static void cmd_stop(void *ctx, uint32_t argc, char **argv, struct buf *out)
+static void cmd_ended(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct stop *s = ctx;
 
-	proc_signal(&s->host, SIGTERM);
-	if (!has_ended(s, clock_now_us() + (int64_t)s->grace_s * US_PER_S)) {
+	if (!has_ended(s, s->grace_end_us)) {
 		proc_kill(&s->host);
 		buf_addf(out, "killed\n");
 		return;
@@ -300,9 +447,10 @@
 }
 
 static const struct script_command commands[] = {
-	{ "start", cmd_start },
-	{ "load", cmd_load },
-	{ "stop", cmd_stop },
+	{ "start", cmd_start },	    { "load", cmd_load },
+	{ "hold", cmd_hold },	    { "send", cmd_send },
+	{ "answers", cmd_answers }, { "term", cmd_term },
+	{ "closed", cmd_closed },   { "ended", cmd_ended },
 	{ "lost", cmd_lost },
 };
 
