egress: Attribute answers without an ID, or close their connection

Cause: an answer without an ID was taken for the answer to the latest request, unless its stamp was one of the last four on the connection. A copied refusal has no stamp. The connection then counted as free while the answer to the latest request was still due on it.

--- a/src/duty/egress.c
+++ b/src/duty/egress.c
@@ -42,16 +42,6 @@
  * closed the idle connection, so it is not sent on one that was idle longer.
  */
 #define ONCE_IDLE_MS_MAX 500
-/*
- * Answers to earlier requests that are dropped while a call is in flight; one
- * more fails the call.
- */
-#define STRAYS_MAX 4
-/*
- * Stamps of the last answers on a connection. An answer with one of them is a
- * second copy of that answer.
- */
-#define STAMPS_KEPT 4
 /*
  * Bytes of unfinished answers on all connections together. Beyond that the
  * call with the longest one fails, so that targets which send without end do
@@ -91,13 +81,6 @@
 	int64_t idle_since_us;
 	/* The connection is closed after it was idle for this long. */
 	uint32_t idle_timeout_ms;
-	/* Answers to earlier requests that were dropped during the call. */
-	uint32_t stray_count;
-	/* Requests sent on this connection. */
-	uint32_t request_count;
-	/* Hashes of the stamps of the last answers; 0: none. */
-	uint64_t stamps[STAMPS_KEPT];
-	uint32_t next_stamp;
 	/* Bytes of the unfinished answer in @h1. */
 	size_t buffered_bytes;
 	/* End of the time to connect, of the call or of the idle time. */
@@ -182,6 +165,7 @@
 	set_buffered(c, 0);
 	http1_clear(&c->h1);
 	buf_free(&c->out);
+	reuse_clear(&c->reuse);
 	free(c);
 	if (--p->open_count == 0)
 		g_hash_table_remove(e->pools, p->target_id);
@@ -247,76 +231,68 @@
 	return stamp ? XXH3_64bits(stamp, strlen(stamp)) : 0;
 }
 
-/* 1 if one of the last answers on the connection had the same stamp. */
-static int is_copy(const struct conn *c)
-{
-	uint64_t hash = stamp_hash(c);
-	uint32_t i;
-
-	for (i = 0; hash && i < STAMPS_KEPT; i++) {
-		if (c->stamps[i] == hash)
-			return 1;
-	}
-	return 0;
-}
-
-/*
- * 1 if the answer belongs to the call. The answer to the call of a part carries
- * no request ID; it is taken to belong to the latest request on the connection,
- * unless it is a second copy of an earlier answer, which a target may send late.
- */
-static int is_expected(const struct conn *c)
+/* Whose request ID the answer repeats. */
+static enum reuse_id id_of_answer(const struct conn *c)
 {
 	const char *id = platform_reply_request_id(&c->h1);
 
-	return id ? strcmp(id, c->call->request_id) == 0 : !is_copy(c);
-}
-
-/*
- * 1 if the answer's statement that the request did not run can be relied on:
- * the request may run twice, or the answer cannot belong to an earlier request
- * on the connection.
- */
-static int may_trust_not_run(const struct conn *c)
-{
-	return !c->call->at_most_once || c->request_count == 1 ||
-	       platform_reply_request_id(&c->h1) != NULL;
+	if (!id)
+		return REUSE_ID_NONE;
+	return strcmp(id, c->call->request_id) == 0 ? REUSE_ID_OWN
+						    : REUSE_ID_OTHER;
 }
 
-static void on_answer(struct conn *c, size_t extra, int64_t now_us)
+/* The answer ends the call; @is_certain: it belongs to no earlier request. */
+static void finish_call(struct conn *c, int is_certain, int64_t now_us)
 {
 	struct target_reply *r = util_alloc(1, sizeof(*r));
-	struct reuse_answer answer = { .keep_alive = (uint32_t)http1_keep_alive(
-					       &c->h1),
-				       .has_extra = extra > 0 };
 
 	r->call_id = c->call->call_id;
-	c->stamps[c->next_stamp++ % STAMPS_KEPT] = stamp_hash(c);
 	platform_reply_decode(&c->h1, r);
-	if (r->not_run && !may_trust_not_run(c))
-		r->not_run = 0;
+	r->not_run = r->not_run && is_certain;
 	r->service_us = now_us - c->sent_us;
 	push_reply(c->egress, r);
-	update_idle_timeout(c);
 	if (!c->reuse.is_written)
 		metric_add(METRIC_EARLY_ANSWERS, 1);
-	if (reuse_answered(&c->reuse, &answer))
-		make_idle(c, now_us);
-	else
-		conn_free(c);
 }
 
 /*
- * Drops an answer to an earlier request and waits for the next answer; returns
- * 0 when the connection cannot go on.
+ * Takes the answer that was read; bytes behind it have come if @has_extra.
+ * Returns 1 if the call waits on, and 0 when it has ended.
  */
-static int skip_stray(struct conn *c)
-{
-	metric_add(METRIC_STRAY_ANSWERS, 1);
-	if (++c->stray_count > STRAYS_MAX || !http1_keep_alive(&c->h1))
+static int on_answer(struct conn *c, int has_extra, int64_t now_us)
+{
+	struct reuse_answer answer = {
+		.id = id_of_answer(c),
+		.stamp = stamp_hash(c),
+		.keep_alive = (uint32_t)http1_keep_alive(&c->h1),
+		.has_extra = (uint32_t)has_extra,
+	};
+	enum reuse_step step = reuse_answered(&c->reuse, &answer);
+
+	switch (step) {
+	case REUSE_KEEP:
+		finish_call(c, 1, now_us);
+		update_idle_timeout(c);
+		make_idle(c, now_us);
 		return 0;
-	http1_reset(&c->h1);
-	return 1;
+	case REUSE_CLOSE:
+	case REUSE_DOUBT:
+		if (step == REUSE_DOUBT)
+			metric_add(METRIC_STRAY_ANSWERS, 1);
+		finish_call(c, step == REUSE_CLOSE, now_us);
+		conn_free(c);
+		return 0;
+	case REUSE_SKIP:
+		metric_add(METRIC_STRAY_ANSWERS, 1);
+		http1_reset(&c->h1);
+		return 1;
+	case REUSE_FAIL:
+		metric_add(METRIC_STRAY_ANSWERS, 1);
+		conn_fail(c, ERR_TARGET_ID);
+		return 0;
+	}
+	return 0;
 }
 
 /* Fails the call whose unfinished answer is the longest one. */
@@ -358,14 +334,8 @@
 				drop_longest(e);
 			return;
 		}
-		if (is_expected(c)) {
-			on_answer(c, len - used, now_us);
+		if (!on_answer(c, used < len, now_us))
 			return;
-		}
-		if (!skip_stray(c)) {
-			conn_fail(c, ERR_TARGET_ID);
-			return;
-		}
 	} while (used < len);
 }
 
@@ -376,9 +346,8 @@
 		return;
 	}
 	http1_eof(&c->h1);
-	if (c->h1.state == HTTP1_COMPLETE && is_expected(c))
-		on_answer(c, 1, now_us);
-	else
+	/* Nothing follows an answer that ends with the connection. */
+	if (c->h1.state != HTTP1_COMPLETE || on_answer(c, 0, now_us))
 		conn_fail(c, ERR_TARGET_CLOSED);
 }
 
@@ -426,8 +395,8 @@
 			return 0;
 		}
 		c->out_sent_bytes += (size_t)n;
+		reuse_written(&c->reuse, c->out_sent_bytes == c->out.len_bytes);
 	}
-	reuse_written(&c->reuse);
 	poller_set_events(c->egress->poller, &c->item, EPOLLIN | EPOLLRDHUP);
 	return 1;
 }
@@ -436,8 +405,6 @@
 {
 	c->state = CONN_BUSY;
 	c->sent_us = now_us;
-	c->stray_count = 0;
-	c->request_count++;
 	c->out.len_bytes = 0;
 	c->out_sent_bytes = 0;
 	reuse_begin(&c->reuse);
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -326,6 +326,90 @@
 	close(fd);
 }
 
+/* Answers between an answer and its copy, more than a few. */
+#define ANSWERS_BETWEEN 20
+
+/*
+ * Guards against taking a late second copy of a part for the answer to another
+ * request, however many answers came between the two.
+ */
+static void test_copy_late(void)
+{
+	struct egress_case c;
+	struct target_reply *r;
+	uint32_t i;
+	int fd = -1;
+
+	egress_begin(&c);
+	for (i = 0; i <= ANSWERS_BETWEEN; i++) {
+		g_autofree char *text = g_strdup_printf("HTTP/1.1 200 "
+							"OK\r\nCowslippoint-"
+							"Server-Stamp: s%u\r\n"
+							"Content-Length: "
+							"3\r\n\r\nold",
+							i);
+
+		call(&c, "r1", 0);
+		if (fd < 0)
+			fd = accept(c.listener, NULL, NULL);
+		expect(fd, "\r\n\r\n");
+		put(fd, text);
+		target_reply_free(reply(&c));
+	}
+	call(&c, "r2", 0);
+	expect(fd, "\r\n\r\n");
+	put(fd, "HTTP/1.1 200 OK\r\nCowslippoint-Server-Stamp: s0\r\n"
+		"Content-Length: 3\r\n\r\nold");
+	put(fd, "HTTP/1.1 200 OK\r\nCowslippoint-Server-Stamp: s\r\n"
+		"Content-Length: 3\r\n\r\nnew");
+	r = reply(&c);
+	g_assert_cmpstr(r->body.data, ==, "new");
+	target_reply_free(r);
+	egress_end(&c);
+	close(fd);
+}
+
+/*
+ * Guards against a second copy of a refusal without an ID and a stamp, which is
+ * taken for the answer to the next request while that one runs: the request
+ * after it would get the answer that is still due.
+ */
+static void test_copy_refusal(void)
+{
+	static const char busy[] = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+				   "Cowslippoint-Not-Executed: 1\r\n\r\n";
+	struct egress_case c;
+	struct target_reply *r;
+	int first;
+	int second;
+
+	egress_begin(&c);
+	call(&c, "r1", 0);
+	first = accept(c.listener, NULL, NULL);
+	expect(first, "\r\n\r\n");
+	put(first, busy);
+	r = reply(&c);
+	g_assert_cmpuint(r->not_run, ==, 1);
+	target_reply_free(r);
+	call(&c, "r2", 0);
+	expect(first, "\r\n\r\n");
+	put(first, busy);
+	r = reply(&c);
+	/* The target may be at work on it. */
+	g_assert_cmpuint(r->not_run, ==, 0);
+	target_reply_free(r);
+	expect_end(first);
+	call(&c, "r3", 0);
+	second = accept(c.listener, NULL, NULL);
+	expect(second, "\r\n\r\n");
+	put(second, HEAD_OK "Content-Length: 2\r\n\r\nr3");
+	r = reply(&c);
+	g_assert_cmpstr(r->body.data, ==, "r3");
+	target_reply_free(r);
+	egress_end(&c);
+	close(second);
+}
+
 /* Sends @text again and again until the other end has closed @fd. */
 static void put_until_closed(int fd, const char *text)
 {
@@ -494,7 +578,9 @@
 	egress_begin(&c);
 	for (i = 0; i < countof(answers); i++) {
 		g_autofree char *text = g_strdup_printf("HTTP/1.1 "
-							"%s\r\nContent-Length: "
+							"%s\r\nCowslippoint-"
+							"Request-Id: r1\r\n"
+							"Content-Length: "
 							"0\r\n\r\n",
 							answers[i].head);
 		uint64_t ignored = metric_get(METRIC_TARGET_PAUSES_IGNORED);
@@ -986,6 +1072,8 @@
 	g_test_add_func("/egress/stray", test_stray);
 	g_test_add_func("/egress/early", test_early);
 	g_test_add_func("/egress/copy", test_copy);
+	g_test_add_func("/egress/copy-late", test_copy_late);
+	g_test_add_func("/egress/copy-refusal", test_copy_refusal);
 	g_test_add_func("/egress/endless", test_endless);
 	g_test_add_func("/egress/many-long", test_many_long);
 	g_test_add_func("/egress/notices", test_notices);
