http1: Decide in one place which answers have a body

A 304 that stated a length ended as a 504 at the time limit.

Cause: the encoder of answers added a body without regard to the method and the status, and the reader waited for the body of a 304 that states a length.

Change: http1_has_body() says by method and status whether an answer has a body, for reading and for writing. Answers to HEAD, 304 and 204 end with their head. The length that a target states for such an answer is passed on, where it was 0 before; errors to HEAD state the length of the body they do not have.

--- a/src/codec/http1.c
+++ b/src/codec/http1.c
@@ -4,6 +4,7 @@
 #include <strings.h>
 
 #define STATUS_INFORMATIONAL_MAX 199
+#define STATUS_NOT_MODIFIED 304
 /* Interim responses (1xx) before a response; a target sends one or two. */
 #define INTERIM_MAX 8
 /* Framing that is accepted in any case: the limits may be very small. */
@@ -80,7 +81,9 @@
 	struct http1_reader *h = p->data;
 
 	h->state = HTTP1_BODY;
-	return h->is_head_response ? 1 : 0;
+	/* 1 tells the parser that the message ends here. */
+	return h->kind == HTTP1_RESPONSE &&
+	       !http1_has_body((int)h->is_head_response, http1_status(h));
 }
 
 static int on_body(http_parser *p, const char *at, size_t len)
@@ -254,6 +257,12 @@
 	return h->parser.status_code;
 }
 
+int http1_has_body(int is_head, uint32_t status)
+{
+	return !is_head && status > STATUS_INFORMATIONAL_MAX &&
+	       status != HTTP1_NO_CONTENT && status != STATUS_NOT_MODIFIED;
+}
+
 int http1_is_hop_by_hop(const char *name)
 {
 	static const char *const hop[] = {
--- a/src/codec/http1.h
+++ b/src/codec/http1.h
@@ -13,6 +13,9 @@
 
 #define HTTP1_FIELDS_MAX 96
 
+/* Status of a response that has no body and states no length. */
+#define HTTP1_NO_CONTENT 204
+
 enum http1_kind { HTTP1_REQUEST, HTTP1_RESPONSE };
 
 enum http1_state {
@@ -58,7 +61,10 @@
 	enum err_code error;
 	/* With ERR_TOO_LARGE: 1 for the head, else 0. */
 	uint32_t head_too_large;
-	/* Set by the user of the reader for the response to a HEAD request. */
+	/*
+	 * Set by the user of the reader for the response to a HEAD request,
+	 * which ends with its head.
+	 */
 	uint32_t is_head_response;
 	/* Names and values of the header fields. */
 	struct buf field_text;
@@ -103,6 +109,12 @@
 const char *http1_method(const struct http1_reader *h);
 /* Status code of a response. */
 uint32_t http1_status(const struct http1_reader *h);
+/*
+ * 1 if a response with @status has a body, which may be empty; @is_head: to a
+ * HEAD request. The response ends with its head otherwise, whatever length it
+ * states (RFC 9112, section 6.3).
+ */
+int http1_has_body(int is_head, uint32_t status);
 /* 1 if header field @name concerns only one connection or the framing. */
 int http1_is_hop_by_hop(const char *name);
 /* "Unknown" for a status code without a standard phrase. */
--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -225,7 +225,9 @@
 	if (!http1_keep_alive(&c->h1) || c->in->is_draining)
 		c->is_closing = 1;
 	c->state = CONN_WRITING;
-	platform_answer_encode(a, c->is_closing, &c->out);
+	platform_answer_encode(a, c->is_closing,
+			       strcmp(http1_method(&c->h1), "HEAD") == 0,
+			       &c->out);
 	return flush(c, now_us);
 }
 
--- a/src/gateway/6_answer.c
+++ b/src/gateway/6_answer.c
@@ -109,6 +109,8 @@
 
 	answer->fields = reply->fields;
 	answer->body = reply->body;
+	answer->has_length = reply->has_length;
+	answer->length_bytes = reply->length_bytes;
 	reply->fields = (struct buf){ 0 };
 	reply->body = (struct buf){ 0 };
 	r->answer = answer;
--- a/src/model/exchange.h
+++ b/src/model/exchange.h
@@ -75,6 +75,9 @@
 	/* Header lines, those of the target's reply if that is forwarded. */
 	struct buf fields;
 	struct buf body;
+	/* As in struct target_reply. */
+	uint32_t has_length;
+	uint64_t length_bytes;
 	/* Refusal: time after which the caller may try again; 0: not stated. */
 	uint32_t retry_after_ms;
 	/* 1: merged from the answers of several parts of the route. */
@@ -132,6 +135,12 @@
 	char stamp[STAMP_BYTES];
 	struct buf fields;
 	struct buf body;
+	/*
+	 * Length that the reply states; it is that of the body, unless the
+	 * reply has none because it is to HEAD or has a status such as 304.
+	 */
+	uint32_t has_length;
+	uint64_t length_bytes;
 	/* Rest of its warm-up that the target states; -1: not stated. */
 	int32_t warmup_left_ms;
 	/* 1: the target is leaving and wants no new call. */
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -45,6 +45,26 @@
 	}
 }
 
+/*
+ * Reads up to the end of @text, where what was received must end; what comes
+ * first may differ.
+ */
+static void expect_bytes(int fd, const char *text)
+{
+	char seen[1024] = "";
+	size_t len = 0;
+
+	while (!strstr(seen, text)) {
+		ssize_t n = recv(fd, seen + len, sizeof(seen) - 1 - len, 0);
+
+		g_assert_cmpint(n, >, 0);
+		len += (size_t)n;
+		seen[len] = '\0';
+	}
+	g_assert_true(g_str_has_suffix(seen, text));
+	g_assert_true(g_str_has_prefix(seen, "HTTP/1.1 "));
+}
+
 /* Reads until the stream ends and closes it. */
 static void expect_end(int fd)
 {
@@ -73,6 +93,8 @@
 	uint16_t port;
 	/* ID of the last call. */
 	uint64_t last_call_id;
+	/* Method of the calls that follow. */
+	const char *method;
 	/* idle_timeout_ms of the calls that follow; 0: as the target says. */
 	uint32_t idle_timeout_ms;
 };
@@ -82,6 +104,7 @@
 	struct err err = { 0 };
 
 	memset(c, 0, sizeof(*c));
+	c->method = "GET";
 	c->replies = ring_new(RING_SIZE, NULL, NULL, &err);
 	c->egress = egress_new(&err);
 	g_assert_nonnull(c->egress);
@@ -110,7 +133,7 @@
 	call->call_id = ++c->last_call_id;
 	call->message = http_message_new();
 	util_copy_str(call->message->method, sizeof(call->message->method),
-		      "GET");
+		      c->method);
 	call->message->uri = util_strdup("/a/b?c=d");
 	buf_addf(&call->message->fields, "Host: h\r\n");
 	if (body_bytes) {
@@ -636,6 +659,55 @@
 	egress_end(&c);
 }
 
+/*
+ * Guards against waiting for the body of an answer that has none, whatever
+ * length it states: to HEAD, and with the status 204 or 304.
+ */
+static void test_no_body(void)
+{
+	static const struct {
+		const char *method;
+		const char *head;
+		uint64_t length_bytes;
+	} answers[] = {
+		{ "HEAD", "200 OK\r\nContent-Length: 5", 5 },
+		{ "HEAD", "404 None\r\nTransfer-Encoding: chunked", 0 },
+		{ "GET", "304 Same\r\nContent-Length: 7", 7 },
+		{ "GET", "304 Same", 0 },
+		{ "GET", "204 None", 0 },
+	};
+	struct egress_case c;
+	uint32_t i;
+	int fd = -1;
+
+	egress_begin(&c);
+	for (i = 0; i < countof(answers); i++) {
+		g_autofree char *text = g_strdup_printf("HTTP/1.1 "
+							"%s\r\nCowslippoint-"
+							"Request-Id: "
+							"r1\r\n\r\n",
+							answers[i].head);
+		struct target_reply *r;
+
+		c.method = answers[i].method;
+		call(&c, "r1", 0);
+		/* All calls use one connection. */
+		if (fd < 0)
+			fd = accept(c.listener, NULL, NULL);
+		expect(fd, "\r\n\r\n");
+		put(fd, text);
+		r = reply(&c);
+		g_assert_cmpint(r->code, ==, ERR_OK);
+		g_assert_cmpuint(r->body.len_bytes, ==, 0);
+		g_assert_cmpuint(r->has_length, ==,
+				 answers[i].length_bytes > 0);
+		g_assert_cmpuint(r->length_bytes, ==, answers[i].length_bytes);
+		target_reply_free(r);
+	}
+	egress_end(&c);
+	close(fd);
+}
+
 /*
  * Guards against refusing an answer without a length: it is complete when its
  * connection ends.
@@ -810,17 +882,24 @@
 	ring_free(c->requests);
 }
 
+/* Sends @a, which the ingress duty frees. */
+static void push_answer(struct ingress_case *c, struct exchange_answer *a)
+{
+	struct msg m = { MSG_EXCHANGE_ANSWER, a, NULL };
+
+	g_assert_cmpint(ring_push(ingress_ring(c->ingress), &m), ==, ERR_OK);
+}
+
 /* Answers the request of connection @conn with 200 and @body. */
 static void answer(struct ingress_case *c, uint64_t conn, const char *body)
 {
 	struct exchange_answer *a = util_alloc(1, sizeof(*a));
-	struct msg m = { MSG_EXCHANGE_ANSWER, a, NULL };
 
 	a->conn_id = conn;
 	a->status = 200;
 	buf_addf(&a->fields, "X-Kept: 1\r\n");
 	buf_addf(&a->body, "%s", body);
-	g_assert_cmpint(ring_push(ingress_ring(c->ingress), &m), ==, ERR_OK);
+	push_answer(c, a);
 }
 
 #define HEAD_GET                    \
@@ -863,6 +942,66 @@
 	ingress_end(&c);
 }
 
+/*
+ * Guards against a body where the caller expects its next answer: answers to
+ * HEAD have none, be they a target's or errors of the gateway, and neither have
+ * those with the status 204 or 304. The next answer on the connection follows.
+ */
+static void test_answer_no_body(void)
+{
+	static const struct {
+		const char *method;
+		uint32_t status;
+		enum err_code code;
+		/* Length that the target's answer states; 0: none. */
+		uint64_t length_bytes;
+		const char *expected;
+	} answers[] = {
+		{ "HEAD", 503, ERR_NO_REPLICA, 0,
+		  "HTTP/1.1 503 Service Unavailable\r\n"
+		  "Content-Type: application/json\r\n"
+		  "Content-Length: 22\r\n\r\n" },
+		{ "HEAD", 200, ERR_OK, 9,
+		  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n" },
+		{ "HEAD", 200, ERR_OK, 0, "HTTP/1.1 200 OK\r\n\r\n" },
+		{ "GET", 304, ERR_OK, 9,
+		  "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n" },
+		{ "GET", 304, ERR_OK, 0, "HTTP/1.1 304 Not Modified\r\n\r\n" },
+		{ "GET", 204, ERR_OK, 9, "HTTP/1.1 204 No Content\r\n\r\n" },
+		{ "GET", 503, ERR_NO_REPLICA, 0,
+		  "Content-Length: 22\r\n\r\n{\"error\":\"NO_REPLICA\"}" },
+	};
+	struct ingress_case c;
+	uint32_t i;
+	int fd;
+
+	ingress_begin(&c);
+	fd = loopback_connect(c.caller_port);
+	for (i = 0; i < countof(answers); i++) {
+		g_autofree char *text = g_strdup_printf("%s /p/q "
+							"HTTP/1.1\r\nHost: "
+							"h\r\n"
+							"Cowslippoint-Request-"
+							"Id: r1\r\n\r\n",
+							answers[i].method);
+		struct exchange_answer *a = util_alloc(1, sizeof(*a));
+		struct exchange_request *r;
+
+		put(fd, text);
+		r = take(c.requests, MSG_EXCHANGE_REQUEST);
+		a->conn_id = r->conn_id;
+		a->status = answers[i].status;
+		a->code = answers[i].code;
+		a->has_length = answers[i].length_bytes > 0;
+		a->length_bytes = answers[i].length_bytes;
+		push_answer(&c, a);
+		exchange_request_free(r);
+		expect_bytes(fd, answers[i].expected);
+	}
+	close(fd);
+	ingress_end(&c);
+}
+
 /*
  * Guards against work for a request that goes on because the ingress duty did
  * not report that its caller closed the connection.
@@ -1079,11 +1218,13 @@
 	g_test_add_func("/egress/notices", test_notices);
 	g_test_add_func("/egress/extra", test_extra);
 	g_test_add_func("/egress/cut", test_cut);
+	g_test_add_func("/egress/no-body", test_no_body);
 	g_test_add_func("/egress/no-length", test_no_length);
 	g_test_add_func("/egress/not-run", test_not_run);
 	g_test_add_func("/egress/idle", test_idle);
 	g_test_add_func("/egress/ends", test_ends);
 	g_test_add_func("/ingress/exchange", test_exchange);
+	g_test_add_func("/ingress/no-body", test_answer_no_body);
 	g_test_add_func("/ingress/gone", test_gone);
 	g_test_add_func("/ingress/malformed", test_malformed);
 	g_test_add_func("/ingress/ready", test_ready);
