egress: Keep the protocol of a connection apart from its socket

The state of a connection to a target, from the bytes of a request to the reply of its call, is now in target_conn.c, without a socket, a timer and a poller; egress moves the bytes.

One thing changes: a socket that refuses more bytes no longer fails the call at once. The poller reports the failure, and an answer that the target sent before it closed is read first.

--- a/src/duty/egress.c
+++ b/src/duty/egress.c
@@ -9,7 +9,6 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
-#include <xxhash.h>
 
 #include "base/addr.h"
 #include "base/clock.h"
@@ -17,26 +16,14 @@
 #include "base/metric.h"
 #include "base/poller.h"
 #include "base/sock.h"
-#include "codec/http1.h"
-#include "decide/reuse.h"
 #include "duty/duty.h"
 #include "duty/messages.h"
-#include "platform/platform_http.h"
+#include "duty/target_conn.h"
 
 #define RING_CAPACITY 16384
 #define READ_BYTES 16384
-#define HEAD_BYTES_MAX 65536
-#define BODY_BYTES_MAX (4 * 1048576)
 /* Longest time to connect; a reachable target accepts within a few ms. */
 #define CONNECT_TIMEOUT_MS 400
-/* Idle time after which a connection is closed if the target states none. */
-#define IDLE_TIMEOUT_MS_DEFAULT 5000
-/*
- * An idle connection is closed this long before the target would close it, so
- * that no request is sent while the target closes it; if the target keeps it
- * for no more than twice this long, after half of that time.
- */
-#define IDLE_MARGIN_MS 500
 /*
  * A request that must not run twice cannot be repeated when the target has
  * closed the idle connection, so it is not sent on one that was idle longer.
@@ -61,27 +48,16 @@
 	TAILQ_HEAD(idle_list, conn) idle;
 };
 
-enum conn_state { CONN_CONNECTING, CONN_BUSY, CONN_IDLE };
-
 struct conn {
 	struct egress *egress;
 	struct conn_pool *pool;
-	enum conn_state state;
 	struct poller_item item;
-	struct http1_reader h1;
-	struct buf out;
-	/* Bytes of @out that the socket has taken. */
-	size_t out_sent_bytes;
-	struct reuse reuse;
-	/* The call in flight; NULL while idle. */
-	struct target_call *call;
-	/* Time at which the latest request was sent. */
-	int64_t sent_us;
+	struct target_conn tc;
 	/* Time since which the connection has been idle, when it is. */
 	int64_t idle_since_us;
-	/* The connection is closed after it was idle for this long. */
-	uint32_t idle_timeout_ms;
-	/* Bytes of the unfinished answer in @h1. */
+	/* 1 while it is in the pool's list of idle connections. */
+	int is_listed;
+	/* Bytes of the unfinished answer. */
 	size_t buffered_bytes;
 	/* End of the time to connect, of the call or of the idle time. */
 	struct timer_entry timer;
@@ -124,30 +100,38 @@
 	target_reply_free(r);
 }
 
-static void reply_code(struct egress *e, uint64_t call_id, enum err_code code,
-		       int not_run)
+/* Replies that no connection can be opened for @call. */
+static void reply_unsent(struct egress *e, const struct target_call *call)
 {
 	struct target_reply *r = util_alloc(1, sizeof(*r));
 
-	r->call_id = call_id;
-	r->code = code;
-	r->not_run = (uint32_t)not_run;
+	r->call_id = call->call_id;
+	r->code = ERR_TARGET_CONNECT;
+	r->not_run = 1;
 	r->warmup_left_ms = -1;
 	push_reply(e, r);
 }
 
+/* The call that connection @ctx carries has ended. */
+static void on_reply(void *ctx, struct target_reply *r)
+{
+	struct conn *c = ctx;
+
+	g_hash_table_remove(c->egress->calls, &r->call_id);
+	push_reply(c->egress, r);
+}
+
 static void set_buffered(struct conn *c, size_t bytes)
 {
 	c->egress->buffered_bytes += bytes - c->buffered_bytes;
 	c->buffered_bytes = bytes;
 }
 
-/* Frees the call that @c carries and forgets its ID. */
-static void detach_call(struct conn *c)
+static void unlist(struct conn *c)
 {
-	g_hash_table_remove(c->egress->calls, &c->call->call_id);
-	target_call_free(c->call);
-	c->call = NULL;
+	if (c->is_listed)
+		TAILQ_REMOVE(&c->pool->idle, c, idle_link);
+	c->is_listed = 0;
 }
 
 static void conn_free(struct conn *c)
@@ -155,17 +139,14 @@
 	struct egress *e = c->egress;
 	struct conn_pool *p = c->pool;
 
-	if (c->call)
-		detach_call(c);
-	if (c->state == CONN_IDLE)
-		TAILQ_REMOVE(&p->idle, c, idle_link);
+	if (c->tc.call)
+		g_hash_table_remove(e->calls, &c->tc.call->call_id);
+	unlist(c);
 	timer_queue_cancel(timers(c), &c->timer);
 	poller_remove(e->poller, &c->item);
 	close(c->item.fd);
 	set_buffered(c, 0);
-	http1_clear(&c->h1);
-	buf_free(&c->out);
-	reuse_clear(&c->reuse);
+	target_conn_clear(&c->tc);
 	free(c);
 	if (--p->open_count == 0)
 		g_hash_table_remove(e->pools, p->target_id);
@@ -174,9 +155,7 @@
 /* Closes the connection; the call on it, if any, fails with @code. */
 static void conn_fail(struct conn *c, enum err_code code)
 {
-	if (c->call)
-		reply_code(c->egress, c->call->call_id, code,
-			   c->state == CONN_CONNECTING);
+	target_conn_fail(&c->tc, code);
 	conn_free(c);
 }
 
@@ -189,7 +168,7 @@
 {
 	struct conn *c = ctx;
 
-	if (c->state == CONN_CONNECTING) {
+	if (c->tc.state == TARGET_CONN_CONNECTING) {
 		conn_fail(c, ERR_TARGET_CONNECT);
 		return;
 	}
@@ -197,104 +176,16 @@
 	conn_fail(c, ERR_TARGET_TIMEOUT);
 }
 
-static void make_idle(struct conn *c, int64_t now_us)
+static void list_idle(struct conn *c, int64_t now_us)
 {
-	uint32_t timeout_ms = c->idle_timeout_ms;
-
-	if (c->call->idle_timeout_ms)
-		timeout_ms = util_min_u32(timeout_ms, c->call->idle_timeout_ms);
-	detach_call(c);
-	http1_reset(&c->h1);
-	set_buffered(c, 0);
-	c->state = CONN_IDLE;
 	c->idle_since_us = now_us;
+	c->is_listed = 1;
 	TAILQ_INSERT_HEAD(&c->pool->idle, c, idle_link);
 	timer_queue_arm(timers(c), &c->timer,
-			now_us + (int64_t)timeout_ms * US_PER_MS,
+			now_us + (int64_t)c->tc.idle_timeout_ms * US_PER_MS,
 			on_idle_timeout, c);
 }
 
-static void update_idle_timeout(struct conn *c)
-{
-	uint32_t ms = platform_reply_idle_ms(&c->h1);
-
-	if (ms)
-		c->idle_timeout_ms =
-			ms > 2 * IDLE_MARGIN_MS ? ms - IDLE_MARGIN_MS : ms / 2;
-}
-
-/* Hash of the answer's stamp; 0 if it has none. */
-static uint64_t stamp_hash(const struct conn *c)
-{
-	const char *stamp = platform_reply_stamp(&c->h1);
-
-	return stamp ? XXH3_64bits(stamp, strlen(stamp)) : 0;
-}
-
-/* Whose request ID the answer repeats. */
-static enum reuse_id id_of_answer(const struct conn *c)
-{
-	const char *id = platform_reply_request_id(&c->h1);
-
-	if (!id)
-		return REUSE_ID_NONE;
-	return strcmp(id, c->call->request_id) == 0 ? REUSE_ID_OWN
-						    : REUSE_ID_OTHER;
-}
-
-/* The answer ends the call; @is_certain: it belongs to no earlier request. */
-static void finish_call(struct conn *c, int is_certain, int64_t now_us)
-{
-	struct target_reply *r = util_alloc(1, sizeof(*r));
-
-	r->call_id = c->call->call_id;
-	platform_reply_decode(&c->h1, r);
-	r->not_run = r->not_run && is_certain;
-	r->service_us = now_us - c->sent_us;
-	push_reply(c->egress, r);
-	if (!c->reuse.is_written)
-		metric_add(METRIC_EARLY_ANSWERS, 1);
-}
-
-/*
- * Takes the answer that was read; bytes behind it have come if @has_extra.
- * Returns 1 if the call waits on, and 0 when it has ended.
- */
-static int on_answer(struct conn *c, int has_extra, int64_t now_us)
-{
-	struct reuse_answer answer = {
-		.id = id_of_answer(c),
-		.stamp = stamp_hash(c),
-		.keep_alive = (uint32_t)http1_keep_alive(&c->h1),
-		.has_extra = (uint32_t)has_extra,
-	};
-	enum reuse_step step = reuse_answered(&c->reuse, &answer);
-
-	switch (step) {
-	case REUSE_KEEP:
-		finish_call(c, 1, now_us);
-		update_idle_timeout(c);
-		make_idle(c, now_us);
-		return 0;
-	case REUSE_CLOSE:
-	case REUSE_DOUBT:
-		if (step == REUSE_DOUBT)
-			metric_add(METRIC_STRAY_ANSWERS, 1);
-		finish_call(c, step == REUSE_CLOSE, now_us);
-		conn_free(c);
-		return 0;
-	case REUSE_SKIP:
-		metric_add(METRIC_STRAY_ANSWERS, 1);
-		http1_reset(&c->h1);
-		return 1;
-	case REUSE_FAIL:
-		metric_add(METRIC_STRAY_ANSWERS, 1);
-		conn_fail(c, ERR_TARGET_ID);
-		return 0;
-	}
-	return 0;
-}
-
 /* Fails the call whose unfinished answer is the longest one. */
 static void drop_longest(struct egress *e)
 {
@@ -313,42 +204,20 @@
 		conn_fail(longest, ERR_TARGET_SIZE);
 }
 
-static void parse_input(struct conn *c, const char *data, size_t len,
-			int64_t now_us)
+/* Follows the connection's state after bytes or the end of the stream came. */
+static void after_input(struct conn *c, int64_t now_us)
 {
 	struct egress *e = c->egress;
-	size_t used = 0;
-
-	do {
-		used += http1_parse(&c->h1, data + used, len - used);
-		if (c->h1.state == HTTP1_BAD) {
-			conn_fail(c, c->h1.error == ERR_TOO_LARGE
-					     ? ERR_TARGET_SIZE
-					     : ERR_TARGET_CLOSED);
-			return;
-		}
-		if (c->h1.state != HTTP1_COMPLETE) {
-			set_buffered(c, c->h1.body.len_bytes +
-						c->h1.field_text.len_bytes);
-			if (e->buffered_bytes > BUFFERED_BYTES_MAX)
-				drop_longest(e);
-			return;
-		}
-		if (!on_answer(c, used < len, now_us))
-			return;
-	} while (used < len);
-}
 
-static void on_eof(struct conn *c, int64_t now_us)
-{
-	if (c->state != CONN_BUSY) {
-		conn_fail(c, ERR_TARGET_CLOSED);
+	if (c->tc.state == TARGET_CONN_CLOSED) {
+		conn_free(c);
 		return;
 	}
-	http1_eof(&c->h1);
-	/* Nothing follows an answer that ends with the connection. */
-	if (c->h1.state != HTTP1_COMPLETE || on_answer(c, 0, now_us))
-		conn_fail(c, ERR_TARGET_CLOSED);
+	if (c->tc.state == TARGET_CONN_IDLE && !c->is_listed)
+		list_idle(c, now_us);
+	set_buffered(c, target_conn_buffered_bytes(&c->tc));
+	if (e->buffered_bytes > BUFFERED_BYTES_MAX)
+		drop_longest(e);
 }
 
 static void on_readable(struct conn *c, int64_t now_us)
@@ -358,62 +227,46 @@
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
-	if (n < 0) {
-		conn_fail(c, ERR_TARGET_CLOSED);
-		return;
-	}
-	if (n == 0) {
-		on_eof(c, now_us);
-		return;
-	}
-	if (c->state == CONN_IDLE) {
-		/* The target sent bytes although no call is in flight. */
-		metric_add(METRIC_STRAY_ANSWERS, 1);
-		conn_free(c);
-		return;
-	}
-	parse_input(c, e->scratch, (size_t)n, now_us);
+	if (n < 0)
+		target_conn_fail(&c->tc, ERR_TARGET_CLOSED);
+	else if (n == 0)
+		target_conn_ended(&c->tc, now_us);
+	else
+		target_conn_received(&c->tc, e->scratch, (size_t)n, now_us);
+	after_input(c, now_us);
 }
 
-/* Writes the rest of @out; returns 0 when the connection was freed. */
-static int flush(struct conn *c)
+/* Writes what the socket takes of the bytes to be sent. */
+static void flush(struct conn *c)
 {
-	while (c->out_sent_bytes < c->out.len_bytes) {
-		ssize_t n = send(c->item.fd, c->out.data + c->out_sent_bytes,
-				 c->out.len_bytes - c->out_sent_bytes,
-				 MSG_NOSIGNAL);
+	uint32_t events = EPOLLIN | EPOLLRDHUP;
+	const char *data;
+	size_t len;
+
+	for (data = target_conn_unsent(&c->tc, &len); len > 0;
+	     data = target_conn_unsent(&c->tc, &len)) {
+		ssize_t n = send(c->item.fd, data, len, MSG_NOSIGNAL);
 
 		if (n < 0 && errno == EINTR)
 			continue;
-		if (n < 0 && errno == EAGAIN) {
-			poller_set_events(c->egress->poller, &c->item,
-					  EPOLLIN | EPOLLRDHUP | EPOLLOUT);
-			return 1;
-		}
 		if (n < 0) {
-			conn_fail(c, ERR_TARGET_CLOSED);
-			return 0;
+			/*
+			 * If the connection has failed, the poller reports it;
+			 * an answer that came before is read first.
+			 */
+			if (errno == EAGAIN)
+				events |= EPOLLOUT;
+			break;
 		}
-		c->out_sent_bytes += (size_t)n;
-		reuse_written(&c->reuse, c->out_sent_bytes == c->out.len_bytes);
+		target_conn_written(&c->tc, (size_t)n);
 	}
-	poller_set_events(c->egress->poller, &c->item, EPOLLIN | EPOLLRDHUP);
-	return 1;
+	poller_set_events(c->egress->poller, &c->item, events);
 }
 
-static void send_call(struct conn *c, int64_t now_us)
+static void arm_deadline(struct conn *c)
 {
-	c->state = CONN_BUSY;
-	c->sent_us = now_us;
-	c->out.len_bytes = 0;
-	c->out_sent_bytes = 0;
-	reuse_begin(&c->reuse);
-	http1_reset(&c->h1);
-	c->h1.is_head_response = strcmp(c->call->message->method, "HEAD") == 0;
-	platform_call_encode(c->call, &c->out);
-	timer_queue_arm(timers(c), &c->timer, c->call->deadline_us,
+	timer_queue_arm(timers(c), &c->timer, c->tc.call->deadline_us,
 			on_call_timeout, c);
-	flush(c);
 }
 
 static void on_connected(struct conn *c, int64_t now_us)
@@ -426,14 +279,16 @@
 		conn_fail(c, ERR_TARGET_CONNECT);
 		return;
 	}
-	send_call(c, now_us);
+	target_conn_connected(&c->tc, now_us);
+	arm_deadline(c);
+	flush(c);
 }
 
 static void on_conn(void *ctx, uint32_t events, int64_t now_us)
 {
 	struct conn *c = ctx;
 
-	if (c->state == CONN_CONNECTING) {
+	if (c->tc.state == TARGET_CONN_CONNECTING) {
 		on_connected(c, now_us);
 		return;
 	}
@@ -478,14 +333,13 @@
 static void connect_call(struct egress *e, struct target_call *call,
 			 int64_t now_us)
 {
-	struct http1_limits limits = { HEAD_BYTES_MAX, BODY_BYTES_MAX };
 	struct err err = { 0 };
 	int fd = open_socket(call);
 	struct conn *c;
 
 	metric_add(METRIC_TARGET_CONNECTS, 1);
 	if (fd < 0) {
-		reply_code(e, call->call_id, ERR_TARGET_CONNECT, 1);
+		reply_unsent(e, call);
 		target_call_free(call);
 		return;
 	}
@@ -493,10 +347,8 @@
 	c->egress = e;
 	c->pool = pool_of(e, call->target_id);
 	c->pool->open_count++;
-	c->call = call;
-	c->idle_timeout_ms = IDLE_TIMEOUT_MS_DEFAULT;
 	c->item = (struct poller_item){ .fd = fd, .fn = on_conn, .ctx = c };
-	http1_init(&c->h1, HTTP1_RESPONSE, &limits);
+	target_conn_init(&c->tc, call, on_reply, c);
 	g_hash_table_insert(e->calls, &call->call_id, c);
 	if (poller_add(e->poller, &c->item, EPOLLOUT, &err) != ERR_OK) {
 		log_event(LOG_LEVEL_ERROR, "connect_failed", "%s", err.detail);
@@ -544,10 +396,11 @@
 		connect_call(e, call, now_us);
 		return;
 	}
-	TAILQ_REMOVE(&c->pool->idle, c, idle_link);
-	c->call = call;
+	unlist(c);
 	g_hash_table_insert(e->calls, &call->call_id, c);
-	send_call(c, now_us);
+	target_conn_send(&c->tc, call, now_us);
+	arm_deadline(c);
+	flush(c);
 }
 
 static void cancel_call(struct egress *e, struct target_call *call)
