ingress: Let a caller that is still sending read its refusal

What callers could see: a reset instead of 413 or 431 while they sent a long request.

Cause: the socket was closed with input that had not been read, which makes the kernel send a reset and may discard the answer.

Change: the protocol of a caller's connection, without its socket, is now in caller_conn.c, as that of targets is in target_conn.c. Its last state lets the caller read the last answer for up to 0.5 s, if there is more input to come.

--- /dev/null
+++ b/src/duty/caller_conn.c
@@ -0,0 +1,101 @@
+#include "duty/caller_conn.h"
+
+#include <string.h>
+
+#include "platform/platform_http.h"
+
+/*
+ * Bytes of further requests that are kept while one is answered; a caller that
+ * sends more is disconnected.
+ */
+#define UNPARSED_BYTES_MAX 65536
+
+void caller_conn_init(struct caller_conn *c, const struct http1_limits *limits)
+{
+	*c = (struct caller_conn){ .state = CALLER_CONN_READING };
+	http1_init(&c->h1, HTTP1_REQUEST, limits);
+}
+
+void caller_conn_clear(struct caller_conn *c)
+{
+	http1_clear(&c->h1);
+	buf_free(&c->unparsed);
+	buf_free(&c->out);
+}
+
+int caller_conn_received(struct caller_conn *c, const char *data, size_t len)
+{
+	if (c->state == CALLER_CONN_LINGERING || c->state == CALLER_CONN_CLOSED)
+		return 1;
+	buf_add(&c->unparsed, data, len);
+	return c->state == CALLER_CONN_READING ||
+	       c->unparsed.len_bytes <= UNPARSED_BYTES_MAX;
+}
+
+int caller_conn_parse(struct caller_conn *c)
+{
+	size_t used;
+
+	if (c->state != CALLER_CONN_READING || !c->unparsed.len_bytes)
+		return 0;
+	used = http1_parse(&c->h1, c->unparsed.data, c->unparsed.len_bytes);
+	memmove(c->unparsed.data, c->unparsed.data + used,
+		c->unparsed.len_bytes - used);
+	c->unparsed.len_bytes -= used;
+	if (c->h1.state != HTTP1_COMPLETE && c->h1.state != HTTP1_BAD)
+		return 0;
+	c->state = CALLER_CONN_WAITING;
+	return 1;
+}
+
+int caller_conn_is_idle(const struct caller_conn *c)
+{
+	return c->state == CALLER_CONN_READING && c->h1.state == HTTP1_IDLE;
+}
+
+void caller_conn_answer(struct caller_conn *c, const struct exchange_answer *a,
+			int is_last)
+{
+	/* Where a refused request ends is not known. */
+	c->is_last = is_last || c->h1.state != HTTP1_COMPLETE ||
+		     !http1_keep_alive(&c->h1);
+	c->state = CALLER_CONN_WRITING;
+	platform_answer_encode(a, c->is_last,
+			       strcmp(http1_method(&c->h1), "HEAD") == 0,
+			       &c->out);
+}
+
+const char *caller_conn_unsent(const struct caller_conn *c, size_t *len)
+{
+	*len = c->state == CALLER_CONN_WRITING
+		       ? c->out.len_bytes - c->out_sent_bytes
+		       : 0;
+	return c->out.data + c->out_sent_bytes;
+}
+
+/* The answer was written; the caller may still be sending if it has more. */
+static void end(struct caller_conn *c)
+{
+	int has_more = c->h1.state != HTTP1_COMPLETE ||
+		       c->unparsed.len_bytes > 0;
+
+	c->state = has_more ? CALLER_CONN_LINGERING : CALLER_CONN_CLOSED;
+	c->unparsed.len_bytes = 0;
+}
+
+void caller_conn_written(struct caller_conn *c, size_t len, int is_last,
+			 const struct http1_limits *limits)
+{
+	c->out_sent_bytes += len;
+	if (c->out_sent_bytes < c->out.len_bytes)
+		return;
+	c->out.len_bytes = 0;
+	c->out_sent_bytes = 0;
+	if (c->is_last || is_last) {
+		end(c);
+		return;
+	}
+	c->state = CALLER_CONN_READING;
+	http1_reset(&c->h1);
+	c->h1.limits = *limits;
+}
--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -15,7 +15,7 @@
 #include "base/metric.h"
 #include "base/poller.h"
 #include "base/series.h"
-#include "codec/http1.h"
+#include "duty/caller_conn.h"
 #include "duty/duty.h"
 #include "duty/messages.h"
 #include "platform/platform_http.h"
@@ -40,13 +40,13 @@
 #define BODY_BYTES_DEFAULT 262144
 #define HEAD_TIMEOUT_MS_DEFAULT 3000
 #define IDLE_TIMEOUT_MS_DEFAULT 15000
-/*
- * Bytes of further requests that are kept while one is answered; a caller that
- * sends more is disconnected.
- */
-#define UNPARSED_BYTES_MAX 65536
 /* A connection is closed when an answer makes no progress for this long. */
 #define WRITE_TIMEOUT_MS 10000
+/*
+ * After its last answer, a caller that is still sending has this long to read
+ * the answer and to close the connection.
+ */
+#define LINGER_MS 500
 
 enum listener_kind {
 	LISTENER_CALLER,
@@ -63,31 +63,21 @@
 	struct timer_entry retry_timer;
 };
 
-enum conn_state { CONN_READING, CONN_WAITING, CONN_WRITING };
-
 struct conn {
 	struct ingress *in;
 	uint64_t id;
 	enum listener_kind kind;
-	enum conn_state state;
 	struct poller_item item;
-	struct http1_reader h1;
-	/* Bytes that were received and not parsed yet. */
-	struct buf unparsed;
-	struct buf out;
-	/* Bytes of @out that the socket has taken. */
-	size_t out_sent_bytes;
-	/* 1: the connection is closed once @out is written. */
-	int is_closing;
+	struct caller_conn cc;
 	/* Round trip to the caller as the kernel measures it; 0: unknown. */
 	uint32_t rtt_us;
 	/* Requests of this connection that were decoded. */
 	uint32_t requests;
 	int64_t accepted_us;
 	/*
-	 * Closes a connection that is idle, receives a request or sends an
-	 * answer for too long. Not armed while an answer is awaited from the
-	 * request duty.
+	 * Closes a connection that is idle, receives a request, sends an answer
+	 * or lingers for too long. Not armed while an answer is awaited from
+	 * the request duty.
 	 */
 	struct timer_entry timer;
 };
@@ -132,9 +122,7 @@
 	poller_remove(in->poller, &c->item);
 	close(c->item.fd);
 	g_hash_table_remove(in->conns, &c->id);
-	http1_clear(&c->h1);
-	buf_free(&c->unparsed);
-	buf_free(&c->out);
+	caller_conn_clear(&c->cc);
 	free(c);
 }
 
@@ -154,7 +142,7 @@
 /* Frees a connection that the caller closed or that has failed. */
 static void conn_lost(struct conn *c)
 {
-	if (c->state == CONN_WAITING)
+	if (c->cc.state == CALLER_CONN_WAITING)
 		push_caller_gone(c);
 	conn_free(c);
 }
@@ -170,34 +158,27 @@
 			on_timeout, c);
 }
 
-static int parse_input(struct conn *c, int64_t now_us);
+static struct http1_limits limits_of(const struct ingress *in)
+{
+	return (struct http1_limits){ in->head_bytes_max, in->body_bytes_max };
+}
 
-/*
- * Gets @c ready for its next request. This function and those that call it
- * return 0 when they have freed the connection.
- */
-static int next_request(struct conn *c, int64_t now_us)
+/* 1 if no request is read any more after the one that is answered. */
+static int is_last_request(const struct conn *c)
 {
-	if (c->is_closing ||
-	    (c->in->is_draining && c->kind == LISTENER_CALLER)) {
-		conn_free(c);
-		return 0;
-	}
-	c->state = CONN_READING;
-	http1_reset(&c->h1);
-	c->h1.limits = (struct http1_limits){ c->in->head_bytes_max,
-					      c->in->body_bytes_max };
-	arm_timeout(c, now_us, c->in->idle_timeout_ms);
-	return c->unparsed.len_bytes ? parse_input(c, now_us) : 1;
+	return c->in->is_draining && c->kind == LISTENER_CALLER;
 }
 
-/* Writes the rest of @out; after all of it goes on to the next request. */
+/* Writes what the socket takes of the answer; 0 if the connection has failed. */
 static int flush(struct conn *c, int64_t now_us)
 {
-	while (c->out_sent_bytes < c->out.len_bytes) {
-		ssize_t n = send(c->item.fd, c->out.data + c->out_sent_bytes,
-				 c->out.len_bytes - c->out_sent_bytes,
-				 MSG_NOSIGNAL);
+	const char *data;
+	size_t len;
+
+	for (data = caller_conn_unsent(&c->cc, &len); len > 0;
+	     data = caller_conn_unsent(&c->cc, &len)) {
+		ssize_t n = send(c->item.fd, data, len, MSG_NOSIGNAL);
+		struct http1_limits limits = limits_of(c->in);
 
 		if (n < 0 && errno == EINTR)
 			continue;
@@ -207,45 +188,35 @@
 			arm_timeout(c, now_us, WRITE_TIMEOUT_MS);
 			return 1;
 		}
-		if (n < 0) {
-			conn_free(c);
+		if (n < 0)
 			return 0;
-		}
-		c->out_sent_bytes += (size_t)n;
+		caller_conn_written(&c->cc, (size_t)n, is_last_request(c),
+				    &limits);
 	}
-	c->out.len_bytes = 0;
-	c->out_sent_bytes = 0;
 	poller_set_events(c->in->poller, &c->item, EPOLLIN | EPOLLRDHUP);
-	return next_request(c, now_us);
+	arm_timeout(c, now_us, c->in->idle_timeout_ms);
+	return 1;
 }
 
-static int respond(struct conn *c, const struct exchange_answer *a,
-		   int64_t now_us)
+static void respond(struct conn *c, const struct exchange_answer *a)
 {
-	if (!http1_keep_alive(&c->h1) || c->in->is_draining)
-		c->is_closing = 1;
-	c->state = CONN_WRITING;
-	platform_answer_encode(a, c->is_closing,
-			       strcmp(http1_method(&c->h1), "HEAD") == 0,
-			       &c->out);
-	return flush(c, now_us);
+	caller_conn_answer(&c->cc, a, c->in->is_draining);
 }
 
-static int refuse_stopping(struct conn *c, int64_t now_us)
+static void refuse_stopping(struct conn *c)
 {
 	struct exchange_answer a = { .status = 503,
 				     .code = ERR_STOPPING,
 				     .retry_after_ms = RETRY_ELSEWHERE_MS };
 
-	return respond(c, &a, now_us);
+	respond(c, &a);
 }
 
-static int respond_error(struct conn *c, uint32_t status, enum err_code code,
-			 int64_t now_us)
+static void respond_error(struct conn *c, uint32_t status, enum err_code code)
 {
 	struct exchange_answer a = { .status = status, .code = code };
 
-	return respond(c, &a, now_us);
+	respond(c, &a);
 }
 
 /* HTTP status for a request that @h refused. */
@@ -256,16 +227,17 @@
 	return h->head_too_large ? 431 : 413;
 }
 
-static int refuse_input(struct conn *c, int64_t now_us)
+static void refuse_input(struct conn *c)
 {
+	const struct http1_reader *h = &c->cc.h1;
+
 	log_event(LOG_LEVEL_WARNING, "request_malformed",
-		  "status %u, code %d, %u header bytes", bad_status(&c->h1),
-		  (int)c->h1.error, c->h1.head_bytes);
-	c->is_closing = 1;
-	return respond_error(c, bad_status(&c->h1), c->h1.error, now_us);
+		  "status %u, code %d, %u header bytes", bad_status(h),
+		  (int)h->error, h->head_bytes);
+	respond_error(c, bad_status(h), h->error);
 }
 
-static int answer_ready(struct conn *c, int64_t now_us)
+static void answer_ready(struct conn *c)
 {
 	struct exchange_answer a = { .status = 200 };
 
@@ -273,21 +245,19 @@
 		a.status = 503;
 		a.code = c->in->is_draining ? ERR_STOPPING : ERR_NO_CONFIG;
 	}
-	return respond(c, &a, now_us);
+	respond(c, &a);
 }
 
-static int answer_metrics(struct conn *c, int64_t now_us)
+static void answer_metrics(struct conn *c)
 {
 	struct exchange_answer a = { .status = 200 };
-	int alive;
 
 	metric_write(&a.body);
 	series_write(&a.body);
 	buf_addf(&a.fields, "Content-Type: text/plain; version=0.0.4\r\n");
-	alive = respond(c, &a, now_us);
+	respond(c, &a);
 	buf_free(&a.body);
 	buf_free(&a.fields);
-	return alive;
 }
 
 static void drop_request(void *body)
@@ -295,7 +265,7 @@
 	exchange_request_free(body);
 }
 
-static int forward(struct conn *c, int64_t now_us)
+static void forward(struct conn *c, int64_t now_us)
 {
 	struct exchange_request *r = util_alloc(1, sizeof(*r));
 	struct msg m = { MSG_EXCHANGE_REQUEST, r, drop_request };
@@ -306,56 +276,87 @@
 	r->received_us = now_us;
 	r->rtt_us = c->rtt_us;
 	r->is_first_on_conn = c->requests++ == 0;
-	if (platform_request_decode(&c->h1, r, &err) != ERR_OK) {
+	if (platform_request_decode(&c->cc.h1, r, &err) != ERR_OK) {
 		log_event(LOG_LEVEL_WARNING, "request_malformed", "%s",
 			  err.detail);
 		exchange_request_free(r);
-		return respond_error(c, 400, ERR_BAD_FIELD, now_us);
+		respond_error(c, 400, ERR_BAD_FIELD);
+		return;
 	}
 	timer_queue_cancel(timers(c), &c->timer);
 	code = ring_push(c->in->opt.requests, &m);
 	if (code != ERR_OK) {
 		exchange_request_free(r);
-		return respond_error(c, 503, code, now_us);
+		respond_error(c, 503, code);
 	}
-	c->state = CONN_WAITING;
-	return 1;
 }
 
-static int on_request(struct conn *c, int64_t now_us)
+/* Handles what was read: passes a request on, or answers it at once. */
+static void on_request(struct conn *c, int64_t now_us)
 {
-	switch (c->kind) {
-	case LISTENER_READY:
-		return answer_ready(c, now_us);
-	case LISTENER_METRICS:
-		return answer_metrics(c, now_us);
-	default:
-		return c->in->is_closing ? refuse_stopping(c, now_us)
-					 : forward(c, now_us);
-	}
+	if (c->cc.h1.state == HTTP1_BAD)
+		refuse_input(c);
+	else if (c->kind == LISTENER_READY)
+		answer_ready(c);
+	else if (c->kind == LISTENER_METRICS)
+		answer_metrics(c);
+	else if (c->in->is_closing)
+		refuse_stopping(c);
+	else
+		forward(c, now_us);
 }
 
-/* Parses what was received, and handles a request that is complete. */
-static int parse_input(struct conn *c, int64_t now_us)
-{
-	int was_idle = c->h1.state == HTTP1_IDLE;
-	size_t used;
-
-	if (c->state != CONN_READING)
-		return 1;
-	used = http1_parse(&c->h1, c->unparsed.data, c->unparsed.len_bytes);
-	memmove(c->unparsed.data, c->unparsed.data + used,
-		c->unparsed.len_bytes - used);
-	c->unparsed.len_bytes -= used;
-	if (c->h1.state == HTTP1_BAD)
-		return refuse_input(c, now_us);
-	if (c->h1.state == HTTP1_COMPLETE)
-		return on_request(c, now_us);
-	if (was_idle)
-		arm_timeout(c, now_us, c->in->head_timeout_ms);
+/* Reads on; returns 1 if a request came. */
+static int read_request(struct conn *c, int64_t now_us)
+{
+	int was_idle = caller_conn_is_idle(&c->cc);
+
+	if (!caller_conn_parse(&c->cc)) {
+		if (was_idle && !caller_conn_is_idle(&c->cc))
+			arm_timeout(c, now_us, c->in->head_timeout_ms);
+		return 0;
+	}
+	on_request(c, now_us);
 	return 1;
 }
 
+/* The answer is written; lets the caller read it before the socket is closed. */
+static void linger(struct conn *c, int64_t now_us)
+{
+	shutdown(c->item.fd, SHUT_WR);
+	poller_set_events(c->in->poller, &c->item, EPOLLIN);
+	arm_timeout(c, now_us, c->in->is_closing ? 0 : LINGER_MS);
+}
+
+/* Goes on as far as the input and the socket allow. May free @c. */
+static void advance(struct conn *c, int64_t now_us)
+{
+	for (;;) {
+		switch (c->cc.state) {
+		case CALLER_CONN_READING:
+			if (!read_request(c, now_us))
+				return;
+			break;
+		case CALLER_CONN_WAITING:
+			return;
+		case CALLER_CONN_WRITING:
+			if (!flush(c, now_us)) {
+				conn_free(c);
+				return;
+			}
+			if (c->cc.state == CALLER_CONN_WRITING)
+				return;
+			break;
+		case CALLER_CONN_LINGERING:
+			linger(c, now_us);
+			return;
+		case CALLER_CONN_CLOSED:
+			conn_free(c);
+			return;
+		}
+	}
+}
+
 static void on_readable(struct conn *c, int64_t now_us)
 {
 	ssize_t n = recv(c->item.fd, c->in->scratch, READ_BYTES, 0);
@@ -366,16 +367,16 @@
 		conn_lost(c);
 		return;
 	}
-	buf_add(&c->unparsed, c->in->scratch, (size_t)n);
-	if (c->state != CONN_READING &&
-	    c->unparsed.len_bytes > UNPARSED_BYTES_MAX) {
-		log_event(LOG_LEVEL_WARNING, "caller_flood",
-			  "%zu bytes sent ahead of an answer",
-			  c->unparsed.len_bytes);
-		conn_lost(c);
+	if (caller_conn_received(&c->cc, c->in->scratch, (size_t)n)) {
+		/* Nothing follows for a connection that lingers. */
+		if (c->cc.state != CALLER_CONN_LINGERING)
+			advance(c, now_us);
 		return;
 	}
-	parse_input(c, now_us);
+	log_event(LOG_LEVEL_WARNING, "caller_flood",
+		  "%zu bytes sent ahead of an answer",
+		  c->cc.unparsed.len_bytes);
+	conn_lost(c);
 }
 
 static void on_conn(void *ctx, uint32_t events, int64_t now_us)
@@ -391,7 +392,7 @@
 		return;
 	}
 	if (events & EPOLLOUT)
-		flush(c, now_us);
+		advance(c, now_us);
 }
 
 static uint32_t measure_rtt_us(int fd)
@@ -407,7 +408,7 @@
 static void add_conn(struct listener *l, int fd, int64_t now_us)
 {
 	struct ingress *in = l->in;
-	struct http1_limits limits = { in->head_bytes_max, in->body_bytes_max };
+	struct http1_limits limits = limits_of(in);
 	struct conn *c = util_alloc(1, sizeof(*c));
 	struct err err = { 0 };
 	int one = 1;
@@ -417,7 +418,7 @@
 	c->kind = l->kind;
 	c->accepted_us = now_us;
 	c->item = (struct poller_item){ .fd = fd, .fn = on_conn, .ctx = c };
-	http1_init(&c->h1, HTTP1_REQUEST, &limits);
+	caller_conn_init(&c->cc, &limits);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	if (l->kind == LISTENER_CALLER) {
 		atomic_fetch_add(&in->caller_count, 1);
@@ -491,8 +492,10 @@
 	struct conn *c = g_hash_table_lookup(in->conns, &a->conn_id);
 
 	/* The caller may have closed the connection meanwhile. */
-	if (c && c->state == CONN_WAITING)
-		respond(c, a, now_us);
+	if (c && c->cc.state == CALLER_CONN_WAITING) {
+		respond(c, a);
+		advance(c, now_us);
+	}
 	exchange_answer_free(a);
 }
 
@@ -526,10 +529,10 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct conn *c = value;
 
-		if (c->kind != LISTENER_CALLER || c->state != CONN_READING ||
-		    has_input(c))
+		if (c->kind != LISTENER_CALLER ||
+		    c->cc.state != CALLER_CONN_READING || has_input(c))
 			continue;
-		if (c->h1.state != HTTP1_IDLE && !in->is_closing)
+		if (!caller_conn_is_idle(&c->cc) && !in->is_closing)
 			continue;
 		if (is_new(c, now_us) && !in->is_closing)
 			arm_timeout(c, now_us, FIRST_REQUEST_MS);
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -1062,6 +1062,38 @@
 	ingress_end(&c);
 }
 
+/* Longer than what callers may send. */
+#define LONG_REQUEST_BYTES 4000000
+
+/*
+ * Guards against a refusal that is lost: a caller that is still sending the body
+ * of a request when it is refused reads the refusal, and then the end of the
+ * stream instead of a reset, which may discard what it has not read yet.
+ */
+static void test_refused_long(void)
+{
+	char *body CLEANUP_FREE = util_alloc(LONG_REQUEST_BYTES, 1);
+	struct ingress_case c;
+	size_t sent = 0;
+	int fd;
+
+	memset(body, 'b', LONG_REQUEST_BYTES);
+	ingress_begin(&c);
+	fd = loopback_connect(c.caller_port);
+	put(fd, HEAD_GET "Content-Length: 4000000\r\n\r\n");
+	while (sent < LONG_REQUEST_BYTES) {
+		ssize_t n = send(fd, body + sent, LONG_REQUEST_BYTES - sent,
+				 MSG_NOSIGNAL);
+
+		g_assert_cmpint(n, >, 0);
+		sent += (size_t)n;
+	}
+	expect(fd, "HTTP/1.1 413 Payload Too Large\r\n");
+	g_assert_cmpint(recv(fd, body, 1, 0), ==, 0);
+	close(fd);
+	ingress_end(&c);
+}
+
 /*
  * Guards against a host that the load balancer still uses while the host
  * drains.
@@ -1227,6 +1259,7 @@
 	g_test_add_func("/ingress/no-body", test_answer_no_body);
 	g_test_add_func("/ingress/gone", test_gone);
 	g_test_add_func("/ingress/malformed", test_malformed);
+	g_test_add_func("/ingress/refused-long", test_refused_long);
 	g_test_add_func("/ingress/ready", test_ready);
 	g_test_add_func("/ingress/leave", test_leave);
 	g_test_add_func("/ingress/leave-accepted", test_leave_accepted);
