platform, gateway: Keep cold rates below one a second

Cause: warmupPerS was read as a whole number; 0.5 became 0, which sets no limit.

Evidence: entries-services reads 0.5, 0.0001 and 0.07; before, all were 0. gw-cold-slow plays 0.5 a second for one and for four hosts in virtual time.

--- a/src/gateway/5_send.c
+++ b/src/gateway/5_send.c
@@ -149,12 +149,12 @@
 static void set_next_cold_call(struct gw_target *t, const struct gw *g,
 			       const struct gw_service *s, int64_t now_us)
 {
-	if (now_us >= t->cold_until_us || !s->cold_requests_per_s)
+	if (now_us >= t->cold_until_us || !s->cold_rate_milli)
 		return;
 	/* Each host sends its share of the rate at equal intervals. */
 	t->cold_next_call_us =
-		now_us + (int64_t)(US_PER_MS * gw_host_divisor_milli(g, s) /
-				   s->cold_requests_per_s);
+		now_us + (int64_t)(US_PER_S * gw_host_divisor_milli(g, s) /
+				   s->cold_rate_milli);
 }
 
 /* Logs each extra call, and the first calls of traced requests. */
--- a/src/gateway/gw_binding.c
+++ b/src/gateway/gw_binding.c
@@ -169,7 +169,7 @@
 			   ALLOWANCE_PERMILLE * MILLI / divisor_milli);
 	uint32_t i;
 
-	s->cold_requests_per_s = def->cold_requests_per_s;
+	s->cold_rate_milli = def->cold_rate_milli;
 	extra_window_configure(&s->extra_calls,
 			       g->opt.tuning.extra_call_permille *
 				       ALLOWANCE_PERMILLE / PERMILLE,
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -155,8 +155,11 @@
 	struct extra_window extra_calls;
 	/* 1: a part of a route that gathers. */
 	int is_shard;
-	/* Calls that a cold target gets from all hosts; 0: not limited. */
-	uint32_t cold_requests_per_s;
+	/*
+	 * Calls that a cold target gets from all hosts, in thousandths of a
+	 * call per second; 0: not limited.
+	 */
+	uint32_t cold_rate_milli;
 	struct gw_version_split version_split;
 	struct series *series;
 	/* Parts that wait until a target has room, oldest first. */
--- a/src/model/route.h
+++ b/src/model/route.h
@@ -45,8 +45,11 @@
 	char *name;
 	/* Connections that each target accepts from all hosts together. */
 	uint32_t target_connections_max;
-	/* Requests from all hosts to one cold target; 0: not limited. */
-	uint32_t cold_requests_per_s;
+	/*
+	 * Requests from all hosts to one cold target, in thousandths of a
+	 * request per second; 0: not limited.
+	 */
+	uint32_t cold_rate_milli;
 };
 
 /* What callers may send and how long they may take or stay idle. */
--- a/tests/test_entries.c
+++ b/tests/test_entries.c
@@ -82,6 +82,28 @@
 	route_config_unref(c);
 }
 
+/* services JSON: the services of the configuration. */
+static void cmd_services(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct buf text CLEANUP_BUF = { 0 };
+	struct route_config *c;
+	struct err err = { 0 };
+	uint32_t i;
+
+	script_text(argc, argv, 0, &text);
+	c = platform_config_decode(text.data, (uint32_t)text.len_bytes, &err);
+	if (refused(&err, out))
+		return;
+	for (i = 0; i < c->service_count; i++)
+		buf_addf(out,
+			 "service %s connections %u cold rate %u/1000 a "
+			 "second\n",
+			 c->services[i].name,
+			 c->services[i].target_connections_max,
+			 c->services[i].cold_rate_milli);
+	route_config_unref(c);
+}
+
 /* order JSON: an order to roll out a version. */
 static void cmd_order(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -140,9 +162,10 @@
 }
 
 static const struct script_command commands[] = {
-	{ "target", cmd_target }, { "host", cmd_host },
-	{ "config", cmd_config }, { "order", cmd_order },
-	{ "list", cmd_list },	  { "events", cmd_events },
+	{ "target", cmd_target },     { "host", cmd_host },
+	{ "config", cmd_config },     { "order", cmd_order },
+	{ "list", cmd_list },	      { "events", cmd_events },
+	{ "services", cmd_services },
 };
 
 int main(int argc, char **argv)
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -216,7 +216,10 @@
 	f->gw = fixture_gw(f, f->now_us);
 }
 
-/* service NAME [connections=N] [cold=N]: adds a service to the next view. */
+/*
+ * service NAME [connections=N] [cold=N] [cold_milli=N]: adds a service to the
+ * next view. N calls a second, and thousandths of one, to a cold target.
+ */
 static void cmd_service(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct fixture *f = ctx;
@@ -332,7 +335,8 @@
 
 	s->name = util_strdup(words[0]);
 	s->target_connections_max = script_u32(n, words, "connections", 20);
-	s->cold_requests_per_s = script_u32(n, words, "cold", 0);
+	s->cold_rate_milli = script_u32(n, words, "cold", 0) * 1000 +
+			     script_u32(n, words, "cold_milli", 0);
 }
 
 static void fill_parts(const struct route_config *config, struct route *r,
