gateway: Spread the first calls of all hosts to a cold target

What targets would see: with many hosts, one call of each in the first second after they turn cold, whatever rate their service states (FAILBACK).

Cause: each host sends its share of the rate at equal intervals, but its first call at once, and all hosts learn of the warm-up at about the same time.

Change: each host begins at its own place in its interval, by the order of the hosts' names. The rates of services are known before targets are bound.

--- a/src/gateway/5_send.c
+++ b/src/gateway/5_send.c
@@ -149,12 +149,9 @@
 static void set_next_cold_call(struct gw_target *t, const struct gw *g,
 			       const struct gw_service *s, int64_t now_us)
 {
-	if (now_us >= t->cold_until_us || !s->cold_rate_milli)
-		return;
-	/* Each host sends its share of the rate at equal intervals. */
-	t->cold_next_call_us =
-		now_us + (int64_t)(US_PER_S * gw_host_divisor_milli(g, s) /
-				   s->cold_rate_milli);
+	if (now_us < t->cold_until_us)
+		t->cold_next_call_us =
+			now_us + gw_target_cold_interval_us(g, s);
 }
 
 /* Logs each extra call, and the first calls of traced requests. */
@@ -523,7 +520,7 @@
 	} else {
 		gw_target_failed(call->target, reply, now_us);
 	}
-	gw_target_heard(call->target, reply, now_us);
+	gw_target_heard(call->gw, call->target, reply, now_us);
 	if (!p)
 		target_reply_free(reply);
 	else if (good || is_final(p, reply))
--- a/src/gateway/gw_binding.c
+++ b/src/gateway/gw_binding.c
@@ -117,13 +117,15 @@
 			int64_t now_us)
 {
 	struct gw_target *t = get_target(g, def);
+	int is_cold_again = def->warmup_left_ms &&
+			    def->warmup_left_ms != t->def.warmup_left_ms;
 
-	if (def->warmup_left_ms && def->warmup_left_ms != t->def.warmup_left_ms)
-		gw_target_set_warmup(t, def->warmup_left_ms, now_us);
 	if (strcmp(t->def.address, def->address) != 0 ||
 	    t->def.port != def->port)
 		t->misdirected_until_us = 0;
 	t->def = *def;
+	if (is_cold_again)
+		gw_target_set_warmup(g, t, def->warmup_left_ms, now_us);
 	g->target_count += !def->is_draining && !def->is_evacuated;
 	t->is_usable = !def->is_draining && !def->is_evacuated &&
 		       !t->is_leaving;
@@ -169,7 +171,6 @@
 			   ALLOWANCE_PERMILLE * MILLI / divisor_milli);
 	uint32_t i;
 
-	s->cold_rate_milli = def->cold_rate_milli;
 	extra_window_configure(&s->extra_calls,
 			       g->opt.tuning.extra_call_permille *
 				       ALLOWANCE_PERMILLE / PERMILLE,
@@ -209,13 +210,25 @@
 	}
 }
 
+/* What the targets need to know of their services when they are bound. */
+static void bind_services(struct gw *g)
+{
+	const struct route_config *c = g->binding ? g->binding->config : NULL;
+	uint32_t i;
+
+	if (!c)
+		return;
+	mark_shards(g, c);
+	for (i = 0; i < c->service_count; i++)
+		g->binding->services[i]->cold_rate_milli =
+			c->services[i].cold_rate_milli;
+}
+
 static void set_all_limits(struct gw *g)
 {
 	const struct route_config *c = g->binding ? g->binding->config : NULL;
 	uint32_t i;
 
-	if (c)
-		mark_shards(g, c);
 	for (i = 0; c && i < c->service_count; i++)
 		set_limits(g, &c->services[i], g->binding->services[i]);
 }
@@ -233,8 +246,6 @@
 	g->host_count = util_max_u32(1, v->host_count);
 	unbind_targets(g);
 	g->target_count = 0;
-	for (i = 0; i < v->target_count; i++)
-		bind_target(g, &v->targets[i], now_us);
 	if (v->config && (!g->binding || g->binding->config != v->config)) {
 		gw_binding_unref(g->binding);
 		g->binding = binding_new(g, route_config_ref(v->config));
@@ -244,6 +255,9 @@
 			  v->config->route_count, v->config->service_count);
 	}
 	gw_host_bind(g, v, now_us);
+	bind_services(g);
+	for (i = 0; i < v->target_count; i++)
+		bind_target(g, &v->targets[i], now_us);
 	set_all_limits(g);
 	gw_version_bind(g, v, now_us);
 	g_hash_table_foreach_remove(g->targets, is_unused, &now_us);
--- a/src/gateway/gw_host.c
+++ b/src/gateway/gw_host.c
@@ -129,6 +129,20 @@
 	g->gatherer_share_until_us = now_us + SHARE_GRACE_US;
 }
 
+/* Places of the hosts follow from the order of their names. */
+static void set_turn(struct gw *g, const struct gw_view *v)
+{
+	uint32_t before = 0;
+	uint32_t i;
+
+	for (i = 0; i < v->entry_count; i++)
+		before += strcmp(v->entries[i].name, g->opt.host) < 0;
+	g->turn_permille = v->entry_count ? before * PERMILLE /
+						    util_max_u32(v->entry_count,
+								 before + 1)
+					  : 0;
+}
+
 void gw_host_bind(struct gw *g, const struct gw_view *v, int64_t now_us)
 {
 	struct forward_load load = { PARTS_TYPICAL, PART_BYTES_DEFAULT };
@@ -145,6 +159,7 @@
 		g_ptr_array_set_size(g->gatherers, 0);
 	}
 	set_share_count(g, now_us);
+	set_turn(g, v);
 	g_hash_table_foreach_remove(g->hosts, is_unused, NULL);
 }
 
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -328,6 +328,11 @@
 	 */
 	uint32_t gatherer_share_count;
 	int64_t gatherer_share_until_us;
+	/*
+	 * Place of this host among all, from 0 to below 1000, evenly spread;
+	 * what all hosts do at intervals they begin at different times.
+	 */
+	uint32_t turn_permille;
 	/* Forwarded requests of other hosts that are open. */
 	uint32_t forwarded_count;
 	/* Time by which all requests end because the host leaves; 0: stays. */
@@ -467,14 +472,20 @@
 	int64_t next_call_us;
 };
 
-/* The target states that its warm-up takes @left_ms more. */
-void gw_target_set_warmup(struct gw_target *t, uint32_t left_ms,
-			  int64_t now_us);
+/* Target @t of @g states that its warm-up takes @left_ms more. */
+void gw_target_set_warmup(const struct gw *g, struct gw_target *t,
+			  uint32_t left_ms, int64_t now_us);
+/*
+ * Time between two calls of this host to a cold target of @s; 0: any, the
+ * service sets no limit.
+ */
+int64_t gw_target_cold_interval_us(const struct gw *g,
+				   const struct gw_service *s);
 /* Keeps a target that is leaving after it has left the view. */
 void gw_target_keep_leaving(struct gw_target *t, int64_t now_us);
 /* Takes over what the target says in @reply of itself. */
-void gw_target_heard(struct gw_target *t, const struct target_reply *reply,
-		     int64_t now_us);
+void gw_target_heard(const struct gw *g, struct gw_target *t,
+		     const struct target_reply *reply, int64_t now_us);
 /* Calls that usable targets take at once from this host, and those open. */
 struct gw_room {
 	uint32_t call_limit;
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -145,8 +145,30 @@
 	t->kept_until_us = util_max_i64(t->kept_until_us, at_us);
 }
 
-void gw_target_set_warmup(struct gw_target *t, uint32_t left_ms, int64_t now_us)
+int64_t gw_target_cold_interval_us(const struct gw *g,
+				   const struct gw_service *s)
 {
+	if (!s->cold_rate_milli)
+		return 0;
+	/* Each host sends its share of the rate at equal intervals. */
+	return (int64_t)(US_PER_S * gw_host_divisor_milli(g, s) /
+			 s->cold_rate_milli);
+}
+
+void gw_target_set_warmup(const struct gw *g, struct gw_target *t,
+			  uint32_t left_ms, int64_t now_us)
+{
+	const struct gw_service *s =
+		g_hash_table_lookup(g->services, t->def.service);
+
+	/*
+	 * All hosts learn of it at about the same time; their first calls must
+	 * not come together.
+	 */
+	if (now_us >= t->cold_until_us && s)
+		t->cold_next_call_us =
+			now_us + gw_target_cold_interval_us(g, s) *
+					 g->turn_permille / PERMILLE;
 	left_ms = util_min_u32(left_ms, WARMUP_MAX_MS);
 	t->cold_until_us = now_us + (int64_t)left_ms * US_PER_MS;
 }
@@ -184,11 +206,11 @@
 	set_kept_until(t, t->paused_until_us);
 }
 
-void gw_target_heard(struct gw_target *t, const struct target_reply *reply,
-		     int64_t now_us)
+void gw_target_heard(const struct gw *g, struct gw_target *t,
+		     const struct target_reply *reply, int64_t now_us)
 {
 	if (reply->warmup_left_ms > 0)
-		gw_target_set_warmup(t, (uint32_t)reply->warmup_left_ms,
+		gw_target_set_warmup(g, t, (uint32_t)reply->warmup_left_ms,
 				     now_us);
 	if (reply->is_leaving)
 		set_leaving(t, now_us);
