gateway: Keep a pause that a target asks for to its end

Cause: pauses were cut to 60 s, as a guard against mistyped figures.

The time that refused callers are told is bounded by its field instead of overflowing.

--- a/src/gateway/2_admit.c
+++ b/src/gateway/2_admit.c
@@ -82,8 +82,7 @@
 		return gw_leave_refuse(r);
 	if (!gw_req_has_time(r, at_us) && at_us > now_us)
 		return gw_req_refuse(r, 503, ERR_NO_REPLICA,
-				     (uint32_t)((at_us - now_us) / US_PER_MS) +
-					     1);
+				     gw_req_retry_ms(at_us, now_us));
 	/* Parts that would come too late are not needed if there are enough. */
 	r->wait_until_us = route->is_gather && at_us <= now_us
 				   ? r->partial_after_us
--- a/src/gateway/6_answer.c
+++ b/src/gateway/6_answer.c
@@ -39,8 +39,7 @@
 							    r->parts[i].service,
 							    now_us));
 	}
-	return util_max_u32(RETRY_AFTER_MS,
-			    (uint32_t)((at_us - now_us) / US_PER_MS) + 1);
+	return util_max_u32(RETRY_AFTER_MS, gw_req_retry_ms(at_us, now_us));
 }
 
 static enum filter_step refuse(struct gw_req *r, int64_t now_us)
--- a/src/gateway/gw.c
+++ b/src/gateway/gw.c
@@ -140,6 +140,12 @@
 	return FILTER_DONE;
 }
 
+uint32_t gw_req_retry_ms(int64_t at_us, int64_t now_us)
+{
+	return (uint32_t)util_min_i64((at_us - now_us) / US_PER_MS + 1,
+				      UINT32_MAX);
+}
+
 static void count_outcome(const struct gw_req *r, enum series_outcome outcome,
 			  int64_t now_us)
 {
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -363,6 +363,8 @@
  */
 enum filter_step gw_req_refuse(struct gw_req *r, uint32_t status,
 			       enum err_code code, uint32_t retry_after_ms);
+/* Time in ms to be stated so that a caller does not come before @at_us. */
+uint32_t gw_req_retry_ms(int64_t at_us, int64_t now_us);
 /* 1 if a call sent at @at_us can still be answered before the deadline. */
 int gw_req_has_time(const struct gw_req *r, int64_t at_us);
 /*
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -55,12 +55,6 @@
  */
 #define MISDIRECTED_US (30 * US_PER_S)
 #define STATUS_MISDIRECTED 421
-/*
- * Longest pause that a target may ask for. Overload is over within seconds; a
- * target that leaves for longer says so in other ways. After this time a single
- * call finds out whether a longer pause was meant.
- */
-#define PAUSE_MAX_MS (60 * MS_PER_S)
 /*
  * Longest warm-up that a target may state; a larger figure is a mistake, which
  * must not keep the target at its cold rate for days.
@@ -194,9 +188,7 @@
 /* Once the pause is over, calls are sent one at a time until one succeeds. */
 static void set_pause(struct gw_target *t, uint32_t pause_ms, int64_t now_us)
 {
-	int64_t until_us =
-		now_us +
-		(int64_t)util_min_u32(pause_ms, PAUSE_MAX_MS) * US_PER_MS;
+	int64_t until_us = now_us + (int64_t)pause_ms * US_PER_MS;
 
 	log_event(LOG_LEVEL_INFO, "target_paused",
 		  "target %s service %s asks for a pause of %u ms", t->def.id,
