gateway: Keep a warm-up to the end that a target states

What a target would see: more than its cold rate (FAILBACK) once five minutes of a longer warm-up are over.

Cause: stated warm-ups were cut to 300 s, as pauses were to 60 s.

--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -55,11 +55,6 @@
  */
 #define MISDIRECTED_US (30 * US_PER_S)
 #define STATUS_MISDIRECTED 421
-/*
- * Longest warm-up that a target may state; a larger figure is a mistake, which
- * must not keep the target at its cold rate for days.
- */
-#define WARMUP_MAX_MS (300 * MS_PER_S)
 /*
  * A process that is leaving may lose its entry in the store and get it back;
  * this time is longer than any process takes to leave.
@@ -163,7 +158,6 @@
 		t->cold_next_call_us =
 			now_us + gw_target_cold_interval_us(g, s) *
 					 g->turn_permille / PERMILLE;
-	left_ms = util_min_u32(left_ms, WARMUP_MAX_MS);
 	t->cold_until_us = now_us + (int64_t)left_ms * US_PER_MS;
 }
 
