platform: Keep times in header fields within their members

What a caller would see: a refusal at once for a request with a time limit of 4,294,967,297 ms, which was read as 1 ms. A warm-up of that length was read as 1 ms, too.

Cause: numbers of header fields were cut to 32 bits.

--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -942,6 +942,39 @@
 	ingress_end(&c);
 }
 
+/*
+ * Guards against a time in a header field that is too large for its member and
+ * turns into a short one.
+ */
+static void test_large_times(void)
+{
+	struct egress_case e;
+	struct ingress_case c;
+	struct exchange_request *r;
+	struct target_reply *reply_of_target;
+	int fd;
+
+	ingress_begin(&c);
+	fd = loopback_connect(c.caller_port);
+	put(fd, HEAD_GET "Cowslippoint-Deadline-Ms: 4294967297\r\n\r\n");
+	r = take(c.requests, MSG_EXCHANGE_REQUEST);
+	g_assert_cmpuint(r->caller_timeout_ms, ==, UINT32_MAX);
+	exchange_request_free(r);
+	close(fd);
+	ingress_end(&c);
+	egress_begin(&e);
+	call(&e, "r1", 0);
+	fd = accept(e.listener, NULL, NULL);
+	expect(fd, "\r\n\r\n");
+	put(fd, HEAD_OK "Cowslippoint-Warmup-Ms: 4294967297\r\n"
+			"Content-Length: 0\r\n\r\n");
+	reply_of_target = reply(&e);
+	g_assert_cmpint(reply_of_target->warmup_left_ms, ==, INT32_MAX);
+	target_reply_free(reply_of_target);
+	egress_end(&e);
+	close(fd);
+}
+
 /*
  * Guards against a body where the caller expects its next answer: answers to
  * HEAD have none, be they a target's or errors of the gateway, and neither have
@@ -1256,6 +1289,7 @@
 	g_test_add_func("/egress/idle", test_idle);
 	g_test_add_func("/egress/ends", test_ends);
 	g_test_add_func("/ingress/exchange", test_exchange);
+	g_test_add_func("/ingress/large-times", test_large_times);
 	g_test_add_func("/ingress/no-body", test_answer_no_body);
 	g_test_add_func("/ingress/gone", test_gone);
 	g_test_add_func("/ingress/malformed", test_malformed);
