gateway: Count the credit of weighted choices in choices

Cause: the credit that spreads choices evenly was counted in units of the weights, and a change of their scale made old credit worth many requests.

--- a/src/gateway/4_plan.c
+++ b/src/gateway/4_plan.c
@@ -1,17 +1,13 @@
 /* Filter 4: selects the services that the request asks. */
+#include "decide/weighted.h"
 #include "gateway/gw_internal.h"
 
-/*
- * Smooth weighted round-robin: each part's credit grows by its weight, the part
- * with the most credit is chosen and its credit shrinks by the sum of all
- * weights. So the shares also hold over few requests.
- */
+/* Chooses a part of a route that splits its requests by weights. */
 static uint32_t choose_part(struct gw_req *r)
 {
 	const struct route *route = r->route;
 	struct gw_route_stats *s = r->stats;
-	double weight_sum = 0;
-	uint32_t best = 0;
+	double *weights CLEANUP_FREE = NULL;
 	uint32_t i;
 
 	if (route->part_count == 1)
@@ -21,14 +17,10 @@
 		s->credit = util_alloc(route->part_count, sizeof(s->credit[0]));
 		s->credit_count = route->part_count;
 	}
-	for (i = 0; i < route->part_count; i++) {
-		s->credit[i] += route->parts[i].weight;
-		weight_sum += route->parts[i].weight;
-		if (s->credit[i] > s->credit[best])
-			best = i;
-	}
-	s->credit[best] -= weight_sum;
-	return best;
+	weights = util_alloc(route->part_count, sizeof(weights[0]));
+	for (i = 0; i < route->part_count; i++)
+		weights[i] = route->parts[i].weight;
+	return weighted_choose(weights, s->credit, route->part_count);
 }
 
 static enum filter_step enter(void *ctx, void *item, int64_t now_us)
