discovery: Ignore writes that the store carries out late

What could happen (found by reading in the review): a heartbeat that the store carries out seconds late undoes the leaving of a searcher, or brings back one that has left, and it gets new requests (DRAIN).

Cause: entries were taken in the order of the store. The number of the write and the start of the process, which each entry states, were not compared.

Change: an earlier write of the same process is ignored, for a minute also after its entry was removed. A write of a process that states an earlier start is held back for five seconds: it is late if the next heartbeat replaces it, otherwise the target's clock was moved back and the entry holds.

--- a/src/controller/discovery.c
+++ b/src/controller/discovery.c
@@ -10,11 +10,31 @@
  * two seconds of its return. A target whose entry is not back then is gone.
  */
 #define RETURN_US (2200 * US_PER_MS)
+/*
+ * The store may carry out a write seconds late. What was known last of a target
+ * that has left is kept for this long, so that such a write does not bring it
+ * back.
+ */
+#define LEFT_KEPT_US (60 * (int64_t)US_PER_S)
+/* Targets that have left and are kept in any case, beside those that are there. */
+#define LEFT_KEPT_MIN 64
+/*
+ * An entry that states an earlier start than the known one is a late write, and
+ * the next heartbeat replaces it, or the target's clock was moved back. It holds
+ * if it is still there after this time, which is several heartbeats.
+ */
+#define HELD_US (5 * (int64_t)US_PER_S)
 
 struct known_target {
 	struct target_entry def;
 	/* 1: the entry is gone; the target is kept until grace_until_us. */
 	int is_missing;
+	/* 1: the target has left; its entry is kept until left_until_us. */
+	int has_left;
+	int64_t left_until_us;
+	/* Entry that is held back until held_until_us; 0: none. */
+	int64_t held_until_us;
+	struct target_entry held;
 };
 
 struct discovery {
@@ -23,6 +43,10 @@
 	void *ctx;
 	/* ID of the target to struct known_target. */
 	GHashTable *targets;
+	/* Those of @targets that have not left. */
+	uint32_t count;
+	/* Due when the first held entry is. */
+	struct timer_entry held_timer;
 	/* Set of the names of data centres that are out of service. */
 	GHashTable *evacuated;
 	/* Until this time targets whose entries are missing are kept. */
@@ -49,35 +73,153 @@
 	if (!d)
 		return;
 	timer_queue_cancel(d->timers, &d->grace_timer);
+	timer_queue_cancel(d->timers, &d->held_timer);
 	g_hash_table_destroy(d->targets);
 	g_hash_table_destroy(d->evacuated);
 	free(d);
 }
 
-void discovery_put(struct discovery *d, const struct target_entry *target,
-		   int64_t now_us)
+/* Forgets targets that left long ago, once there are many that have left. */
+static void forget_left(struct discovery *d, int64_t now_us)
 {
-	struct known_target *known =
-		g_hash_table_lookup(d->targets, target->id);
-	int is_new = !known;
+	GHashTableIter it;
+	gpointer value;
+
+	if (g_hash_table_size(d->targets) < 2 * d->count + LEFT_KEPT_MIN)
+		return;
+	g_hash_table_iter_init(&it, d->targets);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct known_target *known = value;
 
-	if (is_new) {
-		known = util_alloc(1, sizeof(*known));
-		known->def = *target;
-		g_hash_table_insert(d->targets, known->def.id, known);
+		if (known->has_left && now_us >= known->left_until_us)
+			g_hash_table_iter_remove(&it);
 	}
+}
+
+static struct known_target *add_target(struct discovery *d,
+				       const struct target_entry *target)
+{
+	struct known_target *known = util_alloc(1, sizeof(*known));
+
+	known->def = *target;
+	known->has_left = 1;
+	g_hash_table_insert(d->targets, known->def.id, known);
+	return known;
+}
+
+/* Takes over an entry of a target that is known, or has been added. */
+static void take_entry(struct discovery *d, struct known_target *known,
+		       const struct target_entry *target, int64_t now_us)
+{
+	int is_new = known->has_left;
+
 	if (!is_new && known->def.is_draining != target->is_draining)
 		log_event(LOG_LEVEL_INFO, "target_phase",
 			  "target %s service %s is %s", target->id,
 			  target->service,
 			  target->is_draining ? "draining" : "ready");
+	d->count += (uint32_t)is_new;
+	known->has_left = 0;
 	known->is_missing = 0;
-	if (!is_new && target_entry_equal(&known->def, target))
+	known->held_until_us = 0;
+	if (!is_new && target_entry_equal(&known->def, target)) {
+		known->def.write_no = target->write_no;
 		return;
+	}
 	known->def = *target;
 	d->changed(d->ctx, now_us);
 }
 
+static void on_held(void *ctx, int64_t now_us);
+
+/* Arms the timer for the first of the entries that are held. */
+static void arm_held(struct discovery *d)
+{
+	int64_t first_us = 0;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, d->targets);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct known_target *known = value;
+
+		if (known->held_until_us &&
+		    (!first_us || known->held_until_us < first_us))
+			first_us = known->held_until_us;
+	}
+	if (first_us)
+		timer_queue_arm(d->timers, &d->held_timer, first_us, on_held,
+				d);
+	else
+		timer_queue_cancel(d->timers, &d->held_timer);
+}
+
+static void on_held(void *ctx, int64_t now_us)
+{
+	struct discovery *d = ctx;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, d->targets);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct known_target *known = value;
+
+		if (known->held_until_us && now_us >= known->held_until_us)
+			take_entry(d, known, &known->held, now_us);
+	}
+	arm_held(d);
+}
+
+/* 1 if @target is not to be taken over now. */
+static int is_late(struct discovery *d, struct known_target *known,
+		   const struct target_entry *target, int64_t now_us)
+{
+	enum target_entry_order order = target_entry_order(target, &known->def);
+
+	if (order == TARGET_ENTRY_LATER ||
+	    (known->has_left && now_us >= known->left_until_us))
+		return 0;
+	log_event(LOG_LEVEL_INFO, "target_entry_late",
+		  "target %s service %s: write %llu of the process of %lld "
+		  "comes after write %llu of that of %lld",
+		  target->id, target->service,
+		  (unsigned long long)target->write_no,
+		  (long long)target->started_ms,
+		  (unsigned long long)known->def.write_no,
+		  (long long)known->def.started_ms);
+	if (order == TARGET_ENTRY_OLD_PROCESS) {
+		known->held = *target;
+		known->held_until_us = now_us + HELD_US;
+		known->left_until_us = util_max_i64(known->left_until_us,
+						    known->held_until_us + 1);
+		arm_held(d);
+	}
+	return 1;
+}
+
+void discovery_put(struct discovery *d, const struct target_entry *target,
+		   int64_t now_us)
+{
+	struct known_target *known =
+		g_hash_table_lookup(d->targets, target->id);
+
+	if (!known)
+		known = add_target(d, target);
+	else if (is_late(d, known, target, now_us))
+		return;
+	take_entry(d, known, target, now_us);
+}
+
+/* The entry is gone; what was known is kept for a while. */
+static void set_left(struct discovery *d, struct known_target *known,
+		     int64_t now_us)
+{
+	known->has_left = 1;
+	known->is_missing = 0;
+	known->left_until_us = now_us + LEFT_KEPT_US;
+	d->count--;
+}
+
 static void on_grace_over(void *ctx, int64_t now_us)
 {
 	struct discovery *d = ctx;
@@ -93,7 +235,7 @@
 		log_event(LOG_LEVEL_INFO, "target_gone",
 			  "target %s service %s did not return", known->def.id,
 			  known->def.service);
-		g_hash_table_iter_remove(&it);
+		set_left(d, known, now_us);
 	}
 	d->changed(d->ctx, now_us);
 }
@@ -114,11 +256,15 @@
 {
 	struct known_target *known = g_hash_table_lookup(d->targets, id);
 
-	if (!known || defer_removal(d, known, now_us))
+	if (!known)
+		return;
+	known->held_until_us = 0;
+	if (known->has_left || defer_removal(d, known, now_us))
 		return;
 	log_event(LOG_LEVEL_INFO, "target_gone", "target %s service %s left",
 		  id, known->def.service);
-	g_hash_table_remove(d->targets, id);
+	set_left(d, known, now_us);
+	forget_left(d, now_us);
 	d->changed(d->ctx, now_us);
 }
 
@@ -147,7 +293,7 @@
 
 uint32_t discovery_count(const struct discovery *d)
 {
-	return g_hash_table_size(d->targets);
+	return d->count;
 }
 
 void discovery_fill(const struct discovery *d, struct target_entry *out)
@@ -157,7 +303,11 @@
 
 	g_hash_table_iter_init(&it, d->targets);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		*out = ((struct known_target *)value)->def;
+		const struct known_target *known = value;
+
+		if (known->has_left)
+			continue;
+		*out = known->def;
 		out->is_evacuated = (uint32_t)g_hash_table_contains(
 			d->evacuated, out->data_centre);
 		out++;
--- a/src/controller/discovery.h
+++ b/src/controller/discovery.h
@@ -3,7 +3,8 @@
  * store. Pure: entries, removals and the time are passed in. An entry that is
  * missing shortly after the store was out of reach may only have expired
  * because the target could not renew it, so its target is kept until it had
- * time to write the entry again.
+ * time to write the entry again. A write that the store carries out late does
+ * not undo a later one of the target, nor its leaving.
  */
 #ifndef DISCOVERY_H
 #define DISCOVERY_H
--- a/src/model/gw_view.c
+++ b/src/model/gw_view.c
@@ -16,6 +16,18 @@
 	       a->started_ms == b->started_ms;
 }
 
+enum target_entry_order target_entry_order(const struct target_entry *entry,
+					   const struct target_entry *known)
+{
+	if (!entry->started_ms || !known->started_ms ||
+	    entry->started_ms > known->started_ms)
+		return TARGET_ENTRY_LATER;
+	if (entry->started_ms < known->started_ms)
+		return TARGET_ENTRY_OLD_PROCESS;
+	return entry->write_no < known->write_no ? TARGET_ENTRY_EARLIER
+						 : TARGET_ENTRY_LATER;
+}
+
 struct gw_view *gw_view_new(uint32_t target_count)
 {
 	struct gw_view *v = util_alloc(1, sizeof(*v));
--- a/src/model/gw_view.h
+++ b/src/model/gw_view.h
@@ -34,12 +34,30 @@
 	uint32_t warmup_left_ms;
 	/* Wall-clock time in ms at which the process started; 0: not stated. */
 	int64_t started_ms;
+	/* Number of this write of the process; rises with each one. */
+	uint64_t write_no;
 };
 
-/* 1 if all members other than is_evacuated are equal. */
+/* 1 if all members other than is_evacuated and write_no are equal. */
 int target_entry_equal(const struct target_entry *a,
 		       const struct target_entry *b);
 
+enum target_entry_order {
+	/* The entry was written later, or it is not known. */
+	TARGET_ENTRY_LATER,
+	/* It was written before by the same process. */
+	TARGET_ENTRY_EARLIER,
+	/*
+	 * It was written by a process that states an earlier start; its clock
+	 * may also have been moved back.
+	 */
+	TARGET_ENTRY_OLD_PROCESS
+};
+
+/* When @entry was written, compared with @known of the same target. */
+enum target_entry_order target_entry_order(const struct target_entry *entry,
+					   const struct target_entry *known);
+
 struct gw_view {
 	_Atomic uint32_t refs;
 	/* NULL until a configuration is known. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -241,7 +241,7 @@
 
 /*
  * target ID SERVICE [dc=a] [born=MS] [draining=1] [version=V] [at=IP]
- * [cold=MS]: puts the entry of a target into discovery.
+ * [cold=MS] [seq=N]: puts the entry of a target into discovery.
  */
 static void cmd_target(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -258,6 +258,7 @@
 	util_copy_str(entry.version, sizeof(entry.version),
 		      script_arg(argc, argv, "version", "v1"));
 	entry.started_ms = script_int(argc, argv, "born", 1);
+	entry.write_no = script_u32(argc, argv, "seq", 0);
 	entry.is_draining = script_u32(argc, argv, "draining", 0);
 	entry.warmup_left_ms = script_u32(argc, argv, "cold", 0);
 	discovery_put(f->discovery, &entry, f->now_us);
