rollout: Keep rolled-back versions out of the next rollouts

Cause: the document of a service names one version with a share. The next order replaced the one that was barred.

Change: the document also names up to four versions that earlier orders rolled back. They get no request while an order is in effect.

--- a/src/codec/gw_rollout_json.c
+++ b/src/codec/gw_rollout_json.c
@@ -16,12 +16,37 @@
 				state_names[r->state], "share_permille",
 				(json_int_t)r->share_permille, "elapsed_ms",
 				(json_int_t)r->elapsed_ms, "reason", r->reason);
-	char *text = json_dumps(doc, JSON_COMPACT);
+	json_t *barred = json_array();
+	char *text;
+	uint32_t i;
 
+	for (i = 0; i < r->barred.count; i++)
+		json_array_append_new(barred,
+				      json_string(r->barred.versions[i]));
+	if (r->barred.count)
+		json_object_set(doc, "barred", barred);
+	json_decref(barred);
+	text = json_dumps(doc, JSON_COMPACT);
 	json_decref(doc);
 	return text;
 }
 
+/* Adds the names in @list, which is NULL if the document has none. */
+static int decode_barred(const json_t *list, struct gw_barred *out)
+{
+	size_t i;
+
+	for (i = 0; i < json_array_size(list); i++) {
+		const char *version =
+			json_string_value(json_array_get(list, i));
+
+		if (!version || !version[0] || strlen(version) >= NAME_BYTES)
+			return 0;
+		gw_barred_add(out, version);
+	}
+	return !list || json_is_array(list);
+}
+
 enum err_code gw_rollout_json_decode(const char *service, const char *json,
 				     uint32_t json_bytes,
 				     struct gw_rollout *out, struct err *err)
@@ -52,6 +77,7 @@
 	out->order_rev = (uint64_t)order_rev;
 	out->share_permille = (uint32_t)share;
 	out->elapsed_ms = (uint32_t)elapsed_ms;
+	ok = ok && decode_barred(json_object_get(doc, "barred"), &out->barred);
 	json_decref(doc);
 	if (!ok)
 		return err_set(err, ERR_BAD_FIELD,
--- a/src/controller/canary.c
+++ b/src/controller/canary.c
@@ -344,6 +344,20 @@
 	return score(s) >= SUSPECT_SHARE * threshold();
 }
 
+/* Versions that get no request while the order in effect is carried out. */
+static struct gw_barred barred_of(const struct service_rollout *s)
+{
+	struct gw_barred barred = s->item.barred;
+
+	if (!is_running(s) || is_current(s))
+		return barred;
+	/* The next item will follow the one of an earlier order. */
+	if (s->item_rev && s->item.state == GW_ROLLOUT_ROLLED_BACK)
+		gw_barred_add(&barred, s->item.to);
+	gw_barred_remove(&barred, s->order.to);
+	return barred;
+}
+
 static int64_t settle_us(const struct service_rollout *s)
 {
 	return util_min_i64(CANARY_SETTLE_US,
@@ -367,7 +381,8 @@
 
 	if (!is_running(s))
 		return 0;
-	*next = (struct gw_rollout){ .order_rev = s->order_rev };
+	*next = (struct gw_rollout){ .order_rev = s->order_rev,
+				     .barred = barred_of(s) };
 	memcpy(next->service, s->service, sizeof(next->service));
 	memcpy(next->to, s->order.to, sizeof(next->to));
 	next->elapsed_ms = (uint32_t)(since_order_us / US_PER_MS);
@@ -477,6 +492,7 @@
 	/* Without an order, only a rolled-back version has a share set: 0. */
 	if (!s->order_rev && !is_back)
 		return 0;
+	*out = (struct gw_version_share){ .barred = barred_of(s) };
 	memcpy(out->service, s->service, sizeof(out->service));
 	util_copy_str(out->version, sizeof(out->version), to);
 	out->is_bad = s->is_bad ||
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -127,6 +127,8 @@
 	uint32_t share_permille;
 	/* 1: the new version gets no call while its share is below 1000. */
 	int is_bad;
+	/* Versions that get no call. */
+	struct gw_barred barred;
 	/*
 	 * Each part adds share_permille; a part for which the new version is
 	 * chosen subtracts 1000.
--- a/src/gateway/gw_version.c
+++ b/src/gateway/gw_version.c
@@ -85,6 +85,7 @@
 	}
 	split->is_active = 1;
 	split->is_bad = (int)share->is_bad;
+	split->barred = share->barred;
 	split->share_permille = share->share_permille;
 }
 
@@ -107,6 +108,9 @@
 int gw_version_allows(const struct gw_service *s, const struct gw_target *t,
 		      enum gw_version_group group)
 {
+	if (s->version_split.is_active &&
+	    gw_barred_has(&s->version_split.barred, t->def.version))
+		return 0;
 	if (group == VERSION_GROUP_ANY)
 		return 1;
 	return is_new_version(s, t) == (group == VERSION_GROUP_NEW);
@@ -142,7 +146,8 @@
 	uint32_t i;
 
 	for (i = 0; i < s->targets->len; i++) {
-		if (!is_new_version(s, g_ptr_array_index(s->targets, i)))
+		if (gw_version_allows(s, g_ptr_array_index(s->targets, i),
+				      VERSION_GROUP_OLD))
 			return 1;
 	}
 	return 0;
--- a/src/model/gw_rollout.h
+++ b/src/model/gw_rollout.h
@@ -9,6 +9,8 @@
 /* Services that may have a rollout at the same time. */
 #define GW_ROLLOUTS_MAX 64
 #define GW_REASON_BYTES 160
+/* Rolled-back versions of a service that are kept; the oldest are forgotten. */
+#define GW_BARRED_MAX 4
 
 /* Version name that stands for all versions but the one being rolled out. */
 #define GW_OTHER_VERSIONS "-"
@@ -22,6 +24,18 @@
 	uint32_t duration_ms;
 };
 
+/* Versions that earlier rollouts have rolled back: they get no request. */
+struct gw_barred {
+	uint32_t count;
+	/* The oldest first. */
+	char versions[GW_BARRED_MAX][NAME_BYTES];
+};
+
+/* Adds @version as the newest, or moves it there. */
+void gw_barred_add(struct gw_barred *b, const char *version);
+void gw_barred_remove(struct gw_barred *b, const char *version);
+int gw_barred_has(const struct gw_barred *b, const char *version);
+
 /* DEF(id, name in the hosts' document) */
 #define GW_ROLLOUT_STATES(DEF)             \
 	DEF(GW_ROLLOUT_RUNNING, "running") \
@@ -48,6 +62,8 @@
 	uint32_t elapsed_ms;
 	/* Why the rollout was rolled back; else empty. */
 	char reason[GW_REASON_BYTES];
+	/* Their targets may still run. */
+	struct gw_barred barred;
 };
 
 /* Document that the hosts write for the operator. */
@@ -64,6 +80,7 @@
 	uint32_t share_permille;
 	/* 1: gets no request, even if the service has no other target left. */
 	uint32_t is_bad;
+	struct gw_barred barred;
 };
 
 #endif
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -383,8 +383,8 @@
 }
 
 /*
- * split SERVICE VERSION PERMILLE [bad]: the share of requests that a new
- * version gets in the next view.
+ * split SERVICE VERSION PERMILLE [bad] [barred=VERSION]: the share of requests
+ * that a new version gets in the next view, and a version that gets none.
  */
 static void cmd_split(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -393,7 +393,11 @@
 	util_copy_str(f->share.service, sizeof(f->share.service), argv[0]);
 	util_copy_str(f->share.version, sizeof(f->share.version), argv[1]);
 	f->share.share_permille = (uint32_t)strtoul(argv[2], NULL, 10);
-	f->share.is_bad = argc > 3;
+	f->share.is_bad = argc > 3 && strcmp(argv[3], "bad") == 0;
+	f->share.barred.count = 0;
+	if (script_arg(argc, argv, "barred", NULL))
+		gw_barred_add(&f->share.barred,
+			      script_arg(argc, argv, "barred", ""));
 }
 
 /*
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -176,10 +176,17 @@
 	uint32_t n = canary_shares(c->canary, shares, 4);
 	uint32_t i;
 
-	for (i = 0; i < n; i++)
-		buf_addf(out, "%s %s %u permille%s\n", shares[i].service,
+	for (i = 0; i < n; i++) {
+		uint32_t k;
+
+		buf_addf(out, "%s %s %u permille%s", shares[i].service,
 			 shares[i].version, shares[i].share_permille,
 			 shares[i].is_bad ? " bad" : "");
+		for (k = 0; k < shares[i].barred.count; k++)
+			buf_addf(out, " barred %s",
+				 shares[i].barred.versions[k]);
+		buf_addf(out, "\n");
+	}
 	buf_addf(out, "%s\n",
 		 canary_is_active(c->canary) ? "active" : "not active");
 }
