http1: Limit the bytes of a head, not the number of its fields

Cause: the reader had room for 96 fields.

Evidence: /ingress/many-fields sends 1,002 fields in 13 KB; refused with 431 before this change, passed on whole after it.

Change: the room for fields grows; the limit on the bytes of the head bounds it.

--- a/src/codec/http1.h
+++ b/src/codec/http1.h
@@ -11,8 +11,6 @@
 
 #include "base/err.h"
 
-#define HTTP1_FIELDS_MAX 96
-
 /* Status of a response that has no body and states no length. */
 #define HTTP1_NO_CONTENT 204
 
@@ -55,8 +53,8 @@
 	/*
 	 * Reason of HTTP1_BAD: ERR_BAD_FIELD when the bytes are not valid
 	 * HTTP/1.1 or switch to another protocol; ERR_TOO_LARGE for the head,
-	 * also for too many fields, the body, the framing, or too many interim
-	 * responses; ERR_TARGET_CLOSED when the stream ended too early.
+	 * the body, the framing, or too many interim responses;
+	 * ERR_TARGET_CLOSED when the stream ended too early.
 	 */
 	enum err_code error;
 	/* With ERR_TOO_LARGE: 1 for the head, else 0. */
@@ -70,8 +68,10 @@
 	struct buf field_text;
 	struct buf url;
 	struct buf body;
+	/* As many as the limit on the head allows. */
 	uint32_t field_count;
-	struct http1_field fields[HTTP1_FIELDS_MAX];
+	uint32_t field_capacity;
+	struct http1_field *fields;
 	/* Bytes of the URL and of field names and values read so far. */
 	uint32_t head_bytes;
 	/* 1 if the part of the head read last belongs to a field's value. */
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -942,6 +942,35 @@
 	ingress_end(&c);
 }
 
+/*
+ * Guards against refusing a request for the number of its header fields: only
+ * the bytes of the head are limited. All fields are passed on.
+ */
+static void test_many_fields(void)
+{
+	struct buf text CLEANUP_BUF = { 0 };
+	struct ingress_case c;
+	struct exchange_request *r;
+	uint32_t i;
+	int fd;
+
+	ingress_begin(&c);
+	fd = loopback_connect(c.caller_port);
+	buf_addf(&text, HEAD_GET);
+	for (i = 0; i < 1000; i++)
+		buf_addf(&text, "X-%u: %u\r\n", i, i % 7);
+	buf_addf(&text, "X-Empty:\r\nX-Last: z\r\n\r\n");
+	put(fd, text.data);
+	r = take(c.requests, MSG_EXCHANGE_REQUEST);
+	g_assert_nonnull(strstr(r->message->fields.data, "X-0: 0\r\n"));
+	g_assert_nonnull(strstr(r->message->fields.data, "X-999: 5\r\n"));
+	g_assert_nonnull(strstr(r->message->fields.data, "X-Empty: \r\nX-Last: "
+							 "z\r\n"));
+	exchange_request_free(r);
+	close(fd);
+	ingress_end(&c);
+}
+
 /*
  * Guards against a time in a header field that is too large for its member and
  * turns into a short one.
@@ -1289,6 +1318,7 @@
 	g_test_add_func("/egress/idle", test_idle);
 	g_test_add_func("/egress/ends", test_ends);
 	g_test_add_func("/ingress/exchange", test_exchange);
+	g_test_add_func("/ingress/many-fields", test_many_fields);
 	g_test_add_func("/ingress/large-times", test_large_times);
 	g_test_add_func("/ingress/no-body", test_answer_no_body);
 	g_test_add_func("/ingress/gone", test_gone);
