scatter, target: Find new connections without a hedge, and keep a few hedges

What callers saw: searches over connections that have turned silent ended with 504 INCOMPLETE after their whole time (tsan wire-silent, once, beside load).

Cause: only hedges lead a search off silent connections. Hedges of merely slow searches could use up the contract's allowance, and a transfer that ran out of time did not mark its target's connections as silent, so that search after search met the next one.

Change: hedges leave three tokens for retries and for sub-requests without an answer for a tenth of their time. A request that ends without any answer of a shard, or with one from a new connection only, has the next ones use new connections to the shard's targets.

--- a/src/decide/extra_budget.c
+++ b/src/decide/extra_budget.c
@@ -10,6 +10,8 @@
 #define CAP_TOKENS_MIN 10
 /* The capacity has one more token for every 100 requests per s. */
 #define CAP_RATE_DIVISOR 100
+/* As many as one request needs that meets only silent connections. */
+#define RESERVE_TOKENS 3
 
 void extra_budget_init(struct extra_budget *b, uint32_t extra_load_permille,
 		       uint32_t rate_per_s)
@@ -36,6 +38,13 @@
 	return 1;
 }
 
+int extra_budget_spend_surplus(struct extra_budget *b)
+{
+	if (b->tokens_milli < (1 + RESERVE_TOKENS) * TOKEN_MILLI)
+		return 0;
+	return extra_budget_spend(b);
+}
+
 uint32_t extra_budget_fill_permille(const struct extra_budget *b)
 {
 	if (!b->cap_milli)
--- a/src/decide/extra_budget.h
+++ b/src/decide/extra_budget.h
@@ -28,6 +28,11 @@
 void extra_budget_earn(struct extra_budget *b, uint32_t count);
 /* Returns 1 and takes a token, or 0 when there is none. */
 int extra_budget_spend(struct extra_budget *b);
+/*
+ * The same for a hedge that may save a little time: leaves a few tokens for
+ * retries and for sub-requests that may get no answer at all.
+ */
+int extra_budget_spend_surplus(struct extra_budget *b);
 /* Tokens left as a share of the capacity; 0 without a capacity. */
 uint32_t extra_budget_fill_permille(const struct extra_budget *b);
 
--- a/src/duty/target_duty.c
+++ b/src/duty/target_duty.c
@@ -258,6 +258,8 @@
 
 	curl_easy_getinfo(x->easy, CURLINFO_NUM_CONNECTS, &connects);
 	metric_add(METRIC_TARGET_CONNECTS, (uint64_t)connects);
+	if (code == CURLE_OPERATION_TIMEDOUT && !connects)
+		origin->silent_us = clock_now_us();
 	if (x->sub->is_cancel) {
 		free_transfer(x);
 		start_waiting(t, origin);
@@ -347,13 +349,15 @@
  */
 static void limit_connection_age(const struct transfer *x)
 {
-	int64_t age_us = clock_now_us() - x->origin->silent_us;
+	int64_t silent_us =
+		util_max_i64(x->origin->silent_us, x->sub->silent_us);
+	int64_t age_us = clock_now_us() - silent_us;
 	int has_room = x->origin->socket_count < x->sub->connection_limit;
 
 	curl_easy_setopt(x->easy, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
 	if (x->sub->needs_new_connection && has_room)
 		curl_easy_setopt(x->easy, CURLOPT_FRESH_CONNECT, 1L);
-	if (!x->origin->silent_us)
+	if (!silent_us)
 		return;
 	if (age_us < LIFETIME_MIN_US) {
 		if (!has_room)
@@ -393,12 +397,8 @@
 static void grace_over(void *ctx, int64_t now_us)
 {
 	struct transfer *x = ctx;
-	long connects = 0;
 
 	metric_add(METRIC_SILENT_CONNECTIONS, 1);
-	curl_easy_getinfo(x->easy, CURLINFO_NUM_CONNECTS, &connects);
-	if (!connects)
-		x->origin->silent_us = now_us;
 	finish_transfer(x, CURLE_OPERATION_TIMEDOUT);
 }
 
--- a/src/filter/6_scatter.c
+++ b/src/filter/6_scatter.c
@@ -23,6 +23,11 @@
  * connection: the open ones may all have turned silent.
  */
 #define NEW_CONNECTION_ATTEMPTS 2
+/*
+ * Part of the time from its sending to the cutoff after which a sub-request
+ * without an answer may use the last of the budget for a hedge.
+ */
+#define LONG_WAIT_PERMILLE 100
 /* A retry with less time than this until the cutoff is not sent. */
 #define RETRY_TIME_MIN_US 1000
 
@@ -151,6 +156,7 @@
 	msg->deadline_us = r->cutoff_us;
 	msg->connection_limit = target_connections_per_host(&sub->target->def);
 	msg->needs_new_connection = sub->needs_new_connection;
+	msg->silent_us = sub->queue->silent_us;
 	return msg;
 }
 
@@ -339,6 +345,20 @@
 	}
 }
 
+/*
+ * Takes an extra sub-request from the customer's budget for a hedge of @sub; the
+ * last of it only if @sub is without an answer for long.
+ */
+static int may_hedge(const struct subrequest *sub, int64_t now_us)
+{
+	struct req *r = sub->req;
+	int64_t time_us = r->cutoff_us - sub->sent_us;
+
+	if ((now_us - sub->sent_us) * PERMILLE >= time_us * LONG_WAIT_PERMILLE)
+		return extra_budget_spend(&r->customer->budget);
+	return extra_budget_spend_surplus(&r->customer->budget);
+}
+
 /*
  * Sends a hedge if a replica that the request drew is usable and the budget
  * allows; otherwise tries again one delay later. Does nothing at
@@ -357,8 +377,7 @@
 	    s->attempts >= SHARD_ATTEMPTS_MAX)
 		return;
 	replica = pick_replica(s, now_us, 0, &counts);
-	if (replica != BALANCER_NONE &&
-	    extra_budget_spend(&r->customer->budget)) {
+	if (replica != BALANCER_NONE && may_hedge(sub, now_us)) {
 		metric_add(METRIC_HEDGES, 1);
 		send_to(s, replica, 1, now_us);
 		return;
@@ -456,6 +475,8 @@
 		ensure_hedge_armed(s->open[0], now_us);
 		return;
 	}
+	if (result->code == ERR_TARGET_TIMEOUT)
+		queue_of(s)->silent_us = now_us;
 	if (may_retry(s, result->code, (int)result->not_run, now_us)) {
 		metric_add(METRIC_RETRIES, 1);
 		attempt(s, now_us);
@@ -466,11 +487,15 @@
 }
 
 static void on_subrequest_answered(struct shard_state *s,
+				   const struct subrequest *sub,
 				   struct subrequest_result *result,
 				   int64_t now_us)
 {
 	struct req *r = s->req;
 
+	/* Only the new connection has brought an answer. */
+	if (sub->needs_new_connection && s->open_count > 0)
+		queue_of(s)->silent_us = sub->sent_us;
 	merge_move_hits(&r->hits, &result->hits);
 	cancel_open(s, now_us);
 	r->answered_count++;
@@ -490,7 +515,7 @@
 	s = &r->shards[sub->shard_pos - r->shard_first];
 	remove_open(s, sub);
 	if (result->code == ERR_OK)
-		on_subrequest_answered(s, result, now_us);
+		on_subrequest_answered(s, sub, result, now_us);
 	else
 		on_subrequest_failed(s, sub, result, now_us);
 }
@@ -532,6 +557,18 @@
 	}
 }
 
+void scatter_detect_silence(struct req *r, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; r->shards && i < r->shard_count; i++) {
+		struct shard_state *s = &r->shards[i];
+
+		if (s->phase == SHARD_OPEN && s->open_count > 0)
+			queue_of(s)->silent_us = now_us;
+	}
+}
+
 static enum filter_step enter(void *ctx, void *item, int64_t now_us)
 {
 	struct req *r = item;
--- a/src/filter/7_gather.c
+++ b/src/filter/7_gather.c
@@ -32,6 +32,7 @@
 void gather_finish(struct req *r, int64_t now_us)
 {
 	scatter_detect_overload(r, now_us);
+	scatter_detect_silence(r, now_us);
 	if (r->err.code == ERR_OK && !r->shards)
 		req_refuse(r, ERR_DEADLINE,
 			   "the deadline passed before anything was sent");
--- a/src/filter/pipeline_internal.h
+++ b/src/filter/pipeline_internal.h
@@ -38,6 +38,12 @@
 	TAILQ_ENTRY(shard_queue) link;
 	/* 1: in pipeline.nonempty_queues. */
 	int is_listed;
+	/*
+	 * Latest time at which a request ended without any answer to its
+	 * sub-requests for the shard; 0: never. Connections that were open then
+	 * may have turned silent.
+	 */
+	int64_t silent_us;
 };
 
 /*
@@ -277,6 +283,11 @@
 		       int64_t now_us);
 /* 6_scatter.c: cancels all sub-requests that are in flight for @r. */
 void scatter_cancel(struct req *r, int64_t now_us);
+/*
+ * 6_scatter.c: at the cutoff of @r, remembers for its shards whose sub-requests
+ * are all unanswered that open connections may be silent.
+ */
+void scatter_detect_silence(struct req *r, int64_t now_us);
 /*
  * 6_scatter.c: sends for the requests that wait in @q and have a usable
  * replica, and fails the shard for those that can have none in time.
--- a/src/model/request.h
+++ b/src/model/request.h
@@ -86,6 +86,11 @@
 	 * shard had no answer and open connections may be silent.
 	 */
 	uint32_t needs_new_connection;
+	/*
+	 * Time at which connections to the shard's targets that were open may
+	 * have been silent; 0: never.
+	 */
+	int64_t silent_us;
 	/* 1: asks the target to cancel sub-request sub_id. */
 	uint32_t is_cancel;
 };
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -81,7 +81,8 @@
 /* A view of one contract and one layout, with the targets from @port on. */
 static struct view *make_view(uint16_t port, uint32_t shards, uint32_t replicas,
 			      uint32_t min_coverage_permille,
-			      uint32_t connections)
+			      uint32_t connections,
+			      uint32_t extra_load_permille)
 {
 	struct view *v = view_new();
 	struct layout *l = layout_new(shards, shards * replicas);
@@ -103,7 +104,7 @@
 	c->min_coverage_permille = min_coverage_permille;
 	c->rate_per_s = 1000;
 	c->target_share_permille = 1000;
-	c->extra_load_permille = 50;
+	c->extra_load_permille = extra_load_permille;
 	util_copy_str(l->index, sizeof(l->index), "parts");
 	util_copy_str(l->snapshot, sizeof(l->snapshot), "s7");
 	util_copy_str(l->service, sizeof(l->service), "parts");
@@ -153,7 +154,10 @@
 		g_error("%s", err.detail);
 }
 
-/* start [shards=N] [replicas=N] [coverage=PERMILLE] [connections=N] */
+/*
+ * start [shards=N] [replicas=N] [coverage=PERMILLE] [connections=N]
+ * [extra=PERMILLE]
+ */
 static void cmd_start(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct wire *w = ctx;
@@ -164,10 +168,11 @@
 
 	start_targets(w, count);
 	start_duties(w);
-	m.body = make_view(
-		(uint16_t)proc_number(&w->targets, "ready"), shards, replicas,
-		(uint32_t)script_int(argc, argv, "coverage", 0),
-		(uint32_t)script_int(argc, argv, "connections", 100));
+	m.body = make_view((uint16_t)proc_number(&w->targets, "ready"), shards,
+			   replicas,
+			   (uint32_t)script_int(argc, argv, "coverage", 0),
+			   (uint32_t)script_int(argc, argv, "connections", 100),
+			   (uint32_t)script_int(argc, argv, "extra", 50));
 	g_assert_cmpint(ring_push(request_duty_ring(w->request), &m), ==,
 			ERR_OK);
 }
