soak: Run hosts under the sanitizers, and check how they end

The soak started build/cowslippoint in every variant, so that its hosts never ran under a sanitizer, and it did not look at how a host ended after SIGTERM.

Now hosts are built like the soak; a host that ends with another status than 0, or not within its grace time, breaks the rule "crash". make check also runs ten seconds with each sanitizer.

Children are now forked with signals blocked and handlers reset.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # make demo     the whole system on loopback
 # make bench    load bench (SCENARIO=name: one scenario)
 # make soak     faults on real processes (SEED=n FOR=seconds; soak-seeds: all
-#               that once failed)
+#               that once failed); hosts are built like VARIANT
 # make fuzz     short fuzzing of all decoders (RUNS=n; DECODERS=names)
 # make capacity slopes of cost for docs/CAPACITY.md
 # VARIANT=asan|tsan builds into build/asan or build/tsan.
@@ -181,6 +181,8 @@
 	$(MAKE) -j$$(nproc) tests VARIANT=tsan
 	$(MAKE) -j$$(nproc) fuzz
 	$(MAKE) soak SEED=1 FOR=15
+	$(MAKE) soak SEED=2 FOR=10 VARIANT=asan
+	$(MAKE) soak SEED=3 FOR=10 VARIANT=tsan
 	tests/run-checks
 
 clean:
--- a/tests/proc.c
+++ b/tests/proc.c
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <poll.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,6 +14,29 @@
 #include "base/clock.h"
 #include "base/util.h"
 
+/*
+ * Forks with all signals blocked, and restores what the program expects before
+ * they are unblocked in the child: a signal that is sent to the child before it
+ * runs its program must not be taken by a handler of this process.
+ */
+static pid_t fork_child(void)
+{
+	sigset_t all;
+	sigset_t before;
+	pid_t pid;
+
+	sigfillset(&all);
+	pthread_sigmask(SIG_SETMASK, &all, &before);
+	pid = fork();
+	if (pid == 0) {
+		signal(SIGTERM, SIG_DFL);
+		signal(SIGINT, SIG_DFL);
+		sigemptyset(&before);
+	}
+	pthread_sigmask(SIG_SETMASK, &before, NULL);
+	return pid;
+}
+
 /* In the child: redirects its output and runs the program. */
 static void run_child(const char *const *argv, const char *log_path, int out_fd)
 {
@@ -80,7 +104,7 @@
 	memset(p, 0, sizeof(*p));
 	if (pipe2(fds, O_CLOEXEC) != 0)
 		return -1;
-	p->pid = fork();
+	p->pid = fork_child();
 	if (p->pid == 0)
 		run_child(argv, log_path, fds[1]);
 	close(fds[1]);
@@ -104,7 +128,7 @@
 	memset(p, 0, sizeof(*p));
 	if (fd < 0)
 		return -1;
-	p->pid = fork();
+	p->pid = fork_child();
 	if (p->pid == 0) {
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(fd, STDOUT_FILENO);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -9,6 +9,8 @@
 #include "base/clock.h"
 #include "base/rng.h"
 
+/* Time in which a process may not have taken over its signals yet. */
+#define BEGIN_US (500 * US_PER_MS)
 #define ACTIVE_MAX 4
 #define BEGIN_MIN_US (150 * US_PER_MS)
 #define BEGIN_SPREAD_US (1200 * US_PER_MS)
@@ -173,6 +175,12 @@
 {
 	struct testbed_host *h = &f->testbed->hosts[a->host];
 
+	/* The end of the run may cut the grace time short. */
+	if (h->is_running && clock_now_us() >= a->end_us)
+		ledger_violation(f->testbed->ledger, RULE_CRASH,
+				 "host %u did not end in its grace time, see "
+				 "%s",
+				 a->host, h->log_path);
 	/* A request that is cut off from here on is lost to the kill below. */
 	h->fault_end_us = INT64_MAX;
 	kill_host(f, a->host);
@@ -652,9 +660,21 @@
 	a.kind->end(f, &a);
 }
 
+/*
+ * 1 if a host that was asked to stop has ended with @status as it should; SIGTERM
+ * itself ends a process that has just begun.
+ */
+static int has_stopped_well(const struct testbed_host *h, int status)
+{
+	return status == 0 ||
+	       (WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM &&
+		clock_now_us() - h->started_us < BEGIN_US);
+}
+
 /*
  * Starts hosts again whose process ended without a kill by this program, unless
- * a fault has them. Without a SIGTERM before it, the end is a violation.
+ * a fault has them. Without a SIGTERM before it, and with a status other than 0
+ * after one, the end is a violation.
  */
 static void check_hosts(struct faults *f)
 {
@@ -667,7 +687,7 @@
 		if (!h->is_running || h->proc.pid <= 0 ||
 		    waitpid(h->proc.pid, &status, WNOHANG) != h->proc.pid)
 			continue;
-		if (!h->is_leaving)
+		if (!h->is_leaving || !has_stopped_well(h, status))
 			ledger_violation(f->testbed->ledger, RULE_CRASH,
 					 "host %u ended with status %d, see %s",
 					 i, status, h->log_path);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -78,7 +78,7 @@
 				 (unsigned long long)sent);
 }
 
-static int soak(const struct settings *set, struct err *err)
+static int soak(const char *argv0, const struct settings *set, struct err *err)
 {
 	struct ledger *ledger = ledger_new();
 	struct testbed *tb = util_alloc(1, sizeof(*tb));
@@ -86,7 +86,7 @@
 	struct load *l;
 	uint64_t violations;
 
-	if (!testbed_start(tb, ledger, set->seed, err)) {
+	if (!testbed_start(tb, argv0, ledger, set->seed, err)) {
 		ledger_free(ledger);
 		free(tb);
 		return 2;
@@ -124,7 +124,7 @@
 		err_print(stderr, &err);
 		return 2;
 	}
-	status = soak(&set, &err);
+	status = soak(argv[0], &set, &err);
 	if (err.code != ERR_OK)
 		err_print(stderr, &err);
 	return status;
--- a/tests/soak/testbed.c
+++ b/tests/soak/testbed.c
@@ -273,12 +273,13 @@
 int testbed_host_start(struct testbed *tb, uint32_t host)
 {
 	struct testbed_host *h = &tb->hosts[host];
-	const char *argv[] = { "build/cowslippoint", "gateway", "--settings",
+	const char *argv[] = { tb->host_program, "gateway", "--settings",
 			       h->settings_path, NULL };
 
 	if (proc_spawn(&h->proc, argv, h->log_path) != 0)
 		return 0;
 	h->incarnation++;
+	h->started_us = clock_now_us();
 	h->is_leaving = 0;
 	h->is_running = 1;
 	return 1;
@@ -388,10 +389,12 @@
 	return 1;
 }
 
-int testbed_start(struct testbed *tb, struct ledger *l, uint64_t seed,
-		  struct err *err)
+int testbed_start(struct testbed *tb, const char *argv0, struct ledger *l,
+		  uint64_t seed, struct err *err)
 {
 	memset(tb, 0, sizeof(*tb));
+	proc_sibling(argv0, "cowslippoint", tb->host_program,
+		     sizeof(tb->host_program));
 	tb->ledger = l;
 	tb->seed = seed;
 	tb->caller_port = CALLER_PORT;
--- a/tests/soak/testbed.h
+++ b/tests/soak/testbed.h
@@ -51,6 +51,8 @@
 	 */
 	_Atomic uint32_t incarnation;
 	_Atomic int is_running;
+	/* Monotonic time of the latest start. */
+	int64_t started_us;
 	/* SIGTERM was sent and the process has not been replaced yet. */
 	_Atomic int is_leaving;
 	/*
@@ -80,12 +82,16 @@
 	/* Time of each version's acknowledgement, INT64_MAX without one. */
 	_Atomic int64_t acked_us[TESTBED_VERSIONS_MAX];
 	char dir[200];
+	char host_program[200];
 	uint64_t seed;
 };
 
-/* 0 when something does not start; what had started is stopped. */
-int testbed_start(struct testbed *tb, struct ledger *l, uint64_t seed,
-		  struct err *err);
+/*
+ * 0 when something does not start; what had started is stopped. Hosts are built
+ * like this program, whose argv[0] is @argv0.
+ */
+int testbed_start(struct testbed *tb, const char *argv0, struct ledger *l,
+		  uint64_t seed, struct err *err);
 void testbed_stop(struct testbed *tb);
 
 /* 0 when the host's process cannot be started. */
