serve: Believe an error's "not run" only if it belongs to the sub-request

What a caller of serve could be told: that a search has not run, on the word of a second copy of an earlier error, which came where the answer was due.

Cause: errors of targets had no ID to match, and were taken to answer the sub-request in flight.

Evidence: /copy/target-error gives not_run 1 for an error without an ID on a connection that was used before, and passes after this change.

An error with another ID is ERR_TARGET_ID; without one, "not run" holds only on a new connection.

--- a/src/codec/target_json.c
+++ b/src/codec/target_json.c
@@ -71,15 +71,12 @@
 				   const json_t *body)
 {
 	const json_t *hits = json_object_get(body, "hits");
-	const json_t *sub_id = json_object_get(body, "sub_id");
 	size_t i;
 
 	copy_name(body, "request_id", r->request_id);
 	copy_name(body, "shard", r->shard);
 	copy_name(body, "snapshot", r->snapshot);
 	copy_name(body, "instance", r->instance);
-	if (json_integer_value(sub_id) > 0)
-		r->answer_sub_id = (uint64_t)json_integer_value(sub_id);
 	if (!json_is_array(hits) || json_array_size(hits) > HITS_MAX)
 		return ERR_TARGET_JSON;
 	for (i = 0; i < json_array_size(hits); i++) {
@@ -136,7 +133,9 @@
 			const char *body, size_t body_bytes)
 {
 	json_t *root = json_loadb(body ? body : "", body_bytes, 0, NULL);
+	json_int_t sub_id = json_integer_value(json_object_get(root, "sub_id"));
 
+	r->answer_sub_id = sub_id > 0 ? (uint64_t)sub_id : 0;
 	if (http_status != 200)
 		decode_error(r, http_status, root);
 	else if (!json_is_object(root))
--- a/src/decide/merge.c
+++ b/src/decide/merge.c
@@ -16,6 +16,16 @@
 	return ERR_OK;
 }
 
+void merge_check_error(uint64_t sub_id, struct subrequest_result *r)
+{
+	if (r->answer_sub_id == sub_id)
+		return;
+	if (r->answer_sub_id)
+		r->code = ERR_TARGET_ID;
+	if (r->answer_sub_id || !r->new_connection)
+		r->not_run = 0;
+}
+
 void merge_move_hits(struct hits *into, struct hits *from)
 {
 	uint32_t i;
--- a/src/decide/merge.h
+++ b/src/decide/merge.h
@@ -23,6 +23,12 @@
  */
 enum err_code merge_check_result(const struct merge_expected *expected,
 				 const struct subrequest_result *r);
+/*
+ * Checks an error that a target has answered to @sub_id. One with another ID
+ * becomes ERR_TARGET_ID. Without an ID, on a connection that was used before, it
+ * may be a second copy of an earlier error, so that "not run" is not certain.
+ */
+void merge_check_error(uint64_t sub_id, struct subrequest_result *r);
 /* Moves all hits of @from to the end of @into; @from is empty afterwards. */
 void merge_move_hits(struct hits *into, struct hits *from);
 /*
--- a/src/duty/target_duty.c
+++ b/src/duty/target_duty.c
@@ -11,6 +11,7 @@
 #include "base/curl_head.h"
 #include "base/metric.h"
 #include "codec/target_json.h"
+#include "decide/merge.h"
 #include "duty/duty.h"
 #include "duty/messages.h"
 
@@ -274,6 +275,8 @@
 		curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &status);
 		target_json_decode(r, (uint32_t)status, x->body.data,
 				   x->body.len_bytes);
+		if (r->code != ERR_OK)
+			merge_check_error(r->sub_id, r);
 	} else {
 		r->code = error_code(code, x);
 		r->not_run = surely_not_sent(code, x->easy);
--- a/tests/standin/fleet_answer.c
+++ b/tests/standin/fleet_answer.c
@@ -146,9 +146,19 @@
 	p->last_answer = b;
 }
 
+/* Answers with an error; @error: value of "error" and further fields. */
+static void reply_error(struct http_conn *c, const struct job *j,
+			uint32_t status, const char *error)
+{
+	http_replyf(c, status, "{\"error\":%s,\"sub_id\":%llu}", error,
+		    (unsigned long long)j->sub_id);
+}
+
 void answer_send(struct endpoint *p, struct http_conn *c, const struct job *j,
 		 enum job_end end, int64_t now_us)
 {
+	char text[160];
+
 	switch (end) {
 	case JOB_DONE:
 		send_done(p, c, j, now_us);
@@ -156,33 +166,31 @@
 			remember(p, j);
 		break;
 	case JOB_FAILED:
-		http_replyf(c, j->status, "{\"error\":\"failed\"}");
+		reply_error(c, j, j->status, "\"failed\"");
 		break;
 	case JOB_SHED:
-		http_replyf(c, 429, "{\"error\":\"shed\"}");
+		reply_error(c, j, 429, "\"shed\"");
 		break;
 	case JOB_DRAINING:
-		http_replyf(c, 503, "{\"error\":\"draining\"}");
+		reply_error(c, j, 503, "\"draining\"");
 		break;
 	case JOB_SNAPSHOT_GONE:
-		http_replyf(c, 404,
-			    "{\"error\":\"snapshot_gone\",\"snapshot\":\"%s\"}",
-			    p->target.spec.snapshot);
+		snprintf(text, sizeof(text),
+			 "\"snapshot_gone\",\"snapshot\":\"%s\"",
+			 p->target.spec.snapshot);
+		reply_error(c, j, 404, text);
 		break;
 	case JOB_CANCELLED_QUEUED:
-		http_replyf(c, 409,
-			    "{\"error\":\"cancelled\",\"not_run\":true}");
+		reply_error(c, j, 409, "\"cancelled\",\"not_run\":true");
 		break;
 	case JOB_CANCELLED_RUNNING:
-		http_replyf(c, 409, "{\"error\":\"cancelled\"}");
+		reply_error(c, j, 409, "\"cancelled\"");
 		break;
 	case JOB_EXPIRED_QUEUED:
-		http_replyf(c, 504,
-			    "{\"error\":\"deadline\",\"not_run\":true}");
+		reply_error(c, j, 504, "\"deadline\",\"not_run\":true");
 		break;
 	case JOB_EXPIRED_RUNNING:
-		http_replyf(c, 504,
-			    "{\"error\":\"deadline\",\"not_run\":false}");
+		reply_error(c, j, 504, "\"deadline\",\"not_run\":false");
 		break;
 	}
 }
--- a/tests/test_cut.c
+++ b/tests/test_cut.c
@@ -1,7 +1,8 @@
 /*
  * Answers that are cut off: each reader of answers gets every beginning of a
  * whole answer, after which the connection is closed. Guards against a cut
- * answer that is taken for a whole one, or for a statement that it may not make.
+ * answer that is taken for a whole one, or for a statement that it may not make;
+ * and, for targets of serve, against a copied one.
  */
 #include <apr_general.h>
 #include <curl/curl.h>
@@ -152,6 +153,61 @@
 	return code;
 }
 
+/* A fake target that answers all requests alike, over kept connections. */
+static enum fake_action busy(void *ctx, const struct fake_request *r,
+			     uint32_t *status, struct buf *out)
+{
+	const char *body = ctx;
+
+	*status = 429;
+	buf_addf(out, "%s", body);
+	return FAKE_REPLY;
+}
+
+/*
+ * Guards against a "not run" that a second copy of an earlier error may have
+ * said: on a connection that was used before, only an error with the ID of the
+ * sub-request says it.
+ */
+static void test_target_error(void)
+{
+	static const struct {
+		const char *body;
+		enum err_code code;
+		/* On a new connection, and on the same one again. */
+		uint32_t first_not_run;
+		uint32_t next_not_run;
+	} errors[] = {
+		{ "{\"error\":\"shed\",\"sub_id\":1}", ERR_TARGET_SHED, 1, 1 },
+		{ "{\"error\":\"shed\"}", ERR_TARGET_SHED, 1, 0 },
+		{ "{\"error\":\"shed\",\"sub_id\":2}", ERR_TARGET_ID, 0, 0 },
+		{ "shed", ERR_TARGET_SHED, 0, 0 },
+	};
+	struct err err = { 0 };
+	struct ring *results = ring_new(RING_SIZE, NULL, NULL, &err);
+	struct target_duty *t = target_duty_new(RING_SIZE, results, &err);
+	uint32_t not_run;
+	uint32_t i;
+
+	g_assert_cmpint(target_duty_start(t, &err), ==, ERR_OK);
+	for (i = 0; i < countof(errors); i++) {
+		struct fake_http *server =
+			fake_http_new(busy, (void *)(uintptr_t)errors[i].body);
+		uint16_t port = fake_http_port(server);
+
+		g_assert_cmpint(target_call(t, results, port, &not_run), ==,
+				errors[i].code);
+		g_assert_cmpuint(not_run, ==, errors[i].first_not_run);
+		g_assert_cmpint(target_call(t, results, port, &not_run), ==,
+				errors[i].code);
+		g_assert_cmpuint(not_run, ==, errors[i].next_not_run);
+		fake_http_free(server);
+	}
+	target_duty_stop(t);
+	target_duty_free(t);
+	ring_free(results);
+}
+
 /* libcurl reports success when the connection ends within the head. */
 static void test_target(void)
 {
@@ -315,6 +371,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/cut/egress", test_egress);
 	g_test_add_func("/cut/target", test_target);
+	g_test_add_func("/copy/target-error", test_target_error);
 	g_test_add_func("/cut/store", test_store);
 	return g_test_run();
 }
