tests: Give each run of test_operator_system ports of its own

Cause: the hosts of the test listened on the fixed ports 26101 to 26103. With port 26101 held by another process the test fails the same way, and the host's log says "cannot bind UDP and TCP sockets to 127.0.0.1 port 26101".

--- a/tests/test_operator_system.c
+++ b/tests/test_operator_system.c
@@ -11,17 +11,13 @@
 
 #include "base/util.h"
 #include "client.h"
+#include "loopback.h"
 #include "proc.h"
 #include "script.h"
 
 #define HOSTS 3
 #define START_MS 20000
 #define REQUEST_TIMEOUT_MS 10000
-/*
- * First peer port; below the ports that the kernel gives to outgoing
- * connections.
- */
-#define PEER_PORT 26101
 #define HOSTS_FILE "build/test-system-hosts.json"
 #define DOCUMENT_FILE "build/test-system.json"
 /* Longest wait for an output of ctl; after that the test fails. */
@@ -35,6 +31,8 @@
 	uint32_t running[HOSTS];
 	uint16_t caller_ports[HOSTS];
 	uint16_t admin_ports[HOSTS];
+	/* First of the ports on which the hosts talk to each other. */
+	uint16_t peer_port;
 };
 
 /*
@@ -43,7 +41,7 @@
  */
 static char *folder;
 
-static void write_hosts_file(void)
+static void write_hosts_file(const struct system_ctx *c)
 {
 	GString *text = g_string_new("{\"hosts\":[");
 	uint32_t i;
@@ -55,7 +53,7 @@
 				       "\"port\":%u,\"data_centre\":\"%c\","
 				       "\"role\":"
 				       "\"entry\",\"state\":\"live\"}",
-				       i ? "," : "", i + 1, PEER_PORT + i,
+				       i ? "," : "", i + 1, c->peer_port + i,
 				       'a' + i);
 	g_string_append(text, "]}");
 	g_assert_true(g_file_set_contents(HOSTS_FILE, text->str, -1, NULL));
@@ -83,7 +81,7 @@
 				  "500",
 				  NULL };
 
-	write_hosts_file();
+	write_hosts_file(c);
 	g_assert_cmpint(proc_start(&c->store, store, NULL, START_MS), ==, 0);
 	g_assert_cmpint(proc_start(&c->targets, targets, NULL, START_MS), ==,
 			0);
@@ -95,7 +93,7 @@
 	g_autofree char *host = g_strdup_printf("--host=h%u", i + 1);
 	g_autofree char *dc = g_strdup_printf("--data-centre=%c", 'a' + i);
 	g_autofree char *peer =
-		g_strdup_printf("--peer-port=%u", PEER_PORT + i);
+		g_strdup_printf("--peer-port=%u", c->peer_port + i);
 	g_autofree char *store =
 		g_strdup_printf("--store-port=%u", proc_number(&c->store, "read"
 									  "y"));
@@ -122,6 +120,7 @@
 	struct system_ctx *c = util_alloc(1, sizeof(*c));
 	uint32_t i;
 
+	c->peer_port = loopback_free_ports(HOSTS);
 	start_outside(c);
 	for (i = 0; i < HOSTS; i++)
 		start_host(c, i);
