gateway: State one Retry-After for all refusals of a host that ends

Cause: ingress and gw_leave each had a constant of their own for the same statement; a change of one would have left the other.

Change: GRACE_RETRY_MS beside the decisions of a graceful shutdown. No change of behaviour.

--- a/src/decide/grace.h
+++ b/src/decide/grace.h
@@ -8,6 +8,12 @@
 
 #include <stdint.h>
 
+/*
+ * Retry-After of a request that is refused because its host ends: other hosts
+ * take it at once.
+ */
+#define GRACE_RETRY_MS 20
+
 /* What the call of a request waits for, as far as it is known. */
 struct grace_wait {
 	/* Earliest time at which the target accepts a call. */
--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -15,6 +15,7 @@
 #include "base/metric.h"
 #include "base/poller.h"
 #include "base/series.h"
+#include "decide/grace.h"
 #include "duty/caller_conn.h"
 #include "duty/duty.h"
 #include "duty/messages.h"
@@ -33,8 +34,6 @@
  * on the way.
  */
 #define FIRST_REQUEST_MS 500
-/* A caller that this host refuses, because it ends, may ask another at once. */
-#define RETRY_ELSEWHERE_MS 20
 /* Limits until a configuration is known. */
 #define HEAD_BYTES_DEFAULT 16384
 #define BODY_BYTES_DEFAULT 262144
@@ -207,7 +206,7 @@
 {
 	struct exchange_answer a = { .status = 503,
 				     .code = ERR_STOPPING,
-				     .retry_after_ms = RETRY_ELSEWHERE_MS };
+				     .retry_after_ms = GRACE_RETRY_MS };
 
 	respond(c, &a);
 }
--- a/src/gateway/gw_leave.c
+++ b/src/gateway/gw_leave.c
@@ -2,9 +2,6 @@
 #include "decide/grace.h"
 #include "gateway/gw_internal.h"
 
-/* A caller may ask again at once: other hosts take the request. */
-#define RETRY_ELSEWHERE_MS 20
-
 int64_t gw_leave_last_call_us(const struct gw_req *r)
 {
 	if (!r->gw->stop_us)
@@ -29,7 +26,7 @@
 
 enum filter_step gw_leave_refuse(struct gw_req *r)
 {
-	return gw_req_refuse(r, 503, ERR_STOPPING, RETRY_ELSEWHERE_MS);
+	return gw_req_refuse(r, 503, ERR_STOPPING, GRACE_RETRY_MS);
 }
 
 static void end_before_stop(struct gw_req *r, int64_t now_us)
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -217,7 +217,6 @@
 
 	for (i = 0; i < s->targets->len; i++) {
 		const struct gw_target *t = g_ptr_array_index(s->targets, i);
-
 		int64_t at_us =
 			util_max_i64(t->paused_until_us, warm_call_us(t));
 
