--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -256,7 +256,7 @@
 /* Reads to the end of the stream; what comes must be bytes of the body only. */
 static void expect_body_only(int fd)
 {
-	char bytes[16384];
+	uint8_t bytes[16384];
 	ssize_t n;
 
 	while ((n = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
