review: case 8 with the files of one service, case 10 with the program running

Case 10 sends its signal only once the process runs the gateway's program, so that it cannot meet the process before that.

--- a/review/rig-2/hup_start.c
+++ b/review/rig-2/hup_start.c
@@ -7,12 +7,14 @@
 
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #define FOLDER "review/10"
 #define ROUNDS 3
-/* Time from the start of the process to the signal. */
-#define SIGNAL_MS 5
+/* Time from the start of the program in the process to the signal. */
+#define SIGNAL_MS 2
 #define READY_MS 10000
 
 /* Waits until @host is ready; 0 if its process has ended. */
@@ -33,6 +35,27 @@
 	cannot_run("host %d is not ready", host);
 }
 
+/* Waits until the process runs the gateway's program. */
+static void wait_program(pid_t pid)
+{
+	static const char name[] = "/target/cowslippoint";
+	double until_ms = rig_ms() + READY_MS;
+	char path[64];
+	char target[512];
+	ssize_t n;
+
+	snprintf(path, sizeof(path), "/proc/%d/exe", (int)pid);
+	while (rig_ms() < until_ms) {
+		n = readlink(path, target, sizeof(target) - 1);
+		target[n > 0 ? n : 0] = '\0';
+		if (n >= (ssize_t)sizeof(name) - 1 &&
+		    strcmp(target + n - (ssize_t)sizeof(name) + 1, name) == 0)
+			return;
+		rig_sleep(0.2);
+	}
+	cannot_run("process %d does not run the program", (int)pid);
+}
+
 int main(void)
 {
 	int ended[HOSTS_MAX] = { 0 };
@@ -59,6 +82,7 @@
 			       "process %d",
 			       host, (int)pid);
 			if (rig_trouble()) {
+				wait_program(pid);
 				rig_sleep(SIGNAL_MS);
 				host_write_settings(host);
 				host_signal(host, SIGHUP);
--- a/review/rig-2/kept_memory.c
+++ b/review/rig-2/kept_memory.c
@@ -1,8 +1,8 @@
 /*
- * Case 8: many callers come at once, each with one request of the largest size
- * that the configuration allows, one after the other, and keep their connections
- * open. Checks that the process stays below the memory of its machine; above it
- * the platform kills the process.
+ * Case 8: all other machines are lost, and the callers of the deployment come to
+ * the one that is left. One after the other, each fetches one large file and keeps
+ * its connection open. Checks that requests of others are answered all the while;
+ * the platform kills a process that exceeds the memory of its machine.
  */
 #include "rig.h"
 
@@ -13,9 +13,11 @@
 #include <string.h>
 
 #define FOLDER "review/8"
-#define BODY_BYTES 262144
-#define CALLERS_USUAL 60
-#define CALLERS_BURST 900
+/* A finished artwork file; the gateway passes on up to 4 MiB. */
+#define FILE_BYTES 3000000
+/* The site has 133 clients and 8 machines; SMALL_CALLERS are among them. */
+#define CALLERS_ALL (133 - SMALL_CALLERS)
+#define CALLERS_SHARE (133 / 8 - SMALL_CALLERS)
 #define POLL_MS 20
 /* Callers with small requests, and the time that a searcher works on one. */
 #define SMALL_CALLERS 12
@@ -98,9 +100,9 @@
 
 int main(void)
 {
-	int count = rig_trouble() ? CALLERS_BURST : CALLERS_USUAL;
+	int count = rig_trouble() ? CALLERS_ALL : CALLERS_SHARE;
 	struct caller *callers = calloc((size_t)count, sizeof(*callers));
-	char *text = malloc(BODY_BYTES + 1024);
+	char text[512];
 	int served = 0;
 	pthread_t platform;
 	pthread_t small[SMALL_CALLERS];
@@ -109,10 +111,9 @@
 
 	rig_init(FOLDER);
 	store_start();
-	store_put_config(1, "idempotent", BODY_BYTES);
-	/* It answers with what it was sent. */
-	searcher_start("i-7f3a91c2", "files", 2)->echoes = 1;
-	searcher_start("i-02d9e6b4", "files", 2)->echoes = 1;
+	store_put_config(1, "idempotent", 262144);
+	searcher_start("i-7f3a91c2", "files", 2)->answer_bytes = FILE_BYTES;
+	searcher_start("i-02d9e6b4", "files", 2)->answer_bytes = FILE_BYTES;
 	small_searcher = searcher_start("i-11c0ffe1", "notes", SMALL_WORK_MS);
 	gateway_start();
 	rig_sleep(CONTACT_MS);
@@ -129,11 +130,10 @@
 		int len;
 
 		snprintf(id, sizeof(id), "caller%d", i);
-		len = request_head(text, 1024, "POST", "/files/put", id, 4000,
-				   BODY_BYTES);
-		memset(text + len, 'a' + i % 26, BODY_BYTES);
+		len = request_head(text, sizeof(text), "GET", "/files/art", id,
+				   4000, 0);
 		if (caller_connect(&callers[i]) &&
-		    caller_send(&callers[i], text, (size_t)len + BODY_BYTES))
+		    caller_send(&callers[i], text, (size_t)len))
 			a = caller_read(&callers[i], 5000);
 		served += a.status == 200;
 		/* The connection stays open; the caller needs no memory. */
@@ -141,9 +141,9 @@
 		callers[i].in = NULL;
 		callers[i].len = callers[i].cap = 0;
 		if (a.status != 200)
-			record("POST id %s: answer %d", id, a.status);
-		if (i % 50 == 49)
-			record("%d callers have sent one request each, one "
+			record("GET id %s: answer %d", id, a.status);
+		if (i % 20 == 19)
+			record("%d callers have fetched one file each, one "
 			       "after the other, %d were answered; the process "
 			       "has %.0f MB",
 			       i + 1, served, gateway_rss_mb() * 1e6 / MIB);
@@ -153,7 +153,7 @@
 	pthread_join(platform, NULL);
 	for (int n = 0; n < SMALL_CALLERS; n++)
 		pthread_join(small[n], NULL);
-	record("%d connections of callers, at most one large request in flight "
+	record("%d connections of callers, at most one file in flight "
 	       "at any time, peak %d MB of %d MB: %s",
 	       i, peak_mb, MEMORY_MB,
 	       is_killed ? "killed by the platform" : "not killed");
--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -938,21 +938,24 @@
 		       const char *body)
 {
 	char head[512];
-	size_t n;
+	char *answer = must(malloc(s->answer_bytes));
 	int len;
+	int ok;
 
 	r->at_ms = rig_ms();
 	r->body_hash = hash_bytes(body, r->body_bytes);
 	add_run(s, r);
 	rig_sleep(s->work_ms);
-	n = s->echoes ? r->body_bytes : 16;
 	len = snprintf(head, sizeof(head),
 		       "HTTP/1.1 200 OK\r\nCowslippoint-Request-Id: %s\r\n"
 		       "Cowslippoint-Server-Stamp: %s.%zu\r\n"
 		       "Content-Length: %zu\r\n\r\n",
-		       r->id, s->id, searcher_runs(s), n);
-	return write_all(fd, head, (size_t)len) &&
-	       write_all(fd, s->echoes ? body : "0123456789abcdef", n);
+		       r->id, s->id, searcher_runs(s), s->answer_bytes);
+	memset(answer, 'a' + len % 26, s->answer_bytes);
+	ok = write_all(fd, head, (size_t)len) &&
+	     write_all(fd, answer, s->answer_bytes);
+	free(answer);
+	return ok;
 }
 
 static void serve_searcher(int fd, void *ctx)
@@ -1047,6 +1050,7 @@
 	snprintf(s->id, sizeof(s->id), "%s", id);
 	snprintf(s->service, sizeof(s->service), "%s", service);
 	s->work_ms = work_ms;
+	s->answer_bytes = 16;
 	s->born_ms = (int64_t)now.tv_sec * 1000 + now.tv_usec / 1000;
 	pthread_mutex_init(&s->lock, NULL);
 	s->port = serve_port(serve_searcher, s);
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -68,8 +68,8 @@
 	uint16_t port;
 	/* Time that it works on a request. */
 	int work_ms;
-	/* 1: it answers with the bytes that it was sent. */
-	int echoes;
+	/* Length of its answers. */
+	size_t answer_bytes;
 	int64_t born_ms;
 	int64_t seq;
 	pthread_mutex_t lock;
