--- a/review/rig-2/hup_start.c
+++ b/review/hup_start.c
@@ -3,7 +3,7 @@
  * that a host that has just been started is told so with SIGHUP. Checks that no
  * process ends by itself.
  */
-#include "rig.h"
+#include "rig-2.h"
 
 #include <signal.h>
 #include <stdio.h>
--- a/review/rig-2/kept_memory.c
+++ b/review/kept_memory.c
@@ -4,7 +4,7 @@
  * its connection open. Checks that requests of others are answered all the while;
  * the platform kills a process that exceeds the memory of its machine.
  */
-#include "rig.h"
+#include "rig-2.h"
 
 #include <signal.h>
 #include <stdatomic.h>
--- a/review/rig-2/odd_key.c
+++ b/review/odd_key.c
@@ -2,7 +2,7 @@
  * Case 6: another writer leaves one entry among those of the searchers whose
  * key ends with a line break. Checks that searchers run only what callers sent.
  */
-#include "rig.h"
+#include "rig-2.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/review/rig-2/odd_number.c
+++ b/review/odd_number.c
@@ -3,7 +3,7 @@
  * of a searcher, which goes on reporting. Checks that the searcher gets nothing
  * later than drainMs after it has reported that it is draining.
  */
-#include "rig.h"
+#include "rig-2.h"
 
 #include <stdatomic.h>
 #include <stdio.h>
--- a/review/rig-2/pipelined_stop.c
+++ b/review/pipelined_stop.c
@@ -3,7 +3,7 @@
  * process is asked to stop while it waits for the first answer. Checks that the
  * second request, which it has read as well, is answered.
  */
-#include "rig.h"
+#include "rig-2.h"
 
 #include <signal.h>
 #include <stdio.h>
--- a/review/rig-2/rig.c
+++ b/review/rig-2.c
@@ -1,5 +1,5 @@
 #define _GNU_SOURCE
-#include "rig.h"
+#include "rig-2.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
