--- a/src/duty/egress.c
+++ b/src/duty/egress.c
@@ -269,6 +269,17 @@
 			on_call_timeout, c);
 }
 
+/* Writes the request that the connection has now, or closes it. */
+static void after_send(struct conn *c)
+{
+	if (c->tc.state == TARGET_CONN_CLOSED) {
+		conn_free(c);
+		return;
+	}
+	arm_deadline(c);
+	flush(c);
+}
+
 static void on_connected(struct conn *c, int64_t now_us)
 {
 	int error = 0;
@@ -280,8 +291,7 @@
 		return;
 	}
 	target_conn_connected(&c->tc, now_us);
-	arm_deadline(c);
-	flush(c);
+	after_send(c);
 }
 
 static void on_conn(void *ctx, uint32_t events, int64_t now_us)
@@ -399,8 +409,7 @@
 	unlist(c);
 	g_hash_table_insert(e->calls, &call->call_id, c);
 	target_conn_send(&c->tc, call, now_us);
-	arm_deadline(c);
-	flush(c);
+	after_send(c);
 }
 
 static void cancel_call(struct egress *e, struct target_call *call)
--- a/src/duty/target_conn.c
+++ b/src/duty/target_conn.c
@@ -47,30 +47,39 @@
 	c->call = NULL;
 }
 
-void target_conn_fail(struct target_conn *c, enum err_code code)
+static void fail(struct target_conn *c, enum err_code code, int not_run)
 {
 	struct target_reply *r;
 
 	if (c->call) {
 		r = util_alloc(1, sizeof(*r));
 		r->code = code;
-		r->not_run = c->state == TARGET_CONN_CONNECTING;
+		r->not_run = (uint32_t)not_run;
 		r->warmup_left_ms = -1;
 		end_call(c, r);
 	}
 	c->state = TARGET_CONN_CLOSED;
 }
 
+void target_conn_fail(struct target_conn *c, enum err_code code)
+{
+	fail(c, code, c->state == TARGET_CONN_CONNECTING);
+}
+
 static void send_request(struct target_conn *c, int64_t now_us)
 {
-	c->state = TARGET_CONN_BUSY;
-	c->sent_us = now_us;
 	c->out.len_bytes = 0;
 	c->out_sent_bytes = 0;
+	if (platform_call_encode(c->call, &c->out) != ERR_OK) {
+		/* Nothing of the request is sent. */
+		fail(c, ERR_BAD_FIELD, 1);
+		return;
+	}
+	c->state = TARGET_CONN_BUSY;
+	c->sent_us = now_us;
 	reuse_begin(&c->reuse);
 	http1_reset(&c->h1);
 	c->h1.is_head_response = strcmp(c->call->message->method, "HEAD") == 0;
-	platform_call_encode(c->call, &c->out);
 }
 
 void target_conn_connected(struct target_conn *c, int64_t now_us)
--- a/src/duty/target_conn.h
+++ b/src/duty/target_conn.h
@@ -51,7 +51,10 @@
 /* Drops the call, if there is one, without a reply. */
 void target_conn_clear(struct target_conn *c);
 
-/* The connection was opened. */
+/*
+ * The connection was opened. The call fails, and the connection with it, if it
+ * cannot be written as a request; so it does in target_conn_send().
+ */
 void target_conn_connected(struct target_conn *c, int64_t now_us);
 /* Sends @call, which it takes over, on an idle connection. */
 void target_conn_send(struct target_conn *c, struct target_call *call,
--- a/tests/test_entries.c
+++ b/tests/test_entries.c
@@ -48,6 +48,31 @@
 			 t.is_draining, t.warmup_left_ms, t.started_ms);
 }
 
+/* ids JSON: which entries of a listing below "servers/" are targets. */
+static void cmd_ids(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct buf text CLEANUP_BUF = { 0 };
+	struct kv_call call = { .op = KV_WATCH, .key = "servers/" };
+	struct kv_result r = { 0 };
+	uint32_t i;
+
+	script_text(argc, argv, 0, &text);
+	kv_json_decode(&call, 200, text.data, text.len_bytes, &r);
+	for (i = 0; i < r.pair_count; i++) {
+		g_autofree char *shown = g_strescape(r.pairs[i].key, NULL);
+		struct err err = { 0 };
+		struct target_entry t;
+		const char *id;
+
+		platform_key_parse(r.pairs[i].key, &id);
+		platform_target_decode(id, r.pairs[i].value,
+				       r.pairs[i].value_bytes, &t, &err);
+		buf_addf(out, "%s: %s\n", shown,
+			 err.code == ERR_OK ? "target" : err_name(err.code));
+	}
+	kv_result_clear(&r);
+}
+
 /* host JSON: an entry of a host. */
 static void cmd_host(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -165,7 +190,7 @@
 	{ "target", cmd_target },     { "host", cmd_host },
 	{ "config", cmd_config },     { "order", cmd_order },
 	{ "list", cmd_list },	      { "events", cmd_events },
-	{ "services", cmd_services },
+	{ "services", cmd_services }, { "ids", cmd_ids },
 };
 
 int main(int argc, char **argv)
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -95,6 +95,8 @@
 	uint64_t last_call_id;
 	/* Method of the calls that follow. */
 	const char *method;
+	/* Target ID of the calls that follow. */
+	const char *target_id;
 	/* idle_timeout_ms of the calls that follow; 0: as the target says. */
 	uint32_t idle_timeout_ms;
 };
@@ -105,6 +107,7 @@
 
 	memset(c, 0, sizeof(*c));
 	c->method = "GET";
+	c->target_id = "t1";
 	c->replies = ring_new(RING_SIZE, NULL, NULL, &err);
 	c->egress = egress_new(&err);
 	g_assert_nonnull(c->egress);
@@ -144,7 +147,7 @@
 		call->message->has_body = 1;
 	}
 	util_copy_str(call->request_id, sizeof(call->request_id), request_id);
-	util_copy_str(call->target_id, sizeof(call->target_id), "t1");
+	util_copy_str(call->target_id, sizeof(call->target_id), c->target_id);
 	util_copy_str(call->address, sizeof(call->address), "127.0.0.1");
 	call->port = c->port;
 	call->deadline_us = clock_now_us() + WAIT_US;
@@ -197,6 +200,31 @@
 	close(fd);
 }
 
+/*
+ * Guards against a target ID whose line break ends the head of the request, so
+ * that the target runs it without its body: the call fails as not run, and
+ * nothing of it is sent.
+ */
+static void test_odd_id(void)
+{
+	struct egress_case c;
+	struct target_reply *r;
+	char byte;
+	int fd;
+
+	egress_begin(&c);
+	c.target_id = "t1\r\n";
+	call_with_body(&c, "r1", 0, 20);
+	fd = accept(c.listener, NULL, NULL);
+	r = reply(&c);
+	g_assert_cmpint(r->code, ==, ERR_BAD_FIELD);
+	g_assert_cmpuint(r->not_run, ==, 1);
+	target_reply_free(r);
+	g_assert_cmpint(recv(fd, &byte, 1, 0), ==, 0);
+	egress_end(&c);
+	close(fd);
+}
+
 /*
  * Guards against taking an answer to an earlier request, which arrives late on
  * the same connection, for the answer to this one.
@@ -1302,6 +1330,7 @@
 	log_init("test", drop_line, NULL);
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/egress/request", test_request);
+	g_test_add_func("/egress/odd-id", test_odd_id);
 	g_test_add_func("/egress/stray", test_stray);
 	g_test_add_func("/egress/early", test_early);
 	g_test_add_func("/egress/copy", test_copy);
