--- a/src/codec/http1.c
+++ b/src/codec/http1.c
@@ -3,12 +3,16 @@
 #include <string.h>
 #include <strings.h>
 
+#include "codec/http1_head.h"
+
 #define STATUS_INFORMATIONAL_MAX 199
 #define STATUS_NOT_MODIFIED 304
 /* Header fields for which there is room at first. */
 #define FIELDS_START 16
 /* Interim responses (1xx) before a response; a target sends one or two. */
 #define INTERIM_MAX 8
+/* Ends the parsing, as any value but 0, 1 and 2 does. */
+#define HEAD_REFUSED (-1)
 /* Framing that is accepted in any case: the limits may be very small. */
 #define FRAMING_BYTES_MIN 16384
 
@@ -86,10 +90,32 @@
 	return add_head_text(h, &h->field_text, at, len);
 }
 
+/*
+ * Checks what the parser accepts although the standard does not: a name with a
+ * space, which another reader takes for another field, and a request target
+ * with white space, which ends there for another reader.
+ */
+static int head_ok(struct http1_reader *h)
+{
+	uint32_t i;
+
+	if (h->kind == HTTP1_REQUEST && !http1_target_ok(h->url.data))
+		return 0;
+	for (i = 0; i < h->field_count; i++) {
+		if (!http1_token_ok(http1_field_name(h, i)))
+			return 0;
+	}
+	return 1;
+}
+
 static int on_head(http_parser *p)
 {
 	struct http1_reader *h = p->data;
 
+	if (!head_ok(h)) {
+		fail(h, ERR_BAD_FIELD);
+		return HEAD_REFUSED;
+	}
 	h->state = HTTP1_BODY;
 	/* 1 tells the parser that the message ends here. */
 	return h->kind == HTTP1_RESPONSE &&
--- a/src/codec/http1.h
+++ b/src/codec/http1.h
@@ -52,7 +52,8 @@
 	struct http1_limits limits;
 	/*
 	 * Reason of HTTP1_BAD: ERR_BAD_FIELD when the bytes are not valid
-	 * HTTP/1.1 or switch to another protocol; ERR_TOO_LARGE for the head,
+	 * HTTP/1.1, such as white space in the name of a field or before its
+	 * colon, or switch to another protocol; ERR_TOO_LARGE for the head,
 	 * the body, the framing, or too many interim responses;
 	 * ERR_TARGET_CLOSED when the stream ended too early.
 	 */
