--- a/src/codec/http1.c
+++ b/src/codec/http1.c
@@ -90,6 +90,21 @@
 	return add_head_text(h, &h->field_text, at, len);
 }
 
+/* Removes the white space behind the value of field @i. */
+static void trim_value(struct http1_reader *h, uint32_t i)
+{
+	size_t begin = h->fields[i].value_offset;
+	char *text = h->field_text.data;
+	size_t len;
+
+	if (!begin)
+		return;
+	len = strlen(text + begin);
+	while (len &&
+	       (text[begin + len - 1] == ' ' || text[begin + len - 1] == '\t'))
+		text[begin + --len] = '\0';
+}
+
 /*
  * Checks what the parser accepts although the standard does not: a name with a
  * space, which another reader takes for another field, and a request target
@@ -104,6 +119,7 @@
 	for (i = 0; i < h->field_count; i++) {
 		if (!http1_token_ok(http1_field_name(h, i)))
 			return 0;
+		trim_value(h, i);
 	}
 	return 1;
 }
--- a/src/codec/http1.h
+++ b/src/codec/http1.h
@@ -65,7 +65,10 @@
 	 * which ends with its head.
 	 */
 	uint32_t is_head_response;
-	/* Names and values of the header fields. */
+	/*
+	 * Names and values of the header fields, without white space around
+	 * them.
+	 */
 	struct buf field_text;
 	struct buf url;
 	struct buf body;
--- a/src/codec/http1_head.h
+++ b/src/codec/http1_head.h
@@ -30,7 +30,7 @@
  * Appends a header line. ERR_BAD_FIELD, and nothing is appended, if @name is no
  * token or if http1_value_ok() refuses @value.
  */
-MUST_CHECK enum err_code http1_add_field(struct buf *out, const char *name,
-					 const char *value);
+enum err_code http1_add_field(struct buf *out, const char *name,
+			      const char *value);
 
 #endif
