--- a/src/codec/http1.c
+++ b/src/codec/http1.c
@@ -23,6 +23,10 @@
 	return 1;
 }
 
+/*
+ * Trailer fields, which come behind a chunked body, are read and dropped: they
+ * would stand among the header fields otherwise.
+ */
 static int add_head_text(struct http1_reader *h, struct buf *to, const char *at,
 			 size_t len)
 {
@@ -31,7 +35,8 @@
 		h->head_too_large = 1;
 		return fail(h, ERR_TOO_LARGE);
 	}
-	buf_add(to, at, len);
+	if (h->state == HTTP1_HEAD)
+		buf_add(to, at, len);
 	return 0;
 }
 
@@ -70,7 +75,7 @@
 	struct http1_reader *h = p->data;
 
 	/* A name that follows a value, or comes first, begins a field. */
-	if (h->in_value || h->field_count == 0) {
+	if (h->state == HTTP1_HEAD && (h->in_value || h->field_count == 0)) {
 		add_field(h);
 		h->in_value = 0;
 	}
@@ -81,7 +86,7 @@
 {
 	struct http1_reader *h = p->data;
 
-	if (!h->in_value) {
+	if (h->state == HTTP1_HEAD && !h->in_value) {
 		buf_add(&h->field_text, "", 1);
 		h->fields[h->field_count - 1].value_offset =
 			(uint32_t)h->field_text.len_bytes;
--- a/src/codec/http1.h
+++ b/src/codec/http1.h
@@ -67,7 +67,7 @@
 	uint32_t is_head_response;
 	/*
 	 * Names and values of the header fields, without white space around
-	 * them.
+	 * them. Trailer fields are dropped.
 	 */
 	struct buf field_text;
 	struct buf url;
