--- a/src/base/series.c
+++ b/src/base/series.c
@@ -9,6 +9,8 @@
 
 struct series {
 	char *name;
+	/* The name with escapes, as the value of a label. */
+	char *label_value;
 	_Atomic uint64_t outcomes[SERIES_OUTCOME_COUNT];
 	/* Observations by bucket, not cumulative; the last has no bound. */
 	_Atomic uint64_t buckets[BUCKET_COUNT + 1];
@@ -46,6 +48,23 @@
 /* Protects the tables of the families; the counters are atomic. */
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
+/* Escapes what would end the value of a label or its line. */
+static char *escape_label(const char *name)
+{
+	struct buf out = { 0 };
+
+	buf_add(&out, "", 0);
+	for (; *name; name++) {
+		if (*name == '\n')
+			buf_add(&out, "\\n", 2);
+		else if (*name == '"' || *name == '\\')
+			buf_addf(&out, "\\%c", *name);
+		else
+			buf_add(&out, name, 1);
+	}
+	return out.data;
+}
+
 static struct series *find_or_add(struct family *f, const char *name)
 {
 	struct series *s;
@@ -61,6 +80,7 @@
 		return s;
 	s = util_alloc(1, sizeof(*s));
 	s->name = util_strdup(name);
+	s->label_value = escape_label(name);
 	g_hash_table_insert(f->series, s->name, s);
 	return s;
 }
@@ -97,7 +117,7 @@
 			buf_addf(out,
 				 "cowslippoint_%s{%s=\"%s\",outcome=\"%s\"} "
 				 "%" PRIu64 "\n",
-				 f->counter, f->label, s->name,
+				 f->counter, f->label, s->label_value,
 				 outcome_names[i], s->outcomes[i]);
 	}
 }
@@ -113,17 +133,17 @@
 		buf_addf(out,
 			 "cowslippoint_%s_bucket{%s=\"%s\",le=\"%g\"} %" PRIu64
 			 "\n",
-			 f->histogram, f->label, s->name,
+			 f->histogram, f->label, s->label_value,
 			 (double)bounds_us[i] / US_PER_S, count);
 	}
 	count += s->buckets[BUCKET_COUNT];
 	buf_addf(out,
 		 "cowslippoint_%s_bucket{%s=\"%s\",le=\"+Inf\"} %" PRIu64 "\n",
-		 f->histogram, f->label, s->name, count);
+		 f->histogram, f->label, s->label_value, count);
 	buf_addf(out, "cowslippoint_%s_sum{%s=\"%s\"} %g\n", f->histogram,
-		 f->label, s->name, (double)s->sum_us / US_PER_S);
+		 f->label, s->label_value, (double)s->sum_us / US_PER_S);
 	buf_addf(out, "cowslippoint_%s_count{%s=\"%s\"} %" PRIu64 "\n",
-		 f->histogram, f->label, s->name, count);
+		 f->histogram, f->label, s->label_value, count);
 }
 
 static void write_family(const struct family *f, struct buf *out)
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -62,15 +62,17 @@
 };
 
 /*
- * observe route|service NAME OUTCOME US: counts an answer or call. OUTCOME is a
- * number of enum series_outcome.
+ * observe route|service NAME OUTCOME US: counts an answer or call. NAME may have
+ * the escapes of C; OUTCOME is a number of enum series_outcome.
  */
 static void cmd_observe(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
+	g_autofree char *name = g_strcompress(argv[1]);
+
 	series_observe(series_get(strcmp(argv[0], "route") == 0
 					  ? SERIES_ROUTE
 					  : SERIES_SERVICE,
-				  argv[1]),
+				  name),
 		       (enum series_outcome)atoi(argv[2]), atoll(argv[3]));
 }
 
