--- a/src/codec/http1.c
+++ b/src/codec/http1.c
@@ -5,8 +5,11 @@
 
 #include "codec/http1_head.h"
 
+#define STATUS_INFORMATIONAL_MIN 100
+#define STATUS_SWITCHING 101
 #define STATUS_INFORMATIONAL_MAX 199
 #define STATUS_NOT_MODIFIED 304
+#define STATUS_MAX 599
 /* Header fields for which there is room at first. */
 #define FIELDS_START 16
 /* Interim responses (1xx) before a response; a target sends one or two. */
@@ -112,14 +115,15 @@
 
 /*
  * Checks what the parser accepts although the standard does not: a name with a
- * space, which another reader takes for another field, and a request target
- * with white space, which ends there for another reader.
+ * space, which another reader takes for another field; a request target with
+ * white space, which ends there for another reader; and a status that is none.
  */
 static int head_ok(struct http1_reader *h)
 {
 	uint32_t i;
 
-	if (h->kind == HTTP1_REQUEST && !http1_target_ok(h->url.data))
+	if (h->kind == HTTP1_REQUEST ? !http1_target_ok(h->url.data)
+				     : !http1_status_ok(http1_status(h)))
 		return 0;
 	for (i = 0; i < h->field_count; i++) {
 		if (!http1_token_ok(http1_field_name(h, i)))
@@ -317,6 +321,12 @@
 	return h->parser.status_code;
 }
 
+int http1_status_ok(uint32_t status)
+{
+	return status >= STATUS_INFORMATIONAL_MIN && status <= STATUS_MAX &&
+	       status != STATUS_SWITCHING;
+}
+
 int http1_has_body(int is_head, uint32_t status)
 {
 	return !is_head && status > STATUS_INFORMATIONAL_MAX &&
--- a/src/codec/http1.h
+++ b/src/codec/http1.h
@@ -53,7 +53,8 @@
 	/*
 	 * Reason of HTTP1_BAD: ERR_BAD_FIELD when the bytes are not valid
 	 * HTTP/1.1, such as white space in the name of a field or before its
-	 * colon, or switch to another protocol; ERR_TOO_LARGE for the head,
+	 * colon, or a status that http1_status_ok() refuses, or switch to
+	 * another protocol; ERR_TOO_LARGE for the head,
 	 * the body, the framing, or too many interim responses;
 	 * ERR_TARGET_CLOSED when the stream ended too early.
 	 */
@@ -113,6 +114,11 @@
 const char *http1_method(const struct http1_reader *h);
 /* Status code of a response. */
 uint32_t http1_status(const struct http1_reader *h);
+/*
+ * 1 if @status is one of the five classes, 100 to 599, but 101: no request asks
+ * for another protocol. A response with any other is no answer.
+ */
+int http1_status_ok(uint32_t status);
 /*
  * 1 if a response with @status has a body, which may be empty; @is_head: to a
  * HEAD request. The response ends with its head otherwise, whatever length it
--- a/tests/test_cut.c
+++ b/tests/test_cut.c
@@ -255,6 +255,55 @@
 	ring_free(results);
 }
 
+#define HITS "Content-Length: 11\r\n\r\n{\"hits\":[]}"
+#define ANSWER "HTTP/1.1 200 OK\r\n" HITS
+
+/*
+ * Answers whose status is none, some with a whole answer behind them, and what
+ * the calls end with.
+ */
+static const struct {
+	const char *text;
+	enum err_code target_code;
+	enum err_code read_code;
+} no_status[] = {
+	{ "HTTP/1.1 000 X\r\n" HITS, ERR_TARGET_CLOSED, ERR_STORE_DOWN },
+	{ "HTTP/1.1 000 X\r\n\r\n" ANSWER, ERR_TARGET_CLOSED, ERR_STORE_DOWN },
+	{ "HTTP/1.1 099 X\r\n" HITS, ERR_TARGET_CLOSED, ERR_STORE_DOWN },
+	{ "HTTP/1.1 099 X\r\n\r\n" ANSWER, ERR_TARGET_CLOSED, ERR_STORE_DOWN },
+	{ "HTTP/1.1 101 X\r\n\r\n" ANSWER, ERR_TARGET_STATUS,
+	  ERR_STORE_ANSWER },
+	{ "HTTP/1.1 600 X\r\n" HITS, ERR_TARGET_STATUS, ERR_STORE_ANSWER },
+	{ "HTTP/1.1 999 X\r\n" HITS, ERR_TARGET_STATUS, ERR_STORE_ANSWER },
+	{ "HTTP/1.1 1000 X\r\n" HITS, ERR_TARGET_CLOSED, ERR_STORE_DOWN },
+};
+
+/* Reported of a similar system: an answer with status 000 was passed on. */
+static void test_target_status(void)
+{
+	struct err err = { 0 };
+	struct ring *results = ring_new(RING_SIZE, NULL, NULL, &err);
+	struct target_duty *t = target_duty_new(RING_SIZE, results, &err);
+	uint32_t not_run;
+	uint32_t i;
+
+	g_assert_cmpint(target_duty_start(t, &err), ==, ERR_OK);
+	for (i = 0; i < countof(no_status); i++) {
+		struct cut_answer a = { no_status[i].text,
+					strlen(no_status[i].text) };
+		struct fake_http *server = fake_http_new(cut, &a);
+
+		g_assert_cmpint(target_call(t, results, fake_http_port(server),
+					    &not_run),
+				==, no_status[i].target_code);
+		g_assert_cmpuint(not_run, ==, 0);
+		fake_http_free(server);
+	}
+	target_duty_stop(t);
+	target_duty_free(t);
+	ring_free(results);
+}
+
 struct store_result {
 	int is_done;
 	enum err_code code;
@@ -363,6 +412,22 @@
 {
 }
 
+/* The same of the store's answers; nothing is known of a write then. */
+static void test_store_status(void)
+{
+	uint32_t i;
+
+	for (i = 0; i < countof(no_status); i++) {
+		struct cut_answer a = { no_status[i].text,
+					strlen(no_status[i].text) };
+		struct store_result r = store_call(KV_CAS, &a);
+
+		g_assert_cmpint(r.code, ==, ERR_STORE_UNKNOWN);
+		r = store_call(KV_GET, &a);
+		g_assert_cmpint(r.code, ==, no_status[i].read_code);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	apr_initialize();
@@ -373,5 +438,7 @@
 	g_test_add_func("/cut/target", test_target);
 	g_test_add_func("/copy/target-error", test_target_error);
 	g_test_add_func("/cut/store", test_store);
+	g_test_add_func("/cut/target-status", test_target_status);
+	g_test_add_func("/cut/store-status", test_store_status);
 	return g_test_run();
 }
