--- a/src/base/curl_head.c
+++ b/src/base/curl_head.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define HEAD_BYTES_MAX 65536
+
 /*
  * Called for each line of the head, and for those of the trailer after a
  * chunked body.
@@ -11,6 +13,9 @@
 	struct curl_head *h = ctx;
 	size_t len = size * n;
 
+	h->bytes += len;
+	if (h->bytes > HEAD_BYTES_MAX)
+		return 0;
 	/* The first line of an answer, also of one after an interim answer. */
 	if (len >= 5 && memcmp(line, "HTTP/", 5) == 0)
 		h->is_complete = 0;
@@ -21,7 +26,7 @@
 
 void curl_head_watch(struct curl_head *h, CURL *easy)
 {
-	h->is_complete = 0;
+	*h = (struct curl_head){ 0 };
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_line);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, h);
 }
--- a/src/base/curl_head.h
+++ b/src/base/curl_head.h
@@ -1,7 +1,8 @@
 /*
- * Tells whether libcurl has read the head of an answer to its end. A transfer
- * succeeds, with a status and without a body, also when the connection ends
- * after the first line of the head.
+ * Watches the head of an answer that libcurl reads. Tells whether it was read to
+ * its end, because a transfer succeeds, with a status and without a body, also
+ * when the connection ends after the first line; and bounds its length, with
+ * that of interim answers and of the trailer, which libcurl reads without end.
  */
 #ifndef CURL_HEAD_H
 #define CURL_HEAD_H
@@ -12,11 +13,14 @@
 struct curl_head {
 	/* 1 once the line that ends the head was read. */
 	uint32_t is_complete;
+	/* Bytes of all lines so far. */
+	size_t bytes;
 };
 
 /*
  * Watches the next transfer of @easy; @h has to outlive it. Sets the header
- * callback of @easy.
+ * callback of @easy. The transfer fails with CURLE_WRITE_ERROR when the head
+ * has more than 64 KB.
  */
 void curl_head_watch(struct curl_head *h, CURL *easy);
 /*
--- a/tests/test_cut.c
+++ b/tests/test_cut.c
@@ -8,6 +8,8 @@
 #include <curl/curl.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -16,11 +18,13 @@
 #include "duty/messages.h"
 #include "duty/target_duty.h"
 #include "fake_http.h"
+#include "loopback.h"
 #include "platform/kv_http.h"
 
 /* Longest wait for a result; after it the test fails. */
 #define WAIT_US (20 * (int64_t)US_PER_S)
 #define RING_SIZE 256
+#define STORE_TIMEOUT_MS 10000
 
 /* The answer of the server, and how many bytes of it are sent. */
 struct cut_answer {
@@ -319,16 +323,16 @@
 	out->rev = r->rev;
 }
 
-/* Makes one call of @op to a store that answers as @a says. */
-static struct store_result store_call(enum kv_op op, struct cut_answer *a)
+/* Makes one call of @op to the store at @port. */
+static struct store_result call_store(enum kv_op op, uint16_t port)
 {
-	struct fake_http *server = fake_http_new(cut, a);
-	struct kv_call call = { .op = op, .timeout_ms = 10000, .lease = 5 };
+	struct kv_call call = { .op = op,
+				.timeout_ms = STORE_TIMEOUT_MS,
+				.lease = 5 };
 	struct store_result result = { 0 };
 	int64_t end_us = clock_now_us() + WAIT_US;
 	struct err err = { 0 };
-	struct kv_http *http =
-		kv_http_new("127.0.0.1", fake_http_port(server), &err);
+	struct kv_http *http = kv_http_new("127.0.0.1", port, &err);
 	struct kv_driver driver = kv_http_driver(http);
 
 	util_copy_str(call.key, sizeof(call.key), "k");
@@ -342,6 +346,15 @@
 		kv_http_poll(http, 100);
 	}
 	kv_http_free(http);
+	return result;
+}
+
+/* Makes one call of @op to a store that answers as @a says. */
+static struct store_result store_call(enum kv_op op, struct cut_answer *a)
+{
+	struct fake_http *server = fake_http_new(cut, a);
+	struct store_result result = call_store(op, fake_http_port(server));
+
 	fake_http_free(server);
 	return result;
 }
@@ -428,6 +441,133 @@
 	}
 }
 
+/* Places in an answer at which bytes may come without end. */
+static const struct {
+	/* Sent once, and then without end. */
+	const char *begin;
+	const char *repeat;
+} endless[] = {
+	{ "", "\r\n" },
+	{ "", "no answer at all " },
+	{ "", "HTTP/1.1 100 Continue\r\n\r\n" },
+	{ "", "HTTP/1.1 100 Continue\r\nX: y\r\n\r\n" },
+	{ "HTTP/1.1 200 ", "very " },
+	{ "HTTP/1.1 200 OK\r\nX-", "Name" },
+	{ "HTTP/1.1 200 OK\r\nX: ", "value " },
+	{ "HTTP/1.1 200 OK\r\n", "X: y\r\n" },
+	{ "HTTP/1.1 200 OK\r\n\r\n", "body without a length " },
+	{ "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "body " },
+	{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r"
+								   "\n" },
+	{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: "
+									"y\r"
+									"\n" },
+};
+
+/*
+ * Bytes of an answer that a client may read before it gives up: 16 MB, the
+ * largest answer of the store, in chunks of four bytes, with what the sockets
+ * hold.
+ */
+#define ENDLESS_BYTES_MAX (48 * 1048576)
+
+struct endless_server {
+	int listener;
+	uint16_t port;
+	/* Position in endless. */
+	uint32_t row;
+	/* Bytes that the server could send until the client closed. */
+	_Atomic uint64_t sent_bytes;
+	GThread *thread;
+};
+
+static gpointer run_endless(gpointer data)
+{
+	struct endless_server *s = data;
+	g_autofree char *block = NULL;
+	GString *text = g_string_new(NULL);
+	int fd = accept(s->listener, NULL, NULL);
+	char request[4096];
+	ssize_t n;
+
+	while (text->len < 16384)
+		g_string_append(text, endless[s->row].repeat);
+	block = g_string_free(text, FALSE);
+	g_assert_cmpint(recv(fd, request, sizeof(request), 0), >, 0);
+	send(fd, endless[s->row].begin, strlen(endless[s->row].begin),
+	     MSG_NOSIGNAL);
+	while (s->sent_bytes < 2 * (uint64_t)ENDLESS_BYTES_MAX &&
+	       (n = send(fd, block, strlen(block), MSG_NOSIGNAL)) > 0)
+		s->sent_bytes += (uint64_t)n;
+	close(fd);
+	return NULL;
+}
+
+static void endless_begin(struct endless_server *s, uint32_t row)
+{
+	s->row = row;
+	s->sent_bytes = 0;
+	s->listener = loopback_listen(&s->port);
+	s->thread = g_thread_new("endless", run_endless, s);
+}
+
+/* The client has closed, after no more bytes than it may keep. */
+static void endless_end(struct endless_server *s)
+{
+	g_thread_join(s->thread);
+	close(s->listener);
+	g_test_message("row %u: %lu bytes", s->row,
+		       (unsigned long)s->sent_bytes);
+	g_assert_cmpuint(s->sent_bytes, <, ENDLESS_BYTES_MAX);
+}
+
+/* Reported of a similar system: it kept bytes without end, and ran out of memory. */
+static void test_target_endless(void)
+{
+	struct err err = { 0 };
+	struct ring *results = ring_new(RING_SIZE, NULL, NULL, &err);
+	struct target_duty *t = target_duty_new(RING_SIZE, results, &err);
+	struct endless_server s;
+	uint32_t not_run;
+	uint32_t i;
+
+	g_assert_cmpint(target_duty_start(t, &err), ==, ERR_OK);
+	for (i = 0; i < countof(endless); i++) {
+		enum err_code code;
+
+		endless_begin(&s, i);
+		code = target_call(t, results, s.port, &not_run);
+		g_test_message("row %u: %s", i, err_name(code));
+		g_assert_cmpint(code, !=, ERR_OK);
+		g_assert_cmpint(code, !=, ERR_TARGET_TIMEOUT);
+		g_assert_cmpuint(not_run, ==, 0);
+		endless_end(&s);
+	}
+	target_duty_stop(t);
+	target_duty_free(t);
+	ring_free(results);
+}
+
+/* The same of the store's answers. */
+static void test_store_endless(void)
+{
+	struct endless_server s;
+	uint32_t i;
+
+	for (i = 0; i < countof(endless); i++) {
+		int64_t from_us = clock_now_us();
+		struct store_result r;
+
+		endless_begin(&s, i);
+		r = call_store(KV_CAS, s.port);
+		g_assert_cmpint(r.code, ==, ERR_STORE_UNKNOWN);
+		endless_end(&s);
+		/* Not only at the call's time limit. */
+		g_assert_cmpint(clock_now_us() - from_us, <,
+				STORE_TIMEOUT_MS * US_PER_MS);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	apr_initialize();
@@ -438,6 +578,8 @@
 	g_test_add_func("/cut/target", test_target);
 	g_test_add_func("/copy/target-error", test_target_error);
 	g_test_add_func("/cut/store", test_store);
+	g_test_add_func("/endless/target", test_target_endless);
+	g_test_add_func("/endless/store", test_store_endless);
 	g_test_add_func("/cut/target-status", test_target_status);
 	g_test_add_func("/cut/store-status", test_store_status);
 	return g_test_run();
