--- a/src/duty/target_duty.c
+++ b/src/duty/target_duty.c
@@ -41,6 +41,12 @@
  * host may have to its targets.
  */
 #define CONNECTIONS_MAX 16384L
+/*
+ * Bytes of unfinished answers on all connections together. Beyond that the
+ * sub-request with the longest one fails, so that targets which send without
+ * end do not use up the memory of the host.
+ */
+#define BUFFERED_BYTES_MAX (32 * 1048576)
 /* libcurl easy handles kept for reuse. */
 #define IDLE_HANDLES_MAX 256
 
@@ -72,7 +78,7 @@
 	struct curl_head head;
 	/* Body of the answer. */
 	struct buf body;
-	/* 1: the answer exceeds TARGET_JSON_BODY_BYTES_MAX. */
+	/* 1: TARGET_JSON_BODY_BYTES_MAX or BUFFERED_BYTES_MAX was exceeded. */
 	int too_large;
 	/* Closes the connection CANCEL_GRACE_US after a cancellation. */
 	struct timer_entry grace_timer;
@@ -90,6 +96,8 @@
 	GHashTable *origins;
 	/* Easy handles for reuse. */
 	GPtrArray *idle;
+	/* Bytes of the unfinished answers of all transfers. */
+	size_t buffered_bytes;
 };
 
 static void wake(void *ctx)
@@ -151,11 +159,15 @@
 {
 	struct transfer *x = ctx;
 
+	/* The answer to a cancellation is not used. */
+	if (x->sub->is_cancel)
+		return size * count;
 	if (x->body.len_bytes + size * count > TARGET_JSON_BODY_BYTES_MAX) {
 		x->too_large = 1;
 		return 0;
 	}
 	buf_add(&x->body, data, size * count);
+	x->duty->buffered_bytes += size * count;
 	return size * count;
 }
 
@@ -187,6 +199,7 @@
 
 	timer_queue_cancel(duty_timers(t->duty), &x->grace_timer);
 	x->origin->open--;
+	t->buffered_bytes -= x->body.len_bytes;
 	if (!x->sub->is_cancel)
 		g_hash_table_remove(t->open, &x->sub->sub_id);
 	curl_multi_remove_handle(t->multi, x->easy);
@@ -563,6 +576,32 @@
 	}
 }
 
+/* Ends the sub-request whose unfinished answer is the longest one. */
+static void drop_longest(struct target_duty *t)
+{
+	struct transfer *longest = NULL;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, t->open);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct transfer *x = value;
+
+		if (!longest || x->body.len_bytes > longest->body.len_bytes)
+			longest = x;
+	}
+	longest->too_large = 1;
+	finish_transfer(longest, CURLE_WRITE_ERROR);
+}
+
+/* Keeps the unfinished answers within what the duty may hold. */
+static void bound_answers(struct target_duty *t)
+{
+	while (t->buffered_bytes > BUFFERED_BYTES_MAX &&
+	       g_hash_table_size(t->open))
+		drop_longest(t);
+}
+
 static void run(void *ctx, struct duty *d)
 {
 	struct target_duty *t = ctx;
@@ -577,6 +616,7 @@
 						    wait_us / US_PER_MS + 1);
 		curl_multi_perform(t->multi, &running);
 		finish_transfers(t);
+		bound_answers(t);
 		curl_multi_poll(t->multi, NULL, 0, wait_ms, NULL);
 	}
 }
--- a/tests/test_cut.c
+++ b/tests/test_cut.c
@@ -25,6 +25,11 @@
 #define WAIT_US (20 * (int64_t)US_PER_S)
 #define RING_SIZE 256
 #define STORE_TIMEOUT_MS 10000
+/* Bytes of unfinished answers that serve keeps at most. */
+#define SUM_BYTES_MAX (32 * 1048576)
+/* Calls whose answers together are longer, each below the limit for one. */
+#define SUM_ANSWERS 40
+#define SUM_ANSWER_BYTES 1000000
 
 /* The answer of the server, and how many bytes of it are sent. */
 struct cut_answer {
@@ -130,16 +135,13 @@
 	ring_free(replies);
 }
 
-/* Has serve search a target; returns the code of the result. */
-static enum err_code target_call(struct target_duty *t, struct ring *results,
-				 uint16_t port, uint32_t *not_run)
+/* Has serve search a target as sub-request @sub_id. */
+static void target_search(struct target_duty *t, uint64_t sub_id, uint16_t port)
 {
 	struct subrequest_msg *sub = util_alloc(1, sizeof(*sub));
 	struct msg m = { MSG_SUBREQUEST, sub, NULL };
-	struct subrequest_result *r;
-	enum err_code code;
 
-	sub->sub_id = 1;
+	sub->sub_id = sub_id;
 	sub->op = OP_SEARCH;
 	sub->text = util_strdup("q");
 	sub->limit = 3;
@@ -148,8 +150,18 @@
 	util_copy_str(sub->address, sizeof(sub->address), "127.0.0.1");
 	sub->port = port;
 	sub->deadline_us = clock_now_us() + WAIT_US;
-	sub->connection_limit = 4;
+	sub->connection_limit = SUM_ANSWERS;
 	g_assert_cmpint(ring_push(target_duty_ring(t), &m), ==, ERR_OK);
+}
+
+/* Has serve search a target; returns the code of the result. */
+static enum err_code target_call(struct target_duty *t, struct ring *results,
+				 uint16_t port, uint32_t *not_run)
+{
+	struct subrequest_result *r;
+	enum err_code code;
+
+	target_search(t, 1, port);
 	r = take(results, MSG_SUBREQUEST_RESULT);
 	code = r->code;
 	*not_run = r->not_run;
@@ -548,6 +560,84 @@
 	ring_free(results);
 }
 
+/* Accepts SUM_ANSWERS requests; each answer lacks its last byte. */
+static void begin_answers(int listener, int *fds)
+{
+	g_autofree char *spaces = g_strnfill(SUM_ANSWER_BYTES, ' ');
+	char request[4096];
+	uint32_t i;
+
+	for (i = 0; i < SUM_ANSWERS; i++) {
+		fds[i] = accept(listener, NULL, NULL);
+		g_assert_cmpint(recv(fds[i], request, sizeof(request), 0), >,
+				0);
+	}
+	for (i = 0; i < SUM_ANSWERS; i++) {
+		g_autofree char *head = g_strdup_printf("HTTP/1.1 200 "
+							"OK\r\nContent-Length: "
+							"%u\r\n\r\n"
+							"{\"hits\":[]",
+							SUM_ANSWER_BYTES + 11);
+		size_t sent = 0;
+		ssize_t n;
+
+		send(fds[i], head, strlen(head), MSG_NOSIGNAL);
+		while (sent < SUM_ANSWER_BYTES &&
+		       (n = send(fds[i], spaces + sent, SUM_ANSWER_BYTES - sent,
+				 MSG_NOSIGNAL)) > 0)
+			sent += (size_t)n;
+	}
+}
+
+/*
+ * Guards against unfinished answers of many targets that together use up the
+ * memory of the host: some sub-requests fail, and the others get theirs.
+ */
+static void test_target_sum(void)
+{
+	struct err err = { 0 };
+	struct ring *results = ring_new(RING_SIZE, NULL, NULL, &err);
+	struct target_duty *t = target_duty_new(RING_SIZE, results, &err);
+	int fds[SUM_ANSWERS];
+	uint32_t answered = 0;
+	uint32_t failed = 0;
+	uint16_t port;
+	int listener = loopback_listen(&port);
+	uint32_t i;
+
+	g_assert_cmpint(target_duty_start(t, &err), ==, ERR_OK);
+	for (i = 0; i < SUM_ANSWERS; i++)
+		target_search(t, i + 1, port);
+	begin_answers(listener, fds);
+	while ((SUM_ANSWERS - failed) * (uint64_t)SUM_ANSWER_BYTES >
+	       SUM_BYTES_MAX) {
+		struct subrequest_result *r =
+			take(results, MSG_SUBREQUEST_RESULT);
+
+		g_assert_cmpint(r->code, ==, ERR_TARGET_SIZE);
+		g_assert_cmpuint(r->not_run, ==, 0);
+		subrequest_result_free(r);
+		failed++;
+	}
+	for (i = 0; i < SUM_ANSWERS; i++)
+		send(fds[i], "}", 1, MSG_NOSIGNAL);
+	for (i = failed; i < SUM_ANSWERS; i++) {
+		struct subrequest_result *r =
+			take(results, MSG_SUBREQUEST_RESULT);
+
+		answered += r->code == ERR_OK;
+		subrequest_result_free(r);
+	}
+	/* All that fit into the bound, but for what one receive adds. */
+	g_assert_cmpuint(answered, >=, SUM_BYTES_MAX / SUM_ANSWER_BYTES - 1);
+	for (i = 0; i < SUM_ANSWERS; i++)
+		close(fds[i]);
+	close(listener);
+	target_duty_stop(t);
+	target_duty_free(t);
+	ring_free(results);
+}
+
 /* The same of the store's answers. */
 static void test_store_endless(void)
 {
@@ -579,6 +669,7 @@
 	g_test_add_func("/copy/target-error", test_target_error);
 	g_test_add_func("/cut/store", test_store);
 	g_test_add_func("/endless/target", test_target_endless);
+	g_test_add_func("/endless/target-sum", test_target_sum);
 	g_test_add_func("/endless/store", test_store_endless);
 	g_test_add_func("/cut/target-status", test_target_status);
 	g_test_add_func("/cut/store-status", test_store_status);
