--- a/Makefile
+++ b/Makefile
@@ -105,7 +105,7 @@
 
 # A short run of libFuzzer over each decoder, from a fixed seed. RUNS sets its
 # length, DECODERS chooses the decoders. New inputs go to the build folder.
-DECODERS = target host config rollout store answer request peer
+DECODERS = target host config rollout store answer request peer head
 FUZZ_FLAGS = -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined
 FUZZ_SRC = tests/fuzz/fuzz_decoders.c $(wildcard platform/*_json.c \
 	platform/platform_*.c src/codec/*.c src/model/*.c src/base/*.c \
--- a/src/codec/http1.c
+++ b/src/codec/http1.c
@@ -89,6 +89,9 @@
 {
 	struct http1_reader *h = p->data;
 
+	/* The parser does not look at the first byte of a value. */
+	if (!http1_text_ok(at, len))
+		return fail(h, ERR_BAD_FIELD);
 	if (h->state == HTTP1_HEAD && !h->in_value) {
 		buf_add(&h->field_text, "", 1);
 		h->fields[h->field_count - 1].value_offset =
--- a/src/codec/http1_head.c
+++ b/src/codec/http1_head.c
@@ -24,15 +24,15 @@
 	return text[0] && !text[strspn(text, token)];
 }
 
-static int has_control(const char *value)
+int http1_text_ok(const char *text, size_t len)
 {
 	size_t i;
 
-	for (i = 0; value[i]; i++) {
-		if (is_control(value[i]) && value[i] != '\t')
-			return 1;
+	for (i = 0; i < len; i++) {
+		if (is_control(text[i]) && text[i] != '\t')
+			return 0;
 	}
-	return 0;
+	return 1;
 }
 
 int http1_value_ok(const char *value)
@@ -41,7 +41,7 @@
 
 	if (len && (is_space(value[0]) || is_space(value[len - 1])))
 		return 0;
-	return !has_control(value);
+	return http1_text_ok(value, len);
 }
 
 int http1_target_ok(const char *target)
@@ -64,7 +64,8 @@
 		return 0;
 	*colon = '\0';
 	/* Hosts of earlier builds leave white space behind a value. */
-	return http1_token_ok(line) && !has_control(colon + 2);
+	return http1_token_ok(line) &&
+	       http1_text_ok(colon + 2, strlen(colon + 2));
 }
 
 int http1_fields_ok(const char *data, size_t len)
--- a/src/codec/http1_head.h
+++ b/src/codec/http1_head.h
@@ -10,6 +10,8 @@
 
 /* 1 if @text is a token: the name of a header field, or a method. */
 int http1_token_ok(const char *text);
+/* 1 if the @len bytes of @text hold no control character but tabs. */
+int http1_text_ok(const char *text, size_t len);
 /*
  * 1 if a receiver of a header field with @value reads the same text: it has no
  * control character but tabs and neither begins nor ends with white space. It
