--- a/src/controller/discovery.c
+++ b/src/controller/discovery.c
@@ -19,11 +19,23 @@
 /* Targets that have left and are kept in any case, beside those that are there. */
 #define LEFT_KEPT_MIN 64
 /*
- * An entry that states an earlier start than the known one is a late write, and
- * the next heartbeat replaces it, or the target's clock was moved back. It holds
- * if it is still there after this time, which is several heartbeats.
+ * An entry that was written before the known one by its numbers is held back for
+ * this long. Either it is a late write, and the next heartbeat replaces it; or
+ * the target's clock was moved back before it started again, or the numbers of
+ * the known entry were another writer's, and the entry stays.
  */
 #define HELD_US (5 * (int64_t)US_PER_S)
+/*
+ * The same for one that says that the target leaves: a call too many costs more
+ * there than a call too few. It is a heartbeat and a little more.
+ */
+#define HELD_DRAINING_US (1500 * (int64_t)US_PER_MS)
+/*
+ * So many writes in a row, each after the one before it, over at least this
+ * time, are those of a running process, whatever the known entry says.
+ */
+#define HELD_WRITES 3
+#define HELD_WRITES_US (2 * (int64_t)US_PER_S)
 
 struct known_target {
 	struct target_entry def;
@@ -32,9 +44,16 @@
 	/* 1: the target has left; its entry is kept until left_until_us. */
 	int has_left;
 	int64_t left_until_us;
-	/* Entry that is held back until held_until_us; 0: none. */
-	int64_t held_until_us;
+	/* Entry that is held back; of the process that wrote last. */
 	struct target_entry held;
+	/*
+	 * Writes in a row of that process that were held, and the time of the
+	 * first of them; 0: no entry is held.
+	 */
+	uint32_t held_writes;
+	int64_t held_since_us;
+	/* When the held entry is taken over; 0: not by the time alone. */
+	int64_t held_until_us;
 };
 
 struct discovery {
@@ -107,6 +126,13 @@
 	return known;
 }
 
+static void drop_held(struct known_target *known)
+{
+	known->held_writes = 0;
+	known->held_since_us = 0;
+	known->held_until_us = 0;
+}
+
 /* Takes over an entry of a target that is known, or has been added. */
 static void take_entry(struct discovery *d, struct known_target *known,
 		       const struct target_entry *target, int64_t now_us)
@@ -121,7 +147,7 @@
 	d->count += (uint32_t)is_new;
 	known->has_left = 0;
 	known->is_missing = 0;
-	known->held_until_us = 0;
+	drop_held(known);
 	if (!is_new && target_entry_equal(&known->def, target)) {
 		known->def.write_no = target->write_no;
 		return;
@@ -170,6 +196,64 @@
 	arm_held(d);
 }
 
+/*
+ * 1 if the entry @target may hold after some time without another write. Not if
+ * it would undo that the target leaves or has left: then a late write would do
+ * so once no heartbeat follows.
+ */
+static int may_outwait(const struct known_target *known,
+		       const struct target_entry *target,
+		       enum target_entry_order order)
+{
+	if (order == TARGET_ENTRY_OLD_PROCESS)
+		return 1;
+	return !known->has_left &&
+	       (target->is_draining || !known->def.is_draining);
+}
+
+/* Notes that @target was written while an entry of the target is held. */
+static void count_held(struct known_target *known,
+		       const struct target_entry *target, int64_t now_us)
+{
+	int is_same = known->held_writes &&
+		      target->started_ms == known->held.started_ms;
+
+	if (is_same && target->write_no <= known->held.write_no)
+		return;
+	if (!is_same) {
+		known->held_writes = 0;
+		known->held_since_us = now_us;
+	}
+	known->held_writes++;
+	known->held = *target;
+}
+
+/*
+ * Holds @target back. The wait begins with the first entry that is held: one
+ * that is written again and again would wait for ever otherwise. Returns 1 if
+ * the writes held show that the process runs.
+ */
+static int hold(struct discovery *d, struct known_target *known,
+		const struct target_entry *target,
+		enum target_entry_order order, int64_t now_us)
+{
+	int64_t until_us =
+		now_us + (target->is_draining ? HELD_DRAINING_US : HELD_US);
+
+	count_held(known, target, now_us);
+	if (known->held_writes >= HELD_WRITES &&
+	    now_us - known->held_since_us >= HELD_WRITES_US)
+		return 1;
+	if (!may_outwait(known, target, order))
+		return 0;
+	if (!known->held_until_us || until_us < known->held_until_us)
+		known->held_until_us = until_us;
+	known->left_until_us =
+		util_max_i64(known->left_until_us, known->held_until_us + 1);
+	arm_held(d);
+	return 0;
+}
+
 /* 1 if @target is not to be taken over now. */
 static int is_late(struct discovery *d, struct known_target *known,
 		   const struct target_entry *target, int64_t now_us)
@@ -181,20 +265,13 @@
 		return 0;
 	log_event(LOG_LEVEL_INFO, "target_entry_late",
 		  "target %s service %s: write %llu of the process of %lld "
-		  "comes after write %llu of that of %lld",
+		  "comes after write %llu of that of %lld, %u held",
 		  target->id, target->service,
 		  (unsigned long long)target->write_no,
 		  (long long)target->started_ms,
 		  (unsigned long long)known->def.write_no,
-		  (long long)known->def.started_ms);
-	if (order == TARGET_ENTRY_OLD_PROCESS) {
-		known->held = *target;
-		known->held_until_us = now_us + HELD_US;
-		known->left_until_us = util_max_i64(known->left_until_us,
-						    known->held_until_us + 1);
-		arm_held(d);
-	}
-	return 1;
+		  (long long)known->def.started_ms, known->held_writes);
+	return !hold(d, known, target, order, now_us);
 }
 
 void discovery_put(struct discovery *d, const struct target_entry *target,
@@ -258,7 +335,7 @@
 
 	if (!known)
 		return;
-	known->held_until_us = 0;
+	drop_held(known);
 	if (known->has_left || defer_removal(d, known, now_us))
 		return;
 	log_event(LOG_LEVEL_INFO, "target_gone", "target %s service %s left",
