--- a/src/gateway/gw_binding.c
+++ b/src/gateway/gw_binding.c
@@ -117,15 +117,13 @@
 			int64_t now_us)
 {
 	struct gw_target *t = get_target(g, def);
-	int is_cold_again = def->warmup_left_ms &&
-			    def->warmup_left_ms != t->def.warmup_left_ms;
+	uint32_t previous_ms = t->def.warmup_left_ms;
 
 	if (strcmp(t->def.address, def->address) != 0 ||
 	    t->def.port != def->port)
 		t->misdirected_until_us = 0;
 	t->def = *def;
-	if (is_cold_again)
-		gw_target_set_warmup(g, t, def->warmup_left_ms, now_us);
+	gw_target_bind_warmup(g, t, previous_ms, now_us);
 	g->target_count += !def->is_draining && !def->is_evacuated;
 	t->is_usable = !def->is_draining && !def->is_evacuated &&
 		       !t->is_leaving;
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -93,6 +93,8 @@
 	 */
 	int64_t cold_until_us;
 	int64_t cold_next_call_us;
+	/* The value of cold_until_us that its entry set last. */
+	int64_t bound_cold_until_us;
 };
 
 /*
@@ -476,9 +478,19 @@
 	int64_t next_call_us;
 };
 
-/* Target @t of @g states that its warm-up takes @left_ms more. */
+/*
+ * Target @t of @g states that its warm-up takes @left_ms more; of more than an
+ * hour, an hour is believed.
+ */
 void gw_target_set_warmup(const struct gw *g, struct gw_target *t,
 			  uint32_t left_ms, int64_t now_us);
+/*
+ * Takes over the warm-up that the entry of @t states; the entry before stated
+ * @previous_ms. 0 ends a warm-up that an entry has stated, but none that the
+ * target has stated since in an answer, which is newer.
+ */
+void gw_target_bind_warmup(const struct gw *g, struct gw_target *t,
+			   uint32_t previous_ms, int64_t now_us);
 /*
  * Time between two calls of this host to a cold target of @s; 0: any, the
  * service sets no limit.
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -60,6 +60,8 @@
  * this time is longer than any process takes to leave.
  */
 #define LEAVING_KEPT_US (600 * (int64_t)US_PER_S)
+/* Longest warm-up that is believed; warm-ups take seconds to minutes. */
+#define WARMUP_MS_MAX (3600 * MS_PER_S)
 
 struct gw_target *gw_target_ref(struct gw_target *t)
 {
@@ -158,9 +160,23 @@
 		t->cold_next_call_us =
 			now_us + gw_target_cold_interval_us(g, s) *
 					 g->turn_permille / PERMILLE;
+	left_ms = util_min_u32(left_ms, WARMUP_MS_MAX);
 	t->cold_until_us = now_us + (int64_t)left_ms * US_PER_MS;
 }
 
+void gw_target_bind_warmup(const struct gw *g, struct gw_target *t,
+			   uint32_t previous_ms, int64_t now_us)
+{
+	if (t->def.warmup_left_ms == previous_ms)
+		return;
+	if (t->def.warmup_left_ms) {
+		gw_target_set_warmup(g, t, t->def.warmup_left_ms, now_us);
+		t->bound_cold_until_us = t->cold_until_us;
+	} else if (t->cold_until_us == t->bound_cold_until_us) {
+		t->cold_until_us = now_us;
+	}
+}
+
 void gw_target_keep_leaving(struct gw_target *t, int64_t now_us)
 {
 	if (t->is_leaving)
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -624,7 +624,7 @@
 /*
  * reply CALL [status=N] [stamp=none] [records=LETTERS] [body=TEXT]
  * [not_run=1] [code=closed|connect|timeout|cancelled] [took=MS] [leaving=1]
- * [pause=MS]: what came back from the target of a call. LETTERS gives one
+ * [pause=MS] [warmup=MS]: what came back from the target of a call. LETTERS gives one
  * record for each letter.
  */
 static void cmd_reply(void *ctx, uint32_t argc, char **argv, struct buf *out)
@@ -641,7 +641,7 @@
 	r->status = script_u32(argc, argv, "status", 200);
 	r->is_leaving = script_u32(argc, argv, "leaving", 0);
 	r->pause_ms = script_u32(argc, argv, "pause", 0);
-	r->warmup_left_ms = -1;
+	r->warmup_left_ms = (int32_t)script_int(argc, argv, "warmup", -1);
 	r->service_us = script_int(argc, argv, "took", 10) * US_PER_MS;
 	if (strcmp(script_arg(argc, argv, "stamp", ""), "none") != 0)
 		util_copy_str(r->stamp, sizeof(r->stamp), stamp);
