--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,8 @@
 CPPFLAGS = -I. -Isrc -Itests -Itools $(shell pkg-config --cflags $(LIBS))
 CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wshadow -Wvla \
 	-Wmissing-prototypes -Wstrict-prototypes -Wno-unused-parameter \
-	-fno-omit-frame-pointer $(SANITIZE_$(VARIANT))
+	-fno-omit-frame-pointer -fPIC -fvisibility=hidden \
+	$(SANITIZE_$(VARIANT))
 # rpcgen output is committed as generated.
 CFLAGS_GENERATED = -Wno-unused-variable -Wno-missing-prototypes \
 	-Wno-cast-function-type -Wno-strict-prototypes
@@ -59,7 +60,7 @@
 	apt-get update -qq
 	DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(PACKAGES)
 
-$(OUT)/%.o: %.c
+$(OUT)/%.o: %.c Makefile
 	@mkdir -p $(dir $@)
 	@echo "CC $@"
 	@$(CC) $(CPPFLAGS) $(CFLAGS) \
@@ -70,9 +71,15 @@
 	@rm -f $@
 	@ar rcs $@ $^
 
-$(OUT)/cowslippoint: $(OUT)/src/main.o $(OUT)/libcowslippoint.a
+$(OUT)/libcowslippoint.so: $(LIB_OBJ)
 	@echo "LD $@"
-	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+	@$(CC) $(CFLAGS) -shared -o $@ $^ $(LDLIBS)
+
+# Loads the library when it runs; src/main.c says why.
+$(OUT)/cowslippoint: $(OUT)/src/main.o $(OUT)/src/base/signals.o \
+		$(OUT)/src/base/clock.o $(OUT)/libcowslippoint.so
+	@echo "LD $@"
+	@$(CC) $(CFLAGS) -Wl,-rpath,'$$ORIGIN' -o $@ $(filter %.o,$^)
 
 $(OUT)/standin: $(STANDIN_OBJ) $(OUT)/libcowslippoint.a
 	@echo "LD $@"
--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -1,15 +1,14 @@
 #include "duty/gateway.h"
 
 #include <curl/curl.h>
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/stat.h>
-#include <time.h>
 
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/opt.h"
+#include "base/signals.h"
 #include "codec/gw_settings.h"
 #include "duty/egress.h"
 #include "duty/gw_control.h"
@@ -44,7 +43,7 @@
 #define LAST_ANSWERS_MS 250
 #define FINISH_POLL_MS 20
 /* Interval at which the settings file is checked for changes. */
-#define SETTINGS_PERIOD_S 2
+#define SETTINGS_PERIOD_MS (2 * MS_PER_S)
 
 #define GATEWAY_OPTIONS(DEF)                                            \
 	DEF(GATEWAY_OPTION_SETTINGS, "settings", "COWSLIPPOINT_CONFIG", \
@@ -221,15 +220,6 @@
 	return ingress_start(g->ingress, err);
 }
 
-/* Waits up to @wait_ms for one of @signals; returns 1 when one came. */
-static int wait_signal(const sigset_t *signals, int64_t wait_ms)
-{
-	struct timespec ts = { .tv_sec = wait_ms / MS_PER_S,
-			       .tv_nsec = wait_ms % MS_PER_S * 1000000 };
-
-	return sigtimedwait(signals, NULL, &ts) > 0;
-}
-
 /* 1 if no caller and no other host waits for an answer. */
 static int is_finished(const struct gateway *g)
 {
@@ -241,7 +231,7 @@
 			  int64_t until_us)
 {
 	while (!is_finished(g) && clock_now_us() < until_us)
-		wait_signal(signals, FINISH_POLL_MS);
+		signals_wait(signals, FINISH_POLL_MS);
 }
 
 static void order_leave(struct gateway *g, int64_t stop_us)
@@ -286,7 +276,7 @@
 		  (long long)((stop_us - now_us) / US_PER_MS));
 	ingress_drain(g->ingress);
 	order_leave(g, stop_us);
-	wait_signal(signals, leave_ms);
+	signals_wait(signals, leave_ms);
 	tell_ingress(g, MSG_LEAVE);
 	wait_finished(g, signals, stop_us);
 	tell_ingress(g, MSG_CLOSE);
@@ -417,21 +407,20 @@
  */
 static void wait_for_stop(struct gateway *g, const sigset_t *signals)
 {
-	const struct timespec period = { SETTINGS_PERIOD_S, 0 };
 	struct file_stamp previous = stamp_of(g->settings_path);
 	int signal_no;
 
 	do {
 		struct file_stamp now;
 
-		signal_no = sigtimedwait(signals, NULL, &period);
+		signal_no = signals_wait(signals, SETTINGS_PERIOD_MS);
 		now = stamp_of(g->settings_path);
 		if (signal_no == SIGHUP)
 			reload_settings(g, "SIGHUP");
-		else if (signal_no < 0 && !is_same_stamp(&previous, &now))
+		else if (!signal_no && !is_same_stamp(&previous, &now))
 			reload_settings(g, "the file changed");
 		previous = now;
-	} while (signal_no < 0 || signal_no == SIGHUP);
+	} while (!signal_no || signal_no == SIGHUP);
 }
 
 static int run(struct gateway *g)
@@ -439,13 +428,7 @@
 	struct err err = { 0 };
 	sigset_t signals;
 
-	sigemptyset(&signals);
-	sigaddset(&signals, SIGTERM);
-	sigaddset(&signals, SIGINT);
-	sigaddset(&signals, SIGHUP);
-	/* Blocked before other threads start, so only this one gets them. */
-	pthread_sigmask(SIG_BLOCK, &signals, NULL);
-	signal(SIGPIPE, SIG_IGN);
+	signals_init(&signals);
 	if (create_duties(g, &err) != ERR_OK) {
 		err_print(stderr, &err);
 		return 1;
--- a/src/duty/serve.c
+++ b/src/duty/serve.c
@@ -2,13 +2,12 @@
 
 #include <curl/curl.h>
 #include <inttypes.h>
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/signals.h"
 #include "duty/admin.h"
 #include "duty/caller_duty.h"
 #include "duty/control.h"
@@ -40,6 +39,8 @@
 #define FINISH_MAX_US (60 * US_PER_S)
 /* Interval at which a shutdown checks whether requests are still in flight. */
 #define FINISH_POLL_MS 20
+/* Longest wait in a row for a signal that stops the host. */
+#define SIGNAL_WAIT_MS (3600 * (int64_t)MS_PER_S)
 
 struct server {
 	/* Parsed settings, indexed by enum serve_option. */
@@ -314,19 +315,18 @@
 			  "is full or closed");
 }
 
-/* Waits for @ms or until a signal of @signals; returns 1 after a signal. */
-static int wait_signal(const sigset_t *signals, int64_t ms)
-{
-	struct timespec ts = { ms / MS_PER_S, (ms % MS_PER_S) * 1000000 };
-
-	return sigtimedwait(signals, NULL, &ts) > 0;
-}
-
+/* Returns on SIGTERM or SIGINT. There is no settings file to be read again. */
 static void wait_stop(const sigset_t *signals)
 {
-	/* SIGCONT after a pause interrupts sigwaitinfo(). */
-	while (sigwaitinfo(signals, NULL) < 0)
-		;
+	int signal_no;
+
+	do {
+		signal_no = signals_wait(signals, SIGNAL_WAIT_MS);
+		if (signal_no == SIGHUP)
+			log_event(LOG_LEVEL_INFO, "settings_checked",
+				  "SIGHUP: the settings are those of the "
+				  "command line, which do not change");
+	} while (!signal_no || signal_no == SIGHUP);
 }
 
 static uint32_t open_requests(struct server *s)
@@ -349,11 +349,11 @@
 	admin_set_health(s->admin, ERR_STOPPING);
 	caller_duty_drain(s->caller);
 	push_leave(control_ring(s->control));
-	wait_signal(signals, option_number(s, SERVE_OPT_DRAIN_MS));
+	signals_wait(signals, option_number(s, SERVE_OPT_DRAIN_MS));
 	push_leave(request_duty_ring(s->request));
 	until_us = clock_now_us() + FINISH_MAX_US;
 	while (open_requests(s) > 0 && clock_now_us() < until_us) {
-		if (wait_signal(signals, FINISH_POLL_MS))
+		if (signals_wait(signals, FINISH_POLL_MS))
 			break;
 	}
 	log_event(LOG_LEVEL_INFO, "stopped", "%u requests unfinished",
@@ -410,15 +410,7 @@
 	struct err err = { 0 };
 	sigset_t signals;
 
-	sigemptyset(&signals);
-	sigaddset(&signals, SIGTERM);
-	sigaddset(&signals, SIGINT);
-	/*
-	 * Blocked before the other threads start, so that only the main thread
-	 * takes these signals.
-	 */
-	pthread_sigmask(SIG_BLOCK, &signals, NULL);
-	signal(SIGPIPE, SIG_IGN);
+	signals_init(&signals);
 	if (create(s, &err) != ERR_OK) {
 		err_print(stderr, &err);
 		return 1;
@@ -430,6 +422,8 @@
 	}
 	print_ready(s);
 	wait_stop(&signals);
+	/* A second SIGTERM or SIGINT shortens the shutdown, SIGHUP does not. */
+	sigdelset(&signals, SIGHUP);
 	leave(s, &signals);
 	stop(s);
 	return 0;
--- a/src/main.c
+++ b/src/main.c
@@ -1,67 +1,48 @@
-/* Entry point of the program: runs the subcommand that argv[1] names. */
-#include <apr_general.h>
+/*
+ * Blocks the signals that a host handles, then loads the program. The libraries
+ * that the program needs take several ms to load; a signal in this time would
+ * end a host that has just been started. So this file needs none of them.
+ */
+#include <dlfcn.h>
 #include <stdio.h>
 #include <string.h>
 
-#include "base/util.h"
-#include "ctl/ctl.h"
-#include "ctl/explain.h"
-#include "duty/gateway.h"
-#include "duty/serve.h"
+#include "base/signals.h"
+#include "program.h"
 
-#define VERSION "0.1.0"
-#define EXIT_USAGE 2
+#define PATH_BYTES 4096
 
-struct subcommand {
-	const char *name;
-	int (*run)(int argc, char **argv);
-	const char *help;
-};
-
-static const struct subcommand subcommands[] = {
-	{ "serve", serve_main, "run one host" },
-	{ "gateway", gateway_main, "run one host on the users' platform" },
-	{ "check", gateway_check_main, "check a settings file of the gateway" },
-	{ "explain", explain_main, "follow a request through the logs" },
-	{ "ctl", ctl_main, "operate the system over the admin API" },
-};
-
-static void usage(FILE *out)
+/*
+ * Loads the library from the folder of the program, or else, where the system
+ * does not tell that, from the one that @command, its argv[0], names.
+ */
+static void *load(const char *command)
 {
-	uint32_t i;
-
-	fprintf(out, "usage: cowslippoint SUBCOMMAND [--help] [...]\n"
-		     "       cowslippoint --version\n\n");
-	for (i = 0; i < countof(subcommands); i++)
-		fprintf(out, "  %-8s %s\n", subcommands[i].name,
-			subcommands[i].help);
-	fprintf(out, "\nexit status: 0 done, 1 failed or refused, 2 wrong "
-		     "usage, 3 not reachable (ctl)\n");
+	const char *slash = strrchr(command, '/');
+	/* The run path of the program is its folder. */
+	void *library = dlopen(PROGRAM_LIBRARY, RTLD_NOW);
+	char path[PATH_BYTES];
+	int len;
+
+	if (library || !slash)
+		return library;
+	len = snprintf(path, sizeof(path), "%.*s/%s", (int)(slash - command),
+		       command, PROGRAM_LIBRARY);
+	return len < (int)sizeof(path) ? dlopen(path, RTLD_NOW) : NULL;
 }
 
 int main(int argc, char **argv)
 {
-	uint32_t i;
-
-	apr_initialize();
-	if (argc < 2) {
-		usage(stderr);
-		return EXIT_USAGE;
-	}
-	if (strcmp(argv[1], "--version") == 0) {
-		printf("cowslippoint %s\n", VERSION);
-		return 0;
-	}
-	if (strcmp(argv[1], "--help") == 0) {
-		usage(stdout);
-		return 0;
-	}
-	for (i = 0; i < countof(subcommands); i++) {
-		if (strcmp(argv[1], subcommands[i].name) == 0)
-			return subcommands[i].run(argc - 1, argv + 1);
+	int (*run)(int argc, char **argv) = NULL;
+	void *library;
+
+	signals_block();
+	library = load(argc ? argv[0] : "");
+	if (library)
+		*(void **)&run = dlsym(library, PROGRAM_MAIN);
+	if (!run) {
+		fprintf(stderr, "cowslippoint: %s\n", dlerror());
+		return 1;
 	}
-	fprintf(stderr, "cowslippoint: \"%.40s\" is not a subcommand\n",
-		argv[1]);
-	usage(stderr);
-	return EXIT_USAGE;
+	return run(argc, argv);
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -624,8 +624,8 @@
 /*
  * reply CALL [status=N] [stamp=none] [records=LETTERS] [body=TEXT]
  * [not_run=1] [code=closed|connect|timeout|cancelled] [took=MS] [leaving=1]
- * [pause=MS] [warmup=MS]: what came back from the target of a call. LETTERS gives one
- * record for each letter.
+ * [pause=MS] [warmup=MS]: what came back from the target of a call. LETTERS
+ * gives one record for each letter.
  */
 static void cmd_reply(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -3,6 +3,7 @@
  * callers on kept connections, targets, and calls to the store in flight. The
  * process is built like the test program, so that a sanitizer's report ends it.
  */
+#include <fcntl.h>
 #include <glib.h>
 #include <pthread.h>
 #include <signal.h>
@@ -10,6 +11,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -35,6 +37,8 @@
 /* Longest wait for an event, and the time between two looks at it. */
 #define WAIT_US (30 * (int64_t)US_PER_S)
 #define POLL_US (10 * US_PER_MS)
+/* Longest time between two signals of a storm. */
+#define STORM_GAP_US (5 * US_PER_MS)
 
 static char host_program[256];
 
@@ -44,6 +48,8 @@
 	char address[32];
 	char settings_path[128];
 	char log_path[128];
+	/* End for writing of the pipe that the host reads its settings from. */
+	int settings_fd;
 	uint32_t grace_s;
 	struct fake_http *targets[TARGETS];
 	/* Protects @run. */
@@ -245,10 +251,53 @@
 	caller_clear(&c);
 }
 
-/* start [grace=S]: the store, the targets and one host. */
+/* Waits until the host reads the pipe; returns the end for writing. */
+static int wait_reader(struct stop *s)
+{
+	int64_t until_us = clock_now_us() + WAIT_US;
+	int fd;
+
+	do {
+		/* Fails as long as nobody reads. */
+		fd = open(s->settings_path, O_WRONLY | O_NONBLOCK);
+		if (clock_now_us() > until_us)
+			g_error("the host does not read %s", s->settings_path);
+		g_usleep(POLL_US);
+	} while (fd < 0);
+	return fd;
+}
+
+/* Name, and number, of a signal that a script sends. */
+static const struct {
+	const char *name;
+	int number;
+} signals[] = {
+	{ "hup", SIGHUP },
+	{ "int", SIGINT },
+	{ "pipe", SIGPIPE },
+	{ "term", SIGTERM },
+};
+
+/*
+ * The settings are a named pipe, so that the host waits for them while it
+ * starts.
+ */
+static void make_pipe(struct stop *s)
+{
+	unlink(s->settings_path);
+	if (mkfifo(s->settings_path, 0600) < 0)
+		g_error("cannot make %s", s->settings_path);
+}
+
+/*
+ * start [grace=S] [settings=pipe]: the store, the targets and one host, which
+ * is ready, or waits for its settings until "feed".
+ */
 static void cmd_start(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct stop *s = ctx;
+	int is_piped = strcmp(script_arg(argc, argv, "settings", ""), "pipe") ==
+		       0;
 	const char *store[] = { "build/standin", "store", NULL };
 	const char *host[] = { host_program, "gateway", "--settings",
 			       s->settings_path, NULL };
@@ -265,10 +314,93 @@
 		g_error("cannot start the store stand-in");
 	start_targets(s);
 	put_config(s);
-	write_settings(s);
+	if (is_piped)
+		make_pipe(s);
+	else
+		write_settings(s);
 	if (proc_spawn(&s->host, host, s->log_path) != 0)
 		g_error("cannot start %s", host_program);
-	wait_ready(s);
+	if (is_piped)
+		s->settings_fd = wait_reader(s);
+	else
+		wait_ready(s);
+}
+
+/*
+ * feed: gives the host the settings that it waits for, which are a file from
+ * now on, and waits until it is ready, unless it was told to stop.
+ */
+static void cmd_feed(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct stop *s = ctx;
+	g_autofree char *text = NULL;
+	gsize len = 0;
+
+	write_settings(s);
+	g_file_get_contents(s->settings_path, &text, &len, NULL);
+	if (write(s->settings_fd, text, len) != (ssize_t)len)
+		g_error("the host does not read its settings");
+	close(s->settings_fd);
+	if (!s->grace_end_us)
+		wait_ready(s);
+}
+
+/* signal hup|int|pipe|term: sends a signal to the host. */
+static void cmd_signal(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct stop *s = ctx;
+	uint32_t i;
+
+	for (i = 0; i < countof(signals); i++) {
+		if (strcmp(signals[i].name, argv[0]) == 0)
+			proc_signal(&s->host, signals[i].number);
+	}
+}
+
+/*
+ * storm N hup|int|pipe|term...: sends N signals, each one of those named, at
+ * random times of a fixed seed.
+ */
+static void cmd_storm(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct stop *s = ctx;
+	uint32_t n = (uint32_t)strtoul(argv[0], NULL, 10);
+	g_autoptr(GRand) rand = g_rand_new_with_seed(n);
+
+	while (n-- > 0) {
+		uint32_t at = (uint32_t)g_rand_int_range(rand, 1, (gint32)argc);
+
+		g_usleep((gulong)g_rand_int_range(rand, 0, STORM_GAP_US));
+		cmd_signal(s, 1, argv + at, out);
+	}
+}
+
+/* calls N: requests over new connections; prints how many were answered. */
+static void cmd_calls(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct stop *s = ctx;
+	uint32_t n = (uint32_t)strtoul(argv[0], NULL, 10);
+	uint32_t answered = 0;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		uint32_t number = ++s->next_request;
+		g_autofree char *text = g_strdup_printf("GET /one/%u "
+							"HTTP/1.1\r\nHost: "
+							"stop.example\r\n"
+							"Cowslippoint-Request-"
+							"Id: r%u\r\n"
+							"Cowslippoint-Deadline-"
+							"Ms: 4000\r\n\r\n",
+							number, number);
+		struct caller c;
+
+		caller_init(&c);
+		answered += caller_exchange(&c, s->address, CALLER_PORT, text,
+					    CALL_MS) == CALLER_OK;
+		caller_clear(&c);
+	}
+	buf_addf(out, "%u answered\n", answered);
 }
 
 static gpointer run_caller(gpointer data)
@@ -451,7 +583,9 @@
 	{ "hold", cmd_hold },	    { "send", cmd_send },
 	{ "answers", cmd_answers }, { "term", cmd_term },
 	{ "closed", cmd_closed },   { "ended", cmd_ended },
-	{ "lost", cmd_lost },
+	{ "lost", cmd_lost },	    { "feed", cmd_feed },
+	{ "signal", cmd_signal },   { "storm", cmd_storm },
+	{ "calls", cmd_calls },
 };
 
 static const struct script_area area = {
