--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -1,9 +1,11 @@
 #include "duty/gateway.h"
 
 #include <curl/curl.h>
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/stat.h>
+#include <time.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -227,11 +229,21 @@
 	       (!g->relay || !relay_forwarded_count(g->relay));
 }
 
-static void wait_finished(const struct gateway *g, const sigset_t *signals,
-			  int64_t until_us)
+/* Waits for @ms; signals have no effect meanwhile. */
+static void wait_ms(int64_t ms)
+{
+	struct timespec left = { .tv_sec = ms / MS_PER_S,
+				 .tv_nsec = ms % MS_PER_S * 1000000 };
+
+	/* SIGCONT after a pause interrupts it. */
+	while (nanosleep(&left, &left) < 0 && errno == EINTR)
+		;
+}
+
+static void wait_finished(const struct gateway *g, int64_t until_us)
 {
 	while (!is_finished(g) && clock_now_us() < until_us)
-		signals_wait(signals, FINISH_POLL_MS);
+		wait_ms(FINISH_POLL_MS);
 }
 
 static void order_leave(struct gateway *g, int64_t stop_us)
@@ -261,9 +273,10 @@
  * load balancer has noticed, new connections are served, and each connection is
  * closed after its answer. Then no more are accepted, and idle ones are closed.
  * Requests are answered until stop_us, or refused once it is known that they
- * would not end by then (gw_leave()).
+ * would not end by then (gw_leave()). A second SIGTERM changes nothing: the
+ * caller of the first one may send it again.
  */
-static void shut_down(struct gateway *g, const sigset_t *signals)
+static void shut_down(struct gateway *g)
 {
 	int64_t now_us = clock_now_us();
 	int64_t grace_us = (int64_t)g->settings.grace_ms * US_PER_MS;
@@ -276,11 +289,11 @@
 		  (long long)((stop_us - now_us) / US_PER_MS));
 	ingress_drain(g->ingress);
 	order_leave(g, stop_us);
-	signals_wait(signals, leave_ms);
+	wait_ms(leave_ms);
 	tell_ingress(g, MSG_LEAVE);
-	wait_finished(g, signals, stop_us);
+	wait_finished(g, stop_us);
 	tell_ingress(g, MSG_CLOSE);
-	wait_finished(g, signals, stop_us + LAST_ANSWERS_MS * US_PER_MS);
+	wait_finished(g, stop_us + LAST_ANSWERS_MS * US_PER_MS);
 	log_event(LOG_LEVEL_INFO, "stopped", "%u requests unfinished",
 		  ingress_caller_count(g->ingress));
 }
@@ -441,9 +454,7 @@
 	log_event(LOG_LEVEL_INFO, "started", "data centre %s",
 		  g->settings.data_centre);
 	wait_for_stop(g, &signals);
-	/* A SIGHUP must not shorten the waits of the shutdown. */
-	sigdelset(&signals, SIGHUP);
-	shut_down(g, &signals);
+	shut_down(g);
 	stop_duties(g);
 	return 0;
 }
