--- a/src/duty/target_duty.c
+++ b/src/duty/target_duty.c
@@ -576,8 +576,8 @@
 	}
 }
 
-/* Ends the sub-request whose unfinished answer is the longest one. */
-static void drop_longest(struct target_duty *t)
+/* The sub-request whose unfinished answer is the longest one; NULL: none. */
+static struct transfer *longest_answer(const struct target_duty *t)
 {
 	struct transfer *longest = NULL;
 	GHashTableIter it;
@@ -590,16 +590,20 @@
 		if (!longest || x->body.len_bytes > longest->body.len_bytes)
 			longest = x;
 	}
-	longest->too_large = 1;
-	finish_transfer(longest, CURLE_WRITE_ERROR);
+	return longest;
 }
 
 /* Keeps the unfinished answers within what the duty may hold. */
 static void bound_answers(struct target_duty *t)
 {
-	while (t->buffered_bytes > BUFFERED_BYTES_MAX &&
-	       g_hash_table_size(t->open))
-		drop_longest(t);
+	while (t->buffered_bytes > BUFFERED_BYTES_MAX) {
+		struct transfer *x = longest_answer(t);
+
+		if (!x)
+			return;
+		x->too_large = 1;
+		finish_transfer(x, CURLE_WRITE_ERROR);
+	}
 }
 
 static void run(void *ctx, struct duty *d)
--- a/tests/fuzz/fuzz_decoders.c
+++ b/tests/fuzz/fuzz_decoders.c
@@ -174,7 +174,7 @@
 		return;
 	expect(encode_call(first.data, (uint32_t)first.len_bytes, &wider,
 			   &again) == first.len_bytes);
-	expect(again.len_bytes == first.len_bytes &&
+	expect(again.data && again.len_bytes == first.len_bytes &&
 	       memcmp(again.data, first.data, first.len_bytes) == 0);
 }
 
