--- a/src/duty/caller_conn.c
+++ b/src/duty/caller_conn.c
@@ -57,8 +57,9 @@
 			int is_last)
 {
 	/* Where a refused request ends is not known. */
-	c->is_last = is_last || c->h1.state != HTTP1_COMPLETE ||
-		     !http1_keep_alive(&c->h1);
+	c->is_last = c->h1.state != HTTP1_COMPLETE ||
+		     !http1_keep_alive(&c->h1) ||
+		     (is_last && !c->unparsed.len_bytes);
 	c->state = CALLER_CONN_WRITING;
 	platform_answer_encode(a, c->is_last,
 			       strcmp(http1_method(&c->h1), "HEAD") == 0,
@@ -91,7 +92,7 @@
 		return;
 	c->out.len_bytes = 0;
 	c->out_sent_bytes = 0;
-	if (c->is_last || is_last) {
+	if (c->is_last || (is_last && !c->unparsed.len_bytes)) {
 		end(c);
 		return;
 	}
--- a/src/duty/caller_conn.h
+++ b/src/duty/caller_conn.h
@@ -58,7 +58,8 @@
 int caller_conn_is_idle(const struct caller_conn *c);
 /*
  * Answers the request; @is_last: the connection is closed after it, also if the
- * caller wants to go on.
+ * caller wants to go on. Requests that were received before are still read and
+ * answered.
  */
 void caller_conn_answer(struct caller_conn *c, const struct exchange_answer *a,
 			int is_last);
@@ -66,7 +67,8 @@
 const char *caller_conn_unsent(const struct caller_conn *c, size_t *len);
 /*
  * The socket has taken @len more bytes. After the last one, the next request is
- * read, within @limits, unless @is_last or the answer was the last one.
+ * read, within @limits, unless the answer was the last one, or @is_last and no
+ * byte of another request was received.
  */
 void caller_conn_written(struct caller_conn *c, size_t len, int is_last,
 			 const struct http1_limits *limits);
--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -162,10 +162,22 @@
 	return (struct http1_limits){ in->head_bytes_max, in->body_bytes_max };
 }
 
-/* 1 if no request is read any more after the one that is answered. */
+/* 1 if bytes wait in the socket; their request is still to be served. */
+static int has_input(const struct conn *c)
+{
+	char byte;
+
+	return recv(c->item.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/*
+ * 1 if no request is read any more after the one that is answered. What the
+ * caller has sent ahead is: it was not told before that the connection ends.
+ */
 static int is_last_request(const struct conn *c)
 {
-	return c->in->is_draining && c->kind == LISTENER_CALLER;
+	return c->in->is_draining &&
+	       (c->kind != LISTENER_CALLER || !has_input(c));
 }
 
 /* Writes what the socket takes of the answer; 0 if the connection has failed. */
@@ -199,7 +211,7 @@
 
 static void respond(struct conn *c, const struct exchange_answer *a)
 {
-	caller_conn_answer(&c->cc, a, c->in->is_draining);
+	caller_conn_answer(&c->cc, a, is_last_request(c));
 }
 
 static void refuse_stopping(struct conn *c)
@@ -498,14 +510,6 @@
 	exchange_answer_free(a);
 }
 
-/* 1 if bytes wait in the socket; their request is still to be served. */
-static int has_input(const struct conn *c)
-{
-	char byte;
-
-	return recv(c->item.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 /* 1 if the first request on @c may be on the way. */
 static int is_new(const struct conn *c, int64_t now_us)
 {
--- a/tests/prop_conn.c
+++ b/tests/prop_conn.c
@@ -453,6 +453,13 @@
 	struct buf wire;
 	/* 1: no more requests are sent, since the connection ends. */
 	int has_ended;
+	/* 1: bytes were sent that are refused, and end the connection. */
+	int has_refused;
+	/*
+	 * Requests that were sent whole before the caller was told that the
+	 * connection ends: each is due an answer.
+	 */
+	uint32_t due_count;
 };
 
 static const struct http1_limits caller_limits = { 256, 2 * BODY_BYTES };
@@ -567,11 +574,16 @@
 	}
 }
 
+/* The caller sends bytes that end a request, unless it goes on in w->rest. */
 static void caller_deliver(struct caller_world *w, const char *data, size_t len)
 {
 	size_t step = w->is_bytewise ? 1 : len;
+	int is_told = w->conn.state == CALLER_CONN_WRITING && w->conn.is_last;
 	size_t i;
 
+	if (!w->rest.len_bytes && !w->has_refused && !is_told)
+		w->due_count = w->sent_count;
+
 	for (i = 0; i < len; i += step) {
 		check(caller_conn_received(&w->conn, data + i, step), "disconne"
 								      "cted "
@@ -606,11 +618,21 @@
 	return 1;
 }
 
+/* Sends a request with a body above the limit. */
+static int send_long(struct caller_world *w)
+{
+	if (w->has_ended || w->rest.len_bytes)
+		return 0;
+	w->has_refused = 1;
+	return send_request(w, "POST", 3 * BODY_BYTES, 1000);
+}
+
 static int send_text(struct caller_world *w, const char *text)
 {
 	if (w->has_ended || w->rest.len_bytes || w->sent_count == CALLS_MAX)
 		return 0;
 	w->requests[++w->sent_count].method = "GET";
+	w->has_refused = 1;
 	caller_deliver(w, text, strlen(text));
 	return 1;
 }
@@ -684,7 +706,7 @@
 	case EVENT_SEND_REST:
 		return send_caller_rest(w);
 	case EVENT_SEND_LONG:
-		return send_request(w, "POST", 3 * BODY_BYTES, 1000);
+		return send_long(w);
 	case EVENT_SEND_GARBAGE:
 		return send_text(w, "what is this\r\n\r\n");
 	case EVENT_HOST_OK:
@@ -708,14 +730,19 @@
 	return 0;
 }
 
-/* The path ends: the request in hand is answered, and the answer written. */
+/* The path ends: all requests that were sent are answered. */
 static void caller_finish(void *world)
 {
 	struct caller_world *w = world;
 
-	if (w->conn.state == CALLER_CONN_WAITING)
-		answer(w, 200, ERR_OK, "body");
-	caller_write(w, SIZE_MAX);
+	do {
+		if (w->conn.state == CALLER_CONN_WAITING)
+			answer(w, 200, ERR_OK, "body");
+		caller_write(w, SIZE_MAX);
+		host_advance(w);
+	} while (w->conn.state == CALLER_CONN_WAITING);
+	check(w->answered_count >= w->due_count, "a request that was sent "
+						 "ahead without an answer");
 	check(w->answered_count == w->read_count, "a request without an "
 						  "answer, or an answer too "
 						  "many");
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -1252,6 +1252,42 @@
 	ingress_end(&c);
 }
 
+/*
+ * Guards against a planned stop that drops requests which a caller has sent
+ * behind the one that is answered: all of them are answered, and the last answer
+ * says that the connection ends.
+ */
+static void test_leave_ahead(void)
+{
+	struct ingress_case c;
+	struct msg m = { MSG_LEAVE, NULL, NULL };
+	uint32_t i;
+	int fd;
+
+	ingress_begin(&c);
+	fd = loopback_connect(c.caller_port);
+	put(fd, HEAD_GET "\r\n" HEAD_GET "\r\n" HEAD_GET "\r\n");
+	for (i = 0; i < 3; i++) {
+		struct exchange_request *r =
+			take(c.requests, MSG_EXCHANGE_REQUEST);
+
+		if (i == 0) {
+			ingress_drain(c.ingress);
+			g_assert_cmpint(ring_push(ingress_ring(c.ingress), &m),
+					==, ERR_OK);
+		}
+		answer(&c, r->conn_id, "body");
+		expect_bytes(fd, i < 2 ? "HTTP/1.1 200 OK\r\nX-Kept: 1\r\n"
+					 "Content-Length: 4\r\n\r\nbody"
+				       : "HTTP/1.1 200 OK\r\nX-Kept: 1\r\n"
+					 "Connection: close\r\n"
+					 "Content-Length: 4\r\n\r\nbody");
+		exchange_request_free(r);
+	}
+	expect_end(fd);
+	ingress_end(&c);
+}
+
 /* Callers that connect just before the host leaves. */
 #define LEAVE_CALLERS 100
 
@@ -1355,6 +1391,7 @@
 	g_test_add_func("/ingress/refused-long", test_refused_long);
 	g_test_add_func("/ingress/ready", test_ready);
 	g_test_add_func("/ingress/leave", test_leave);
+	g_test_add_func("/ingress/leave-ahead", test_leave_ahead);
 	g_test_add_func("/ingress/leave-accepted", test_leave_accepted);
 	g_test_add_func("/ingress/full", test_full);
 	return g_test_run();
