--- a/src/duty/caller_conn.c
+++ b/src/duty/caller_conn.c
@@ -4,10 +4,7 @@
 
 #include "platform/platform_http.h"
 
-/*
- * Bytes of further requests that are kept while one is answered; a caller that
- * sends more is disconnected.
- */
+/* No more is read from a caller that has sent so much ahead of an answer. */
 #define UNPARSED_BYTES_MAX 65536
 
 void caller_conn_init(struct caller_conn *c, const struct http1_limits *limits)
@@ -23,13 +20,15 @@
 	buf_free(&c->out);
 }
 
-int caller_conn_received(struct caller_conn *c, const char *data, size_t len)
+void caller_conn_received(struct caller_conn *c, const char *data, size_t len)
 {
-	if (c->state == CALLER_CONN_LINGERING || c->state == CALLER_CONN_CLOSED)
-		return 1;
-	buf_add(&c->unparsed, data, len);
-	return c->state == CALLER_CONN_READING ||
-	       c->unparsed.len_bytes <= UNPARSED_BYTES_MAX;
+	if (c->state != CALLER_CONN_LINGERING && c->state != CALLER_CONN_CLOSED)
+		buf_add(&c->unparsed, data, len);
+}
+
+int caller_conn_has_room(const struct caller_conn *c)
+{
+	return c->unparsed.len_bytes < UNPARSED_BYTES_MAX;
 }
 
 int caller_conn_parse(struct caller_conn *c)
--- a/src/duty/caller_conn.h
+++ b/src/duty/caller_conn.h
@@ -43,11 +43,13 @@
 void caller_conn_init(struct caller_conn *c, const struct http1_limits *limits);
 void caller_conn_clear(struct caller_conn *c);
 
+/* Takes bytes from the caller. */
+void caller_conn_received(struct caller_conn *c, const char *data, size_t len);
 /*
- * Takes bytes from the caller. Returns 0 if it has sent more ahead of an answer
- * than is kept; the socket has to be closed then.
+ * 0 if the caller has sent so much ahead of an answer that no more is to be
+ * read until the answer is written.
  */
-int caller_conn_received(struct caller_conn *c, const char *data, size_t len);
+int caller_conn_has_room(const struct caller_conn *c);
 /*
  * Reads on in what was received. Returns 1 if the state is CALLER_CONN_WAITING
  * from now on: c->h1 holds a request, or in state HTTP1_BAD says why the bytes
--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -180,6 +180,17 @@
 	       (c->kind != LISTENER_CALLER || !has_input(c));
 }
 
+/*
+ * Waits for input, if there is room for it, for the end of the stream, and for
+ * @events.
+ */
+static void set_events(struct conn *c, uint32_t events)
+{
+	if (caller_conn_has_room(&c->cc))
+		events |= EPOLLIN;
+	poller_set_events(c->in->poller, &c->item, events | EPOLLRDHUP);
+}
+
 /* Writes what the socket takes of the answer; 0 if the connection has failed. */
 static int flush(struct conn *c, int64_t now_us)
 {
@@ -194,8 +205,7 @@
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0 && errno == EAGAIN) {
-			poller_set_events(c->in->poller, &c->item,
-					  EPOLLIN | EPOLLRDHUP | EPOLLOUT);
+			set_events(c, EPOLLOUT);
 			arm_timeout(c, now_us, WRITE_TIMEOUT_MS);
 			return 1;
 		}
@@ -204,7 +214,7 @@
 		caller_conn_written(&c->cc, (size_t)n, is_last_request(c),
 				    &limits);
 	}
-	poller_set_events(c->in->poller, &c->item, EPOLLIN | EPOLLRDHUP);
+	set_events(c, 0);
 	arm_timeout(c, now_us, c->in->idle_timeout_ms);
 	return 1;
 }
@@ -345,10 +355,12 @@
 	for (;;) {
 		switch (c->cc.state) {
 		case CALLER_CONN_READING:
-			if (!read_request(c, now_us))
-				return;
-			break;
+			if (read_request(c, now_us))
+				break;
+			set_events(c, 0);
+			return;
 		case CALLER_CONN_WAITING:
+			set_events(c, 0);
 			return;
 		case CALLER_CONN_WRITING:
 			if (!flush(c, now_us)) {
@@ -378,16 +390,10 @@
 		conn_lost(c);
 		return;
 	}
-	if (caller_conn_received(&c->cc, c->in->scratch, (size_t)n)) {
-		/* Nothing follows for a connection that lingers. */
-		if (c->cc.state != CALLER_CONN_LINGERING)
-			advance(c, now_us);
-		return;
-	}
-	log_event(LOG_LEVEL_WARNING, "caller_flood",
-		  "%zu bytes sent ahead of an answer",
-		  c->cc.unparsed.len_bytes);
-	conn_lost(c);
+	caller_conn_received(&c->cc, c->in->scratch, (size_t)n);
+	/* Nothing follows for a connection that lingers. */
+	if (c->cc.state != CALLER_CONN_LINGERING)
+		advance(c, now_us);
 }
 
 static void on_conn(void *ctx, uint32_t events, int64_t now_us)
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -6,6 +6,7 @@
 #include <apr_general.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -1288,6 +1289,69 @@
 	ingress_end(&c);
 }
 
+/* Bytes of a body that is sent ahead; more than is kept. */
+#define AHEAD_BODY_BYTES 200000
+/* Requests with such a body that are sent ahead. */
+#define AHEAD_REQUESTS 5
+/* Time in which a caller that has sent too much would be disconnected. */
+#define AHEAD_WAIT_MS 200
+
+/*
+ * Guards against a caller that sends much ahead of an answer and is disconnected
+ * without the answers that are due. What it sends is read as answers are
+ * written.
+ */
+static void test_ahead(void)
+{
+	g_autofree char *body = g_strnfill(AHEAD_BODY_BYTES, 'x');
+	g_autofree char *post = g_strdup_printf("POST /p/q HTTP/1.1\r\nHost: "
+						"shop.example\r\n"
+						"Cowslippoint-Request-Id: "
+						"r2\r\nContent-Length: "
+						"%u\r\n\r\n%s",
+						AHEAD_BODY_BYTES, body);
+	struct ingress_case c;
+	struct pollfd end;
+	size_t sent = 0;
+	uint32_t answered = 0;
+	uint32_t i = 0;
+	int fd;
+
+	ingress_begin(&c);
+	fd = loopback_connect(c.caller_port);
+	end = (struct pollfd){ .fd = fd, .events = POLLIN };
+	put(fd, HEAD_GET "\r\n");
+	while (answered <= AHEAD_REQUESTS) {
+		struct exchange_request *r;
+
+		/* As much as the sockets take. */
+		while (i < AHEAD_REQUESTS) {
+			ssize_t n = send(fd, post + sent, strlen(post) - sent,
+					 MSG_NOSIGNAL | MSG_DONTWAIT);
+
+			if (n < 0)
+				break;
+			sent += (size_t)n;
+			if (sent < strlen(post))
+				continue;
+			sent = 0;
+			i++;
+		}
+		r = take(c.requests, MSG_EXCHANGE_REQUEST);
+		g_assert_cmpuint(r->message->body.len_bytes, ==,
+				 answered ? AHEAD_BODY_BYTES : 0);
+		/* The connection would end meanwhile. */
+		if (!answered)
+			g_assert_cmpint(poll(&end, 1, AHEAD_WAIT_MS), ==, 0);
+		answer(&c, r->conn_id, "body");
+		expect(fd, "body");
+		exchange_request_free(r);
+		answered++;
+	}
+	close(fd);
+	ingress_end(&c);
+}
+
 /* Callers that connect just before the host leaves. */
 #define LEAVE_CALLERS 100
 
@@ -1391,6 +1455,7 @@
 	g_test_add_func("/ingress/refused-long", test_refused_long);
 	g_test_add_func("/ingress/ready", test_ready);
 	g_test_add_func("/ingress/leave", test_leave);
+	g_test_add_func("/ingress/ahead", test_ahead);
 	g_test_add_func("/ingress/leave-ahead", test_leave_ahead);
 	g_test_add_func("/ingress/leave-accepted", test_leave_accepted);
 	g_test_add_func("/ingress/full", test_full);
