--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -176,8 +176,8 @@
  */
 static int is_last_request(const struct conn *c)
 {
-	return c->in->is_draining &&
-	       (c->kind != LISTENER_CALLER || !has_input(c));
+	return c->in->is_draining && c->kind == LISTENER_CALLER &&
+	       !has_input(c);
 }
 
 /*
@@ -221,7 +221,10 @@
 
 static void respond(struct conn *c, const struct exchange_answer *a)
 {
-	caller_conn_answer(&c->cc, a, is_last_request(c));
+	int is_last = c->kind == LISTENER_CALLER ? is_last_request(c)
+						 : c->in->is_draining;
+
+	caller_conn_answer(&c->cc, a, is_last);
 }
 
 static void refuse_stopping(struct conn *c)
