--- a/src/duty/caller_conn.c
+++ b/src/duty/caller_conn.c
@@ -7,10 +7,13 @@
 /* No more is read from a caller that has sent so much ahead of an answer. */
 #define UNPARSED_BYTES_MAX 65536
 
-void caller_conn_init(struct caller_conn *c, const struct http1_limits *limits)
+void caller_conn_init(struct caller_conn *c)
 {
+	/* Those of each request are set when its first byte is read. */
+	struct http1_limits limits = { 0, 0 };
+
 	*c = (struct caller_conn){ .state = CALLER_CONN_READING };
-	http1_init(&c->h1, HTTP1_REQUEST, limits);
+	http1_init(&c->h1, HTTP1_REQUEST, &limits);
 }
 
 void caller_conn_clear(struct caller_conn *c)
@@ -31,12 +34,19 @@
 	return c->unparsed.len_bytes < UNPARSED_BYTES_MAX;
 }
 
-int caller_conn_parse(struct caller_conn *c)
+int caller_conn_is_idle(const struct caller_conn *c)
+{
+	return c->state == CALLER_CONN_READING && c->h1.state == HTTP1_IDLE;
+}
+
+int caller_conn_parse(struct caller_conn *c, const struct http1_limits *limits)
 {
 	size_t used;
 
 	if (c->state != CALLER_CONN_READING || !c->unparsed.len_bytes)
 		return 0;
+	if (caller_conn_is_idle(c))
+		c->h1.limits = *limits;
 	used = http1_parse(&c->h1, c->unparsed.data, c->unparsed.len_bytes);
 	memmove(c->unparsed.data, c->unparsed.data + used,
 		c->unparsed.len_bytes - used);
@@ -47,11 +57,6 @@
 	return 1;
 }
 
-int caller_conn_is_idle(const struct caller_conn *c)
-{
-	return c->state == CALLER_CONN_READING && c->h1.state == HTTP1_IDLE;
-}
-
 void caller_conn_answer(struct caller_conn *c, const struct exchange_answer *a,
 			int is_last)
 {
@@ -83,8 +88,7 @@
 	c->unparsed.len_bytes = 0;
 }
 
-void caller_conn_written(struct caller_conn *c, size_t len, int is_last,
-			 const struct http1_limits *limits)
+void caller_conn_written(struct caller_conn *c, size_t len, int is_last)
 {
 	c->out_sent_bytes += len;
 	if (c->out_sent_bytes < c->out.len_bytes)
@@ -97,5 +101,4 @@
 	}
 	c->state = CALLER_CONN_READING;
 	http1_reset(&c->h1);
-	c->h1.limits = *limits;
 }
--- a/src/duty/caller_conn.h
+++ b/src/duty/caller_conn.h
@@ -40,7 +40,7 @@
 	int is_last;
 };
 
-void caller_conn_init(struct caller_conn *c, const struct http1_limits *limits);
+void caller_conn_init(struct caller_conn *c);
 void caller_conn_clear(struct caller_conn *c);
 
 /* Takes bytes from the caller. */
@@ -51,11 +51,11 @@
  */
 int caller_conn_has_room(const struct caller_conn *c);
 /*
- * Reads on in what was received. Returns 1 if the state is CALLER_CONN_WAITING
- * from now on: c->h1 holds a request, or in state HTTP1_BAD says why the bytes
- * are refused.
+ * Reads on in what was received, a request that begins now within @limits.
+ * Returns 1 if the state is CALLER_CONN_WAITING from now on: c->h1 holds a
+ * request, or in state HTTP1_BAD says why the bytes are refused.
  */
-int caller_conn_parse(struct caller_conn *c);
+int caller_conn_parse(struct caller_conn *c, const struct http1_limits *limits);
 /* 1 if the next request may be on the way, but no byte of it was read. */
 int caller_conn_is_idle(const struct caller_conn *c);
 /*
@@ -69,10 +69,9 @@
 const char *caller_conn_unsent(const struct caller_conn *c, size_t *len);
 /*
  * The socket has taken @len more bytes. After the last one, the next request is
- * read, within @limits, unless the answer was the last one, or @is_last and no
- * byte of another request was received.
+ * read, unless the answer was the last one, or @is_last and no byte of another
+ * request was received.
  */
-void caller_conn_written(struct caller_conn *c, size_t len, int is_last,
-			 const struct http1_limits *limits);
+void caller_conn_written(struct caller_conn *c, size_t len, int is_last);
 
 #endif
--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -200,7 +200,6 @@
 	for (data = caller_conn_unsent(&c->cc, &len); len > 0;
 	     data = caller_conn_unsent(&c->cc, &len)) {
 		ssize_t n = send(c->item.fd, data, len, MSG_NOSIGNAL);
-		struct http1_limits limits = limits_of(c->in);
 
 		if (n < 0 && errno == EINTR)
 			continue;
@@ -211,8 +210,7 @@
 		}
 		if (n < 0)
 			return 0;
-		caller_conn_written(&c->cc, (size_t)n, is_last_request(c),
-				    &limits);
+		caller_conn_written(&c->cc, (size_t)n, is_last_request(c));
 	}
 	set_events(c, 0);
 	arm_timeout(c, now_us, c->in->idle_timeout_ms);
@@ -333,9 +331,10 @@
 /* Reads on; returns 1 if a request came. */
 static int read_request(struct conn *c, int64_t now_us)
 {
+	struct http1_limits limits = limits_of(c->in);
 	int was_idle = caller_conn_is_idle(&c->cc);
 
-	if (!caller_conn_parse(&c->cc)) {
+	if (!caller_conn_parse(&c->cc, &limits)) {
 		if (was_idle && !caller_conn_is_idle(&c->cc))
 			arm_timeout(c, now_us, c->in->head_timeout_ms);
 		return 0;
@@ -428,7 +427,6 @@
 static void add_conn(struct listener *l, int fd, int64_t now_us)
 {
 	struct ingress *in = l->in;
-	struct http1_limits limits = limits_of(in);
 	struct conn *c = util_alloc(1, sizeof(*c));
 	struct err err = { 0 };
 	int one = 1;
@@ -438,7 +436,7 @@
 	c->kind = l->kind;
 	c->accepted_us = now_us;
 	c->item = (struct poller_item){ .fd = fd, .fn = on_conn, .ctx = c };
-	caller_conn_init(&c->cc, &limits);
+	caller_conn_init(&c->cc);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	if (l->kind == LISTENER_CALLER) {
 		atomic_fetch_add(&in->caller_count, 1);
@@ -581,6 +579,22 @@
 	in->has_left = 1;
 }
 
+/* Has idle connections end by the idle time-out that holds now, if it is less. */
+static void shorten_idle(struct ingress *in, int64_t now_us)
+{
+	int64_t due_us = now_us + (int64_t)in->idle_timeout_ms * US_PER_MS;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, in->conns);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct conn *c = value;
+
+		if (caller_conn_is_idle(&c->cc) && c->timer.due_us > due_us)
+			arm_timeout(c, now_us, in->idle_timeout_ms);
+	}
+}
+
 static void on_message(void *ctx, int64_t now_us, struct msg *m)
 {
 	struct ingress *in = ctx;
@@ -589,6 +603,9 @@
 	case MSG_EXCHANGE_ANSWER:
 		on_answer(in, m->body, now_us);
 		break;
+	case MSG_CALLER_LIMITS:
+		shorten_idle(in, now_us);
+		break;
 	case MSG_LEAVE:
 		leave(in, now_us);
 		break;
@@ -694,6 +711,8 @@
 
 void ingress_set_limits(struct ingress *in, const struct caller_limits *l)
 {
+	struct msg m = { MSG_CALLER_LIMITS, NULL, NULL };
+
 	if (l->header_bytes_max)
 		in->head_bytes_max = l->header_bytes_max;
 	if (l->body_bytes_max)
@@ -702,6 +721,9 @@
 		in->head_timeout_ms = l->header_timeout_ms;
 	if (l->idle_timeout_ms)
 		in->idle_timeout_ms = l->idle_timeout_ms;
+	if (ring_push(duty_ring(in->duty), &m) != ERR_OK)
+		log_event(LOG_LEVEL_WARNING, "ring_full",
+			  "idle connections keep their time-out");
 }
 
 void ingress_drain(struct ingress *in)
--- a/src/duty/messages.h
+++ b/src/duty/messages.h
@@ -47,6 +47,8 @@
 	MSG_GW_LEAVE, /* struct gw_leave_order: main thread to gateway */
 	/* No body: main thread to ingress; the process is about to end. */
 	MSG_CLOSE,
+	/* No body: gateway control to ingress; limits of callers have changed. */
+	MSG_CALLER_LIMITS,
 	MSG_LOG_LINE, /* char: any duty to logger */
 	MSG_EXCHANGE_REQUEST, /* struct exchange_request: ingress to gateway */
 	/* struct exchange_caller_gone: ingress to gateway */
--- a/tests/prop_conn.c
+++ b/tests/prop_conn.c
@@ -467,7 +467,7 @@
 static void caller_init_world(struct caller_world *w, int is_bytewise)
 {
 	*w = (struct caller_world){ .is_bytewise = is_bytewise };
-	caller_conn_init(&w->conn, &caller_limits);
+	caller_conn_init(&w->conn);
 }
 
 static void caller_free(struct caller_world *w)
@@ -530,8 +530,7 @@
 		len = max;
 	buf_add(&w->wire, data, len);
 	if (len)
-		caller_conn_written(&w->conn, len, w->is_draining,
-				    &caller_limits);
+		caller_conn_written(&w->conn, len, w->is_draining);
 	while (caller_read(w))
 		;
 }
@@ -553,7 +552,7 @@
 /* What the ingress duty does until it has to wait. */
 static void host_advance(struct caller_world *w)
 {
-	while (caller_conn_parse(&w->conn)) {
+	while (caller_conn_parse(&w->conn, &caller_limits)) {
 		const struct http1_reader *h = &w->conn.h1;
 		g_autofree char *uri = NULL;
 
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -870,6 +870,8 @@
 	return port;
 }
 
+/* Idle time-out until a configuration states one. */
+#define IDLE_DEFAULT_US (15 * (int64_t)US_PER_S)
 /* Callers that the ingress duty serves at the same time. */
 #define CONNECTIONS_MAX 64
 
@@ -1289,6 +1291,84 @@
 	ingress_end(&c);
 }
 
+/*
+ * Guards against kept connections on which the limits of an earlier
+ * configuration hold: here a larger body, and a longer head, and then smaller
+ * ones.
+ */
+static void test_changed_limits(void)
+{
+	static const struct {
+		struct caller_limits limits;
+		uint32_t body_bytes;
+		/* Expected status; 0: the request is passed on. */
+		uint32_t status;
+	} steps[] = {
+		{ { 16384, 1000, 0, 0 }, 1000, 0 },
+		{ { 16384, 3000, 0, 0 }, 3000, 0 },
+		{ { 16384, 2000, 0, 0 }, 2000, 0 },
+		{ { 16384, 2000, 0, 0 }, 2001, 413 },
+	};
+	struct ingress_case c;
+	uint32_t i;
+	int fd;
+
+	ingress_begin(&c);
+	fd = loopback_connect(c.caller_port);
+	for (i = 0; i < countof(steps); i++) {
+		g_autofree char *body = g_strnfill(steps[i].body_bytes, 'x');
+		g_autofree char *text =
+			g_strdup_printf("POST /p/q HTTP/1.1\r\nHost: "
+					"shop.example\r\n"
+					"Cowslippoint-Request-Id: r\r\n"
+					"Content-Length: %u\r\n\r\n%s",
+					steps[i].body_bytes, body);
+		struct exchange_request *r;
+
+		/* The connection is idle: its last answer was read. */
+		ingress_set_limits(c.ingress, &steps[i].limits);
+		put(fd, text);
+		if (steps[i].status) {
+			expect(fd, "HTTP/1.1 413 ");
+			break;
+		}
+		r = take(c.requests, MSG_EXCHANGE_REQUEST);
+		answer(&c, r->conn_id, "body");
+		expect(fd, "body");
+		exchange_request_free(r);
+	}
+	close(fd);
+	ingress_end(&c);
+}
+
+/*
+ * Guards against idle connections that outlast the idle time-out of the
+ * configuration in force: here it falls from 15 s to 50 ms.
+ */
+static void test_changed_idle(void)
+{
+	static const struct caller_limits shorter = { 0, 0, 0, 50 };
+	struct ingress_case c;
+	struct exchange_request *r;
+	int64_t from_us = clock_now_us();
+	int used;
+	int unused;
+
+	ingress_begin(&c);
+	unused = loopback_connect(c.caller_port);
+	used = loopback_connect(c.caller_port);
+	put(used, HEAD_GET "\r\n");
+	r = take(c.requests, MSG_EXCHANGE_REQUEST);
+	answer(&c, r->conn_id, "body");
+	expect(used, "body");
+	ingress_set_limits(c.ingress, &shorter);
+	expect_end(used);
+	expect_end(unused);
+	g_assert_cmpint(clock_now_us() - from_us, <, IDLE_DEFAULT_US);
+	exchange_request_free(r);
+	ingress_end(&c);
+}
+
 /* Bytes of a body that is sent ahead; more than is kept. */
 #define AHEAD_BODY_BYTES 200000
 /* Requests with such a body that are sent ahead. */
@@ -1455,6 +1535,8 @@
 	g_test_add_func("/ingress/refused-long", test_refused_long);
 	g_test_add_func("/ingress/ready", test_ready);
 	g_test_add_func("/ingress/leave", test_leave);
+	g_test_add_func("/ingress/changed-limits", test_changed_limits);
+	g_test_add_func("/ingress/changed-idle", test_changed_idle);
 	g_test_add_func("/ingress/ahead", test_ahead);
 	g_test_add_func("/ingress/leave-ahead", test_leave_ahead);
 	g_test_add_func("/ingress/leave-accepted", test_leave_accepted);
