--- a/src/codec/http1.c
+++ b/src/codec/http1.c
@@ -144,6 +144,12 @@
 		fail(h, ERR_BAD_FIELD);
 		return HEAD_REFUSED;
 	}
+	/*
+	 * An offer of another protocol is ignored (RFC 9110, section 7.8).
+	 * CONNECT is no offer: what follows it is not HTTP/1.1.
+	 */
+	if (h->kind == HTTP1_REQUEST && p->method != HTTP_CONNECT)
+		p->upgrade = 0;
 	h->state = HTTP1_BODY;
 	/* 1 tells the parser that the message ends here. */
 	return h->kind == HTTP1_RESPONSE &&
@@ -247,7 +253,7 @@
 
 	if (error != HPE_OK && error != HPE_PAUSED && h->state != HTTP1_BAD)
 		fail(h, ERR_BAD_FIELD);
-	/* A protocol switch is refused: what follows it is not HTTP/1.1. */
+	/* A protocol switch is refused. */
 	if (h->parser.upgrade && h->state != HTTP1_BAD)
 		fail(h, ERR_BAD_FIELD);
 	h->message_bytes += used;
@@ -336,6 +342,35 @@
 	       status != HTTP1_NO_CONTENT && status != STATUS_NOT_MODIFIED;
 }
 
+/* 1 if the list of tokens @list, separated by commas, has @token. */
+static int has_token(const char *list, const char *token)
+{
+	size_t len = strlen(token);
+
+	while (*list) {
+		size_t n = strcspn(list, " \t,");
+
+		if (n == len && strncasecmp(list, token, n) == 0)
+			return 1;
+		list += n;
+		list += strspn(list, " \t,");
+	}
+	return 0;
+}
+
+int http1_is_nominated(const struct http1_reader *h, uint32_t i)
+{
+	const char *name = http1_field_name(h, i);
+	uint32_t k;
+
+	for (k = 0; k < h->field_count; k++) {
+		if (strcasecmp(http1_field_name(h, k), "Connection") == 0 &&
+		    has_token(http1_field_value(h, k), name))
+			return 1;
+	}
+	return 0;
+}
+
 int http1_is_hop_by_hop(const char *name)
 {
 	static const char *const hop[] = {
--- a/src/codec/http1.h
+++ b/src/codec/http1.h
@@ -125,6 +125,11 @@
  * states (RFC 9112, section 6.3).
  */
 int http1_has_body(int is_head, uint32_t status);
+/*
+ * 1 if a field Connection of the message names its field @i, which then concerns
+ * only this connection (RFC 9110, section 7.6.1).
+ */
+int http1_is_nominated(const struct http1_reader *h, uint32_t i);
 /* 1 if header field @name concerns only one connection or the framing. */
 int http1_is_hop_by_hop(const char *name);
 /* "Unknown" for a status code without a standard phrase. */
