--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 	libcurl4-openssl-dev libhttp-parser-dev
 LIBS = apr-1 libmicrohttpd glib-2.0 libtirpc jansson libxxhash libcurl
 
+comma = ,
 VARIANT ?=
 BUILD = build
 OUT = $(BUILD)$(if $(VARIANT),/$(VARIANT))
@@ -75,11 +76,14 @@
 	@echo "LD $@"
 	@$(CC) $(CFLAGS) -shared -o $@ $^ $(LDLIBS)
 
-# Loads the library when it runs; src/main.c says why.
+# Loads the library when it runs; src/main.c says why. A sanitizer looks up the
+# functions that it replaces when the process starts, so that the libraries have
+# to be there then.
 $(OUT)/cowslippoint: $(OUT)/src/main.o $(OUT)/src/base/signals.o \
 		$(OUT)/src/base/clock.o $(OUT)/libcowslippoint.so
 	@echo "LD $@"
-	@$(CC) $(CFLAGS) -Wl,-rpath,'$$ORIGIN' -o $@ $(filter %.o,$^)
+	@$(CC) $(CFLAGS) -Wl,-rpath,'$$ORIGIN' -o $@ $(filter %.o,$^) \
+		$(if $(VARIANT),-Wl$(comma)--no-as-needed $(LDLIBS))
 
 $(OUT)/standin: $(STANDIN_OBJ) $(OUT)/libcowslippoint.a
 	@echo "LD $@"
