--- a/src/codec/http1.c
+++ b/src/codec/http1.c
@@ -17,8 +17,12 @@
 #define INTERIM_MAX 8
 /* Ends the parsing, as any value but 0, 1 and 2 does. */
 #define HEAD_REFUSED (-1)
-/* Framing that is accepted in any case: the limits may be very small. */
+/* Bytes beyond the body that are accepted in any case. */
 #define FRAMING_BYTES_MIN 16384
+/* Bytes of the head with its separators for each one that counts as the head. */
+#define HEAD_FRAMING 4
+/* Bytes of the framing of chunks for each byte of the body. */
+#define CHUNK_FRAMING 8
 
 static int fail(struct http1_reader *h, enum err_code code)
 {
@@ -243,12 +247,15 @@
 	h->interim_count = 0;
 }
 
-/* Fails a message that goes on after all that the limits allow. */
-static void check_size(struct http1_reader *h)
+/*
+ * Fails a message whose framing goes on without end. A body in chunks of one byte
+ * has five bytes of framing for each of them.
+ */
+static void check_framing(struct http1_reader *h)
 {
-	uint64_t bytes_max =
-		2 * ((uint64_t)h->limits.head_bytes + h->limits.body_bytes) +
-		FRAMING_BYTES_MIN;
+	uint64_t bytes_max = FRAMING_BYTES_MIN +
+			     HEAD_FRAMING * (uint64_t)h->limits.head_bytes +
+			     (1 + CHUNK_FRAMING) * (uint64_t)h->body.len_bytes;
 
 	if (h->message_bytes > bytes_max && h->state != HTTP1_COMPLETE &&
 	    h->state != HTTP1_BAD)
@@ -267,7 +274,7 @@
 	if (h->parser.upgrade && h->state != HTTP1_BAD)
 		fail(h, ERR_BAD_FIELD);
 	h->message_bytes += used;
-	check_size(h);
+	check_framing(h);
 	return used;
 }
 
--- a/src/codec/http1.h
+++ b/src/codec/http1.h
@@ -29,9 +29,10 @@
 };
 
 /*
- * Largest sizes accepted; the head counts as http1_reader.head_bytes. A message
- * with its framing, blank lines and interim responses (1xx) before it, chunk
- * headers and extensions, may have twice as many bytes as both together.
+ * Largest sizes accepted; the head counts as http1_reader.head_bytes. What else
+ * belongs to a message, separators, blank lines and interim responses (1xx)
+ * before it, chunk headers and extensions, has a bound of its own: four times
+ * the limit on the head, eight times the body as far as it was read, and 16 KB.
  */
 struct http1_limits {
 	uint32_t head_bytes;
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -1400,6 +1400,44 @@
 	ingress_end(&c);
 }
 
+/*
+ * Guards against a body within its limit that is refused because its chunks are
+ * small; and against framing that has no bound.
+ */
+static void test_small_chunks(void)
+{
+	static const struct caller_limits limits = { 16384, 100000, 0, 0 };
+	g_autoptr(GString) text = g_string_new("POST /p/q HTTP/1.1\r\nHost: "
+					       "shop.example\r\n"
+					       "Cowslippoint-Request-Id: r\r\n"
+					       "Transfer-Encoding: "
+					       "chunked\r\n\r\n");
+	struct ingress_case c;
+	struct exchange_request *r;
+	uint32_t i;
+	int fd;
+
+	ingress_begin(&c);
+	ingress_set_limits(c.ingress, &limits);
+	fd = loopback_connect(c.caller_port);
+	put(fd, text->str);
+	for (i = 0; i < limits.body_bytes_max; i++)
+		put(fd, "1\r\nx\r\n");
+	put(fd, "0\r\n\r\n");
+	r = take(c.requests, MSG_EXCHANGE_REQUEST);
+	g_assert_cmpuint(r->message->body.len_bytes, ==, limits.body_bytes_max);
+	answer(&c, r->conn_id, "body");
+	expect(fd, "body");
+	exchange_request_free(r);
+	g_string_append(text, "1;");
+	for (i = 0; i < 100000; i++)
+		g_string_append(text, "x");
+	put(fd, text->str);
+	expect(fd, "HTTP/1.1 413 ");
+	close(fd);
+	ingress_end(&c);
+}
+
 /* Bytes of a body that is sent ahead; more than is kept. */
 #define AHEAD_BODY_BYTES 200000
 /* Requests with such a body that are sent ahead. */
@@ -1569,6 +1607,7 @@
 	g_test_add_func("/ingress/changed-limits", test_changed_limits);
 	g_test_add_func("/ingress/changed-idle", test_changed_idle);
 	g_test_add_func("/ingress/long-head", test_long_head);
+	g_test_add_func("/ingress/small-chunks", test_small_chunks);
 	g_test_add_func("/ingress/ahead", test_ahead);
 	g_test_add_func("/ingress/leave-ahead", test_leave_ahead);
 	g_test_add_func("/ingress/leave-accepted", test_leave_accepted);
