--- a/src/base/util.c
+++ b/src/base/util.c
@@ -110,6 +110,13 @@
 	b->len_bytes += (size_t)len;
 }
 
+void buf_reset(struct buf *b)
+{
+	if (b->cap_bytes > BUF_KEPT_BYTES)
+		buf_free(b);
+	b->len_bytes = 0;
+}
+
 void buf_free(struct buf *b)
 {
 	free(b->data);
--- a/src/base/util.h
+++ b/src/base/util.h
@@ -66,6 +66,12 @@
 void buf_add(struct buf *b, const void *data, size_t len_bytes);
 void buf_addf(struct buf *b, const char *fmt, ...) PRINTF_LIKE(2, 3);
 void buf_free(struct buf *b);
+/*
+ * Empties the buffer. Memory of more than BUF_KEPT_BYTES is freed, so that an
+ * idle owner does not hold that of the largest content it ever had.
+ */
+void buf_reset(struct buf *b);
+#define BUF_KEPT_BYTES 4096
 #define CLEANUP_BUF CLEANUP(buf_free)
 
 #endif
--- a/src/codec/http1.c
+++ b/src/codec/http1.c
@@ -13,6 +13,8 @@
 #define STATUS_MAX 599
 /* Header fields for which there is room at first. */
 #define FIELDS_START 16
+/* Header fields for which there is room in an idle reader at most. */
+#define FIELDS_KEPT 512
 /* Interim responses (1xx) before a response; a target sends one or two. */
 #define INTERIM_MAX 8
 /* Ends the parsing, as any value but 0, 1 and 2 does. */
@@ -192,10 +194,15 @@
 
 static void clear_message(struct http1_reader *h)
 {
-	h->field_text.len_bytes = 0;
-	h->url.len_bytes = 0;
-	h->body.len_bytes = 0;
+	buf_reset(&h->field_text);
+	buf_reset(&h->url);
+	buf_reset(&h->body);
 	h->field_count = 0;
+	if (h->field_capacity > FIELDS_KEPT) {
+		free(h->fields);
+		h->fields = NULL;
+		h->field_capacity = 0;
+	}
 	h->head_bytes = 0;
 	h->in_value = 0;
 	h->head_too_large = 0;
@@ -233,6 +240,12 @@
 	h->field_capacity = 0;
 }
 
+size_t http1_held_bytes(const struct http1_reader *h)
+{
+	return h->field_text.cap_bytes + h->url.cap_bytes + h->body.cap_bytes +
+	       h->field_capacity * sizeof(h->fields[0]);
+}
+
 static void begin_message(struct http1_reader *h)
 {
 	clear_message(h);
--- a/src/codec/http1.h
+++ b/src/codec/http1.h
@@ -90,7 +90,12 @@
 void http1_init(struct http1_reader *h, enum http1_kind kind,
 		const struct http1_limits *limits);
 void http1_clear(struct http1_reader *h);
-/* Prepares for the next message on the same connection. */
+/* Memory that the reader holds for the message. */
+size_t http1_held_bytes(const struct http1_reader *h);
+/*
+ * Prepares for the next message on the same connection. Keeps no more than a few
+ * KB of memory.
+ */
 void http1_reset(struct http1_reader *h);
 /*
  * Reads up to @len bytes and returns how many of them belong to the message.
--- a/src/duty/caller_conn.c
+++ b/src/duty/caller_conn.c
@@ -23,6 +23,12 @@
 	buf_free(&c->out);
 }
 
+size_t caller_conn_held_bytes(const struct caller_conn *c)
+{
+	return http1_held_bytes(&c->h1) + c->unparsed.cap_bytes +
+	       c->out.cap_bytes;
+}
+
 void caller_conn_received(struct caller_conn *c, const char *data, size_t len)
 {
 	if (c->state != CALLER_CONN_LINGERING && c->state != CALLER_CONN_CLOSED)
@@ -51,6 +57,8 @@
 	memmove(c->unparsed.data, c->unparsed.data + used,
 		c->unparsed.len_bytes - used);
 	c->unparsed.len_bytes -= used;
+	if (!c->unparsed.len_bytes)
+		buf_reset(&c->unparsed);
 	if (c->h1.state != HTTP1_COMPLETE && c->h1.state != HTTP1_BAD)
 		return 0;
 	c->state = CALLER_CONN_WAITING;
@@ -85,7 +93,7 @@
 		       c->unparsed.len_bytes > 0;
 
 	c->state = has_more ? CALLER_CONN_LINGERING : CALLER_CONN_CLOSED;
-	c->unparsed.len_bytes = 0;
+	buf_reset(&c->unparsed);
 }
 
 void caller_conn_written(struct caller_conn *c, size_t len, int is_last)
@@ -93,7 +101,7 @@
 	c->out_sent_bytes += len;
 	if (c->out_sent_bytes < c->out.len_bytes)
 		return;
-	c->out.len_bytes = 0;
+	buf_reset(&c->out);
 	c->out_sent_bytes = 0;
 	if (c->is_last || (is_last && !c->unparsed.len_bytes)) {
 		end(c);
--- a/src/duty/caller_conn.h
+++ b/src/duty/caller_conn.h
@@ -43,6 +43,8 @@
 void caller_conn_init(struct caller_conn *c);
 void caller_conn_clear(struct caller_conn *c);
 
+/* Memory that the connection holds for messages; a few KB while it is idle. */
+size_t caller_conn_held_bytes(const struct caller_conn *c);
 /* Takes bytes from the caller. */
 void caller_conn_received(struct caller_conn *c, const char *data, size_t len);
 /*
--- a/src/duty/target_conn.c
+++ b/src/duty/target_conn.c
@@ -108,6 +108,11 @@
 	reuse_written(&c->reuse, c->out_sent_bytes == c->out.len_bytes);
 }
 
+size_t target_conn_held_bytes(const struct target_conn *c)
+{
+	return http1_held_bytes(&c->h1) + c->out.cap_bytes;
+}
+
 size_t target_conn_buffered_bytes(const struct target_conn *c)
 {
 	return c->state == TARGET_CONN_BUSY
@@ -180,6 +185,8 @@
 		update_idle_timeout(c);
 		finish_call(c, 1, now_us);
 		http1_reset(&c->h1);
+		buf_reset(&c->out);
+		c->out_sent_bytes = 0;
 		c->state = TARGET_CONN_IDLE;
 		return 0;
 	case REUSE_CLOSE:
--- a/src/duty/target_conn.h
+++ b/src/duty/target_conn.h
@@ -69,6 +69,8 @@
 void target_conn_ended(struct target_conn *c, int64_t now_us);
 /* Fails the call, if there is one, and the connection. */
 void target_conn_fail(struct target_conn *c, enum err_code code);
+/* Memory that the connection holds for messages; a few KB while it is idle. */
+size_t target_conn_held_bytes(const struct target_conn *c);
 /* Bytes of the unfinished answer. */
 size_t target_conn_buffered_bytes(const struct target_conn *c);
 
--- a/tests/prop_conn.c
+++ b/tests/prop_conn.c
@@ -746,6 +746,73 @@
 	check(w->wire.len_bytes == 0, "bytes behind an answer");
 }
 
+/* Bytes of a large body, and those that an idle connection may hold. */
+#define LARGE_BYTES 3000000
+#define IDLE_HELD_BYTES 32768
+
+/* The message "@head, LARGE_BYTES of body". */
+static void make_large(struct buf *out, const char *head)
+{
+	g_autofree char *body = g_strnfill(LARGE_BYTES, 'x');
+
+	buf_addf(out, "%sContent-Length: %u\r\n\r\n", head, LARGE_BYTES);
+	buf_add(out, body, LARGE_BYTES);
+}
+
+/*
+ * Guards against idle connections that hold the memory of the largest message
+ * that they ever carried: many of them use up that of the process.
+ */
+static void test_caller_idle(void)
+{
+	static const struct http1_limits limits = { 1024, LARGE_BYTES };
+	struct buf text CLEANUP_BUF = { 0 };
+	struct exchange_answer a = { .status = 200 };
+	struct caller_conn c;
+	size_t len;
+
+	make_large(&text, "POST / HTTP/1.1\r\nHost: h\r\n");
+	make_large(&a.body, "");
+	caller_conn_init(&c);
+	caller_conn_received(&c, text.data, text.len_bytes);
+	g_assert_true(caller_conn_parse(&c, &limits));
+	caller_conn_answer(&c, &a, 0);
+	caller_conn_unsent(&c, &len);
+	g_assert_cmpuint(caller_conn_held_bytes(&c), >, 2 * LARGE_BYTES);
+	caller_conn_written(&c, len, 0);
+	g_assert_true(caller_conn_is_idle(&c));
+	g_assert_cmpuint(caller_conn_held_bytes(&c), <, IDLE_HELD_BYTES);
+	buf_free(&a.body);
+	caller_conn_clear(&c);
+}
+
+static void test_target_idle(void)
+{
+	struct buf text CLEANUP_BUF = { 0 };
+	struct target_world w;
+	struct target_call *call;
+	size_t len;
+
+	make_large(&text, "HTTP/1.1 200 OK\r\n"
+			  "Cowslippoint-Request-Id: r1\r\n"
+			  "Cowslippoint-Server-Stamp: s1\r\n");
+	target_init(&w, 0);
+	call = w.conn.call;
+	buf_add(&call->message->body, text.data, text.len_bytes);
+	call->message->has_body = 1;
+	target_conn_connected(&w.conn, 0);
+	target_conn_unsent(&w.conn, &len);
+	target_conn_written(&w.conn, len);
+	w.calls[1].is_answered = 1;
+	w.calls[1].method = "HEAD";
+	target_conn_received(&w.conn, text.data, text.len_bytes, 0);
+	g_assert_cmpint(w.conn.state, ==, TARGET_CONN_IDLE);
+	g_assert_cmpuint(target_conn_held_bytes(&w.conn), <, IDLE_HELD_BYTES);
+	/* The model of the target expects another body. */
+	broken = NULL;
+	target_free(&w);
+}
+
 /* One of the two kinds of connection. */
 struct model {
 	uint32_t depth;
@@ -920,5 +987,7 @@
 	g_test_add_data_func("/conn/target-walks", &target_model, test_walks);
 	g_test_add_data_func("/conn/caller-walks", &caller_model, test_walks);
 	g_test_add_func("/conn/target-kept", test_kept);
+	g_test_add_func("/conn/caller-idle", test_caller_idle);
+	g_test_add_func("/conn/target-idle", test_target_idle);
 	return g_test_run();
 }
