--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -33,6 +33,10 @@
 	    "Target answers dropped as late, crossed or duplicate")            \
 	DEF(METRIC_EARLY_ANSWERS, "early_answers_total", "counter",            \
 	    "Target answers that came before their request was sent whole")    \
+	DEF(METRIC_MEMORY_HELD, "message_memory_bytes", "gauge",               \
+	    "Memory that messages of 16 KB and more hold")                     \
+	DEF(METRIC_MEMORY_REFUSALS, "memory_refusals_total", "counter",        \
+	    "Requests refused for want of memory")                             \
 	DEF(METRIC_TARGET_ERRORS, "target_errors_total", "counter",            \
 	    "Sub-requests that failed")                                        \
 	DEF(METRIC_TARGET_CONNECTS, "target_connects_total", "counter",        \
--- a/src/codec/gw_settings.c
+++ b/src/codec/gw_settings.c
@@ -10,6 +10,7 @@
  * Used when the deployment sets no canary_share; half of what deployments that
  * set it allow.
  */
+#define MEMORY_DEFAULT_MB 256
 #define EXPOSURE_DEFAULT_PERMILLE 50
 /*
  * Lower bound of config_apply_ms and drain_ms; in less time no host could
@@ -133,6 +134,10 @@
 	out->store_writes_per_s =
 		(uint32_t)read_number(&r, "store_writes_per_s", 1, 1e6);
 	out->descriptors = (uint32_t)read_number(&r, "descriptors", 64, 1e7);
+	out->memory_mb = MEMORY_DEFAULT_MB;
+	if (json_object_get(doc, "memory_mb"))
+		out->memory_mb =
+			(uint32_t)read_number(&r, "memory_mb", 16, 1e6);
 	out->core_permille =
 		(uint32_t)(read_number(&r, "core_share", 0.001, 1e3) *
 			   PERMILLE);
--- a/src/codec/gw_settings.h
+++ b/src/codec/gw_settings.h
@@ -34,6 +34,8 @@
 	uint32_t store_writes_per_s;
 	/* File descriptors that the process may have open. */
 	uint32_t descriptors;
+	/* Memory that the process may use; 256 if the file does not say. */
+	uint32_t memory_mb;
 	/* Share of one processor core that the host has; may exceed 1000. */
 	uint32_t core_permille;
 	/* Rate of the host's link; 0: not stated. */
--- a/src/duty/egress.c
+++ b/src/duty/egress.c
@@ -29,12 +29,8 @@
  * closed the idle connection, so it is not sent on one that was idle longer.
  */
 #define ONCE_IDLE_MS_MAX 500
-/*
- * Bytes of unfinished answers on all connections together. Beyond that the
- * call with the longest one fails, so that targets which send without end do
- * not use up the memory of a small host.
- */
-#define BUFFERED_BYTES_MAX (32 * 1048576)
+/* Interval at which connections on which reading waits are looked at again. */
+#define RESUME_MS 20
 /* TCP keep-alive: idle time before the first probe, also the probe interval. */
 #define KEEPALIVE_S 1
 /* Probes without an answer after which a connection counts as broken. */
@@ -43,6 +39,7 @@
 /* Open connections to one target; freed with the last of them. */
 struct conn_pool {
 	char target_id[WIRE_ID_BYTES];
+	char service[NAME_BYTES];
 	uint32_t open_count;
 	/* Idle connections, the most recently used first. */
 	TAILQ_HEAD(idle_list, conn) idle;
@@ -57,8 +54,12 @@
 	int64_t idle_since_us;
 	/* 1 while it is in the pool's list of idle connections. */
 	int is_listed;
-	/* Bytes of the unfinished answer. */
+	/* Memory that the unfinished answer holds. */
 	size_t buffered_bytes;
+	/* What the connection holds of the memory for messages. */
+	struct memory_hold hold;
+	/* 1: nothing is read until there is memory. */
+	int is_paused;
 	/* End of the time to connect, of the call or of the idle time. */
 	struct timer_entry timer;
 	/* Place in the pool's list of idle connections. */
@@ -75,6 +76,10 @@
 	GHashTable *calls;
 	/* Sum of conn.buffered_bytes. */
 	size_t buffered_bytes;
+	/* NULL: only unfinished answers are bounded. */
+	struct memory_account *account;
+	/* Armed while a connection is paused. */
+	struct timer_entry resume_timer;
 	/* Buffer that all connections receive into. */
 	char scratch[READ_BYTES];
 };
@@ -118,6 +123,8 @@
 	struct conn *c = ctx;
 
 	g_hash_table_remove(c->egress->calls, &r->call_id);
+	memory_hold_set(&r->hold, c->egress->account,
+			r->body.cap_bytes + r->fields.cap_bytes);
 	push_reply(c->egress, r);
 }
 
@@ -146,6 +153,7 @@
 	poller_remove(e->poller, &c->item);
 	close(c->item.fd);
 	set_buffered(c, 0);
+	memory_hold_release(&c->hold);
 	target_conn_clear(&c->tc);
 	free(c);
 	if (--p->open_count == 0)
@@ -186,22 +194,90 @@
 			on_idle_timeout, c);
 }
 
-/* Fails the call whose unfinished answer is the longest one. */
-static void drop_longest(struct egress *e)
+/* Number of @service among those that @services holds; adds it if needed. */
+static uint32_t service_number(GHashTable *services, const char *service)
 {
-	struct conn *longest = NULL;
+	gpointer number;
+
+	if (g_hash_table_lookup_extended(services, service, NULL, &number))
+		return GPOINTER_TO_UINT(number);
+	number = GUINT_TO_POINTER(g_hash_table_size(services));
+	g_hash_table_insert(services, (gpointer)service, number);
+	return GPOINTER_TO_UINT(number);
+}
+
+/* The connection whose unfinished answer is given up; NULL: there is none. */
+static struct conn *pick_answer(struct egress *e)
+{
+	uint32_t n = g_hash_table_size(e->calls);
+	struct memory_claim *claims CLEANUP_FREE =
+		util_alloc(n, sizeof(claims[0]));
+	struct conn **conns CLEANUP_FREE = util_alloc(n, sizeof(conns[0]));
+	GHashTable *services = g_hash_table_new(g_str_hash, g_str_equal);
+	uint32_t service_count;
 	GHashTableIter it;
 	gpointer value;
+	uint32_t i = 0;
+
+	g_hash_table_iter_init(&it, e->calls);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		conns[i] = value;
+		claims[i].service =
+			service_number(services, conns[i]->pool->service);
+		claims[i].bytes = conns[i]->buffered_bytes;
+		i++;
+	}
+	service_count = g_hash_table_size(services);
+	g_hash_table_destroy(services);
+	return n ? conns[memory_pick(claims, n, service_count)] : NULL;
+}
+
+static void bound_answers(struct egress *e)
+{
+	while (e->buffered_bytes > memory_unfinished_max(e->account)) {
+		struct conn *c = pick_answer(e);
+
+		if (!c)
+			return;
+		conn_fail(c, ERR_TARGET_SIZE);
+	}
+}
+
+/* Waits for input, if there is memory for it, and for @events. */
+static void set_events(struct conn *c, uint32_t events)
+{
+	c->is_paused = !memory_may_read(c->egress->account, c->buffered_bytes);
+	if (!c->is_paused)
+		events |= EPOLLIN | EPOLLRDHUP;
+	poller_set_events(c->egress->poller, &c->item, events);
+}
+
+static void on_resume(void *ctx, int64_t now_us);
+
+static void arm_resume(struct egress *e, int64_t now_us)
+{
+	timer_queue_arm(duty_timers(e->duty), &e->resume_timer,
+			now_us + RESUME_MS * US_PER_MS, on_resume, e);
+}
+
+/* Reads on where there is memory again. */
+static void on_resume(void *ctx, int64_t now_us)
+{
+	struct egress *e = ctx;
+	GHashTableIter it;
+	gpointer value;
+	int is_any = 0;
 
 	g_hash_table_iter_init(&it, e->calls);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct conn *c = value;
 
-		if (!longest || c->buffered_bytes > longest->buffered_bytes)
-			longest = c;
+		if (c->is_paused)
+			set_events(c, c->item.events & EPOLLOUT);
+		is_any |= c->is_paused;
 	}
-	if (longest)
-		conn_fail(longest, ERR_TARGET_SIZE);
+	if (is_any)
+		arm_resume(e, now_us);
 }
 
 /* Follows the connection's state after bytes or the end of the stream came. */
@@ -216,8 +292,11 @@
 	if (c->tc.state == TARGET_CONN_IDLE && !c->is_listed)
 		list_idle(c, now_us);
 	set_buffered(c, target_conn_buffered_bytes(&c->tc));
-	if (e->buffered_bytes > BUFFERED_BYTES_MAX)
-		drop_longest(e);
+	memory_hold_set(&c->hold, e->account, target_conn_held_bytes(&c->tc));
+	set_events(c, c->item.events & EPOLLOUT);
+	if (c->is_paused && !e->resume_timer.armed_pos)
+		arm_resume(e, now_us);
+	bound_answers(e);
 }
 
 static void on_readable(struct conn *c, int64_t now_us)
@@ -239,7 +318,7 @@
 /* Writes what the socket takes of the bytes to be sent. */
 static void flush(struct conn *c)
 {
-	uint32_t events = EPOLLIN | EPOLLRDHUP;
+	uint32_t events = 0;
 	const char *data;
 	size_t len;
 
@@ -260,7 +339,7 @@
 		}
 		target_conn_written(&c->tc, (size_t)n);
 	}
-	poller_set_events(c->egress->poller, &c->item, events);
+	set_events(c, events);
 }
 
 static void arm_deadline(struct conn *c)
@@ -327,14 +406,17 @@
 	return fd;
 }
 
-static struct conn_pool *pool_of(struct egress *e, const char *id)
+static struct conn_pool *pool_of(struct egress *e,
+				 const struct target_call *call)
 {
+	const char *id = call->target_id;
 	struct conn_pool *p = g_hash_table_lookup(e->pools, id);
 
 	if (p)
 		return p;
 	p = util_alloc(1, sizeof(*p));
 	util_copy_str(p->target_id, sizeof(p->target_id), id);
+	util_copy_str(p->service, sizeof(p->service), call->service);
 	TAILQ_INIT(&p->idle);
 	g_hash_table_insert(e->pools, p->target_id, p);
 	return p;
@@ -355,7 +437,7 @@
 	}
 	c = util_alloc(1, sizeof(*c));
 	c->egress = e;
-	c->pool = pool_of(e, call->target_id);
+	c->pool = pool_of(e, call);
 	c->pool->open_count++;
 	c->item = (struct poller_item){ .fd = fd, .fn = on_conn, .ctx = c };
 	target_conn_init(&c->tc, call, on_reply, c);
@@ -467,6 +549,11 @@
 	return duty_start_loop(e->duty, run, e, err);
 }
 
+void egress_set_account(struct egress *e, struct memory_account *a)
+{
+	e->account = a;
+}
+
 struct ring *egress_ring(struct egress *e)
 {
 	return duty_ring(e->duty);
--- a/src/duty/egress.h
+++ b/src/duty/egress.h
@@ -11,6 +11,7 @@
 
 #include "base/err.h"
 #include "base/ring.h"
+#include "decide/memory_account.h"
 
 struct egress;
 
@@ -18,6 +19,11 @@
 /* @replies: ring that gets MSG_TARGET_REPLY. */
 enum err_code egress_start(struct egress *e, struct ring *replies,
 			   struct err *err);
+/*
+ * Counts the memory of messages in @a, which must outlive the duty; called
+ * before the start. Without it only unfinished answers are bounded.
+ */
+void egress_set_account(struct egress *e, struct memory_account *a);
 struct ring *egress_ring(struct egress *e);
 void egress_stop(struct egress *e);
 void egress_free(struct egress *e);
--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -28,6 +28,12 @@
  * descriptors if the settings allow no more than twice as many.
  */
 #define DESCRIPTORS_RESERVED 1200
+/*
+ * The part of the memory that messages of 16 KB and more may hold: buffers grow
+ * to up to twice their content, and a message is in two of them while it is
+ * passed on.
+ */
+#define MESSAGE_MEMORY_SHARE 4
 /* Number of hosts assumed to share the limits until the store names them. */
 #define HOSTS_ASSUMED 12
 /*
@@ -70,6 +76,8 @@
 struct gateway {
 	const char *settings_path;
 	struct gw_settings settings;
+	/* Memory for messages. */
+	struct memory_account memory;
 	struct logger_duty *logger;
 	struct store *store;
 	struct egress *egress;
@@ -108,6 +116,7 @@
 		.caller = to_ingress_endpoint(&g->settings.caller_endpoint),
 		.ready = to_ingress_endpoint(&g->settings.ready_endpoint),
 		.metrics = to_ingress_endpoint(&g->settings.ready_endpoint),
+		.account = &g->memory,
 		.requests = gw_duty_ring(g->request),
 		.is_ready = gw_duty_is_ready,
 		.ready_ctx = g->request,
@@ -185,6 +194,8 @@
 				.tuning = tuning_of(&g->settings),
 				.seed = (uint64_t)clock_wall_us() };
 
+	g->memory.limit_bytes =
+		(int64_t)g->settings.memory_mb * 1048576 / MESSAGE_MEMORY_SHARE;
 	util_copy_str(o.data_centre, sizeof(o.data_centre),
 		      g->settings.data_centre);
 	if (g->settings.peer_endpoint.port)
@@ -194,8 +205,10 @@
 		create_store(g, o.seed, err);
 	if (g->store)
 		g->egress = egress_new(err);
-	if (g->egress)
+	if (g->egress) {
+		egress_set_account(g->egress, &g->memory);
 		g->request = gw_duty_new(&o, err);
+	}
 	if (g->request)
 		create_ingress(g, err);
 	if (g->ingress && g->settings.peer_endpoint.port)
@@ -342,7 +355,7 @@
 		      sizeof(a->store_endpoint)) != 0 ||
 	       memcmp(&a->peer_endpoint, &b->peer_endpoint,
 		      sizeof(a->peer_endpoint)) != 0 ||
-	       a->descriptors != b->descriptors;
+	       a->descriptors != b->descriptors || a->memory_mb != b->memory_mb;
 }
 
 static void apply_settings(struct gateway *g,
@@ -382,7 +395,8 @@
 		  "effect%s",
 		  cause,
 		  needs_restart(&g->settings, &settings) ? "; names, addresses "
-							   "and descriptors "
+							   "descriptors and "
+							   "memory "
 							   "change at the "
 							   "next start"
 							 : "");
--- a/src/duty/ingress.c
+++ b/src/duty/ingress.c
@@ -46,6 +46,10 @@
  * the answer and to close the connection.
  */
 #define LINGER_MS 500
+/* Interval at which connections on which reading waits are looked at again. */
+#define RESUME_MS 20
+/* Callers that are refused for want of memory may try again after this time. */
+#define MEMORY_RETRY_MS 1000
 
 enum listener_kind {
 	LISTENER_CALLER,
@@ -72,6 +76,10 @@
 	uint32_t rtt_us;
 	/* Requests of this connection that were decoded. */
 	uint32_t requests;
+	/* What the connection holds of the memory for messages. */
+	struct memory_hold hold;
+	/* 1: nothing is read until there is memory. */
+	int is_paused;
 	int64_t accepted_us;
 	/*
 	 * Closes a connection that is idle, receives a request, sends an answer
@@ -102,6 +110,8 @@
 	_Atomic int is_draining;
 	/* 1 once MSG_CLOSE was handled: requests are refused. */
 	int is_closing;
+	/* Armed while a connection is paused. */
+	struct timer_entry resume_timer;
 	/* Buffer that all connections receive into. */
 	char scratch[READ_BYTES];
 };
@@ -121,6 +131,7 @@
 	poller_remove(in->poller, &c->item);
 	close(c->item.fd);
 	g_hash_table_remove(in->conns, &c->id);
+	memory_hold_release(&c->hold);
 	caller_conn_clear(&c->cc);
 	free(c);
 }
@@ -180,15 +191,42 @@
 	       !has_input(c);
 }
 
+static void on_resume(void *ctx, int64_t now_us);
+
 /*
- * Waits for input, if there is room for it, for the end of the stream, and for
- * @events.
+ * Waits for input, if there is room and memory for it, for the end of the
+ * stream, and for @events.
  */
-static void set_events(struct conn *c, uint32_t events)
+static void set_events(struct conn *c, uint32_t events, int64_t now_us)
 {
-	if (caller_conn_has_room(&c->cc))
+	struct ingress *in = c->in;
+	size_t held_bytes = caller_conn_held_bytes(&c->cc);
+
+	memory_hold_set(&c->hold, in->opt.account, held_bytes);
+	c->is_paused = c->cc.state == CALLER_CONN_READING &&
+		       !memory_may_read(in->opt.account, held_bytes);
+	if (c->is_paused && !in->resume_timer.armed_pos)
+		timer_queue_arm(timers(c), &in->resume_timer,
+				now_us + RESUME_MS * US_PER_MS, on_resume, in);
+	if (caller_conn_has_room(&c->cc) && !c->is_paused)
 		events |= EPOLLIN;
-	poller_set_events(c->in->poller, &c->item, events | EPOLLRDHUP);
+	poller_set_events(in->poller, &c->item, events | EPOLLRDHUP);
+}
+
+/* Reads on where there is memory again. */
+static void on_resume(void *ctx, int64_t now_us)
+{
+	struct ingress *in = ctx;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, in->conns);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct conn *c = value;
+
+		if (c->is_paused)
+			set_events(c, 0, now_us);
+	}
 }
 
 /* Writes what the socket takes of the answer; 0 if the connection has failed. */
@@ -204,7 +242,7 @@
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0 && errno == EAGAIN) {
-			set_events(c, EPOLLOUT);
+			set_events(c, EPOLLOUT, now_us);
 			arm_timeout(c, now_us, WRITE_TIMEOUT_MS);
 			return 1;
 		}
@@ -212,7 +250,7 @@
 			return 0;
 		caller_conn_written(&c->cc, (size_t)n, is_last_request(c));
 	}
-	set_events(c, 0);
+	set_events(c, 0, now_us);
 	arm_timeout(c, now_us, c->in->idle_timeout_ms);
 	return 1;
 }
@@ -234,6 +272,16 @@
 	respond(c, &a);
 }
 
+static void refuse_full(struct conn *c)
+{
+	struct exchange_answer a = { .status = 503,
+				     .code = ERR_OVERLOADED,
+				     .retry_after_ms = MEMORY_RETRY_MS };
+
+	metric_add(METRIC_MEMORY_REFUSALS, 1);
+	respond(c, &a);
+}
+
 static void respond_error(struct conn *c, uint32_t status, enum err_code code)
 {
 	struct exchange_answer a = { .status = status, .code = code };
@@ -274,6 +322,9 @@
 {
 	struct exchange_answer a = { .status = 200 };
 
+	if (c->in->opt.account)
+		metric_set(METRIC_MEMORY_HELD,
+			   (uint64_t)c->in->opt.account->held_bytes);
 	metric_write(&a.body);
 	series_write(&a.body);
 	buf_addf(&a.fields, "Content-Type: text/plain; version=0.0.4\r\n");
@@ -305,6 +356,9 @@
 		respond_error(c, 400, ERR_BAD_FIELD);
 		return;
 	}
+	memory_hold_set(&r->message->hold, c->in->opt.account,
+			r->message->body.cap_bytes +
+				r->message->fields.cap_bytes);
 	timer_queue_cancel(timers(c), &c->timer);
 	code = ring_push(c->in->opt.requests, &m);
 	if (code != ERR_OK) {
@@ -324,6 +378,8 @@
 		answer_metrics(c);
 	else if (c->in->is_closing)
 		refuse_stopping(c);
+	else if (!memory_may_begin(c->in->opt.account))
+		refuse_full(c);
 	else
 		forward(c, now_us);
 }
@@ -359,10 +415,10 @@
 		case CALLER_CONN_READING:
 			if (read_request(c, now_us))
 				break;
-			set_events(c, 0);
+			set_events(c, 0, now_us);
 			return;
 		case CALLER_CONN_WAITING:
-			set_events(c, 0);
+			set_events(c, 0, now_us);
 			return;
 		case CALLER_CONN_WRITING:
 			if (!flush(c, now_us)) {
--- a/src/duty/ingress.h
+++ b/src/duty/ingress.h
@@ -12,6 +12,7 @@
 
 #include "base/err.h"
 #include "base/ring.h"
+#include "decide/memory_account.h"
 #include "model/route.h"
 
 struct ingress;
@@ -31,6 +32,8 @@
 	 * callers wait in the listen queue.
 	 */
 	uint32_t connections_max;
+	/* Memory for messages, which outlives the duty; NULL: not bounded. */
+	struct memory_account *account;
 	/* Ring of the request duty. */
 	struct ring *requests;
 	/* 1 if requests can be served; called on the ingress thread. */
--- a/src/duty/target_conn.c
+++ b/src/duty/target_conn.c
@@ -115,9 +115,7 @@
 
 size_t target_conn_buffered_bytes(const struct target_conn *c)
 {
-	return c->state == TARGET_CONN_BUSY
-		       ? c->h1.body.len_bytes + c->h1.field_text.len_bytes
-		       : 0;
+	return c->state == TARGET_CONN_BUSY ? http1_held_bytes(&c->h1) : 0;
 }
 
 static void update_idle_timeout(struct target_conn *c)
--- a/src/duty/target_conn.h
+++ b/src/duty/target_conn.h
@@ -71,7 +71,7 @@
 void target_conn_fail(struct target_conn *c, enum err_code code);
 /* Memory that the connection holds for messages; a few KB while it is idle. */
 size_t target_conn_held_bytes(const struct target_conn *c);
-/* Bytes of the unfinished answer. */
+/* Memory that the unfinished answer holds. */
 size_t target_conn_buffered_bytes(const struct target_conn *c);
 
 #endif
--- a/src/gateway/5_send.c
+++ b/src/gateway/5_send.c
@@ -105,6 +105,7 @@
 	c->message = http_message_ref(r->request->message);
 	memcpy(c->request_id, r->request->id, sizeof(c->request_id));
 	memcpy(c->target_id, def->id, sizeof(c->target_id));
+	memcpy(c->service, def->service, sizeof(c->service));
 	memcpy(c->address, def->address, sizeof(c->address));
 	c->port = def->port;
 	c->deadline_us = r->deadline_us;
--- a/src/gateway/6_answer.c
+++ b/src/gateway/6_answer.c
@@ -108,6 +108,7 @@
 
 	answer->fields = reply->fields;
 	answer->body = reply->body;
+	memory_hold_move(&answer->hold, &reply->hold);
 	answer->has_length = reply->has_length;
 	answer->length_bytes = reply->length_bytes;
 	reply->fields = (struct buf){ 0 };
--- a/src/model/exchange.c
+++ b/src/model/exchange.c
@@ -20,6 +20,7 @@
 {
 	if (!m || atomic_fetch_sub(&m->refs, 1) != 1)
 		return;
+	memory_hold_release(&m->hold);
 	free(m->uri);
 	buf_free(&m->fields);
 	buf_free(&m->body);
@@ -38,6 +39,7 @@
 {
 	if (!a)
 		return;
+	memory_hold_release(&a->hold);
 	buf_free(&a->fields);
 	buf_free(&a->body);
 	buf_free(&a->part_stamps);
@@ -56,6 +58,7 @@
 {
 	if (!r)
 		return;
+	memory_hold_release(&r->hold);
 	buf_free(&r->fields);
 	buf_free(&r->body);
 	free(r);
--- a/src/model/exchange.h
+++ b/src/model/exchange.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "base/err.h"
+#include "decide/memory_account.h"
 #include "model/name.h"
 
 /* Size of request IDs, target IDs and host names, with the terminating NUL. */
@@ -30,6 +31,8 @@
 	struct buf body;
 	/* 1 if the request has a body, which may be empty. */
 	int has_body;
+	/* What it holds of the memory for messages. */
+	struct memory_hold hold;
 };
 
 struct http_message *http_message_new(void);
@@ -91,6 +94,8 @@
 	 * of this code in place of body.
 	 */
 	enum err_code code;
+	/* What the body holds of the memory for messages. */
+	struct memory_hold hold;
 };
 
 void exchange_answer_free(struct exchange_answer *a);
@@ -103,6 +108,8 @@
 	struct http_message *message;
 	char request_id[WIRE_ID_BYTES];
 	char target_id[WIRE_ID_BYTES];
+	/* Service of the target; its calls share the memory for answers. */
+	char service[NAME_BYTES];
 	char address[ADDRESS_BYTES];
 	uint16_t port;
 	/* Monotonic time at which the call fails if there is no reply. */
@@ -152,6 +159,8 @@
 	uint32_t pause_ms;
 	/* Time from sending the request to the end of the reply. */
 	int64_t service_us;
+	/* What the reply holds of the memory for messages. */
+	struct memory_hold hold;
 };
 
 void target_reply_free(struct target_reply *r);
--- a/tests/test_decide.c
+++ b/tests/test_decide.c
@@ -16,6 +16,7 @@
 #include "decide/rendezvous.h"
 #include "decide/once.h"
 #include "decide/target_state.h"
+#include "decide/memory_account.h"
 #include "script.h"
 
 #define TARGETS_MAX 4
@@ -497,7 +498,98 @@
 	.commands = commands,
 };
 
+/* Owners, and services, that a script may name. */
+#define HOLDS_MAX 8
+#define SERVICES_MAX 8
+
+struct memory_ctx {
+	struct memory_account account;
+	struct memory_hold holds[HOLDS_MAX];
+};
+
+static void *memory_new(void)
+{
+	return util_alloc(1, sizeof(struct memory_ctx));
+}
+
+static void memory_free(void *ctx)
+{
+	free(ctx);
+}
+
+/* limit KB: the memory for messages. */
+static void cmd_memory_limit(void *ctx, uint32_t argc, char **argv,
+			     struct buf *out)
+{
+	struct memory_ctx *m = ctx;
+
+	m->account.limit_bytes = atoll(argv[0]) * 1024;
+}
+
+/* hold OWNER KB: what owner 0 to 7 holds; prints the sum. */
+static void cmd_memory_hold(void *ctx, uint32_t argc, char **argv,
+			    struct buf *out)
+{
+	struct memory_ctx *m = ctx;
+
+	memory_hold_set(&m->holds[atoi(argv[0]) % HOLDS_MAX], &m->account,
+			strtoull(argv[1], NULL, 10) * 1024);
+	buf_addf(out, "%lld KB held\n",
+		 (long long)m->account.held_bytes / 1024);
+}
+
+/* move FROM TO: owner TO takes over what FROM holds. */
+static void cmd_memory_move(void *ctx, uint32_t argc, char **argv,
+			    struct buf *out)
+{
+	struct memory_ctx *m = ctx;
+
+	memory_hold_move(&m->holds[atoi(argv[1]) % HOLDS_MAX],
+			 &m->holds[atoi(argv[0]) % HOLDS_MAX]);
+	buf_addf(out, "%lld KB held\n",
+		 (long long)m->account.held_bytes / 1024);
+}
+
+/* may: what a small and a large message, and a new request, may do. */
+static void cmd_memory_may(void *ctx, uint32_t argc, char **argv,
+			   struct buf *out)
+{
+	struct memory_ctx *m = ctx;
+
+	buf_addf(out, "small %d large %d begin %d unfinished %zu KB\n",
+		 memory_may_read(&m->account, MEMORY_SMALL_BYTES - 1),
+		 memory_may_read(&m->account, MEMORY_SMALL_BYTES),
+		 memory_may_begin(&m->account),
+		 memory_unfinished_max(&m->account) / 1024);
+}
+
+/* pick SERVICE:BYTES...: prints the claim that is given up. */
+static void cmd_memory_pick(void *ctx, uint32_t argc, char **argv,
+			    struct buf *out)
+{
+	struct memory_claim claims[SCRIPT_WORDS_MAX];
+	uint32_t i;
+
+	for (i = 0; i < argc; i++) {
+		claims[i].service = (uint32_t)atoi(argv[i]);
+		claims[i].bytes = strtoull(strchr(argv[i], ':') + 1, NULL, 10);
+	}
+	buf_addf(out, "%s\n", argv[memory_pick(claims, argc, SERVICES_MAX)]);
+}
+
+static const struct script_command memory_commands[] = {
+	{ "limit", cmd_memory_limit }, { "hold", cmd_memory_hold },
+	{ "move", cmd_memory_move },   { "may", cmd_memory_may },
+	{ "pick", cmd_memory_pick },
+};
+
 int main(int argc, char **argv)
 {
-	return script_main(argc, argv, &area, 1);
+	const struct script_area areas[] = {
+		area,
+		{ "memory", memory_new, memory_free, countof(memory_commands),
+		  memory_commands },
+	};
+
+	return script_main(argc, argv, areas, countof(areas));
 }
--- a/tests/test_gateway_io.c
+++ b/tests/test_gateway_io.c
@@ -96,26 +96,35 @@
 	uint64_t last_call_id;
 	/* Method of the calls that follow. */
 	const char *method;
-	/* Target ID of the calls that follow. */
+	/* Target ID and service of the calls that follow. */
 	const char *target_id;
+	const char *service;
 	/* idle_timeout_ms of the calls that follow; 0: as the target says. */
 	uint32_t idle_timeout_ms;
 };
 
-static void egress_begin(struct egress_case *c)
+static void egress_begin_with(struct egress_case *c,
+			      struct memory_account *account)
 {
 	struct err err = { 0 };
 
 	memset(c, 0, sizeof(*c));
 	c->method = "GET";
 	c->target_id = "t1";
+	c->service = "s1";
 	c->replies = ring_new(RING_SIZE, NULL, NULL, &err);
 	c->egress = egress_new(&err);
 	g_assert_nonnull(c->egress);
+	egress_set_account(c->egress, account);
 	g_assert_cmpint(egress_start(c->egress, c->replies, &err), ==, ERR_OK);
 	c->listener = loopback_listen(&c->port);
 }
 
+static void egress_begin(struct egress_case *c)
+{
+	egress_begin_with(c, NULL);
+}
+
 static void egress_end(struct egress_case *c)
 {
 	egress_stop(c->egress);
@@ -149,6 +158,7 @@
 	}
 	util_copy_str(call->request_id, sizeof(call->request_id), request_id);
 	util_copy_str(call->target_id, sizeof(call->target_id), c->target_id);
+	util_copy_str(call->service, sizeof(call->service), c->service);
 	util_copy_str(call->address, sizeof(call->address), "127.0.0.1");
 	call->port = c->port;
 	call->deadline_us = clock_now_us() + WAIT_US;
@@ -541,6 +551,74 @@
 /* Bytes of each of them, below the limit for one answer. */
 #define LONG_ANSWER_BYTES (3 * 1048576 + 524288)
 
+/* Calls of the service in trouble, and the bytes of each unfinished answer. */
+#define TROUBLED_CALLS 6
+#define TROUBLED_BYTES 2000000
+/* Bytes of the unfinished answer of another service; the longest of all. */
+#define SOUND_BYTES 3000000
+
+/* Sends @len bytes of the body of an answer. */
+static void put_body(int fd, size_t len)
+{
+	g_autofree char *body = g_strnfill(len, 'x');
+	size_t sent = 0;
+	ssize_t n;
+
+	while (sent < len &&
+	       (n = send(fd, body + sent, len - sent, MSG_NOSIGNAL)) > 0)
+		sent += (size_t)n;
+}
+
+/*
+ * Guards against a service whose targets send much, and do not end, and which
+ * uses up the memory for the answers of others: it loses its own.
+ */
+static void test_service_memory(void)
+{
+	struct memory_account account = { .limit_bytes = 24 * 1048576 };
+	int fds[TROUBLED_CALLS + 1];
+	struct egress_case c;
+	struct target_reply *r;
+	uint64_t sound;
+	uint32_t i;
+
+	egress_begin_with(&c, &account);
+	c.target_id = "t2";
+	c.service = "s2";
+	sound = call(&c, "r1", 0);
+	fds[0] = accept(c.listener, NULL, NULL);
+	expect(fds[0], "\r\n\r\n");
+	put(fds[0], HEAD_OK "Content-Length: 3000001\r\n\r\n");
+	put_body(fds[0], SOUND_BYTES);
+	c.target_id = "t1";
+	c.service = "s1";
+	for (i = 1; i <= TROUBLED_CALLS; i++) {
+		call(&c, "r1", 0);
+		fds[i] = accept(c.listener, NULL, NULL);
+		expect(fds[i], "\r\n\r\n");
+		put(fds[i], HEAD_OK "Content-Length: 4000000\r\n\r\n");
+		put_body(fds[i], TROUBLED_BYTES);
+	}
+	r = reply(&c);
+	g_assert_cmpuint(r->call_id, !=, sound);
+	g_assert_cmpint(r->code, ==, ERR_TARGET_SIZE);
+	target_reply_free(r);
+	put(fds[0], "x");
+	do {
+		r = reply(&c);
+		if (r->call_id != sound)
+			g_assert_cmpint(r->code, ==, ERR_TARGET_SIZE);
+		else
+			g_assert_cmpint(r->code, ==, ERR_OK);
+		i = r->call_id == sound;
+		target_reply_free(r);
+	} while (!i);
+	egress_end(&c);
+	g_assert_cmpint(account.held_bytes, ==, 0);
+	for (i = 0; i <= TROUBLED_CALLS; i++)
+		close(fds[i]);
+}
+
 /*
  * Guards against unfinished answers of many targets that together use up the
  * memory of the host: some of the calls fail, and those that are left may go
@@ -848,6 +926,7 @@
 struct ingress_case {
 	struct ingress *ingress;
 	struct ring *requests;
+	struct memory_account memory;
 	uint16_t caller_port;
 	uint16_t ready_port;
 	_Atomic int is_ready;
@@ -875,6 +954,9 @@
 /* Callers that the ingress duty serves at the same time. */
 #define CONNECTIONS_MAX 64
 
+/* Memory for messages. */
+#define MEMORY_LIMIT (64 * 1048576)
+
 /* Opens the listeners; nothing is accepted until the duty is started. */
 static void ingress_open(struct ingress_case *c)
 {
@@ -894,6 +976,8 @@
 	options.caller.port = c->caller_port;
 	options.ready.port = c->ready_port;
 	options.requests = c->requests;
+	options.account = &c->memory;
+	c->memory.limit_bytes = MEMORY_LIMIT;
 	c->ingress = ingress_new(&options, &err);
 	g_assert_nonnull(c->ingress);
 }
@@ -1440,6 +1524,65 @@
 
 /* Bytes of a body that is sent ahead; more than is kept. */
 #define AHEAD_BODY_BYTES 200000
+
+/* Waits until @a holds @bytes or more, or none if @bytes is 0. */
+static void wait_held(struct memory_account *a, int64_t bytes)
+{
+	int64_t end_us = clock_now_us() + WAIT_US;
+
+	while (bytes ? a->held_bytes < bytes : a->held_bytes != 0) {
+		g_assert_cmpint(clock_now_us(), <, end_us);
+		g_usleep(1000);
+	}
+}
+
+/*
+ * Guards against a process that takes in more than its memory bears: a large
+ * body waits at its caller, and a new request is refused as not run. What was
+ * taken in is given back in the end.
+ */
+static void test_memory(void)
+{
+	g_autofree char *body = g_strnfill(AHEAD_BODY_BYTES, 'x');
+	struct memory_hold other = { 0 };
+	struct ingress_case c;
+	struct exchange_request *r;
+	int large;
+	int small;
+
+	ingress_begin(&c);
+	large = loopback_connect(c.caller_port);
+	small = loopback_connect(c.caller_port);
+	/* Others hold so much that no large message is read on. */
+	memory_hold_set(&other, &c.memory, MEMORY_LIMIT / 10 * 8);
+	put(large, "POST /p/q HTTP/1.1\r\nHost: h\r\n"
+		   "Cowslippoint-Request-Id: r2\r\nContent-Length: 200000"
+		   "\r\n\r\n");
+	put(large, body);
+	put(small, HEAD_GET "\r\n");
+	r = take(c.requests, MSG_EXCHANGE_REQUEST);
+	g_assert_cmpstr(r->id, ==, "r1");
+	answer(&c, r->conn_id, "body");
+	expect(small, "body");
+	exchange_request_free(r);
+	/* All of the memory. */
+	memory_hold_set(&other, &c.memory, MEMORY_LIMIT);
+	put(small, HEAD_GET "\r\n");
+	expect(small, "HTTP/1.1 503 ");
+	memory_hold_release(&other);
+	r = take(c.requests, MSG_EXCHANGE_REQUEST);
+	g_assert_cmpstr(r->id, ==, "r2");
+	g_assert_cmpuint(r->message->body.len_bytes, ==, AHEAD_BODY_BYTES);
+	wait_held(&c.memory, AHEAD_BODY_BYTES);
+	answer(&c, r->conn_id, "body");
+	expect(large, "body");
+	exchange_request_free(r);
+	wait_held(&c.memory, 0);
+	close(large);
+	close(small);
+	ingress_end(&c);
+}
+
 /* Requests with such a body that are sent ahead. */
 #define AHEAD_REQUESTS 5
 /* Time in which a caller that has sent too much would be disconnected. */
@@ -1587,6 +1730,7 @@
 	g_test_add_func("/egress/copy-refusal", test_copy_refusal);
 	g_test_add_func("/egress/endless", test_endless);
 	g_test_add_func("/egress/many-long", test_many_long);
+	g_test_add_func("/egress/service-memory", test_service_memory);
 	g_test_add_func("/egress/notices", test_notices);
 	g_test_add_func("/egress/extra", test_extra);
 	g_test_add_func("/egress/cut", test_cut);
@@ -1608,6 +1752,7 @@
 	g_test_add_func("/ingress/changed-idle", test_changed_idle);
 	g_test_add_func("/ingress/long-head", test_long_head);
 	g_test_add_func("/ingress/small-chunks", test_small_chunks);
+	g_test_add_func("/ingress/memory", test_memory);
 	g_test_add_func("/ingress/ahead", test_ahead);
 	g_test_add_func("/ingress/leave-ahead", test_leave_ahead);
 	g_test_add_func("/ingress/leave-accepted", test_leave_accepted);
