--- a/src/controller/canary.c
+++ b/src/controller/canary.c
@@ -502,15 +502,19 @@
 	return 1;
 }
 
-uint32_t canary_shares(const struct canary *c, struct gw_version_share *out,
-		       uint32_t max)
+uint32_t canary_share_max(const struct canary *c)
+{
+	return g_hash_table_size(c->rollouts);
+}
+
+uint32_t canary_shares(const struct canary *c, struct gw_version_share *out)
 {
 	GHashTableIter it;
 	gpointer value;
 	uint32_t n = 0;
 
 	g_hash_table_iter_init(&it, c->rollouts);
-	while (n < max && g_hash_table_iter_next(&it, NULL, &value))
+	while (g_hash_table_iter_next(&it, NULL, &value))
 		n += (uint32_t)share_of(value, &out[n]);
 	return n;
 }
--- a/src/controller/canary.h
+++ b/src/controller/canary.h
@@ -97,11 +97,9 @@
 /* 1 while an order is not carried out or its status has to be written. */
 int canary_is_active(const struct canary *c);
 
-/*
- * Fills @out with up to @max versions whose share a rollout sets; returns their
- * number.
- */
-uint32_t canary_shares(const struct canary *c, struct gw_version_share *out,
-		       uint32_t max);
+/* Most versions that canary_shares() may write. */
+uint32_t canary_share_max(const struct canary *c);
+/* Fills @out with all versions whose share a rollout sets; returns their number. */
+uint32_t canary_shares(const struct canary *c, struct gw_version_share *out);
 
 #endif
--- a/src/duty/gw_control.c
+++ b/src/duty/gw_control.c
@@ -63,7 +63,9 @@
 	v->entry_count = host_tree_count(c->host_tree);
 	v->entries = util_alloc(v->entry_count, sizeof(v->entries[0]));
 	host_tree_fill(c->host_tree, v->entries);
-	v->share_count = canary_shares(c->rollouts, v->shares, GW_ROLLOUTS_MAX);
+	v->shares =
+		util_alloc(canary_share_max(c->rollouts), sizeof(v->shares[0]));
+	v->share_count = canary_shares(c->rollouts, v->shares);
 	metric_set(METRIC_HOSTS_LIVE, v->host_count);
 	c->opt.host_count_changed(c->opt.notify_ctx, v->host_count);
 	if (ring_push(c->opt.views, &m) != ERR_OK) {
--- a/src/duty/gw_control_rollout.c
+++ b/src/duty/gw_control_rollout.c
@@ -231,8 +231,9 @@
 /* Adds to the pending reports which versions this host has found bad. */
 static void mark_bad(struct gw_control *c)
 {
-	struct gw_version_share shares[GW_ROLLOUTS_MAX];
-	uint32_t n = canary_shares(c->rollouts, shares, GW_ROLLOUTS_MAX);
+	struct gw_version_share *shares CLEANUP_FREE =
+		util_alloc(canary_share_max(c->rollouts), sizeof(shares[0]));
+	uint32_t n = canary_shares(c->rollouts, shares);
 	struct rollout_report like = { 0 };
 	struct rollout_report *p;
 	uint32_t i;
--- a/src/model/gw_rollout.h
+++ b/src/model/gw_rollout.h
@@ -6,8 +6,6 @@
 
 #include "model/name.h"
 
-/* Services that may have a rollout at the same time. */
-#define GW_ROLLOUTS_MAX 64
 #define GW_REASON_BYTES 160
 /* Rolled-back versions of a service that are kept; the oldest are forgotten. */
 #define GW_BARRED_MAX 4
--- a/src/model/gw_view.c
+++ b/src/model/gw_view.c
@@ -45,5 +45,6 @@
 	route_config_unref(v->config);
 	free(v->targets);
 	free(v->entries);
+	free(v->shares);
 	free(v);
 }
--- a/src/model/gw_view.h
+++ b/src/model/gw_view.h
@@ -71,7 +71,7 @@
 	struct host_entry *entries;
 	/* Versions whose share of the requests depends on a rollout. */
 	uint32_t share_count;
-	struct gw_version_share shares[GW_ROLLOUTS_MAX];
+	struct gw_version_share *shares;
 };
 
 /* Returns a view with one reference and @target_count zeroed targets. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -432,8 +432,10 @@
 	v->entries = util_alloc(f->entry_count, sizeof(v->entries[0]));
 	memcpy(v->entries, f->entries, f->entry_count * sizeof(v->entries[0]));
 	discovery_fill(f->discovery, v->targets);
-	if (f->share.service[0])
+	if (f->share.service[0]) {
+		v->shares = util_alloc(1, sizeof(v->shares[0]));
 		v->shares[v->share_count++] = f->share;
+	}
 	gw_set_view(f->gw, v, f->now_us);
 }
 
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -172,8 +172,9 @@
 static void cmd_shares(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct canary_ctx *c = ctx;
-	struct gw_version_share shares[4];
-	uint32_t n = canary_shares(c->canary, shares, 4);
+	struct gw_version_share *shares CLEANUP_FREE =
+		util_alloc(canary_share_max(c->canary), sizeof(shares[0]));
+	uint32_t n = canary_shares(c->canary, shares);
 	uint32_t i;
 
 	for (i = 0; i < n; i++) {
@@ -191,11 +192,32 @@
 		 canary_is_active(c->canary) ? "active" : "not active");
 }
 
+/* fill N: orders for N further services; prints how many shares there are. */
+static void cmd_fill(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct canary_ctx *c = ctx;
+	uint32_t n = (uint32_t)strtoul(argv[0], NULL, 10);
+	struct gw_version_share *shares;
+	uint32_t i;
+
+	c->out = out;
+	for (i = 0; i < n; i++) {
+		struct gw_rollout_order order = { .to = "v2",
+						  .duration_ms = 12000 };
+
+		snprintf(order.service, sizeof(order.service), "f%u", i);
+		canary_on_order(c->canary, &order, ++c->rev, c->now_us);
+	}
+	shares = util_alloc(canary_share_max(c->canary), sizeof(shares[0]));
+	buf_addf(out, "%u shares\n", canary_shares(c->canary, shares));
+	free(shares);
+}
+
 static const struct script_command canary_commands[] = {
 	{ "order", cmd_order },	  { "accept", cmd_accept },
 	{ "refuse", cmd_refuse }, { "item", cmd_item },
 	{ "run", cmd_run },	  { "evidence", cmd_evidence },
-	{ "shares", cmd_shares },
+	{ "shares", cmd_shares }, { "fill", cmd_fill },
 };
 
 static void *no_ctx(void)
