--- a/src/codec/gw_settings.c
+++ b/src/codec/gw_settings.c
@@ -62,7 +62,6 @@
 	char text[ADDRESS_BYTES + 8];
 	struct sockaddr_storage sa;
 	char *colon;
-	long port;
 
 	if (!spec || !util_copy_str(text, sizeof(text), spec))
 		return 0;
@@ -70,13 +69,10 @@
 	if (!colon)
 		return 0;
 	*colon = '\0';
-	port = strtol(colon + 1, NULL, 10);
-	if (port < 1 || port > UINT16_MAX ||
-	    !util_copy_str(out->address, sizeof(out->address), text) ||
-	    !addr_parse(out->address, (uint16_t)port, &sa))
-		return 0;
-	out->port = (uint16_t)port;
-	return 1;
+	out->port = addr_parse_port(colon + 1);
+	return out->port &&
+	       util_copy_str(out->address, sizeof(out->address), text) &&
+	       addr_parse(out->address, out->port, &sa);
 }
 
 static void read_endpoint_field(struct reader *r, const char *field,
@@ -99,6 +95,8 @@
 		read_endpoint_field(r, "peer_address", &out->peer_endpoint);
 	if (seeds && !json_is_null(seeds) && !json_is_array(seeds))
 		refuse_field(r, "seeds", "a list of ADDRESS:PORT");
+	if (json_array_size(seeds) > GW_SETTINGS_SEEDS_MAX)
+		refuse_field(r, "seeds", "a list of up to 8 ADDRESS:PORT");
 	for (i = 0; i < json_array_size(seeds) && i < GW_SETTINGS_SEEDS_MAX;
 	     i++) {
 		if (!parse_endpoint(json_string_value(json_array_get(seeds, i)),
--- a/src/duty/serve.c
+++ b/src/duty/serve.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/addr.h"
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/signals.h"
@@ -171,17 +172,16 @@
 		struct peer_address *seed =
 			&options->seeds[options->seed_count];
 		char *colon = strrchr(entry, ':');
-		long port = colon ? strtol(colon + 1, NULL, 10) : 0;
+		uint16_t port = colon ? addr_parse_port(colon + 1) : 0;
 
-		if (!colon || port < 1 || port > PORT_MAX ||
-		    options->seed_count == CONTROL_SEEDS_MAX)
+		if (!port || options->seed_count == CONTROL_SEEDS_MAX)
 			return err_set(err, ERR_SETTING,
 				       "--peers has \"%.40s\", accepted up to "
 				       "%d ADDRESS:PORT",
 				       entry, CONTROL_SEEDS_MAX);
 		*colon = '\0';
 		util_copy_str(seed->address, sizeof(seed->address), entry);
-		seed->port = (uint16_t)port;
+		seed->port = port;
 		options->seed_count++;
 	}
 	return ERR_OK;
