--- a/src/controller/store_mirror.c
+++ b/src/controller/store_mirror.c
@@ -7,6 +7,8 @@
 	uint64_t rev;
 	/* Deletions up to this store revision may have been forgotten. */
 	uint64_t forgotten_rev;
+	/* Revision of the latest listing: it has every key of that time. */
+	uint64_t listed_rev;
 	/* Number of pairs whose key is deleted. */
 	uint32_t deleted_count;
 	/* Key to struct kv_pair, which holds the key; deleted: value NULL. */
@@ -53,16 +55,18 @@
 }
 
 /*
- * Stores @p and returns 1 if it is newer than the known version of its key, or
- * its key is unknown and it is no deletion that was forgotten; else returns 0.
+ * Stores @p and returns 1 if it is newer than the latest listing and the known
+ * version of its key, or its key is unknown and it is no deletion that was
+ * forgotten; else returns 0.
  */
 static int put_pair(struct store_mirror *m, const struct kv_pair *p)
 {
 	struct kv_pair *known = g_hash_table_lookup(m->pairs, p->key);
 	struct kv_pair *copy;
 
-	if (known ? p->rev <= known->rev
-		  : p->rev <= m->forgotten_rev && !p->value)
+	if (p->rev <= m->listed_rev ||
+	    (known ? p->rev <= known->rev
+		   : p->rev <= m->forgotten_rev && !p->value))
 		return 0;
 	m->deleted_count += !p->value;
 	if (known)
@@ -132,6 +136,8 @@
 		if (put_pair(m, &u->pairs[i]))
 			fn(ctx, &u->pairs[i]);
 	}
+	if (u->is_full)
+		m->listed_rev = u->rev;
 	if (u->rev > m->rev)
 		m->rev = u->rev;
 	if (m->deleted_count > STORE_MIRROR_DELETED_MAX)
