--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -67,6 +67,11 @@
 	    "Hedges and retries that the shared bound did not allow")          \
 	DEF(METRIC_STATE_REV, "state_revision", "gauge",                       \
 	    "Store revision that this host knows")                             \
+	DEF(METRIC_STORE_ERA, "store_era", "gauge",                            \
+	    "Era of the store that this host knows; 0: none")                  \
+	DEF(METRIC_STORE_RETURNS, "store_returns_total", "counter",            \
+	    "Listings that were taken over after the store had come back "     \
+	    "from a copy")                                                     \
 	DEF(METRIC_STATE_AGE_MS, "state_age_ms", "gauge",                      \
 	    "Age of what was known of the store before it was confirmed")      \
 	DEF(METRIC_CONFIG_REV, "config_revision", "gauge",                     \
--- a/src/codec/peer_msg_state.c
+++ b/src/codec/peer_msg_state.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "model/store_pos.h"
+
 /*
  * Age in ms that is sent for a time that is unknown (0) or at least this long
  * ago; the receiver takes the time as unknown.
@@ -24,14 +26,39 @@
 	return util_max_i64(1, now_us - (int64_t)age_ms * US_PER_MS);
 }
 
+/* Reads an era, if the message goes on, or writes it. */
+static bool_t xdr_era(XDR *x, u_quad_t *era, uint32_t *has_era)
+{
+	if (x->x_op == XDR_DECODE) {
+		*has_era = xdr_u_hyper(x, era);
+		if (!*has_era)
+			*era = 0;
+		return *era <= STORE_ERA_MAX;
+	}
+	return x->x_op != XDR_ENCODE || xdr_u_hyper(x, era);
+}
+
+bool_t xdr_peer_msg_follow(XDR *x, struct peer_msg_follow *m)
+{
+	return xdr_peer_follow_args(x, &m->args) &&
+	       xdr_era(x, &m->era, &m->has_era);
+}
+
+bool_t xdr_peer_msg_state(XDR *x, struct peer_msg_state *m)
+{
+	return xdr_peer_state(x, &m->state) && xdr_era(x, &m->era, &m->has_era);
+}
+
 void peer_msg_from_store_update(const struct store_update *u,
 				int64_t received_us, int64_t now_us,
-				peer_state *out)
+				struct peer_msg_state *m)
 {
+	peer_state *out = &m->state;
 	uint32_t i;
 
-	memset(out, 0, sizeof(*out));
-	out->rev = u->rev;
+	memset(m, 0, sizeof(*m));
+	m->era = store_pos_era(u->rev);
+	out->rev = store_pos_rev(u->rev);
 	out->full = u->is_full;
 	out->age_ms = age_from_time_ms(u->confirmed_us, now_us);
 	out->returned_ms = age_from_time_ms(u->regained_us, now_us);
@@ -43,25 +70,26 @@
 		peer_entry *e = &out->entries.entries_val[i];
 
 		e->key = u->pairs[i].key;
-		e->rev = u->pairs[i].rev;
+		e->rev = store_pos_rev(u->pairs[i].rev);
 		e->deleted = !u->pairs[i].value;
 		e->value.value_val = u->pairs[i].value;
 		e->value.value_len = e->deleted ? 0 : u->pairs[i].value_bytes;
 	}
 }
 
-void peer_msg_state_free(peer_state *x)
+void peer_msg_state_free(struct peer_msg_state *x)
 {
-	free(x->entries.entries_val);
+	free(x->state.entries.entries_val);
 	memset(x, 0, sizeof(*x));
 }
 
-static int read_entry(peer_entry *e, uint64_t rev, struct kv_pair *out)
+static int read_entry(peer_entry *e, uint64_t era, uint64_t rev,
+		      struct kv_pair *out)
 {
 	if (!e->key || !e->key[0] || e->deleted > 1 || e->rev > rev ||
 	    !util_copy_str(out->key, sizeof(out->key), e->key))
 		return 0;
-	out->rev = e->rev;
+	out->rev = store_pos(era, e->rev);
 	if (e->deleted)
 		return 1;
 	out->value_bytes = e->value.value_len;
@@ -71,9 +99,12 @@
 	return 1;
 }
 
-struct store_update *peer_msg_to_store_update(peer_state *x, int64_t sent_us,
-					      int64_t now_us, struct err *err)
+struct store_update *peer_msg_to_store_update(struct peer_msg_state *m,
+					      int64_t sent_us, int64_t now_us,
+					      struct err *err)
 {
+	peer_state *x = &m->state;
+	uint64_t era = m->has_era ? m->era : 0;
 	struct store_update *u = util_alloc(1, sizeof(*u));
 	/*
 	 * Time that the call and the answer spent in the network. All of it may
@@ -85,13 +116,18 @@
 	uint32_t n = x->entries.entries_len;
 	uint32_t i;
 
-	u->rev = x->rev;
+	if (x->rev > STORE_REV_MAX) {
+		err_set(err, ERR_PEER_MESSAGE, "revision out of range");
+		store_update_free(u);
+		return NULL;
+	}
+	u->rev = store_pos(era, x->rev);
 	u->is_full = x->full != 0;
 	u->confirmed_us = time_from_age_us(x->age_ms, answered_us);
 	u->regained_us = time_from_age_us(x->returned_ms, answered_us);
 	u->pairs = util_alloc(n, sizeof(u->pairs[0]));
 	for (i = 0; i < n; i++) {
-		if (!read_entry(&x->entries.entries_val[i], x->rev,
+		if (!read_entry(&x->entries.entries_val[i], era, x->rev,
 				&u->pairs[i])) {
 			err_set(err, ERR_PEER_MESSAGE,
 				"entries missing or out of range");
--- a/src/controller/canary.c
+++ b/src/controller/canary.c
@@ -7,6 +7,7 @@
 
 #include "base/log.h"
 #include "controller/cusum.h"
+#include "model/store_pos.h"
 
 /* A write whose result is not known after this time is tried again. */
 #define WRITE_RETRY_US (1 * (int64_t)US_PER_S)
@@ -47,10 +48,19 @@
 	struct gw_rollout_order order;
 	uint64_t order_rev;
 	int64_t order_us;
-	/* The item, its revision (0: no item yet), and when it was seen. */
+	/* Order in an older copy that is held; position 0: none. */
+	struct gw_rollout_order held;
+	uint64_t held_rev;
+	/* The item, its position (0: no item yet), and when it was seen. */
 	struct gw_rollout item;
 	uint64_t item_rev;
 	int64_t item_us;
+	/*
+	 * 1: the store came back without this item, or with an earlier one, at
+	 * position stored_rev (0: none), and it has to be written again.
+	 */
+	int is_item_lost;
+	uint64_t stored_rev;
 	/* The status that the operator reads; revision 0: not written yet. */
 	struct gw_rollout_status status;
 	uint64_t status_rev;
@@ -72,6 +82,8 @@
 	void *ctx;
 	/* Name of the service to struct service_rollout. */
 	GHashTable *rollouts;
+	/* 1: the documents that come are those of an older copy. */
+	int is_returning;
 };
 
 struct canary *canary_new(uint32_t exposure_permille,
@@ -107,10 +119,31 @@
 	return s;
 }
 
-/* 1 if the item carries out the order in effect. */
+/*
+ * 1 if the item carries out the order in effect. Of an order that the operator
+ * has written again since the store came back only the version is the same.
+ */
 static int is_current(const struct service_rollout *s)
 {
-	return s->order_rev && s->item_rev && s->item.order_rev == s->order_rev;
+	if (!s->order_rev || !s->item_rev)
+		return 0;
+	if (store_pos_era(s->item.order_rev) < store_pos_era(s->order_rev))
+		return strcmp(s->item.to, s->order.to) == 0;
+	return s->item.order_rev == s->order_rev;
+}
+
+/*
+ * 1 if item @a is of a later order than item @b, or further in carrying out the
+ * same one.
+ */
+static int is_ahead(const struct gw_rollout *a, const struct gw_rollout *b)
+{
+	if (a->order_rev != b->order_rev)
+		return a->order_rev > b->order_rev;
+	if ((a->state == GW_ROLLOUT_RUNNING) !=
+	    (b->state == GW_ROLLOUT_RUNNING))
+		return a->state != GW_ROLLOUT_RUNNING;
+	return a->elapsed_ms > b->elapsed_ms;
 }
 
 /* 1 while the order in effect is not carried out to a final state. */
@@ -136,6 +169,13 @@
 
 	if (rev <= s->order_rev)
 		return;
+	if (c->is_returning && s->order_rev &&
+	    strcmp(order->to, s->order.to) != 0) {
+		s->held = *order;
+		s->held_rev = rev;
+		return;
+	}
+	s->held_rev = 0;
 	s->order = *order;
 	s->order_rev = rev;
 	s->order_us = now_us;
@@ -144,7 +184,7 @@
 	log_event(LOG_LEVEL_INFO, "rollout_ordered",
 		  "service %s version %s within %u ms, order %llu",
 		  order->service, order->to, order->duration_ms,
-		  (unsigned long long)rev);
+		  (unsigned long long)store_pos_rev(rev));
 	c->ops->shares_changed(c->ctx, now_us);
 }
 
@@ -156,6 +196,7 @@
 	if (!s || !s->order_rev)
 		return;
 	s->order_rev = 0;
+	s->held_rev = 0;
 	log_event(LOG_LEVEL_INFO, "rollout_order_gone", "service %s", service);
 	c->ops->shares_changed(c->ctx, now_us);
 }
@@ -167,6 +208,14 @@
 
 	if (rev <= s->item_rev)
 		return;
+	if (store_pos_era(rev) > store_pos_era(s->item_rev) && s->item_rev &&
+	    is_ahead(&s->item, item)) {
+		s->is_item_lost = 1;
+		s->stored_rev = rev;
+		return;
+	}
+	s->is_item_lost = 0;
+	s->stored_rev = rev;
 	if (s->item_rev && item->order_rev != s->item.order_rev)
 		reset_tests(s);
 	s->item = *item;
@@ -198,6 +247,44 @@
 	s->writing_until_us = 0;
 }
 
+void canary_store_returned(struct canary *c)
+{
+	c->is_returning = 0;
+}
+
+void canary_take_held(struct canary *c, int64_t now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->rollouts);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct service_rollout *s = value;
+		struct gw_rollout_order order = s->held;
+
+		if (s->held_rev)
+			canary_on_order(c, &order, s->held_rev, now_us);
+	}
+}
+
+void canary_store_returns(struct canary *c)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	c->is_returning = 1;
+	g_hash_table_iter_init(&it, c->rollouts);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct service_rollout *s = value;
+
+		s->is_item_lost = s->item_rev != 0;
+		s->stored_rev = 0;
+		s->status_rev = 0;
+		s->due_us = 0;
+		s->writing_until_us = 0;
+	}
+}
+
 void canary_on_write_failed(struct canary *c, const char *service)
 {
 	struct service_rollout *s = g_hash_table_lookup(c->rollouts, service);
@@ -379,6 +466,10 @@
 	int64_t since_order_us = elapsed_us(s, now_us);
 	uint32_t share = step_share(c, s, since_order_us);
 
+	if (s->is_item_lost) {
+		*next = s->item;
+		return 1;
+	}
 	if (!is_running(s))
 		return 0;
 	*next = (struct gw_rollout){ .order_rev = s->order_rev,
@@ -416,7 +507,7 @@
 static int next_status(const struct service_rollout *s,
 		       struct gw_rollout_status *next)
 {
-	if (!is_current(s))
+	if (!is_current(s) || s->is_item_lost)
 		return 0;
 	*next = (struct gw_rollout_status){ .state = s->item.state };
 	memcpy(next->service, s->service, sizeof(next->service));
@@ -447,7 +538,7 @@
 	if (writes_status)
 		c->ops->write_status(c->ctx, &status, s->status_rev);
 	else
-		c->ops->write_item(c->ctx, &item, s->item_rev);
+		c->ops->write_item(c->ctx, &item, s->stored_rev);
 }
 
 void canary_tick(struct canary *c, uint32_t rank, int64_t now_us)
@@ -472,7 +563,7 @@
 		const struct service_rollout *s = value;
 		struct gw_rollout_status next;
 
-		if (is_running(s) || next_status(s, &next))
+		if (is_running(s) || s->is_item_lost || next_status(s, &next))
 			return 1;
 	}
 	return 0;
--- a/src/controller/canary.h
+++ b/src/controller/canary.h
@@ -94,7 +94,20 @@
  * before this one; UINT32_MAX: this host never writes.
  */
 void canary_tick(struct canary *c, uint32_t rank, int64_t now_us);
-/* 1 while an order is not carried out or its status has to be written. */
+/*
+ * The store came back from an older copy; the documents in it follow, until
+ * canary_store_returned(). What was known of a rollout stays: its item and status
+ * are written again where the copy lacks them or has an earlier state of them,
+ * and an order in the copy for another version is held, since the operator writes
+ * the later one again.
+ */
+void canary_store_returns(struct canary *c);
+void canary_store_returned(struct canary *c);
+/* The operator has written none again: the orders that are held are in effect. */
+void canary_take_held(struct canary *c, int64_t now_us);
+/*
+ * 1 while an order is not carried out or one of its documents has to be written.
+ */
 int canary_is_active(const struct canary *c);
 
 /* Most versions that canary_shares() may write. */
--- a/src/controller/discovery.c
+++ b/src/controller/discovery.c
@@ -68,6 +68,8 @@
 	struct timer_entry held_timer;
 	/* Set of the names of data centres that are out of service. */
 	GHashTable *evacuated;
+	/* Until this time entries may be those of an older copy. */
+	int64_t copy_until_us;
 	/* Until this time targets whose entries are missing are kept. */
 	int64_t grace_until_us;
 	struct timer_entry grace_timer;
@@ -260,6 +262,10 @@
 {
 	enum target_entry_order order = target_entry_order(target, &known->def);
 
+	if (known->has_left && now_us < d->copy_until_us &&
+	    target->started_ms == known->def.started_ms &&
+	    target->write_no == known->def.write_no)
+		order = TARGET_ENTRY_EARLIER;
 	if (order == TARGET_ENTRY_LATER ||
 	    (known->has_left && now_us >= known->left_until_us))
 		return 0;
@@ -368,6 +374,11 @@
 	d->grace_until_us = back_us + RETURN_US;
 }
 
+void discovery_store_returns(struct discovery *d, int64_t until_us)
+{
+	d->copy_until_us = until_us;
+}
+
 uint32_t discovery_count(const struct discovery *d)
 {
 	return d->count;
--- a/src/controller/discovery.h
+++ b/src/controller/discovery.h
@@ -37,6 +37,13 @@
  */
 void discovery_store_regained(struct discovery *d, int64_t back_us);
 
+/*
+ * The store came back from an older copy. An entry that is the last one known of
+ * a target which has left may be from the copy, and brings it back only after
+ * @until_us.
+ */
+void discovery_store_returns(struct discovery *d, int64_t until_us);
+
 /* Number of known targets. */
 uint32_t discovery_count(const struct discovery *d);
 /* Writes all known targets, discovery_count() entries, to @out. */
--- a/src/controller/store_mirror.c
+++ b/src/controller/store_mirror.c
@@ -3,16 +3,21 @@
 #include <glib.h>
 #include <string.h>
 
+#include "model/store_pos.h"
+
 struct store_mirror {
+	/* Position up to which the pairs are known. */
 	uint64_t rev;
-	/* Deletions up to this store revision may have been forgotten. */
+	/* Deletions up to this position may have been forgotten. */
 	uint64_t forgotten_rev;
-	/* Revision of the latest listing: it has every key of that time. */
+	/* Position of the latest listing: it has every key of that time. */
 	uint64_t listed_rev;
 	/* Number of pairs whose key is deleted. */
 	uint32_t deleted_count;
 	/* Key to struct kv_pair, which holds the key; deleted: value NULL. */
 	GHashTable *pairs;
+	/* Set of keys that the store lacked when it came back. */
+	GHashTable *missing;
 };
 
 static void pair_free(gpointer p)
@@ -29,6 +34,7 @@
 
 	m->pairs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pair_free);
+	m->missing = g_hash_table_new_full(g_str_hash, g_str_equal, free, NULL);
 	return m;
 }
 
@@ -37,6 +43,7 @@
 	if (!m)
 		return;
 	g_hash_table_destroy(m->pairs);
+	g_hash_table_destroy(m->missing);
 	free(m);
 }
 
@@ -73,6 +80,7 @@
 		m->deleted_count -= !known->value;
 	copy = util_alloc(1, sizeof(*copy));
 	pair_copy(copy, p);
+	g_hash_table_remove(m->missing, p->key);
 	g_hash_table_replace(m->pairs, copy->key, copy);
 	return 1;
 }
@@ -91,12 +99,22 @@
 	m->forgotten_rev = m->rev;
 }
 
+static void delete_pair(struct store_mirror *m, struct kv_pair *p, uint64_t rev)
+{
+	free(p->value);
+	p->value = NULL;
+	p->value_bytes = 0;
+	p->rev = rev;
+	m->deleted_count++;
+}
+
 /*
  * Marks the keys that the full update @u does not list as deleted and calls @fn
- * for each of them.
+ * for each of them; if @u is of a later era, notes that they are missing.
  */
 static void delete_missing(struct store_mirror *m, const struct store_update *u,
-			   store_mirror_changed_fn *fn, void *ctx)
+			   int is_later_era, store_mirror_changed_fn *fn,
+			   void *ctx)
 {
 	GHashTable *listed_keys = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTableIter it;
@@ -111,27 +129,56 @@
 
 		/* A key written after the listing was taken is not deleted. */
 		if (!p->value || p->rev > u->rev ||
-		    g_hash_table_contains(listed_keys, p->key))
+		    g_hash_table_contains(listed_keys, p->key) ||
+		    g_hash_table_contains(m->missing, p->key))
 			continue;
-		free(p->value);
-		p->value = NULL;
-		p->value_bytes = 0;
-		p->rev = u->rev;
-		m->deleted_count++;
+		if (is_later_era) {
+			g_hash_table_add(m->missing, util_strdup(p->key));
+			continue;
+		}
+		delete_pair(m, p, u->rev);
 		fn(ctx, p);
 	}
 	g_hash_table_destroy(listed_keys);
 }
 
+uint32_t store_mirror_missing_count(const struct store_mirror *m)
+{
+	return g_hash_table_size(m->missing);
+}
+
+void store_mirror_drop_missing(struct store_mirror *m,
+			       store_mirror_changed_fn *fn, void *ctx)
+{
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, m->missing);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		struct kv_pair *p = g_hash_table_lookup(m->pairs, key);
+
+		delete_pair(m, p, m->rev);
+		fn(ctx, p);
+	}
+	g_hash_table_remove_all(m->missing);
+}
+
 void store_mirror_apply(struct store_mirror *m, const struct store_update *u,
 			store_mirror_changed_fn *fn, void *ctx)
 {
+	int is_later_era = m->rev &&
+			   store_pos_era(u->rev) > store_pos_era(m->rev);
 	uint32_t i;
 
-	if (u->is_full && u->rev < m->rev)
+	if (u->is_full ? u->rev < m->rev
+		       : is_later_era ||
+				 store_pos_era(u->rev) < store_pos_era(m->rev))
 		return;
 	if (u->is_full)
-		delete_missing(m, u, fn, ctx);
+		delete_missing(m, u, is_later_era, fn, ctx);
+	/* What was deleted in the era before is not known in this one. */
+	if (is_later_era)
+		m->forgotten_rev = u->rev;
 	for (i = 0; i < u->pair_count; i++) {
 		if (put_pair(m, &u->pairs[i]))
 			fn(ctx, &u->pairs[i]);
@@ -159,7 +206,10 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct kv_pair *p = value;
 
-		if (changes->is_full ? p->value != NULL : p->rev > rev)
+		if (changes->is_full
+			    ? p->value &&
+				      !g_hash_table_contains(m->missing, p->key)
+			    : p->rev > rev)
 			pair_copy(&changes->pairs[changes->pair_count++], p);
 	}
 	return changes;
--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -152,6 +152,7 @@
 		.hosts_assumed = HOSTS_ASSUMED,
 		.apply_ms = util_min_u32(settings->config_apply_ms,
 					 settings->drain_ms),
+		.store_writes_per_s = settings->store_writes_per_s,
 		.exposure_permille = settings->exposure_permille,
 		.store = store_ring(g->store),
 		.relay = g->relay ? relay_ring(g->relay) : NULL,
--- a/src/duty/gw_control.c
+++ b/src/duty/gw_control.c
@@ -7,7 +7,9 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "codec/gw_host_json.h"
+#include "decide/kv_limiter.h"
 #include "duty/gw_control_internal.h"
+#include "model/store_pos.h"
 #include "platform/platform_docs.h"
 
 #define RING_CAPACITY 4096
@@ -17,17 +19,26 @@
  */
 #define HOST_GRACE_US (60 * US_PER_S)
 
-void gw_control_store_call(struct gw_control *c, const struct kv_call *call,
-			   enum store_call_kind kind)
+int gw_control_store_call(struct gw_control *c, const struct kv_call *call,
+			  enum store_call_kind kind)
 {
-	struct kv_request *r = util_alloc(1, sizeof(*r));
-	struct msg m = { MSG_KV_REQUEST, r, NULL };
+	struct kv_request *r;
+	struct msg m = { MSG_KV_REQUEST, NULL, NULL };
+	int is_of_era = store_pos_era(call->rev) == c->era;
 
+	if (call->rev && !is_of_era && kv_op_is_write(call->op)) {
+		free(call->value);
+		return 0;
+	}
+	r = util_alloc(1, sizeof(*r));
+	m.body = r;
 	r->call = *call;
+	r->call.rev = is_of_era ? store_pos_rev(call->rev) : 0;
 	r->reply_to = duty_ring(c->duty);
 	r->call_id = kind;
 	if (ring_push(c->opt.store, &m) != ERR_OK)
 		kv_request_free(r);
+	return 1;
 }
 
 static uint32_t host_count(const struct gw_control *c, int64_t now_us)
@@ -108,7 +119,7 @@
 	log_event(LOG_LEVEL_INFO, "config_adopted",
 		  "version %llu at store revision %llu",
 		  (unsigned long long)config->version,
-		  (unsigned long long)p->rev);
+		  (unsigned long long)store_pos_rev(p->rev));
 	route_config_unref(c->config);
 	c->config = config;
 	metric_set(METRIC_CONFIG_REV, config->version);
@@ -189,29 +200,71 @@
 	}
 }
 
-static void on_store_reply(struct gw_control *c, const struct kv_reply *r,
-			   int64_t now_us)
+/* Turns the revisions of @r into positions; the result stays an error then. */
+static void set_positions(struct kv_result *r)
+{
+	uint32_t i;
+
+	if (r->rev > STORE_REV_MAX) {
+		err_set(&r->err, ERR_STORE_ANSWER, "revision out of range");
+		return;
+	}
+	r->rev = store_pos(r->era, r->rev);
+	for (i = 0; i < r->pair_count; i++)
+		r->pairs[i].rev =
+			store_pos(r->era, r->pairs[i].rev & STORE_REV_MAX);
+}
+
+/*
+ * Notes the era of @r. Returns 0 if it is a result of an earlier one than is
+ * known, or, but for an error, of none: the answer was under way when the store
+ * came back, or was not the store's.
+ */
+static int check_era(struct gw_control *c, struct kv_result *r, int64_t now_us)
 {
-	switch (r->call_id) {
+	gw_control_hear_era(c, r->era, "the store", now_us);
+	if (r->era == c->era || (!r->era && r->err.code != ERR_OK))
+		return 1;
+	err_set(&r->err, ERR_STORE_STALE, "answer of era %llu, known is %llu",
+		(unsigned long long)r->era, (unsigned long long)c->era);
+	return 0;
+}
+
+void gw_control_store_result(struct gw_control *c, enum store_call_kind kind,
+			     const char *key, struct kv_result *r,
+			     int64_t now_us)
+{
+	uint64_t era_before = c->era;
+	int is_current = check_era(c, r, now_us);
+	int is_new_era = c->era != era_before;
+
+	set_positions(r);
+	switch (kind) {
 	case STORE_CALL_WATCH:
-		gw_control_watch_done(c, &r->result, now_us);
-		break;
 	case STORE_CALL_READ:
-		gw_control_read_done(c, &r->result, now_us);
+		if (r->err.code == ERR_OK && !r->is_full &&
+		    !gw_control_is_listed(c))
+			gw_control_relist(c, kind, now_us);
+		else if (kind == STORE_CALL_WATCH)
+			gw_control_watch_done(c, r, now_us);
+		else
+			gw_control_read_done(c, r, now_us);
 		break;
 	case STORE_CALL_LEASE:
-		gw_control_lease_done(c, &r->result, now_us);
-		break;
 	case STORE_CALL_REGISTER:
-		gw_control_register_done(c, &r->result, now_us);
-		break;
 	case STORE_CALL_RENEW:
-		gw_control_renew_done(c, &r->result, now_us);
+		/* The entry is written again in the new era. */
+		if (!is_current || (is_new_era && era_before))
+			break;
+		if (kind == STORE_CALL_LEASE)
+			gw_control_lease_done(c, r, now_us);
+		else if (kind == STORE_CALL_REGISTER)
+			gw_control_register_done(c, r, now_us);
+		else
+			gw_control_renew_done(c, r, now_us);
 		break;
 	case STORE_CALL_ROLLOUT:
-		gw_control_rollout_write_done(c, r->key, &r->result);
-		break;
-	default:
+		gw_control_rollout_write_done(c, key, r);
 		break;
 	}
 }
@@ -220,11 +273,13 @@
 {
 	struct gw_control *c = ctx;
 	struct rollout_report_list *reports = m->body;
+	struct kv_reply *reply = m->body;
 
 	switch (m->type) {
 	case MSG_KV_REPLY:
-		on_store_reply(c, m->body, now_us);
-		kv_reply_free(m->body);
+		gw_control_store_result(c, (enum store_call_kind)reply->call_id,
+					reply->key, &reply->result, now_us);
+		kv_reply_free(reply);
 		break;
 	case MSG_FOLLOW_RESULT:
 		gw_control_follow_done(c, m->body, now_us);
--- a/src/duty/gw_control.h
+++ b/src/duty/gw_control.h
@@ -36,6 +36,8 @@
 	uint32_t hosts_assumed;
 	/* This host has to know a change of the store within this time. */
 	uint32_t apply_ms;
+	/* Writes per second that the store grants to all hosts; 0: unknown. */
+	uint32_t store_writes_per_s;
 	/* Share of a service's requests that a bad version may get. */
 	uint32_t exposure_permille;
 	/* Ring of the store duty. */
--- a/src/duty/gw_control_internal.h
+++ b/src/duty/gw_control_internal.h
@@ -30,6 +30,16 @@
 struct gw_control {
 	struct duty *duty;
 	struct gw_control_options opt;
+	/*
+	 * Latest era of the store that this host has heard of; that of @mirror
+	 * is an earlier one until the store was listed. 0: the store states
+	 * none.
+	 */
+	uint64_t era;
+	/* Time at which it heard of it. */
+	int64_t era_us;
+	/* Due when keys that are missing since then are taken for deleted. */
+	struct timer_entry missing_timer;
 	/* Copy of the store's keys. */
 	struct store_mirror *mirror;
 	struct host_tree *host_tree;
@@ -84,9 +94,20 @@
 	struct timer_entry health_timer;
 };
 
-/* Sends a call to the store duty. */
-void gw_control_store_call(struct gw_control *c, const struct kv_call *call,
-			   enum store_call_kind kind);
+/*
+ * Sends a call to the store duty. call->rev is a position; a watch from one of
+ * another era becomes a listing. Returns 0, and sends nothing, for a write whose
+ * condition is a position of another era; call->value is freed then.
+ */
+int gw_control_store_call(struct gw_control *c, const struct kv_call *call,
+			  enum store_call_kind kind);
+/*
+ * Handles the result of a call for @key, whose revisions become positions. One
+ * of an earlier era than the one known has failed.
+ */
+void gw_control_store_result(struct gw_control *c, enum store_call_kind kind,
+			     const char *key, struct kv_result *r,
+			     int64_t now_us);
 /* Handles one key that was written or deleted. */
 void gw_control_apply_pair(struct gw_control *c, const struct kv_pair *p,
 			   int64_t now_us);
@@ -108,8 +129,22 @@
 /* Calls host @h, which may delay its answer for up to @hold_ms. */
 void gw_control_call_peer(struct gw_control *c, const struct host_entry *h,
 			  uint32_t hold_ms);
+/* The result of a watch or read cannot be used: lists the store. */
+void gw_control_relist(struct gw_control *c, enum store_call_kind kind,
+		       int64_t now_us);
 void gw_control_free_source(struct gw_control *c);
 
+/* gw_control_era.c: the store came back from a copy. */
+/* Takes note of @era, which @source has stated, if it is a later one. */
+void gw_control_hear_era(struct gw_control *c, uint64_t era, const char *source,
+			 int64_t now_us);
+/* 1 if the copy of the keys is one of the era that is known. */
+int gw_control_is_listed(const struct gw_control *c);
+/* A full update of a later era is about to be applied. */
+void gw_control_store_returns(struct gw_control *c, int64_t now_us);
+/* It has been applied. */
+void gw_control_store_returned(struct gw_control *c, int64_t now_us);
+
 /* gw_control_health.c: reports of this host and of others on targets. */
 void gw_control_local_health(struct gw_control *c,
 			     const struct target_health_list *l,
@@ -137,6 +172,8 @@
 
 /* gw_control_register.c: this host's entry in the store. */
 void gw_control_start_register(struct gw_control *c, int64_t now_us);
+/* The lease and the entry are gone: writes them again at @at_us. */
+void gw_control_register_again(struct gw_control *c, int64_t at_us);
 void gw_control_lease_done(struct gw_control *c, const struct kv_result *r,
 			   int64_t now_us);
 void gw_control_register_done(struct gw_control *c, const struct kv_result *r,
--- a/src/duty/gw_control_register.c
+++ b/src/duty/gw_control_register.c
@@ -29,6 +29,12 @@
 	arm_lease_timer(c, now_us);
 }
 
+void gw_control_register_again(struct gw_control *c, int64_t at_us)
+{
+	c->lease = 0;
+	arm_lease_timer(c, at_us);
+}
+
 /* Requests a lease, or renews the one that this host holds. */
 static void on_lease_timer(void *ctx, int64_t now_us)
 {
--- a/src/duty/gw_control_rollout.c
+++ b/src/duty/gw_control_rollout.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "codec/gw_rollout_json.h"
 #include "duty/gw_control_internal.h"
+#include "model/store_pos.h"
 #include "platform/platform_docs.h"
 
 /*
@@ -40,7 +41,9 @@
 	util_copy_str(call.key, sizeof(call.key), prefix);
 	util_copy_str(call.key + strlen(prefix),
 		      sizeof(call.key) - strlen(prefix), service);
-	gw_control_store_call(c, &call, STORE_CALL_ROLLOUT);
+	/* The document is read again with the listing of the new era. */
+	if (!gw_control_store_call(c, &call, STORE_CALL_ROLLOUT))
+		canary_on_write_failed(c->rollouts, service);
 }
 
 static void write_item(void *ctx, const struct gw_rollout *item,
@@ -148,10 +151,15 @@
 	if (!p->value)
 		return;
 	if (gw_rollout_json_decode(service, p->value, p->value_bytes, &item,
-				   &err) == ERR_OK)
+				   &err) == ERR_OK) {
+		/* A host of an earlier build wrote it, in the era it was in. */
+		if (!store_pos_era(item.order_rev))
+			item.order_rev = store_pos(store_pos_era(p->rev),
+						   item.order_rev);
 		canary_on_item(c->rollouts, &item, p->rev, now_us);
-	else
+	} else {
 		log_refused(&err);
+	}
 }
 
 static void apply_status(struct gw_control *c, const char *service,
--- a/src/duty/gw_control_source.c
+++ b/src/duty/gw_control_source.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "duty/gw_control_internal.h"
+#include "model/store_pos.h"
 #include "platform/platform_docs.h"
 
 /*
@@ -207,6 +208,11 @@
 {
 	call->owner = c;
 	gw_control_add_reports(c, call->reports, call->report_count, now_us);
+	if (call->has_no_era)
+		/* Its revision counts in the era of this host's state. */
+		call->rev = store_pos(
+			store_pos_era(store_mirror_rev(c->mirror)), call->rev);
+	gw_control_hear_era(c, store_pos_era(call->rev), "a follower", now_us);
 	if (call->rev < store_mirror_rev(c->mirror)) {
 		answer_follower(c, call);
 		follower_call_free(call);
@@ -245,6 +251,9 @@
 			 int64_t now_us)
 {
 	struct pair_ctx pc = { c, now_us };
+	int is_later_era = store_mirror_rev(c->mirror) && u->is_full &&
+			   store_pos_era(u->rev) >
+				   store_pos_era(store_mirror_rev(c->mirror));
 
 	/*
 	 * If this host's state was confirmed within the age limit before the
@@ -259,8 +268,13 @@
 		c->regained_us = u->regained_us;
 		discovery_store_regained(c->discovery, u->regained_us);
 	}
+	if (is_later_era)
+		gw_control_store_returns(c, now_us);
 	store_mirror_apply(c->mirror, u, on_pair, &pc);
-	metric_set(METRIC_STATE_REV, store_mirror_rev(c->mirror));
+	if (is_later_era)
+		gw_control_store_returned(c, now_us);
+	metric_set(METRIC_STATE_REV,
+		   store_pos_rev(store_mirror_rev(c->mirror)));
 	if (u->confirmed_us > c->confirmed_us) {
 		if (c->confirmed_us)
 			metric_set(
@@ -287,7 +301,8 @@
 		log_event(LOG_LEVEL_WARNING, "store_lost",
 			  "%s: %s; state of revision %llu is %lld ms old",
 			  err_name(err->code), err->detail,
-			  (unsigned long long)store_mirror_rev(c->mirror),
+			  (unsigned long long)store_pos_rev(
+				  store_mirror_rev(c->mirror)),
 			  (long long)age_ms(c->confirmed_us, now_us));
 	c->is_store_lost = 1;
 	host_tree_store_failed(c->host_tree, now_us);
@@ -307,7 +322,8 @@
 			continue;
 		log_event(LOG_LEVEL_WARNING, "store_value_dropped",
 			  "value of '%s' at revision %llu has %u bytes", p->key,
-			  (unsigned long long)p->rev, p->value_bytes);
+			  (unsigned long long)store_pos_rev(p->rev),
+			  p->value_bytes);
 		p->value[0] = '\0';
 		p->value_bytes = 0;
 	}
@@ -324,7 +340,7 @@
 
 	if (c->is_store_lost) {
 		log_event(LOG_LEVEL_INFO, "store_regained", "revision %llu",
-			  (unsigned long long)r->rev);
+			  (unsigned long long)store_pos_rev(r->rev));
 		u.regained_us = now_us;
 	}
 	c->is_store_lost = 0;
@@ -333,6 +349,18 @@
 	apply_update(c, &u, now_us);
 }
 
+void gw_control_relist(struct gw_control *c, enum store_call_kind kind,
+		       int64_t now_us)
+{
+	if (kind == STORE_CALL_WATCH) {
+		c->is_watching = 0;
+		arm_next_call(c, now_us);
+		return;
+	}
+	c->is_reading = 0;
+	read_store(c);
+}
+
 void gw_control_watch_done(struct gw_control *c, const struct kv_result *r,
 			   int64_t now_us)
 {
@@ -363,6 +391,17 @@
 		read_store(c);
 }
 
+/*
+ * 1 if @u may be ordered against what this host knows: it is of the latest era,
+ * and not changes against a state of another one.
+ */
+static int is_of_era(const struct gw_control *c, const struct store_update *u)
+{
+	if (store_pos_era(u->rev) != c->era)
+		return 0;
+	return u->is_full || gw_control_is_listed(c);
+}
+
 void gw_control_follow_done(struct gw_control *c, const struct follow_result *f,
 			    int64_t now_us)
 {
@@ -370,6 +409,8 @@
 	int64_t stale_us = now_us - apply_part_us(c, AGE_LIMIT_PERMILLE);
 
 	c->is_following = 0;
+	if (u)
+		gw_control_hear_era(c, store_pos_era(u->rev), f->host, now_us);
 	if (!u) {
 		log_event(LOG_LEVEL_WARNING, "host_unreachable", "%s: %s",
 			  err_name(f->err.code), f->err.detail);
@@ -377,10 +418,21 @@
 		arm_next_call(c, now_us + RETRY_US);
 		return;
 	}
+	if (!is_of_era(c, u)) {
+		log_event(LOG_LEVEL_INFO, "host_behind",
+			  "host %s is at era %llu revision %llu, known is era "
+			  "%llu",
+			  f->host, (unsigned long long)store_pos_era(u->rev),
+			  (unsigned long long)store_pos_rev(u->rev),
+			  (unsigned long long)c->era);
+		host_tree_peer_failed(c->host_tree, f->host, now_us);
+		arm_next_call(c, now_us + RETRY_US);
+		return;
+	}
 	if (u->confirmed_us < stale_us) {
 		log_event(LOG_LEVEL_INFO, "host_behind",
 			  "host %s is at revision %llu, %lld ms old", f->host,
-			  (unsigned long long)u->rev,
+			  (unsigned long long)store_pos_rev(u->rev),
 			  (long long)age_ms(u->confirmed_us, now_us));
 		host_tree_peer_failed(c->host_tree, f->host, now_us);
 	}
--- a/src/duty/relay.c
+++ b/src/duty/relay.c
@@ -18,6 +18,7 @@
 #include "codec/peer_msg.h"
 #include "codec/peer_msg_state.h"
 #include "duty/relay_internal.h"
+#include "model/store_pos.h"
 
 #define RING_CAPACITY 1024
 #define LISTEN_QUEUE 128
@@ -123,7 +124,7 @@
 			       int64_t now_us)
 {
 	struct relay *r = ctx;
-	peer_state state = { 0 };
+	struct peer_msg_state state = { 0 };
 	struct store_update *u = NULL;
 	struct err err = { 0 };
 	uint32_t xid = 0;
@@ -131,11 +132,11 @@
 	metric_add(METRIC_PEER_MESSAGES_RECEIVED, 1);
 	metric_add(METRIC_PEER_RECEIVED_BYTES, len_bytes);
 	if (peer_rpc_read_reply(data, len_bytes, &xid,
-				(xdrproc_t)xdr_peer_state, &state) &&
+				(xdrproc_t)xdr_peer_msg_state, &state) &&
 	    xid == r->call_xid && r->call_host[0])
 		u = peer_msg_to_store_update(&state, r->call_sent_us, now_us,
 					     &err);
-	xdr_free((xdrproc_t)xdr_peer_state, &state);
+	xdr_free((xdrproc_t)xdr_peer_msg_state, &state);
 	if (u)
 		end_call(r, NULL, u);
 	else
@@ -169,17 +170,20 @@
 {
 	peer_rollout *evidence CLEANUP_FREE =
 		util_alloc(f->report_count, sizeof(*evidence));
-	peer_follow_args args = { f->rev,
-				  f->hold_ms,
-				  { f->report_count, evidence } };
+	struct peer_msg_follow call = {
+		.args = { store_pos_rev(f->rev),
+			  f->hold_ms,
+			  { f->report_count, evidence } },
+		.era = store_pos_era(f->rev),
+	};
 	uint32_t i;
 
 	for (i = 0; i < f->report_count; i++)
 		peer_msg_from_rollout_report(&f->reports[i], &evidence[i]);
 	r->call_xid = ++r->last_xid;
 	return peer_rpc_add_call(rpc_conn_output(r->upstream), r->call_xid,
-				 FOLLOW_STATE, (xdrproc_t)xdr_peer_follow_args,
-				 &args);
+				 FOLLOW_STATE, (xdrproc_t)xdr_peer_msg_follow,
+				 &call);
 }
 
 static void start_call(struct relay *r, const struct follow_request *f,
@@ -224,16 +228,18 @@
 
 /* NULL when a report in @args is refused. */
 static struct follower_call *make_call(const struct follower *f, uint32_t xid,
-				       const peer_follow_args *args,
+				       const struct peer_msg_follow *m,
 				       int64_t now_us)
 {
+	const peer_follow_args *args = &m->args;
 	struct follower_call *call = util_alloc(1, sizeof(*call));
 	uint32_t n = args->evidence.evidence_len;
 	uint32_t i;
 
 	*call = (struct follower_call){ .conn = f->id,
 					.xid = xid,
-					.rev = args->rev,
+					.rev = store_pos(m->era, args->rev),
+					.has_no_era = !m->has_era,
 					.hold_ms = args->hold_ms,
 					.received_us = now_us };
 	call->reports = util_alloc(n, sizeof(call->reports[0]));
@@ -265,11 +271,12 @@
 static int take_follow_call(struct follower *f, uint32_t xid, XDR *x,
 			    int64_t now_us)
 {
-	peer_follow_args args = { 0 };
-	int ok = !f->is_waiting && xdr_peer_follow_args(x, &args) &&
+	struct peer_msg_follow args = { 0 };
+	int ok = !f->is_waiting && xdr_peer_msg_follow(x, &args) &&
+		 args.args.rev <= STORE_REV_MAX &&
 		 push_call(f, make_call(f, xid, &args, now_us));
 
-	xdr_free((xdrproc_t)xdr_peer_follow_args, &args);
+	xdr_free((xdrproc_t)xdr_peer_msg_follow, &args);
 	f->is_waiting |= ok;
 	return ok;
 }
@@ -341,7 +348,7 @@
 		   int64_t now_us)
 {
 	struct follower *f = g_hash_table_lookup(r->followers, &reply->conn);
-	peer_state state;
+	struct peer_msg_state state;
 
 	if (!f)
 		return;
@@ -349,7 +356,7 @@
 	peer_msg_from_store_update(reply->update, reply->received_us, now_us,
 				   &state);
 	if (peer_rpc_add_reply(rpc_conn_output(f->conn), reply->xid,
-			       (xdrproc_t)xdr_peer_state, &state) &&
+			       (xdrproc_t)xdr_peer_msg_state, &state) &&
 	    rpc_conn_unsent_bytes(f->conn) <= UNSENT_BYTES_MAX) {
 		metric_add(METRIC_PEER_MESSAGES_SENT, 1);
 		metric_add(METRIC_PEER_SENT_BYTES,
--- a/src/duty/relay.h
+++ b/src/duty/relay.h
@@ -27,7 +27,7 @@
 	char host[NAME_BYTES];
 	char address[ADDRESS_BYTES];
 	uint16_t port;
-	/* Store revision that this host has; it asks for later changes. */
+	/* Position of the store that this host has; it asks for later changes. */
 	uint64_t rev;
 	/* Longest time for which the other host may hold the call. */
 	uint32_t hold_ms;
@@ -51,8 +51,10 @@
 	/* Connection and RPC transaction ID of the call, for the reply. */
 	uint64_t conn;
 	uint32_t xid;
-	/* Store revision that the follower has. */
+	/* Position of the store that the follower has. */
 	uint64_t rev;
+	/* 1: the follower states no era. */
+	uint32_t has_no_era;
 	/* Longest time for which the call may be held. */
 	uint32_t hold_ms;
 	/* Monotonic time at which the call came. */
--- a/src/model/gw_rollout.h
+++ b/src/model/gw_rollout.h
@@ -51,7 +51,7 @@
 struct gw_rollout {
 	char service[NAME_BYTES];
 	char to[NAME_BYTES];
-	/* Store revision of the order that is carried out. */
+	/* Position of the order that is carried out (store_pos.h). */
 	uint64_t order_rev;
 	enum gw_rollout_state state;
 	/* Share of the service's requests that the new version gets. */
--- a/src/model/kv.h
+++ b/src/model/kv.h
@@ -87,6 +87,8 @@
  */
 struct kv_result {
 	struct err err;
+	/* Era that the store states (model/store_pos.h); 0: none, no answer. */
+	uint64_t era;
 	/* GET, CAS, DELETE: revision of the key. WATCH: that of the store. */
 	uint64_t rev;
 	/* WATCH: 1 if the pairs are all keys below the prefix. */
--- a/src/model/store_update.h
+++ b/src/model/store_update.h
@@ -11,7 +11,7 @@
 #include "model/name.h"
 
 struct store_update {
-	/* Store revision of the keys once the pairs are applied. */
+	/* Position of the store (store_pos.h) once the pairs are applied. */
 	uint64_t rev;
 	/* 1: the pairs are all keys; a key not among them is deleted. */
 	uint32_t is_full;
--- a/tests/fuzz/fuzz_decoders.c
+++ b/tests/fuzz/fuzz_decoders.c
@@ -208,16 +208,16 @@
 	char *copy CLEANUP_FREE = util_alloc((size_t)bytes + 1, 1);
 	struct target_health_list list = { 0 };
 	peer_health health = { 0 };
-	peer_state state = { 0 };
+	struct peer_msg_state state = { 0 };
 	struct err err = { 0 };
 	uint32_t xid;
 	XDR xdrs;
 
 	memcpy(copy, data, bytes);
-	if (peer_rpc_read_reply(copy, bytes, &xid, (xdrproc_t)xdr_peer_state,
-				&state))
+	if (peer_rpc_read_reply(copy, bytes, &xid,
+				(xdrproc_t)xdr_peer_msg_state, &state))
 		store_update_free(peer_msg_to_store_update(&state, 0, 1, &err));
-	xdr_free((xdrproc_t)xdr_peer_state, (char *)&state);
+	xdr_free((xdrproc_t)xdr_peer_msg_state, (char *)&state);
 	xdrmem_create(&xdrs, copy, bytes, XDR_DECODE);
 	if (xdr_peer_health(&xdrs, &health))
 		peer_msg_to_health(&health, &list);
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -11,10 +11,28 @@
 
 #include "base/log.h"
 #include "duty/gw_control_internal.h"
+#include "model/store_pos.h"
 #include "script.h"
 
 #define RING_SIZE 64
 
+/* Reads a position: REV, or ERA.REV. */
+static uint64_t read_pos(const char *text)
+{
+	const char *dot = strchr(text, '.');
+	uint64_t first = strtoull(text, NULL, 10);
+
+	return dot ? store_pos(first, strtoull(dot + 1, NULL, 10)) : first;
+}
+
+/* Prints a position in the same way. */
+static void show_pos(struct buf *out, uint64_t pos)
+{
+	if (store_pos_era(pos))
+		buf_addf(out, "%llu.", (unsigned long long)store_pos_era(pos));
+	buf_addf(out, "%llu", (unsigned long long)store_pos_rev(pos));
+}
+
 /*
  * Adds the words KEY=VALUE@REV (written at revision REV) and -KEY@REV (deleted)
  * to @u; words without "@" are skipped.
@@ -37,7 +55,7 @@
 		is_deleted = pair_rev[0][0] == '-';
 		if (!pair_rev[1])
 			continue;
-		p->rev = strtoull(pair_rev[1], NULL, 10);
+		p->rev = read_pos(pair_rev[1]);
 		util_copy_str(p->key, sizeof(p->key),
 			      key_value[0] + is_deleted);
 		if (!is_deleted) {
@@ -59,7 +77,8 @@
 	buf_addf(out, " %s%s", p->value ? "" : "-", p->key);
 	if (p->value)
 		buf_addf(out, "=%.*s", (int)p->value_bytes, p->value);
-	buf_addf(out, "@%llu", (unsigned long long)p->rev);
+	buf_addf(out, "@");
+	show_pos(out, p->rev);
 }
 
 /* Prints pairs in the order of their keys: the hash table has no order. */
@@ -67,8 +86,9 @@
 {
 	uint32_t i;
 
-	buf_addf(out, "%s at %llu:", u->is_full ? "all" : "changes",
-		 (unsigned long long)u->rev);
+	buf_addf(out, "%s at ", u->is_full ? "all" : "changes");
+	show_pos(out, u->rev);
+	buf_addf(out, ":");
 	qsort(u->pairs, u->pair_count, sizeof(u->pairs[0]), by_key);
 	for (i = 0; i < u->pair_count; i++)
 		show_pair(out, &u->pairs[i]);
@@ -93,7 +113,7 @@
 {
 	struct store_update *u = util_alloc(1, sizeof(*u));
 
-	u->rev = strtoull(argv[0], NULL, 10);
+	u->rev = read_pos(argv[0]);
 	u->is_full = argc > 1 && strcmp(argv[1], "full") == 0;
 	read_pairs(u, argc - 1, argv + 1);
 	buf_addf(out, "new:");
@@ -106,7 +126,7 @@
 static void cmd_since(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct store_update *u =
-		store_mirror_changes_since(ctx, strtoull(argv[0], NULL, 10));
+		store_mirror_changes_since(ctx, read_pos(argv[0]));
 
 	show_update(out, u);
 	store_update_free(u);
@@ -131,10 +151,19 @@
 	}
 }
 
+/* drop: deletes what was missing when the store came back; prints it. */
+static void cmd_drop(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	buf_addf(out, "%u missing:", store_mirror_missing_count(ctx));
+	store_mirror_drop_missing(ctx, show_pair, out);
+	buf_addf(out, "\n");
+}
+
 static const struct script_command mirror_commands[] = {
 	{ "apply", cmd_apply },
 	{ "since", cmd_since },
 	{ "churn", cmd_churn },
+	{ "drop", cmd_drop },
 };
 
 struct tree_ctx {
@@ -311,9 +340,17 @@
 	while (ring_take(g->store, &m, 1)) {
 		struct kv_request *r = m.body;
 
-		buf_addf(out, "%s after %llu wait %u ms\n",
-			 r->call_id == STORE_CALL_READ ? "read" : "watch",
-			 (unsigned long long)r->call.rev, r->call.ttl_ms);
+		if (r->call.op == KV_WATCH)
+			buf_addf(out, "%s after %llu wait %u ms\n",
+				 r->call_id == STORE_CALL_READ ? "read"
+							       : "watch",
+				 (unsigned long long)r->call.rev,
+				 r->call.ttl_ms);
+		else
+			buf_addf(out, "call %u of %s if %llu lease %llu\n",
+				 r->call.op, r->call.key,
+				 (unsigned long long)r->call.rev,
+				 (unsigned long long)r->call.lease);
 		kv_request_free(r);
 	}
 }
@@ -328,9 +365,9 @@
 		struct follower_reply *r = m.body;
 
 		if (m.type == MSG_FOLLOW_REQUEST) {
-			buf_addf(out, "follow %s after %llu hold %u ms\n",
-				 f->host, (unsigned long long)f->rev,
-				 f->hold_ms);
+			buf_addf(out, "follow %s after ", f->host);
+			show_pos(out, f->rev);
+			buf_addf(out, " hold %u ms\n", f->hold_ms);
 			follow_request_free(f);
 			continue;
 		}
@@ -376,6 +413,7 @@
 static void fill_result(struct kv_result *r, struct store_update *u,
 			uint32_t argc, char **argv)
 {
+	r->era = script_u32(argc, argv, "era", 0);
 	if (argc && strcmp(argv[0], "down") == 0) {
 		err_set(&r->err, ERR_STORE_DOWN, "refused");
 		return;
@@ -389,8 +427,8 @@
 }
 
 /*
- * watched down | watched rev=N [full=1] [more=1] PAIR@REV...: the result of the
- * watch; more=1: the store may hold more changes.
+ * watched down | watched rev=N [era=N] [full=1] [more=1] PAIR@REV...: the result
+ * of the watch; more=1: the store may hold more changes.
  */
 static void cmd_watched(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -399,12 +437,13 @@
 	struct kv_result r = { 0 };
 
 	fill_result(&r, u, argc, argv);
-	gw_control_watch_done(g->control, &r, g->now_us);
+	gw_control_store_result(g->control, STORE_CALL_WATCH, "", &r,
+				g->now_us);
 	store_update_free(u);
 	show_calls(g, out);
 }
 
-/* read down | read rev=N [full=1] PAIR@REV...: the result of the read. */
+/* read down | read rev=N [era=N] [full=1] PAIR@REV...: the result of the read. */
 static void cmd_read(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct gwcontrol_ctx *g = ctx;
@@ -412,7 +451,7 @@
 	struct kv_result r = { 0 };
 
 	fill_result(&r, u, argc, argv);
-	gw_control_read_done(g->control, &r, g->now_us);
+	gw_control_store_result(g->control, STORE_CALL_READ, "", &r, g->now_us);
 	store_update_free(u);
 	show_calls(g, out);
 }
@@ -432,7 +471,7 @@
 		err_set(&f->err, ERR_PEER_RPC, "no answer in time");
 	} else {
 		f->update = util_alloc(1, sizeof(*f->update));
-		f->update->rev = script_u32(argc, argv, "rev", 0);
+		f->update->rev = read_pos(script_arg(argc, argv, "rev", "0"));
 		f->update->is_full = script_u32(argc, argv, "full", 0);
 		f->update->confirmed_us =
 			g->now_us -
@@ -459,17 +498,44 @@
 	struct follower_call *call = util_alloc(1, sizeof(*call));
 
 	call->conn = strtoull(argv[0], NULL, 10);
-	call->rev = script_u32(argc, argv, "rev", 0);
+	call->rev = read_pos(script_arg(argc, argv, "rev", "0"));
+	call->has_no_era = script_u32(argc, argv, "no_era", 0);
 	call->hold_ms = script_u32(argc, argv, "hold", 1000);
 	call->received_us = g->now_us;
 	gw_control_follower_call(g->control, call, g->now_us);
 	show_calls(g, out);
 }
 
+/* lease N [era=N]: the store grants lease N, or the call fails: lease down. */
+static void cmd_lease(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct gwcontrol_ctx *g = ctx;
+	struct kv_result r = { .lease = strtoull(argv[0], NULL, 10),
+			       .era = script_u32(argc, argv, "era", 0) };
+
+	gw_control_store_result(g->control, STORE_CALL_LEASE, "", &r,
+				g->now_us);
+	show_calls(g, out);
+}
+
+/* renewed [era=N] [gone=1]: the result of the renewal of the lease. */
+static void cmd_renewed(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct gwcontrol_ctx *g = ctx;
+	struct kv_result r = { .era = script_u32(argc, argv, "era", 0) };
+
+	if (script_u32(argc, argv, "gone", 0))
+		err_set(&r.err, ERR_STORE_NOT_FOUND, "lease");
+	gw_control_store_result(g->control, STORE_CALL_RENEW, "", &r,
+				g->now_us);
+	show_calls(g, out);
+}
+
 static const struct script_command gwcontrol_commands[] = {
-	{ "tick", cmd_tick }, { "watched", cmd_watched },
-	{ "read", cmd_read }, { "followed", cmd_followed },
-	{ "call", cmd_call },
+	{ "tick", cmd_tick },	    { "watched", cmd_watched },
+	{ "read", cmd_read },	    { "followed", cmd_followed },
+	{ "call", cmd_call },	    { "lease", cmd_lease },
+	{ "renewed", cmd_renewed },
 };
 
 static void *new_health(void)
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -312,6 +312,16 @@
 	discovery_set_evacuated(f->discovery, argv[0], argc < 2, f->now_us);
 }
 
+/* store_returns MS: it came back from a copy; for MS entries may be older. */
+static void cmd_store_returns(void *ctx, uint32_t argc, char **argv,
+			      struct buf *out)
+{
+	struct fixture *f = ctx;
+
+	discovery_store_returns(f->discovery,
+				f->now_us + atoll(argv[0]) * US_PER_MS);
+}
+
 /* store_regained: the store is in reach again. */
 static void cmd_store_regained(void *ctx, uint32_t argc, char **argv,
 			       struct buf *out)
@@ -696,6 +706,7 @@
 	{ "evacuate", cmd_evacuate },
 	{ "list", cmd_list },
 	{ "store_regained", cmd_store_regained },
+	{ "store_returns", cmd_store_returns },
 	{ "targets", cmd_targets },
 	{ "view", cmd_view },
 	{ "forget", cmd_forget },
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -14,10 +14,12 @@
 #include "base/log.h"
 #include "codec/peer.h"
 #include "codec/peer_msg_forward.h"
+#include "codec/peer_msg_state.h"
 #include "codec/peer_rpc.h"
 #include "duty/messages.h"
 #include "duty/relay.h"
 #include "loopback.h"
+#include "model/store_pos.h"
 
 /* Longest wait for a message; after it the test fails. */
 #define WAIT_US (20 * (int64_t)US_PER_S)
@@ -82,7 +84,7 @@
 	util_copy_str(f->host, sizeof(f->host), "other");
 	util_copy_str(f->address, sizeof(f->address), "127.0.0.1");
 	f->port = port;
-	f->rev = 4;
+	f->rev = store_pos(2, 4);
 	f->hold_ms = hold_ms;
 	f->report_count = 1;
 	f->reports = util_alloc(1, sizeof(*f->reports));
@@ -99,16 +101,16 @@
 {
 	struct store_update *u = util_alloc(1, sizeof(*u));
 
-	u->rev = 7;
+	u->rev = store_pos(3, 7);
 	u->confirmed_us = clock_now_us() - 50 * US_PER_MS;
 	u->pair_count = 2;
 	u->pairs = util_alloc(2, sizeof(u->pairs[0]));
 	util_copy_str(u->pairs[0].key, sizeof(u->pairs[0].key), "a");
-	u->pairs[0].rev = 6;
+	u->pairs[0].rev = store_pos(3, 6);
 	u->pairs[0].value = util_strdup("value");
 	u->pairs[0].value_bytes = 5;
 	util_copy_str(u->pairs[1].key, sizeof(u->pairs[1].key), "b");
-	u->pairs[1].rev = 7;
+	u->pairs[1].rev = store_pos(3, 7);
 	return u;
 }
 
@@ -143,7 +145,8 @@
 	for (i = 0; i < 2; i++) {
 		follow(&client, relay_port(server.relay), 1000);
 		call = take(&server, MSG_FOLLOWER_CALL);
-		g_assert_cmpuint(call->rev, ==, 4);
+		g_assert_cmpuint(call->rev, ==, store_pos(2, 4));
+		g_assert_cmpuint(call->has_no_era, ==, 0);
 		g_assert_cmpuint(call->hold_ms, ==, 1000);
 		g_assert_cmpuint(call->conn, ==, 1);
 		g_assert_cmpuint(call->report_count, ==, 1);
@@ -152,11 +155,11 @@
 		follower_call_free(call);
 		f = take(&client, MSG_FOLLOW_RESULT);
 		g_assert_cmpstr(f->host, ==, "other");
-		g_assert_cmpuint(f->update->rev, ==, 7);
+		g_assert_cmpuint(f->update->rev, ==, store_pos(3, 7));
 		g_assert_cmpuint(f->update->is_full, ==, 0);
 		g_assert_cmpuint(f->update->pair_count, ==, 2);
 		g_assert_cmpstr(f->update->pairs[0].value, ==, "value");
-		g_assert_cmpuint(f->update->pairs[0].rev, ==, 6);
+		g_assert_cmpuint(f->update->pairs[0].rev, ==, store_pos(3, 6));
 		g_assert_null(f->update->pairs[1].value);
 		g_assert_cmpint(f->update->confirmed_us, <=,
 				clock_now_us() - 50 * US_PER_MS);
@@ -339,6 +342,9 @@
 	fd = loopback_connect(relay_port(server.relay));
 	put(fd, call_bytes.data, call_bytes.len_bytes);
 	left = take(&server, MSG_FOLLOWER_CALL);
+	/* The call of a host of an earlier build. */
+	g_assert_cmpuint(left->has_no_era, ==, 1);
+	g_assert_cmpuint(left->rev, ==, 4);
 	close(fd);
 	follow(&client, relay_port(server.relay), 10000);
 	call = take(&server, MSG_FOLLOWER_CALL);
@@ -353,6 +359,42 @@
 	host_end(&server);
 }
 
+/*
+ * Guards against hosts of an earlier build, which know no eras, that cannot read
+ * a state of this build, or whose own is taken for one of a known era.
+ */
+static void test_builds(void)
+{
+	struct peer_msg_state sent = { .state = { .rev = 7 }, .era = 3 };
+	struct peer_msg_state received = { 0 };
+	struct buf newer CLEANUP_BUF = { 0 };
+	struct buf older CLEANUP_BUF = { 0 };
+	peer_state state = { 0 };
+	uint32_t xid;
+
+	g_assert_true(peer_rpc_add_reply(&newer, 1,
+					 (xdrproc_t)xdr_peer_msg_state, &sent));
+	g_assert_true(peer_rpc_read_reply(newer.data + PEER_RPC_MARK_BYTES,
+					  newer.len_bytes - PEER_RPC_MARK_BYTES,
+					  &xid, (xdrproc_t)xdr_peer_state,
+					  &state));
+	g_assert_cmpuint(state.rev, ==, 7);
+	g_assert_true(peer_rpc_read_reply(newer.data + PEER_RPC_MARK_BYTES,
+					  newer.len_bytes - PEER_RPC_MARK_BYTES,
+					  &xid, (xdrproc_t)xdr_peer_msg_state,
+					  &received));
+	g_assert_cmpuint(received.has_era, ==, 1);
+	g_assert_cmpuint(received.era, ==, 3);
+	g_assert_true(peer_rpc_add_reply(&older, 1, (xdrproc_t)xdr_peer_state,
+					 &sent.state));
+	g_assert_true(peer_rpc_read_reply(older.data + PEER_RPC_MARK_BYTES,
+					  older.len_bytes - PEER_RPC_MARK_BYTES,
+					  &xid, (xdrproc_t)xdr_peer_msg_state,
+					  &received));
+	g_assert_cmpuint(received.has_era, ==, 0);
+	g_assert_cmpuint(received.era, ==, 0);
+}
+
 /* Drops log lines: GLib's harness ends the test at a warning that it sees. */
 static void drop_line(void *ctx, const char *line)
 {
@@ -608,6 +650,7 @@
 	g_test_add_func("/relay/gone", test_gone);
 	g_test_add_func("/relay/garbage", test_garbage);
 	g_test_add_func("/relay/left", test_left);
+	g_test_add_func("/relay/builds", test_builds);
 	g_test_add_func("/relay/health", test_health);
 	g_test_add_func("/relay/forward", test_forward);
 	g_test_add_func("/relay/forward-cancelled", test_forward_cancelled);
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -10,6 +10,7 @@
 #include "codec/gw_rollout_json.h"
 #include "controller/canary.h"
 #include "platform/platform_docs.h"
+#include "model/store_pos.h"
 #include "script.h"
 
 struct canary_ctx {
@@ -33,8 +34,8 @@
 
 	c->item = *item;
 	buf_addf(c->out, "%lld ms: item if %llu: %s\n",
-		 (long long)c->now_us / US_PER_MS, (unsigned long long)if_rev,
-		 json);
+		 (long long)c->now_us / US_PER_MS,
+		 (unsigned long long)store_pos_rev(if_rev), json);
 	free(json);
 }
 
@@ -46,8 +47,8 @@
 
 	c->status = *status;
 	buf_addf(c->out, "%lld ms: status if %llu: %s\n",
-		 (long long)c->now_us / US_PER_MS, (unsigned long long)if_rev,
-		 json);
+		 (long long)c->now_us / US_PER_MS,
+		 (unsigned long long)store_pos_rev(if_rev), json);
 	free(json);
 }
 
@@ -114,7 +115,10 @@
 	canary_on_write_failed(c->canary, "s1");
 }
 
-/* item VERSION order=REV state=0|1|2 share=N elapsed=MS: from another host. */
+/*
+ * item VERSION order=REV [order_era=N] state=0|1|2 share=N elapsed=MS: from
+ * another host, or from the copy of which the store came back.
+ */
 static void cmd_item(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct canary_ctx *c = ctx;
@@ -122,7 +126,9 @@
 
 	c->out = out;
 	util_copy_str(item.to, sizeof(item.to), argv[0]);
-	item.order_rev = script_u32(argc, argv, "order", 11);
+	item.order_rev = store_pos(script_u32(argc, argv, "order_era",
+					      (uint32_t)store_pos_era(c->rev)),
+				   script_u32(argc, argv, "order", 11));
 	item.state = script_u32(argc, argv, "state", 0);
 	item.share_permille = script_u32(argc, argv, "share", 0);
 	item.elapsed_ms = script_u32(argc, argv, "elapsed", 0);
@@ -192,6 +198,38 @@
 		 canary_is_active(c->canary) ? "active" : "not active");
 }
 
+/*
+ * returns ERA REV: the store comes back from a copy; the documents that follow
+ * are those in it, from revision REV on.
+ */
+static void cmd_returns(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct canary_ctx *c = ctx;
+
+	c->out = out;
+	c->rev = store_pos(strtoull(argv[0], NULL, 10),
+			   strtoull(argv[1], NULL, 10));
+	canary_store_returns(c->canary);
+}
+
+/* returned: these were all; the documents that follow are new. */
+static void cmd_returned(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct canary_ctx *c = ctx;
+
+	canary_store_returned(c->canary);
+}
+
+/* take_held: what has not been written again by now is in effect. */
+static void cmd_take_held(void *ctx, uint32_t argc, char **argv,
+			  struct buf *out)
+{
+	struct canary_ctx *c = ctx;
+
+	c->out = out;
+	canary_take_held(c->canary, c->now_us);
+}
+
 /* fill N: orders for N further services; prints how many shares there are. */
 static void cmd_fill(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -214,10 +252,17 @@
 }
 
 static const struct script_command canary_commands[] = {
-	{ "order", cmd_order },	  { "accept", cmd_accept },
-	{ "refuse", cmd_refuse }, { "item", cmd_item },
-	{ "run", cmd_run },	  { "evidence", cmd_evidence },
-	{ "shares", cmd_shares }, { "fill", cmd_fill },
+	{ "order", cmd_order },
+	{ "accept", cmd_accept },
+	{ "refuse", cmd_refuse },
+	{ "item", cmd_item },
+	{ "run", cmd_run },
+	{ "evidence", cmd_evidence },
+	{ "shares", cmd_shares },
+	{ "fill", cmd_fill },
+	{ "returns", cmd_returns },
+	{ "returned", cmd_returned },
+	{ "take_held", cmd_take_held },
 };
 
 static void *no_ctx(void)
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -450,6 +450,53 @@
 	fixture_stop(&f);
 }
 
+/* Answers with a status and an era that the key names: "STATUS-ERA". */
+static enum fake_action answer_era(void *ctx, const struct fake_request *r,
+				   uint32_t *status, struct buf *out)
+{
+	const char *key = strstr(r->line, "key=") + strlen("key=");
+	const char *era = strchr(key, '-') + 1;
+
+	*status = (uint32_t)atoi(key);
+	if (strcmp(era, "none") != 0)
+		buf_addf(r->fields, "Store-Era: %s\r\n", era);
+	buf_addf(out, "{}");
+	return FAKE_REPLY;
+}
+
+/*
+ * Guards against a new era of the store that is not noticed because the answer
+ * says something else, and against one that is no number.
+ */
+static void test_era(void)
+{
+	static const struct {
+		const char *key;
+		uint64_t era;
+	} calls[] = {
+		{ "404-7", 7 },	  { "410-8", 8 },
+		{ "503-9", 9 },	  { "429-10", 10 },
+		{ "200-11", 11 }, { "404-none", 0 },
+		{ "404--1", 0 },  { "404-7x", 0 },
+		{ "404-", 0 },	  { "404-99999999999999999999", 0 },
+	};
+	struct fixture f;
+	uint32_t i;
+
+	for (i = 0; i < countof(calls); i++) {
+		struct kv_reply *r;
+
+		/* After a refusal, no call is sent for a while. */
+		fixture_start(&f, answer_era);
+		submit(&f, get_call(calls[i].key));
+		r = await(&f);
+		g_assert_cmpint(r->result.err.code, !=, ERR_OK);
+		g_assert_cmpuint(r->result.era, ==, calls[i].era);
+		kv_reply_free(r);
+		fixture_stop(&f);
+	}
+}
+
 /*
  * Guards against calls that wait until their timeout for a store that refuses
  * connections.
@@ -482,6 +529,7 @@
 	g_test_add_func("/store/silent", test_silent);
 	g_test_add_func("/store/watch", test_watch);
 	g_test_add_func("/store/odd-pages", test_odd_pages);
+	g_test_add_func("/store/era", test_era);
 	g_test_add_func("/store/down", test_down);
 	return g_test_run();
 }
