--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -249,6 +249,41 @@
 	f->is_store_taken = 0;
 }
 
+static void put_again_end(struct faults *f, struct active_fault *a)
+{
+	testbed_put_again(f->testbed);
+	f->testbed->store_fault_end_us = clock_now_us();
+	f->is_store_taken = 0;
+}
+
+/* Not drawn: it follows the return of the store. */
+static const struct fault_kind put_again = { "put_again", NULL, put_again_end };
+
+/* The store will come back from the copy of it that is made now. */
+static int64_t store_copy_begin(struct faults *f, struct active_fault *a)
+{
+	if (f->is_store_taken)
+		return 0;
+	f->is_store_taken = 1;
+	f->testbed->store_fault_end_us = INT64_MAX;
+	testbed_store_fault(f->testbed, "{\"fault\":\"save\",\"value\":"
+					"\"copy\"}");
+	return draw_duration_us(f, 500, 6000);
+}
+
+/* It is away for a moment, and comes back; its writers write again later. */
+static void store_copy_end(struct faults *f, struct active_fault *a)
+{
+	testbed_store_fault(f->testbed, "{\"fault\":\"kill\"}");
+	testbed_store_fault(f->testbed, "{\"fault\":\"restore\",\"value\":"
+					"\"copy\"}");
+	testbed_store_fault(f->testbed, "{\"fault\":\"kill\",\"on\":false}");
+	f->active[f->active_count++] =
+		(struct active_fault){ .kind = &put_again,
+				       .end_us = clock_now_us() +
+						 draw_duration_us(f, 1, 2000) };
+}
+
 static int is_in_use(struct faults *f, const struct target_entry *s)
 {
 	uint32_t i;
@@ -605,6 +640,7 @@
 	{ "hup", hup_begin, hup_end },
 	{ "store_link", store_link_begin, store_link_end },
 	{ "store", store_begin, store_end },
+	{ "store_copy", store_copy_begin, store_copy_end },
 	{ "crash", crash_begin, crash_end },
 	{ "slow", slow_begin, slow_end },
 	{ "grey", partial_failure_begin, partial_failure_end },
--- a/tests/soak/testbed.c
+++ b/tests/soak/testbed.c
@@ -47,8 +47,24 @@
  */
 int testbed_put(struct testbed *tb, const char *key, const char *value)
 {
-	return store_client_put(tb->store_port, key, value,
-				STORE_CALL_TIMEOUT_MS);
+	int ok = store_client_put(tb->store_port, key, value,
+				  STORE_CALL_TIMEOUT_MS);
+
+	/* One that was not acknowledged may have taken effect, too. */
+	g_hash_table_replace(tb->written, g_strdup(key), g_strdup(value));
+	return ok;
+}
+
+void testbed_put_again(struct testbed *tb)
+{
+	GHashTableIter it;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, tb->written);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		store_client_put(tb->store_port, key, value,
+				 STORE_CALL_TIMEOUT_MS);
 }
 
 char *testbed_get(struct testbed *tb, const char *key)
@@ -398,6 +414,8 @@
 	tb->ledger = l;
 	tb->seed = seed;
 	tb->caller_port = CALLER_PORT;
+	tb->written =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	snprintf(tb->dir, sizeof(tb->dir), "build/soak/%llu-%d",
 		 (unsigned long long)seed, (int)getpid());
 	g_mkdir_with_parents(tb->dir, 0755);
@@ -420,6 +438,7 @@
 	targets_free(tb->targets);
 	proxy_free(tb->proxy);
 	proc_kill(&tb->store);
+	g_hash_table_destroy(tb->written);
 }
 
 uint32_t testbed_starts(const struct testbed *tb)
--- a/tests/soak/testbed.h
+++ b/tests/soak/testbed.h
@@ -6,6 +6,7 @@
 #ifndef SOAK_TESTBED_H
 #define SOAK_TESTBED_H
 
+#include <glib.h>
 #include <pthread.h>
 #include <stdatomic.h>
 
@@ -73,6 +74,11 @@
 	uint16_t store_admin_port;
 	struct testbed_host hosts[TESTBED_HOSTS];
 	uint16_t caller_port;
+	/*
+	 * Key to the value that this program last wrote there; NULL: deleted. It
+	 * writes them again when the store has come back from a copy.
+	 */
+	GHashTable *written;
 	/* Like testbed_host.fault_end_us, for the store's last fault. */
 	_Atomic int64_t store_fault_end_us;
 	/* Newest configuration version that was sent to the store. */
@@ -115,6 +121,8 @@
  * Writes @value at @key (NULL deletes); 0 if the store did not acknowledge it.
  */
 int testbed_put(struct testbed *tb, const char *key, const char *value);
+/* Writes all again, as operators and targets do after the store came back. */
+void testbed_put_again(struct testbed *tb);
 /* Returns the value at @key, which the caller frees, or NULL. */
 char *testbed_get(struct testbed *tb, const char *key);
 /* Writes the target's entry with @phase to the store, as testbed_put() does. */
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -2,6 +2,7 @@
 #include "store.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -69,11 +70,15 @@
 	struct http_conn *conn = c->conn;
 	struct buf body = c->body;
 	uint32_t status = c->status;
+	char fields[48];
 
+	snprintf(fields, sizeof(fields), "Store-Era: %" PRIu64 "\r\n",
+		 c->store->era);
 	memset(&c->body, 0, sizeof(c->body));
 	call_free(c);
 	if (conn)
-		http_reply(conn, status, body.data, body.len_bytes, HTTP_WHOLE);
+		http_reply_fields(conn, status, fields, body.data,
+				  body.len_bytes, HTTP_WHOLE);
 	buf_free(&body);
 }
 
@@ -360,6 +365,7 @@
 	struct store *s = util_alloc(1, sizeof(*s));
 
 	s->http = h;
+	s->era = 1;
 	s->kvs = kvs_new();
 	s->saved = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 free_state);
--- a/tests/standin/store.h
+++ b/tests/standin/store.h
@@ -114,6 +114,8 @@
 struct store {
 	struct http *http;
 	struct http_listener *listener;
+	/* Stated in all answers; rises with each restored state. */
+	uint64_t era;
 	struct kvs *kvs;
 	/* name -> struct kvs, saved by the fault "save" for "restore". */
 	GHashTable *saved;
--- a/tests/standin/store_control.c
+++ b/tests/standin/store_control.c
@@ -24,6 +24,7 @@
 			       name);
 	kvs_free(s->kvs);
 	s->kvs = kvs_copy(saved);
+	s->era++;
 	store_expire(s, now_us);
 	return ERR_OK;
 }
--- a/tests/standin/store_watch.c
+++ b/tests/standin/store_watch.c
@@ -122,6 +122,12 @@
 {
 	struct store *s = c->store;
 
+	if (c->after > store_read_state(s)->revision) {
+		c->status = 410;
+		buf_addf(&c->body, "{\"error\":\"no_such_revision\"}");
+		store_finish(c, now_us);
+		return;
+	}
 	if (write_changes(c) > 0 || c->timeout_ms == 0) {
 		store_finish(c, now_us);
 		return;
