--- a/src/duty/caller_duty.c
+++ b/src/duty/caller_duty.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/tcp.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -30,12 +31,22 @@
 /* Type of a message that only this file uses: the answer to one exchange. */
 #define MSG_ANSWER 0x1000
 
+/* What was taken from one connection of a caller. */
+struct caller_link {
+	/* Heads and bodies of the requests that were answered. */
+	uint64_t taken_bytes;
+	/* 1: a body came in chunks, whose size on the wire is not known. */
+	int uncounted;
+};
+
 /* One request of a caller and its answer. */
 struct exchange {
 	struct caller_duty *caller;
 	struct MHD_Connection *connection;
 	uint64_t exchange_id;
 	struct buf body;
+	/* Size of the body, also when it is not kept. */
+	uint64_t body_bytes;
 	/* 1: the body exceeds CALLER_JSON_BODY_BYTES_MAX. */
 	int too_large;
 	/* 1 from the push to the request duty until its answer is taken. */
@@ -82,6 +93,59 @@
 	(void)n;
 }
 
+static struct caller_link *link_of(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info ? info->socket_context : NULL;
+}
+
+static void count_request(struct caller_link *link, const struct exchange *x)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		x->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+
+	if (info)
+		link->taken_bytes += info->header_size;
+	link->taken_bytes += x->body_bytes;
+	if (MHD_lookup_connection_value(x->connection, MHD_HEADER_KIND,
+					MHD_HTTP_HEADER_TRANSFER_ENCODING))
+		link->uncounted = 1;
+}
+
+/*
+ * 1 if the caller has sent more than the requests that were answered.
+ * libmicrohttpd reads ahead and does not say how far; the kernel does.
+ */
+static int more_came(const struct caller_link *link,
+		     struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct tcp_info tcp = { 0 };
+	socklen_t len = sizeof(tcp);
+
+	if (link->uncounted || !info ||
+	    getsockopt(info->connect_fd, IPPROTO_TCP, TCP_INFO, &tcp, &len) < 0)
+		return 0;
+	return tcp.tcpi_bytes_received > link->taken_bytes;
+}
+
+/*
+ * 1 if the connection closes after the answer to @x: the host leaves, and
+ * libmicrohttpd, which drops what it has read ahead, has read nothing more.
+ */
+static int closes_after(const struct exchange *x)
+{
+	struct caller_link *link = link_of(x->connection);
+
+	if (!link)
+		return x->caller->draining;
+	count_request(link, x);
+	return x->caller->draining && !more_came(link, x->connection);
+}
+
 static enum MHD_Result respond(struct exchange *x)
 {
 	struct MHD_Response *response = MHD_create_response_from_buffer(
@@ -89,7 +153,7 @@
 	enum MHD_Result result;
 
 	MHD_add_response_header(response, "Content-Type", "application/json");
-	if (x->caller->draining)
+	if (closes_after(x))
 		MHD_add_response_header(response, "Connection", "close");
 	result = MHD_queue_response(x->connection, x->http_status, response);
 	MHD_destroy_response(response);
@@ -217,6 +281,7 @@
 
 static void collect(struct exchange *x, const char *data, size_t len_bytes)
 {
+	x->body_bytes += len_bytes;
 	if (x->body.len_bytes + len_bytes > CALLER_JSON_BODY_BYTES_MAX)
 		x->too_large = 1;
 	else
@@ -265,6 +330,17 @@
 	*state = NULL;
 }
 
+static void on_connection(void *ctx, struct MHD_Connection *connection,
+			  void **link, enum MHD_ConnectionNotificationCode code)
+{
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		*link = util_alloc(1, sizeof(struct caller_link));
+	} else {
+		free(*link);
+		*link = NULL;
+	}
+}
+
 static enum err_code start_daemon(struct caller_duty *c, struct err *err)
 {
 	struct sockaddr_in addr = { .sin_family = AF_INET };
@@ -279,7 +355,8 @@
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
 		c->options.port, NULL, NULL, on_access, c, MHD_OPTION_SOCK_ADDR,
 		(struct sockaddr *)&addr, MHD_OPTION_NOTIFY_COMPLETED,
-		on_completed, c, MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX,
+		on_completed, c, MHD_OPTION_NOTIFY_CONNECTION, on_connection, c,
+		MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX,
 		MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
 		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, MHD_OPTION_END);
 	if (!c->daemon)
--- a/tests/test_serve.c
+++ b/tests/test_serve.c
@@ -8,9 +8,11 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "cluster.h"
+#include "loopback.h"
 #include "script.h"
 
 /* Longest wait for an event, and the time between two looks at it. */
@@ -28,6 +30,8 @@
 	const char *background_path;
 	char *background_body;
 	uint16_t background_port;
+	/* Connection that "connect" opened. */
+	int kept_fd;
 };
 
 static void *serve_new(void)
@@ -303,6 +307,61 @@
 	return NULL;
 }
 
+/* connect host=N: opens a connection to the callers' port. */
+static void cmd_connect(void *ctx, uint32_t argc, char **argv, struct buf *out)
+{
+	struct serve *s = ctx;
+
+	s->kept_fd = loopback_connect(
+		cluster_caller_port(&s->cluster, host_arg(argc, argv)));
+}
+
+static void add_search(struct buf *requests, const char *query)
+{
+	g_autofree char *body = g_strdup_printf("{\"customer\":\"acme\","
+						"\"index\":\"parts\","
+						"\"query\":\"%s\",\"limit\":3}",
+						query);
+
+	buf_addf(requests,
+		 "POST /v1/search HTTP/1.1\r\nHost: x\r\n"
+		 "Content-Length: %u\r\n\r\n%s",
+		 (uint32_t)strlen(body), body);
+}
+
+/*
+ * search_ahead count=N: sends N searches in one write on the connection that
+ * "connect" opened, reads until the host closes it and prints how many
+ * answers came.
+ */
+static void cmd_search_ahead(void *ctx, uint32_t argc, char **argv,
+			     struct buf *out)
+{
+	struct serve *s = ctx;
+	struct buf requests CLEANUP_BUF = { 0 };
+	struct buf answers CLEANUP_BUF = { 0 };
+	uint32_t count = 0;
+	char part[4096];
+	ssize_t n;
+	int64_t i;
+
+	for (i = 0; i < script_int(argc, argv, "count", 2); i++)
+		add_search(&requests, "heron");
+	if (write(s->kept_fd, requests.data, requests.len_bytes) !=
+	    (ssize_t)requests.len_bytes) {
+		buf_addf(out, "not sent\n");
+		return;
+	}
+	while ((n = read(s->kept_fd, part, sizeof(part))) > 0)
+		buf_add(&answers, part, (size_t)n);
+	buf_add(&answers, "", 1);
+	for (const char *at = answers.data;
+	     (at = strstr(at, "HTTP/1.1 ")) != NULL; at++)
+		count++;
+	buf_addf(out, "%u answers\n", count);
+	close(s->kept_fd);
+}
+
 /* Sends a call in a thread of its own; takes ownership of @body. */
 static void start_background(struct serve *s, const char *method, uint16_t port,
 			     const char *path, char *body)
@@ -512,6 +571,8 @@
 	{ "contract", cmd_contract },
 	{ "search", cmd_search },
 	{ "lookup", cmd_lookup },
+	{ "connect", cmd_connect },
+	{ "search_ahead", cmd_search_ahead },
 	{ "lookup_background", cmd_lookup_background },
 	{ "contract_background", cmd_contract_background },
 	{ "join", cmd_join },
