--- a/src/codec/gw_settings.c
+++ b/src/codec/gw_settings.c
@@ -6,11 +6,12 @@
 #include "base/addr.h"
 
 #define GRACE_S_MAX 600
+/* Used when the deployment sets no memory_mb. */
+#define MEMORY_DEFAULT_MB 256
 /*
  * Used when the deployment sets no canary_share; half of what deployments that
  * set it allow.
  */
-#define MEMORY_DEFAULT_MB 256
 #define EXPOSURE_DEFAULT_PERMILLE 50
 /*
  * Lower bound of config_apply_ms and drain_ms; in less time no host could
--- a/src/codec/http1.h
+++ b/src/codec/http1.h
@@ -55,9 +55,9 @@
 	 * Reason of HTTP1_BAD: ERR_BAD_FIELD when the bytes are not valid
 	 * HTTP/1.1, such as white space in the name of a field or before its
 	 * colon, or a status that http1_status_ok() refuses, or switch to
-	 * another protocol; ERR_TOO_LARGE for the head,
-	 * the body, the framing, or too many interim responses;
-	 * ERR_TARGET_CLOSED when the stream ended too early.
+	 * another protocol; ERR_TOO_LARGE for the head, the body, the framing,
+	 * or too many interim responses; ERR_TARGET_CLOSED when the stream
+	 * ended too early.
 	 */
 	enum err_code error;
 	/* With ERR_TOO_LARGE: 1 for the head, else 0. */
--- a/src/duty/gw_control_era.c
+++ b/src/duty/gw_control_era.c
@@ -23,18 +23,6 @@
 /* Writes per second that are assumed if the settings state none. */
 #define WRITES_PER_S_DEFAULT 400
 
-struct pair_ctx {
-	struct gw_control *control;
-	int64_t now_us;
-};
-
-static void on_pair(void *ctx, const struct kv_pair *p)
-{
-	struct pair_ctx *pc = ctx;
-
-	gw_control_apply_pair(pc->control, p, pc->now_us);
-}
-
 int gw_control_is_listed(const struct gw_control *c)
 {
 	uint64_t pos = store_mirror_rev(c->mirror);
@@ -90,12 +78,12 @@
 static void on_missing_due(void *ctx, int64_t now_us)
 {
 	struct gw_control *c = ctx;
-	struct pair_ctx pc = { c, now_us };
+	struct gw_control_pair_ctx pc = { c, now_us };
 
 	log_event(LOG_LEVEL_INFO, "store_missing_dropped",
 		  "%u keys were not written again",
 		  store_mirror_missing_count(c->mirror));
-	store_mirror_drop_missing(c->mirror, on_pair, &pc);
+	store_mirror_drop_missing(c->mirror, gw_control_on_pair, &pc);
 	canary_take_held(c->rollouts, now_us);
 }
 
--- a/src/duty/gw_control_internal.h
+++ b/src/duty/gw_control_internal.h
@@ -112,6 +112,17 @@
 void gw_control_apply_pair(struct gw_control *c, const struct kv_pair *p,
 			   int64_t now_us);
 
+struct gw_control_pair_ctx {
+	struct gw_control *control;
+	int64_t now_us;
+};
+
+/*
+ * Callback of the mirror: handles a key that has changed; @ctx: struct
+ * gw_control_pair_ctx.
+ */
+void gw_control_on_pair(void *ctx, const struct kv_pair *p);
+
 /* Publishes the view at the next run of the timers. */
 void gw_control_schedule_publish(void *control, int64_t now_us);
 
--- a/src/duty/gw_control_source.c
+++ b/src/duty/gw_control_source.c
@@ -235,14 +235,9 @@
 	g_ptr_array_set_size(c->held_calls, 0);
 }
 
-struct pair_ctx {
-	struct gw_control *control;
-	int64_t now_us;
-};
-
-static void on_pair(void *ctx, const struct kv_pair *p)
+void gw_control_on_pair(void *ctx, const struct kv_pair *p)
 {
-	struct pair_ctx *pc = ctx;
+	struct gw_control_pair_ctx *pc = ctx;
 
 	gw_control_apply_pair(pc->control, p, pc->now_us);
 }
@@ -250,7 +245,7 @@
 static void apply_update(struct gw_control *c, const struct store_update *u,
 			 int64_t now_us)
 {
-	struct pair_ctx pc = { c, now_us };
+	struct gw_control_pair_ctx pc = { c, now_us };
 	int is_later_era = store_mirror_rev(c->mirror) && u->is_full &&
 			   store_pos_era(u->rev) >
 				   store_pos_era(store_mirror_rev(c->mirror));
@@ -270,7 +265,7 @@
 	}
 	if (is_later_era)
 		gw_control_store_returns(c, now_us);
-	store_mirror_apply(c->mirror, u, on_pair, &pc);
+	store_mirror_apply(c->mirror, u, gw_control_on_pair, &pc);
 	if (is_later_era)
 		gw_control_store_returned(c, now_us);
 	metric_set(METRIC_STATE_REV,
