--- a/src/duty/gateway.c
+++ b/src/duty/gateway.c
@@ -285,7 +285,8 @@
 /*
  * Graceful shutdown: the host reports at once that it is not ready. Until the
  * load balancer has noticed, new connections are served, and each connection is
- * closed after its answer. Then no more are accepted, and idle ones are closed.
+ * closed after its answer, unless the caller has sent more ahead. Then no more
+ * are accepted, and idle ones are closed.
  * Requests are answered until stop_us, or refused once it is known that they
  * would not end by then (gw_leave()). A second SIGTERM changes nothing: the
  * caller of the first one may send it again.
@@ -395,7 +396,8 @@
 		  "%s: retry_ratio, retry_slack, core_share and grace_s are in "
 		  "effect%s",
 		  cause,
-		  needs_restart(&g->settings, &settings) ? "; names, addresses "
+		  needs_restart(&g->settings, &settings) ? "; names, "
+							   "addresses, "
 							   "descriptors and "
 							   "memory "
 							   "change at the "
--- a/src/duty/ingress.h
+++ b/src/duty/ingress.h
@@ -47,8 +47,8 @@
 /* Any thread: sets the limits of callers, except those that are 0 in @l. */
 void ingress_set_limits(struct ingress *in, const struct caller_limits *l);
 /*
- * Any thread: from now on each connection is closed after its answer, and the
- * readiness page has status 503.
+ * Any thread: from now on each connection is closed after its answer, unless the
+ * caller has sent more ahead, and the readiness page has status 503.
  */
 void ingress_drain(struct ingress *in);
 /*
