--- a/tests/prop_conn.c
+++ b/tests/prop_conn.c
@@ -618,7 +618,7 @@
 /* Sends a request with a body above the limit. */
 static int send_long(struct caller_world *w)
 {
-	if (w->has_ended || w->rest.len_bytes)
+	if (w->has_ended || w->rest.len_bytes || w->sent_count == CALLS_MAX)
 		return 0;
 	w->has_refused = 1;
 	return send_request(w, "POST", 3 * BODY_BYTES, 1000);
