--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -675,15 +675,17 @@
 {
 	uint32_t kind = draw(f, countof(kinds));
 	struct active_fault a = { .kind = &kinds[kind] };
+	/* The end of another fault, just before, may have waited for the store. */
+	int64_t begun_us = clock_now_us();
 	int64_t lasts_us = a.kind->begin(f, &a);
 
 	f->next_us = now_us + BEGIN_MIN_US + draw(f, BEGIN_SPREAD_US);
 	if (!lasts_us)
 		return;
 	f->counts[kind]++;
-	a.end_us = now_us + lasts_us;
+	a.end_us = begun_us + lasts_us;
 	printf("%lld ms: %s host %u for %lld ms\n",
-	       (long long)now_us / US_PER_MS, a.kind->name, a.host,
+	       (long long)begun_us / US_PER_MS, a.kind->name, a.host,
 	       (long long)lasts_us / US_PER_MS);
 	f->active[f->active_count++] = a;
 }
