store_mirror: Give all keys to followers from before a listing

Cause: a host that starts lists the store, and a listing names no deletions. Yet store_mirror_changes_since() took the copy for one that knows every deletion since the follower's revision, answered with changes, and the follower took over the revision without the deletion. The same holds for each listing that is ahead of the copy: keys that were written and deleted meanwhile are in no listing.

Change: a listing that is ahead of the copy counts as the point before which deletions are forgotten, so that followers from before it get all keys.

--- a/src/controller/store_mirror.c
+++ b/src/controller/store_mirror.c
@@ -176,8 +176,12 @@
 		return;
 	if (u->is_full)
 		delete_missing(m, u, is_later_era, fn, ctx);
-	/* What was deleted in the era before is not known in this one. */
-	if (is_later_era)
+	/*
+	 * Keys that were written and deleted since the copy's position, or in the
+	 * era before, are not in a listing; a host that knows one has to get all
+	 * keys.
+	 */
+	if (u->is_full && u->rev > m->rev)
 		m->forgotten_rev = u->rev;
 	for (i = 0; i < u->pair_count; i++) {
 		if (put_pair(m, &u->pairs[i]))
--- a/src/controller/store_mirror.h
+++ b/src/controller/store_mirror.h
@@ -46,9 +46,9 @@
 void store_mirror_drop_missing(struct store_mirror *m,
 			       store_mirror_changed_fn *fn, void *ctx);
 /*
- * The changes after position @rev, or all keys when @rev is 0, of an earlier era
- * or older than the deletions remembered. Keys that are missing are left out.
- * The caller frees the result.
+ * The changes after position @rev, or all keys when @rev is 0, of an earlier era,
+ * older than the deletions remembered or than the latest listing that was ahead of
+ * the copy. Keys that are missing are left out. The caller frees the result.
  */
 struct store_update *store_mirror_changes_since(const struct store_mirror *m,
 						uint64_t rev);
