target_duty: Count the sends of a request, not its last result

Cause: when a reused connection ends without an answer, libcurl opens another one by itself. If the target refuses that, the transfer ends with CURLE_COULDNT_CONNECT, which surely_not_sent() took for a request that never left. Along the same path, a "not run" that came on the second connection was believed although the first request may have run.

Change: CURLOPT_PREREQFUNCTION counts the connections on which a request is begun. Not sent is one without any, or one whose only connection took no byte. A request that must not run twice is aborted before a second one; after a second one nothing says "not run". The read callback that served for this is gone.

--- a/src/duty/target_duty.c
+++ b/src/duty/target_duty.c
@@ -73,8 +73,8 @@
 	CURL *easy;
 	char *request_body;
 	size_t request_bytes;
-	/* Bytes of request_body that libcurl has read; see on_read(). */
-	size_t request_read_bytes;
+	/* Connections on which libcurl has begun to send the request. */
+	uint32_t send_count;
 	struct curl_head head;
 	/* Body of the answer. */
 	struct buf body;
@@ -172,18 +172,19 @@
 }
 
 /*
- * Gives libcurl the body of a request that must not be sent twice; see
- * set_body().
+ * Runs when a connection is there and nothing was sent on it yet. libcurl sends
+ * a request again by itself when a reused connection ends without an answer,
+ * although the target may have run it; a request that must not run twice is
+ * aborted instead.
  */
-static size_t on_read(char *data, size_t size, size_t count, void *ctx)
+static int on_send(void *ctx, char *to, char *from, int to_port, int from_port)
 {
 	struct transfer *x = ctx;
-	size_t left = x->request_bytes - x->request_read_bytes;
-	size_t take = left < size * count ? left : size * count;
 
-	memcpy(data, x->request_body + x->request_read_bytes, take);
-	x->request_read_bytes += take;
-	return take;
+	x->send_count++;
+	if (x->send_count > 1 && !x->sub->is_cancel && !x->sub->is_idempotent)
+		return CURL_PREREQFUNC_ABORT;
+	return CURL_PREREQFUNC_OK;
 }
 
 static CURL *take_easy(struct target_duty *t)
@@ -224,14 +225,17 @@
 		subrequest_result_free(r);
 }
 
-/* 1 when no byte of the request can have reached the target. */
-static int surely_not_sent(CURLcode code, CURL *easy)
+/*
+ * 1 when no byte of the request can have reached the target. The result of the
+ * transfer alone does not tell: it may be that of a second connection.
+ */
+static int surely_not_sent(const struct transfer *x)
 {
 	long sent_bytes = 0;
 
-	if (code == CURLE_COULDNT_CONNECT)
-		return 1;
-	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+	if (x->send_count != 1)
+		return x->send_count == 0;
+	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
 	return sent_bytes == 0;
 }
 
@@ -243,7 +247,8 @@
 	case CURLE_OPERATION_TIMEDOUT:
 		return ERR_TARGET_TIMEOUT;
 	case CURLE_COULDNT_CONNECT:
-		return ERR_TARGET_CONNECT;
+		/* The connection on which it was sent has ended before. */
+		return x->send_count ? ERR_TARGET_CLOSED : ERR_TARGET_CONNECT;
 	default:
 		return ERR_TARGET_CLOSED;
 	}
@@ -290,9 +295,12 @@
 				   x->body.len_bytes);
 		if (r->code != ERR_OK)
 			merge_check_error(r->sub_id, r);
+		/* The target may have run the request that was sent before. */
+		if (x->send_count > 1)
+			r->not_run = 0;
 	} else {
 		r->code = error_code(code, x);
-		r->not_run = surely_not_sent(code, x->easy);
+		r->not_run = surely_not_sent(x);
 	}
 	free_transfer(x);
 	push_result(t, r);
@@ -308,23 +316,15 @@
 	return (uint32_t)util_max_i64(1, left_us / US_PER_MS);
 }
 
-/*
- * libcurl sends a request again by itself when a reused connection ends
- * without an answer. It cannot rewind a read callback without a seek callback,
- * so the body of a non-idempotent request leaves this host at most once.
- */
 static void set_body(struct transfer *x)
 {
 	CURL *easy = x->easy;
 
 	curl_easy_setopt(easy, CURLOPT_POST, 1L);
 	curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)x->request_bytes);
-	if (x->sub->is_cancel || x->sub->is_idempotent) {
-		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, x->request_body);
-		return;
-	}
-	curl_easy_setopt(easy, CURLOPT_READFUNCTION, on_read);
-	curl_easy_setopt(easy, CURLOPT_READDATA, x);
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, x->request_body);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_send);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, x);
 }
 
 static curl_socket_t open_socket(void *ctx, curlsocktype purpose,
--- a/tests/prop_path.c
+++ b/tests/prop_path.c
@@ -146,6 +146,15 @@
 	check_caught(SIM_BROKEN_MATCH, SIM_BIT(SIM_CROSS));
 }
 
+/*
+ * Guards against checks that miss a lookup which ran, was taken for one that was
+ * never sent because its target ended, and is sent again.
+ */
+static void test_broken_sent(void)
+{
+	check_caught(SIM_BROKEN_SENT, SIM_BIT(SIM_RESTART));
+}
+
 int main(int argc, char **argv)
 {
 	uint32_t i;
@@ -170,5 +179,6 @@
 	g_test_add_func("/path/broken/claim", test_broken_claim);
 	g_test_add_func("/path/broken/owner", test_broken_owner);
 	g_test_add_func("/path/broken/match", test_broken_match);
+	g_test_add_func("/path/broken/sent", test_broken_sent);
 	return g_test_run();
 }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -80,7 +80,12 @@
 	 * Every answer is taken for the answer to the sub-request it came back
 	 * on.
 	 */
-	SIM_BROKEN_MATCH
+	SIM_BROKEN_MATCH,
+	/*
+	 * A sub-request that its target runs when it ends is taken for one that
+	 * was never sent.
+	 */
+	SIM_BROKEN_SENT
 };
 
 struct sim_customer {
--- a/tests/sim_target.c
+++ b/tests/sim_target.c
@@ -249,7 +249,10 @@
 	while (t->running_subs->len > 0) {
 		sub = t->running_subs->pdata[0];
 		leave_slot(sub);
-		send_answer(sub, ERR_TARGET_CLOSED, 0);
+		if (s->o.broken == SIM_BROKEN_SENT)
+			send_answer(sub, ERR_TARGET_CONNECT, 1);
+		else
+			send_answer(sub, ERR_TARGET_CLOSED, 0);
 	}
 }
 
--- a/tests/test_cut.c
+++ b/tests/test_cut.c
@@ -2,7 +2,8 @@
  * Answers that are cut off: each reader of answers gets every beginning of a
  * whole answer, after which the connection is closed. Guards against a cut
  * answer that is taken for a whole one, or for a statement that it may not make;
- * and, for targets of serve, against a copied one.
+ * and, for targets of serve, against a copied one, and against a request that
+ * runs twice because the target ended on a connection that was used before.
  */
 #include <apr_general.h>
 #include <curl/curl.h>
@@ -135,8 +136,9 @@
 	ring_free(replies);
 }
 
-/* Has serve search a target as sub-request @sub_id. */
-static void target_search(struct target_duty *t, uint64_t sub_id, uint16_t port)
+/* Has serve send a target sub-request @sub_id. */
+static void target_send(struct target_duty *t, uint64_t sub_id, uint16_t port,
+			int is_idempotent)
 {
 	struct subrequest_msg *sub = util_alloc(1, sizeof(*sub));
 	struct msg m = { MSG_SUBREQUEST, sub, NULL };
@@ -145,7 +147,7 @@
 	sub->op = OP_SEARCH;
 	sub->text = util_strdup("q");
 	sub->limit = 3;
-	sub->is_idempotent = 1;
+	sub->is_idempotent = (uint32_t)is_idempotent;
 	util_copy_str(sub->request_id, sizeof(sub->request_id), "r1");
 	util_copy_str(sub->address, sizeof(sub->address), "127.0.0.1");
 	sub->port = port;
@@ -154,14 +156,15 @@
 	g_assert_cmpint(ring_push(target_duty_ring(t), &m), ==, ERR_OK);
 }
 
-/* Has serve search a target; returns the code of the result. */
-static enum err_code target_call(struct target_duty *t, struct ring *results,
-				 uint16_t port, uint32_t *not_run)
+/* The same; returns the code of the result. */
+static enum err_code target_ask(struct target_duty *t, struct ring *results,
+				uint16_t port, int is_idempotent,
+				uint32_t *not_run)
 {
 	struct subrequest_result *r;
 	enum err_code code;
 
-	target_search(t, 1, port);
+	target_send(t, 1, port, is_idempotent);
 	r = take(results, MSG_SUBREQUEST_RESULT);
 	code = r->code;
 	*not_run = r->not_run;
@@ -169,6 +172,13 @@
 	return code;
 }
 
+/* Has serve search a target; returns the code of the result. */
+static enum err_code target_call(struct target_duty *t, struct ring *results,
+				 uint16_t port, uint32_t *not_run)
+{
+	return target_ask(t, results, port, 1, not_run);
+}
+
 /* A fake target that answers all requests alike, over kept connections. */
 static enum fake_action busy(void *ctx, const struct fake_request *r,
 			     uint32_t *status, struct buf *out)
@@ -273,6 +283,9 @@
 
 #define HITS "Content-Length: 11\r\n\r\n{\"hits\":[]}"
 #define ANSWER "HTTP/1.1 200 OK\r\n" HITS
+#define SHED                                              \
+	"HTTP/1.1 429 Busy\r\nContent-Length: 27\r\n\r\n" \
+	"{\"error\":\"shed\",\"sub_id\":1}"
 
 /*
  * Answers whose status is none, some with a whole answer behind them, and what
@@ -320,6 +333,99 @@
 	ring_free(results);
 }
 
+/*
+ * A target that answers a request, and ends its connection when it has run the
+ * next one. It then takes no connections, or refuses what comes on a new one as
+ * not run.
+ */
+struct ending_target {
+	int takes_connections;
+	int listener;
+	/* Requests received after the first one. */
+	uint32_t received_count;
+	GThread *thread;
+};
+
+static void *run_ending(void *ctx)
+{
+	struct ending_target *e = ctx;
+	int fd = accept(e->listener, NULL, NULL);
+	char request[4096];
+
+	g_assert_cmpint(recv(fd, request, sizeof(request), 0), >, 0);
+	send(fd, ANSWER, strlen(ANSWER), MSG_NOSIGNAL);
+	e->received_count = recv(fd, request, sizeof(request), 0) > 0;
+	if (!e->takes_connections)
+		close(e->listener);
+	close(fd);
+	if (!e->takes_connections)
+		return NULL;
+	fd = accept(e->listener, NULL, NULL);
+	if (recv(fd, request, sizeof(request), 0) > 0) {
+		e->received_count++;
+		send(fd, SHED, strlen(SHED), MSG_NOSIGNAL);
+	}
+	close(fd);
+	close(e->listener);
+	return NULL;
+}
+
+/*
+ * Guards against a request that runs twice, or is said not to have run, because
+ * libcurl sends it again by itself when a connection that was used before ends
+ * without an answer: what the new connection ends with tells nothing of the
+ * request sent before.
+ */
+static void test_target_resend(void)
+{
+	static const struct {
+		int takes_connections;
+		int is_idempotent;
+		uint32_t received_count;
+		enum err_code code;
+	} rows[] = {
+		{ 0, 0, 1, ERR_TARGET_CLOSED },
+		{ 0, 1, 1, ERR_TARGET_CLOSED },
+		{ 1, 0, 1, ERR_TARGET_CLOSED },
+		{ 1, 1, 2, ERR_TARGET_SHED },
+	};
+	struct err err = { 0 };
+	struct ring *results = ring_new(RING_SIZE, NULL, NULL, &err);
+	struct target_duty *t = target_duty_new(RING_SIZE, results, &err);
+	uint32_t not_run;
+	uint32_t i;
+
+	g_assert_cmpint(target_duty_start(t, &err), ==, ERR_OK);
+	for (i = 0; i < countof(rows); i++) {
+		struct ending_target e = { .takes_connections =
+						   rows[i].takes_connections };
+		uint16_t port;
+		int is_idempotent = rows[i].is_idempotent;
+
+		e.listener = loopback_listen(&port);
+		e.thread = g_thread_new("ending", run_ending, &e);
+		g_assert_cmpint(target_ask(t, results, port, is_idempotent,
+					   &not_run),
+				==, ERR_OK);
+		g_assert_cmpint(target_ask(t, results, port, is_idempotent,
+					   &not_run),
+				==, rows[i].code);
+		g_assert_cmpuint(not_run, ==, 0);
+		g_thread_join(e.thread);
+		g_assert_cmpuint(e.received_count, ==, rows[i].received_count);
+		if (rows[i].takes_connections)
+			continue;
+		/* Nothing was sent: no connection can be opened. */
+		g_assert_cmpint(target_ask(t, results, port, is_idempotent,
+					   &not_run),
+				==, ERR_TARGET_CONNECT);
+		g_assert_cmpuint(not_run, ==, 1);
+	}
+	target_duty_stop(t);
+	target_duty_free(t);
+	ring_free(results);
+}
+
 struct store_result {
 	int is_done;
 	enum err_code code;
@@ -607,7 +713,7 @@
 
 	g_assert_cmpint(target_duty_start(t, &err), ==, ERR_OK);
 	for (i = 0; i < SUM_ANSWERS; i++)
-		target_search(t, i + 1, port);
+		target_send(t, i + 1, port, 1);
 	begin_answers(listener, fds);
 	while ((SUM_ANSWERS - failed) * (uint64_t)SUM_ANSWER_BYTES >
 	       SUM_BYTES_MAX) {
@@ -667,6 +773,7 @@
 	g_test_add_func("/cut/egress", test_egress);
 	g_test_add_func("/cut/target", test_target);
 	g_test_add_func("/copy/target-error", test_target_error);
+	g_test_add_func("/resend/target", test_target_resend);
 	g_test_add_func("/cut/store", test_store);
 	g_test_add_func("/endless/target", test_target_endless);
 	g_test_add_func("/endless/target-sum", test_target_sum);
