gw_control: Ignore the late failure of a call to the store

Cause: a read that was sent during the cut timed out after the store had answered another call. on_store_lost() took the store for lost again, the hosts followed each other until the age limit of their state, and then kept removed targets for 2.2 s more, as after an outage of the store.

--- a/src/duty/gw_control_internal.h
+++ b/src/duty/gw_control_internal.h
@@ -50,12 +50,20 @@
 	 * lost for longer than the age limit of the state; 0: never.
 	 */
 	int64_t regained_us;
-	/* 1 if the last watch or read of the store failed. */
+	/*
+	 * 1 if a watch or read of the store has failed that was sent after the
+	 * latest answer.
+	 */
 	int is_store_lost;
+	/* Time of the latest answer to a watch or read; 0: none. */
+	int64_t store_ok_us;
 	/* 1 while a watch of the store is in flight. */
 	int is_watching;
 	/* 1 while a read of the store is in flight. */
 	int is_reading;
+	/* Times at which the latest watch and the latest read were sent. */
+	int64_t watch_sent_us;
+	int64_t read_sent_us;
 	/* 1 while a call to another host is in flight. */
 	int is_following;
 	/* Armed for the next watch of the store or call to another host. */
--- a/src/duty/gw_control_source.c
+++ b/src/duty/gw_control_source.c
@@ -127,6 +127,16 @@
 		       : us;
 }
 
+/* Reads what has changed in the store, unless a read is in flight. */
+static void read_store(struct gw_control *c, int64_t now_us)
+{
+	if (c->is_reading)
+		return;
+	c->is_reading = 1;
+	c->read_sent_us = now_us;
+	call_store(c, READ_WAIT_MS, STORE_CALL_READ);
+}
+
 static void on_next_call(void *ctx, int64_t now_us)
 {
 	struct gw_control *c = ctx;
@@ -138,25 +148,17 @@
 		gw_control_call_peer(c, h, hold_ms(c));
 	} else if (!h && !c->is_watching) {
 		c->is_watching = 1;
+		c->watch_sent_us = now_us;
 		call_store(c, apply_part_ms(c, WATCH_WAIT_PERMILLE),
 			   STORE_CALL_WATCH);
 	}
 }
 
-/* Reads what has changed in the store, unless a read is in flight. */
-static void read_store(struct gw_control *c)
-{
-	if (c->is_reading)
-		return;
-	c->is_reading = 1;
-	call_store(c, READ_WAIT_MS, STORE_CALL_READ);
-}
-
 static void on_age_limit(void *ctx, int64_t now_us)
 {
 	struct gw_control *c = ctx;
 
-	read_store(c);
+	read_store(c, now_us);
 	arm_age_limit(c, now_us + apply_part_us(c, AGE_LIMIT_PERMILLE) / 2);
 }
 
@@ -289,9 +291,23 @@
 	return confirmed_us ? (now_us - confirmed_us) / US_PER_MS : -1;
 }
 
-static void on_store_lost(struct gw_control *c, const struct err *err,
-			  int64_t now_us)
+/*
+ * A call that was sent at @sent_us has failed. If the store has answered another
+ * one since, that says nothing of the store now: the call may have been sent
+ * while the store was out of reach, and have failed late.
+ */
+static void on_store_failed(struct gw_control *c, const struct err *err,
+			    int64_t sent_us, int64_t now_us)
 {
+	if (sent_us < c->store_ok_us) {
+		log_event(LOG_LEVEL_INFO, "store_call_late",
+			  "%s: %s; sent %lld ms ago, the store has answered "
+			  "%lld ms ago",
+			  err_name(err->code), err->detail,
+			  (long long)age_ms(sent_us, now_us),
+			  (long long)age_ms(c->store_ok_us, now_us));
+		return;
+	}
 	if (!c->is_store_lost)
 		log_event(LOG_LEVEL_WARNING, "store_lost",
 			  "%s: %s; state of revision %llu is %lld ms old",
@@ -339,6 +355,7 @@
 		u.regained_us = now_us;
 	}
 	c->is_store_lost = 0;
+	c->store_ok_us = now_us;
 	host_tree_store_ok(c->host_tree);
 	drop_long_values(r);
 	apply_update(c, &u, now_us);
@@ -353,7 +370,7 @@
 		return;
 	}
 	c->is_reading = 0;
-	read_store(c);
+	read_store(c, now_us);
 }
 
 void gw_control_watch_done(struct gw_control *c, const struct kv_result *r,
@@ -363,8 +380,8 @@
 
 	c->is_watching = 0;
 	if (r->err.code != ERR_OK) {
-		on_store_lost(c, &r->err, now_us);
 		next_us += RETRY_US;
+		on_store_failed(c, &r->err, c->watch_sent_us, now_us);
 	} else {
 		apply_store_result(c, r, now_us);
 		if (r->pair_count && !r->has_more)
@@ -378,12 +395,12 @@
 {
 	c->is_reading = 0;
 	if (r->err.code != ERR_OK) {
-		on_store_lost(c, &r->err, now_us);
+		on_store_failed(c, &r->err, c->read_sent_us, now_us);
 		return;
 	}
 	apply_store_result(c, r, now_us);
 	if (r->has_more)
-		read_store(c);
+		read_store(c, now_us);
 }
 
 /*
