gw_control: Read the store once after a failed watch

A host whose watch of the store was cut took the store for lost, followed another host, which may hold the call for 0.6 of the time in which a change has to be known, and read the store at the age limit of its state. Removals that it learned of then were kept for 2.2 s, as after an outage: up to 5.7 s where 5 s are allowed.

--- a/src/duty/gw_control_internal.h
+++ b/src/duty/gw_control_internal.h
@@ -64,6 +64,8 @@
 	/* Times at which the latest watch and the latest read were sent. */
 	int64_t watch_sent_us;
 	int64_t read_sent_us;
+	/* 1: a watch has failed; the store is read before another is followed. */
+	int needs_read;
 	/* 1 while a call to another host is in flight. */
 	int is_following;
 	/* Armed for the next watch of the store or call to another host. */
--- a/src/duty/gw_control_source.c
+++ b/src/duty/gw_control_source.c
@@ -27,8 +27,13 @@
  * whose steps last seconds.
  */
 #define ROLLOUT_WAIT_MS 200
-/* Wait after a failed call; the store duty adds its own backoff. */
-#define RETRY_US (150 * US_PER_MS)
+/*
+ * Longest wait after a failed call; the store duty adds its own backoff. In
+ * permille of apply_ms it is short enough for the read that follows a failed
+ * watch to succeed before the age limit, with as much left for the read.
+ */
+#define RETRY_MAX_US (150 * US_PER_MS)
+#define RETRY_PERMILLE 50
 /*
  * Longest value that is kept of a key other than the configuration. The entries
  * of targets and hosts have some hundred bytes; a longer one is odd, and is not
@@ -48,6 +53,11 @@
 	return c->opt.apply_ms * permille / PERMILLE;
 }
 
+static int64_t retry_us(const struct gw_control *c)
+{
+	return util_min_i64(apply_part_us(c, RETRY_PERMILLE), RETRY_MAX_US);
+}
+
 static void on_next_call(void *ctx, int64_t now_us);
 static void on_age_limit(void *ctx, int64_t now_us);
 
@@ -144,6 +154,10 @@
 		c->opt.relay ? host_tree_choose_source(c->host_tree, now_us)
 			     : NULL;
 
+	/* The failure may have been that of one connection. */
+	if (h && c->needs_read)
+		read_store(c, now_us);
+	c->needs_read = 0;
 	if (h && !c->is_following) {
 		gw_control_call_peer(c, h, hold_ms(c));
 	} else if (!h && !c->is_watching) {
@@ -294,10 +308,11 @@
 /*
  * A call that was sent at @sent_us has failed. If the store has answered another
  * one since, that says nothing of the store now: the call may have been sent
- * while the store was out of reach, and have failed late.
+ * while the store was out of reach, and have failed late. Returns 1 if the store
+ * counts as lost.
  */
-static void on_store_failed(struct gw_control *c, const struct err *err,
-			    int64_t sent_us, int64_t now_us)
+static int on_store_failed(struct gw_control *c, const struct err *err,
+			   int64_t sent_us, int64_t now_us)
 {
 	if (sent_us < c->store_ok_us) {
 		log_event(LOG_LEVEL_INFO, "store_call_late",
@@ -306,7 +321,7 @@
 			  err_name(err->code), err->detail,
 			  (long long)age_ms(sent_us, now_us),
 			  (long long)age_ms(c->store_ok_us, now_us));
-		return;
+		return 0;
 	}
 	if (!c->is_store_lost)
 		log_event(LOG_LEVEL_WARNING, "store_lost",
@@ -317,6 +332,7 @@
 			  (long long)age_ms(c->confirmed_us, now_us));
 	c->is_store_lost = 1;
 	host_tree_store_failed(c->host_tree, now_us);
+	return 1;
 }
 
 /* Drops values that are too long; the decoders refuse what is left. */
@@ -380,8 +396,9 @@
 
 	c->is_watching = 0;
 	if (r->err.code != ERR_OK) {
-		next_us += RETRY_US;
-		on_store_failed(c, &r->err, c->watch_sent_us, now_us);
+		next_us += retry_us(c);
+		c->needs_read |=
+			on_store_failed(c, &r->err, c->watch_sent_us, now_us);
 	} else {
 		apply_store_result(c, r, now_us);
 		if (r->pair_count && !r->has_more)
@@ -427,7 +444,7 @@
 		log_event(LOG_LEVEL_WARNING, "host_unreachable", "%s: %s",
 			  err_name(f->err.code), f->err.detail);
 		host_tree_peer_failed(c->host_tree, f->host, now_us);
-		arm_next_call(c, now_us + RETRY_US);
+		arm_next_call(c, now_us + retry_us(c));
 		return;
 	}
 	if (!is_of_era(c, u)) {
@@ -438,7 +455,7 @@
 			  (unsigned long long)store_pos_rev(u->rev),
 			  (unsigned long long)c->era);
 		host_tree_peer_failed(c->host_tree, f->host, now_us);
-		arm_next_call(c, now_us + RETRY_US);
+		arm_next_call(c, now_us + retry_us(c));
 		return;
 	}
 	if (u->confirmed_us < stale_us) {
