gateway: Ignore late failures of targets, gatherers and followed hosts

Change: the time at which a call was sent goes to gw_target_failed(), gw_host_failed() and host_tree_peer_failed(). A timeout that is older than a target's latest success counts in its share of failures only; a gatherer that has answered since is not avoided, nor a followed host that has written its entry since.

--- a/src/controller/host_tree.c
+++ b/src/controller/host_tree.c
@@ -10,6 +10,8 @@
 	struct host_entry def;
 	/* The host is not used before this time; 0: it may be used. */
 	int64_t avoid_until_us;
+	/* Time at which this host learned of its entry; 0: a seed. */
+	int64_t written_us;
 };
 
 struct host_tree {
@@ -92,7 +94,8 @@
 	g_ptr_array_sort_with_data(t->order, compare_hosts, t);
 }
 
-void host_tree_put(struct host_tree *t, const struct host_entry *entry)
+void host_tree_put(struct host_tree *t, const struct host_entry *entry,
+		   int64_t now_us)
 {
 	struct tree_host *host = g_hash_table_lookup(t->hosts, entry->name);
 
@@ -104,6 +107,7 @@
 	}
 	/* The host wrote its entry: it may have been restarted. */
 	host->avoid_until_us = 0;
+	host->written_us = now_us;
 	host->def = *entry;
 	sort_hosts(t);
 }
@@ -324,7 +328,7 @@
 }
 
 void host_tree_peer_failed(struct host_tree *t, const char *name,
-			   int64_t now_us)
+			   int64_t sent_us, int64_t now_us)
 {
 	struct tree_host *host = g_hash_table_lookup(t->hosts, name);
 	uint32_t i;
@@ -335,7 +339,7 @@
 		if (strcmp(seed->def.name, name) == 0)
 			host = seed;
 	}
-	if (host)
+	if (host && sent_us >= host->written_us)
 		host->avoid_until_us = now_us + HOST_TREE_PEER_AVOID_US;
 }
 
--- a/src/controller/host_tree.h
+++ b/src/controller/host_tree.h
@@ -28,8 +28,9 @@
 struct host_tree *host_tree_new(const struct host_entry *self);
 void host_tree_free(struct host_tree *t);
 
-/* Adds host @entry->name or replaces its entry. */
-void host_tree_put(struct host_tree *t, const struct host_entry *entry);
+/* Adds host @entry->name or replaces its entry, which was written. */
+void host_tree_put(struct host_tree *t, const struct host_entry *entry,
+		   int64_t now_us);
 void host_tree_remove(struct host_tree *t, const char *name);
 /*
  * Adds the address of a host to follow while no entries are known; it is named
@@ -69,9 +70,13 @@
 			    void (*fn)(void *ctx,
 				       const struct host_entry *host),
 			    void *ctx);
-/* Host @name gave no answer, or one that is too old. */
+/*
+ * Host @name gave no answer to a call that was sent at @sent_us, or one that is
+ * too old. It says nothing of a host whose entry was written since, for it may
+ * have been restarted.
+ */
 void host_tree_peer_failed(struct host_tree *t, const char *name,
-			   int64_t now_us);
+			   int64_t sent_us, int64_t now_us);
 /* The store could not be read, or could be read again. */
 void host_tree_store_failed(struct host_tree *t, int64_t now_us);
 void host_tree_store_ok(struct host_tree *t);
--- a/src/duty/gw_control.c
+++ b/src/duty/gw_control.c
@@ -161,7 +161,7 @@
 	*gone_us = p->value ? 0 : now_us;
 	if (p->value && util_copy_str(h.name, sizeof(h.name), name) &&
 	    gw_host_json_decode(p->value, p->value_bytes, &h, &err) == ERR_OK)
-		host_tree_put(c->host_tree, &h);
+		host_tree_put(c->host_tree, &h, now_us);
 	else
 		host_tree_remove(c->host_tree, name);
 	if (p->value && err.code != ERR_OK)
--- a/src/duty/gw_control_source.c
+++ b/src/duty/gw_control_source.c
@@ -443,7 +443,8 @@
 	if (!u) {
 		log_event(LOG_LEVEL_WARNING, "host_unreachable", "%s: %s",
 			  err_name(f->err.code), f->err.detail);
-		host_tree_peer_failed(c->host_tree, f->host, now_us);
+		host_tree_peer_failed(c->host_tree, f->host, f->sent_us,
+				      now_us);
 		arm_next_call(c, now_us + retry_us(c));
 		return;
 	}
@@ -454,7 +455,8 @@
 			  f->host, (unsigned long long)store_pos_era(u->rev),
 			  (unsigned long long)store_pos_rev(u->rev),
 			  (unsigned long long)c->era);
-		host_tree_peer_failed(c->host_tree, f->host, now_us);
+		host_tree_peer_failed(c->host_tree, f->host, f->sent_us,
+				      now_us);
 		arm_next_call(c, now_us + retry_us(c));
 		return;
 	}
@@ -463,7 +465,8 @@
 			  "host %s is at revision %llu, %lld ms old", f->host,
 			  (unsigned long long)store_pos_rev(u->rev),
 			  (long long)age_ms(u->confirmed_us, now_us));
-		host_tree_peer_failed(c->host_tree, f->host, now_us);
+		host_tree_peer_failed(c->host_tree, f->host, f->sent_us,
+				      now_us);
 	}
 	apply_update(c, u, now_us);
 	arm_next_call(c, now_us);
--- a/src/duty/relay.c
+++ b/src/duty/relay.c
@@ -83,6 +83,7 @@
 	struct msg m = { MSG_FOLLOW_RESULT, f, drop_result };
 
 	memcpy(f->host, r->call_host, sizeof(f->host));
+	f->sent_us = r->call_sent_us;
 	f->update = u;
 	if (!u) {
 		f->err = *err;
@@ -190,13 +191,13 @@
 		       int64_t now_us)
 {
 	memcpy(r->call_host, f->host, sizeof(r->call_host));
+	r->call_sent_us = now_us;
 	if (!connect_upstream(r, f) || !add_call(r, f)) {
 		fail_call(r, "cannot connect");
 		return;
 	}
 	metric_add(METRIC_PEER_MESSAGES_SENT, 1);
 	metric_add(METRIC_PEER_SENT_BYTES, rpc_conn_unsent_bytes(r->upstream));
-	r->call_sent_us = now_us;
 	timer_queue_arm(duty_timers(r->duty), &r->call_timer,
 			now_us + ((int64_t)f->hold_ms + ANSWER_MARGIN_MS) *
 					 US_PER_MS,
--- a/src/duty/relay.h
+++ b/src/duty/relay.h
@@ -42,6 +42,8 @@
  */
 struct follow_result {
 	char host[NAME_BYTES];
+	/* Monotonic time at which the call was sent. */
+	int64_t sent_us;
 	struct err err;
 	struct store_update *update;
 };
--- a/src/gateway/3_forward.c
+++ b/src/gateway/3_forward.c
@@ -56,7 +56,7 @@
 		  "request %s to host %s: no answer after %lld us",
 		  r->request->id, r->gatherer->def.name,
 		  (long long)(now_us - r->forwarded_us));
-	gw_host_failed(r->gatherer, now_us);
+	gw_host_failed(r->gatherer, r->forwarded_us, now_us);
 	cancel(r);
 	detach(r);
 	gw_req_refuse(r, 504, ERR_PEER_RPC, 0);
@@ -226,11 +226,11 @@
 
 	detach(r);
 	if (reply->code != ERR_OK)
-		gw_host_failed(h, now_us);
+		gw_host_failed(h, r->forwarded_us, now_us);
 	else if (not_run)
 		h->avoid_until_us = now_us + FULL_AVOID_US;
 	else
-		gw_host_answered(h);
+		gw_host_answered(h, now_us);
 	if (reply->code != ERR_OK || not_run)
 		log_event(LOG_LEVEL_INFO, "forward_failed",
 			  "request %s to host %s: %s, not run %d after %lld us",
--- a/src/gateway/5_send.c
+++ b/src/gateway/5_send.c
@@ -519,7 +519,7 @@
 		gw_target_abandoned(call->target, now_us - call->sent_us,
 				    mean_us, now_us);
 	} else {
-		gw_target_failed(call->target, reply, now_us);
+		gw_target_failed(call->target, reply, call->sent_us, now_us);
 	}
 	gw_target_heard(call->gw, call->target, reply, now_us);
 	if (!p)
--- a/src/gateway/gw_host.c
+++ b/src/gateway/gw_host.c
@@ -206,17 +206,20 @@
 	return n;
 }
 
-void gw_host_answered(struct gw_host *h)
+void gw_host_answered(struct gw_host *h, int64_t now_us)
 {
+	h->answered_us = now_us;
 	h->failures_in_row = 0;
 	h->avoid_until_us = 0;
 }
 
-void gw_host_failed(struct gw_host *h, int64_t now_us)
+void gw_host_failed(struct gw_host *h, int64_t sent_us, int64_t now_us)
 {
-	uint32_t doublings =
-		util_min_u32(h->failures_in_row++, FORWARD_DOUBLINGS_MAX);
+	uint32_t doublings;
 
+	if (sent_us < h->answered_us)
+		return;
+	doublings = util_min_u32(h->failures_in_row++, FORWARD_DOUBLINGS_MAX);
 	h->avoid_until_us =
 		now_us + util_min_i64(FORWARD_AVOID_MIN_US << doublings,
 				      FORWARD_AVOID_MAX_US);
--- a/src/gateway/gw_internal.h
+++ b/src/gateway/gw_internal.h
@@ -65,6 +65,8 @@
 	uint32_t slowness_milli;
 	/* Time of the last sample in slowness_milli. */
 	int64_t answered_us;
+	/* Time of the latest success; 0: none. */
+	int64_t succeeded_us;
 	/* Smoothed share of the calls that failed. */
 	uint32_t failed_permille;
 	uint32_t failures_in_row;
@@ -116,6 +118,8 @@
 	/* Requests that were forwarded to it and are open. */
 	uint32_t open_count;
 	uint32_t failures_in_row;
+	/* Time of its latest answer; 0: none. */
+	int64_t answered_us;
 	/* No request is forwarded to it before this time. */
 	int64_t avoid_until_us;
 };
@@ -436,9 +440,13 @@
 struct forward_load gw_host_load(const struct gw_req *r);
 /* gw_host.c: parts of @r's route without a target in @data_centre. */
 uint32_t gw_host_remote_count(const struct gw_req *r, const char *data_centre);
-/* gw_host.c: a request that was forwarded to @h was answered, or was not. */
-void gw_host_answered(struct gw_host *h);
-void gw_host_failed(struct gw_host *h, int64_t now_us);
+/*
+ * gw_host.c: a request that was forwarded to @h was answered, or one that was
+ * forwarded at @sent_us was not. If @h has answered since, that says nothing of
+ * it now.
+ */
+void gw_host_answered(struct gw_host *h, int64_t now_us);
+void gw_host_failed(struct gw_host *h, int64_t sent_us, int64_t now_us);
 
 /* gw_binding.c */
 void gw_bind(struct gw *g, struct gw_view *v, int64_t now_us);
@@ -454,8 +462,12 @@
 /* This host cancelled a call that was not answered in @waited_us. */
 void gw_target_abandoned(struct gw_target *t, int64_t waited_us,
 			 int64_t mean_us, int64_t now_us);
+/*
+ * The call that was sent at @sent_us has failed. If @t has answered another one
+ * since, a timeout counts in its share of failures, but @t is not avoided for it.
+ */
 void gw_target_failed(struct gw_target *t, const struct target_reply *reply,
-		      int64_t now_us);
+		      int64_t sent_us, int64_t now_us);
 /*
  * Adapts the concurrency limit after an answer that took @took_us, where
  * answers are worth most within @goal_us.
--- a/src/gateway/gw_target.c
+++ b/src/gateway/gw_target.c
@@ -101,6 +101,7 @@
 	t->failed_permille = smooth_failed_permille(t->failed_permille, 0);
 	t->failures_in_row = 0;
 	t->avoid_until_us = 0;
+	t->succeeded_us = now_us;
 }
 
 void gw_target_abandoned(struct gw_target *t, int64_t waited_us,
@@ -112,12 +113,14 @@
 }
 
 void gw_target_failed(struct gw_target *t, const struct target_reply *reply,
-		      int64_t now_us)
+		      int64_t sent_us, int64_t now_us)
 {
 	uint32_t doublings;
 
 	t->failed_permille =
 		smooth_failed_permille(t->failed_permille, PERMILLE);
+	if (reply->code == ERR_TARGET_TIMEOUT && sent_us < t->succeeded_us)
+		return;
 	t->failures_in_row++;
 	if (reply->status == STATUS_MISDIRECTED) {
 		t->misdirected_until_us = now_us + MISDIRECTED_US;
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -202,7 +202,7 @@
 		      script_arg(argc, argv, "dc", "a"));
 	h.core_permille = script_u32(argc, argv, "core", 1000);
 	h.port = (uint16_t)script_u32(argc, argv, "port", 1);
-	host_tree_put(c->tree, &h);
+	host_tree_put(c->tree, &h, c->now_us);
 }
 
 /*
@@ -220,7 +220,7 @@
 
 		snprintf(h.name, sizeof(h.name), "h%u", i);
 		h.core_permille = 1000 - i;
-		host_tree_put(c->tree, &h);
+		host_tree_put(c->tree, &h, c->now_us);
 	}
 }
 
@@ -250,7 +250,10 @@
 	buf_addf(out, "%s\n", h ? h->name : "store");
 }
 
-/* failed store|HOST: a call to the store or to the host has failed. */
+/*
+ * failed store|HOST [after=MS]: a call to the store or to the host, sent MS
+ * before, has failed.
+ */
 static void cmd_failed(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	struct tree_ctx *c = ctx;
@@ -258,7 +261,11 @@
 	if (strcmp(argv[0], "store") == 0)
 		host_tree_store_failed(c->tree, c->now_us);
 	else
-		host_tree_peer_failed(c->tree, argv[0], c->now_us);
+		host_tree_peer_failed(c->tree, argv[0],
+				      c->now_us - script_int(argc, argv,
+							     "after", 0) *
+							  US_PER_MS,
+				      c->now_us);
 }
 
 /* wait MS: moves the clock. */
@@ -457,9 +464,10 @@
 }
 
 /*
- * followed HOST down | followed HOST rev=N age=MS [full=1] [returned=MS]
- * PAIR@REV...: the result of the call to HOST, whose state was the store's MS
- * ago; returned=MS: the store came back into its reach MS ago.
+ * followed HOST down [after=MS] | followed HOST rev=N age=MS [full=1]
+ * [returned=MS] PAIR@REV...: the result of the call to HOST, which was sent MS
+ * before, and whose state was the store's MS ago; returned=MS: the store came
+ * back into its reach MS ago.
  */
 static void cmd_followed(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -467,6 +475,7 @@
 	struct follow_result *f = util_alloc(1, sizeof(*f));
 
 	util_copy_str(f->host, sizeof(f->host), argv[0]);
+	f->sent_us = g->now_us - script_int(argc, argv, "after", 0) * US_PER_MS;
 	if (strcmp(argv[1], "down") == 0) {
 		err_set(&f->err, ERR_PEER_RPC, "no answer in time");
 	} else {
