peer: Accept entries that are newer than the state that holds them

A host that lists more than one page while keys are written has entries of later revisions than that of the listing. Its followers refused such a state, closed the connection and left the host alone for 3 s.

Change: the decoder of the state accepts every revision of the valid range.

--- a/src/codec/peer_msg_state.c
+++ b/src/codec/peer_msg_state.c
@@ -83,10 +83,10 @@
 	memset(x, 0, sizeof(*x));
 }
 
-static int read_entry(peer_entry *e, uint64_t era, uint64_t rev,
-		      struct kv_pair *out)
+static int read_entry(peer_entry *e, uint64_t era, struct kv_pair *out)
 {
-	if (!e->key || !e->key[0] || e->deleted > 1 || e->rev > rev ||
+	/* A listing of several pages may name later revisions than its own. */
+	if (!e->key || !e->key[0] || e->deleted > 1 || e->rev > STORE_REV_MAX ||
 	    !util_copy_str(out->key, sizeof(out->key), e->key))
 		return 0;
 	out->rev = store_pos(era, e->rev);
@@ -127,7 +127,7 @@
 	u->regained_us = time_from_age_us(x->returned_ms, answered_us);
 	u->pairs = util_alloc(n, sizeof(u->pairs[0]));
 	for (i = 0; i < n; i++) {
-		if (!read_entry(&x->entries.entries_val[i], era, x->rev,
+		if (!read_entry(&x->entries.entries_val[i], era,
 				&u->pairs[i])) {
 			err_set(err, ERR_PEER_MESSAGE,
 				"entries missing or out of range");
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -395,6 +395,31 @@
 	g_assert_cmpuint(received.era, ==, 0);
 }
 
+/*
+ * Guards against a state that a follower refuses, and the host that sent it for
+ * seconds: a listing of several pages has the revision of its first page, and
+ * later ones among its entries when keys were written meanwhile.
+ */
+static void test_pages(void)
+{
+	struct store_update *sent = make_update();
+	struct store_update *received;
+	struct peer_msg_state state;
+	struct err err = { 0 };
+
+	sent->is_full = 1;
+	sent->pairs[0].rev = store_pos(3, 9);
+	peer_msg_from_store_update(sent, 1, 2, &state);
+	state.has_era = 1;
+	received = peer_msg_to_store_update(&state, 1, 2, &err);
+	g_assert_nonnull(received);
+	g_assert_cmpuint(received->rev, ==, store_pos(3, 7));
+	g_assert_cmpuint(received->pairs[0].rev, ==, store_pos(3, 9));
+	store_update_free(received);
+	peer_msg_state_free(&state);
+	store_update_free(sent);
+}
+
 /* Drops log lines: GLib's harness ends the test at a warning that it sees. */
 static void drop_line(void *ctx, const char *line)
 {
@@ -651,6 +676,7 @@
 	g_test_add_func("/relay/garbage", test_garbage);
 	g_test_add_func("/relay/left", test_left);
 	g_test_add_func("/relay/builds", test_builds);
+	g_test_add_func("/relay/pages", test_pages);
 	g_test_add_func("/relay/health", test_health);
 	g_test_add_func("/relay/forward", test_forward);
 	g_test_add_func("/relay/forward-cancelled", test_forward_cancelled);
