gw_control: Take no state over that may lack deletions

While hosts are replaced in turn, a host of this build could take the state of one of the build before, with a target that has left or without its deletion, and keep and pass it on after the replacement.

Change: an answer to a follower states, behind the era, whether it names all deletions. One that does not is ignored while the store answers, and its host is left for 30 s or until it writes its entry again.

--- a/src/codec/peer_msg_state.c
+++ b/src/codec/peer_msg_state.c
@@ -46,7 +46,14 @@
 
 bool_t xdr_peer_msg_state(XDR *x, struct peer_msg_state *m)
 {
-	return xdr_peer_state(x, &m->state) && xdr_era(x, &m->era, &m->has_era);
+	if (!xdr_peer_state(x, &m->state) || !xdr_era(x, &m->era, &m->has_era))
+		return FALSE;
+	if (x->x_op == XDR_DECODE) {
+		if (!xdr_u_int(x, &m->has_deletions))
+			m->has_deletions = 0;
+		return TRUE;
+	}
+	return x->x_op != XDR_ENCODE || xdr_u_int(x, &m->has_deletions);
 }
 
 void peer_msg_from_store_update(const struct store_update *u,
@@ -58,6 +65,7 @@
 
 	memset(m, 0, sizeof(*m));
 	m->era = store_pos_era(u->rev);
+	m->has_deletions = u->has_deletions;
 	out->rev = store_pos_rev(u->rev);
 	out->full = u->is_full;
 	out->age_ms = age_from_time_ms(u->confirmed_us, now_us);
@@ -123,6 +131,7 @@
 	}
 	u->rev = store_pos(era, x->rev);
 	u->is_full = x->full != 0;
+	u->has_deletions = m->has_deletions != 0;
 	u->confirmed_us = time_from_age_us(x->age_ms, answered_us);
 	u->regained_us = time_from_age_us(x->returned_ms, answered_us);
 	u->pairs = util_alloc(n, sizeof(u->pairs[0]));
--- a/src/codec/peer_msg_state.h
+++ b/src/codec/peer_msg_state.h
@@ -4,8 +4,9 @@
  * monotonic clocks of hosts differ, so messages carry ages instead of times.
  *
  * The call FOLLOW_STATE and its reply end with the era of the store, to which
- * the revisions in them belong. Hosts of earlier builds neither send nor read
- * it.
+ * the revisions in them belong, and the reply with whether it names all
+ * deletions (struct store_update). Hosts of earlier builds neither send nor read
+ * these.
  */
 #ifndef PEER_MSG_STATE_H
 #define PEER_MSG_STATE_H
@@ -26,6 +27,8 @@
 	peer_state state;
 	u_quad_t era;
 	uint32_t has_era;
+	/* 0 also in a decoded message that ends before it. */
+	uint32_t has_deletions;
 };
 
 bool_t xdr_peer_msg_follow(XDR *x, struct peer_msg_follow *m);
--- a/src/controller/host_tree.c
+++ b/src/controller/host_tree.c
@@ -10,6 +10,8 @@
 	struct host_entry def;
 	/* The host is not used before this time; 0: it may be used. */
 	int64_t avoid_until_us;
+	/* It is followed before this time only if nothing else can be. */
+	int64_t unsound_until_us;
 	/* Time at which this host learned of its entry; 0: a seed. */
 	int64_t written_us;
 };
@@ -107,6 +109,7 @@
 	}
 	/* The host wrote its entry: it may have been restarted. */
 	host->avoid_until_us = 0;
+	host->unsound_until_us = 0;
 	host->written_us = now_us;
 	host->def = *entry;
 	sort_hosts(t);
@@ -139,6 +142,13 @@
 	       strcmp(host->def.name, t->self.name) != 0;
 }
 
+/* 1 if @host is usable and its answers name all deletions. */
+static int is_sound(const struct host_tree *t, const struct tree_host *host,
+		    int64_t now_us)
+{
+	return is_usable(t, host, now_us) && now_us >= host->unsound_until_us;
+}
+
 /*
  * Position of this host in its data centre; behind all others while its entry
  * is missing.
@@ -156,21 +166,27 @@
 	return t->dc_host_count;
 }
 
-/* First usable host of @list in circular order from position @from, or NULL. */
+/*
+ * First usable host of @list in circular order from position @from, sound ones
+ * first; NULL: none.
+ */
 static const struct host_entry *first_usable(const struct host_tree *t,
 					     const GPtrArray *list,
 					     uint32_t from, int64_t now_us)
 {
+	const struct host_entry *unsound = NULL;
 	uint32_t i;
 
 	for (i = 0; i < list->len; i++) {
 		const struct tree_host *host =
 			g_ptr_array_index(list, (from + i) % list->len);
 
-		if (is_usable(t, host, now_us))
+		if (is_sound(t, host, now_us))
 			return &host->def;
+		if (!unsound && is_usable(t, host, now_us))
+			unsound = &host->def;
 	}
-	return NULL;
+	return unsound;
 }
 
 const struct host_entry *host_tree_choose_source(struct host_tree *t,
@@ -184,7 +200,7 @@
 
 		at = (at - 1) / HOST_TREE_FANOUT;
 		host = g_ptr_array_index(t->order, at);
-		if (is_usable(t, host, now_us))
+		if (is_sound(t, host, now_us))
 			return &host->def;
 	}
 	if (now_us >= t->store_avoid_until_us)
@@ -327,8 +343,8 @@
 	return &first->def;
 }
 
-void host_tree_peer_failed(struct host_tree *t, const char *name,
-			   int64_t sent_us, int64_t now_us)
+/* The host or seed @name, or NULL. */
+static struct tree_host *find_host(const struct host_tree *t, const char *name)
 {
 	struct tree_host *host = g_hash_table_lookup(t->hosts, name);
 	uint32_t i;
@@ -339,10 +355,27 @@
 		if (strcmp(seed->def.name, name) == 0)
 			host = seed;
 	}
+	return host;
+}
+
+void host_tree_peer_failed(struct host_tree *t, const char *name,
+			   int64_t sent_us, int64_t now_us)
+{
+	struct tree_host *host = find_host(t, name);
+
 	if (host && sent_us >= host->written_us)
 		host->avoid_until_us = now_us + HOST_TREE_PEER_AVOID_US;
 }
 
+void host_tree_peer_unsound(struct host_tree *t, const char *name,
+			    int64_t now_us)
+{
+	struct tree_host *host = find_host(t, name);
+
+	if (host)
+		host->unsound_until_us = now_us + HOST_TREE_UNSOUND_AVOID_US;
+}
+
 void host_tree_store_failed(struct host_tree *t, int64_t now_us)
 {
 	t->store_avoid_until_us = now_us + HOST_TREE_STORE_AVOID_US;
--- a/src/controller/host_tree.h
+++ b/src/controller/host_tree.h
@@ -17,6 +17,11 @@
 #define HOST_TREE_FANOUT 8
 /* Hosts with a rank: the order in which they act for rollouts. */
 #define HOST_TREE_RANKS_MAX 6
+/*
+ * A host whose answers may lack deletions is not followed for this long while
+ * the store, or another host, can be.
+ */
+#define HOST_TREE_UNSOUND_AVOID_US (30 * (int64_t)US_PER_S)
 /* A host that gave no answer or an old one is not used for this long. */
 #define HOST_TREE_PEER_AVOID_US (3 * (int64_t)US_PER_S)
 /* The store is not used for this long after a failure. */
@@ -77,6 +82,12 @@
  */
 void host_tree_peer_failed(struct host_tree *t, const char *name,
 			   int64_t sent_us, int64_t now_us);
+/*
+ * The answers of host @name may lack deletions. It goes on counting as a host in
+ * reach.
+ */
+void host_tree_peer_unsound(struct host_tree *t, const char *name,
+			    int64_t now_us);
 /* The store could not be read, or could be read again. */
 void host_tree_store_failed(struct host_tree *t, int64_t now_us);
 void host_tree_store_ok(struct host_tree *t);
--- a/src/duty/gw_control_internal.h
+++ b/src/duty/gw_control_internal.h
@@ -42,6 +42,11 @@
 	struct timer_entry missing_timer;
 	/* Copy of the store's keys. */
 	struct store_mirror *mirror;
+	/*
+	 * 1: @mirror may lack deletions, because it has taken over the state of
+	 * a host of an earlier build; the store is listed as soon as it answers.
+	 */
+	int needs_listing;
 	struct host_tree *host_tree;
 	/* Latest time at which @mirror matched the store; 0: never. */
 	int64_t confirmed_us;
--- a/src/duty/gw_control_source.c
+++ b/src/duty/gw_control_source.c
@@ -77,12 +77,13 @@
 static void call_store(struct gw_control *c, uint32_t wait_ms,
 		       enum store_call_kind kind)
 {
-	struct kv_call call = { .op = KV_WATCH,
-				.rev = store_mirror_rev(c->mirror),
-				.ttl_ms = wait_ms,
-				.is_one_shot = 1,
-				.timeout_ms =
-					2 * wait_ms + STORE_CALL_TIMEOUT_MS };
+	struct kv_call call = {
+		.op = KV_WATCH,
+		.rev = c->needs_listing ? 0 : store_mirror_rev(c->mirror),
+		.ttl_ms = wait_ms,
+		.is_one_shot = 1,
+		.timeout_ms = 2 * wait_ms + STORE_CALL_TIMEOUT_MS
+	};
 
 	util_copy_str(call.key, sizeof(call.key), PLATFORM_PREFIX_ALL);
 	gw_control_store_call(c, &call, kind);
@@ -192,6 +193,7 @@
 	r->xid = call->xid;
 	r->received_us = call->received_us;
 	r->update = store_mirror_changes_since(c->mirror, call->rev);
+	r->update->has_deletions = !c->needs_listing;
 	r->update->confirmed_us = c->confirmed_us;
 	r->update->regained_us = c->regained_us;
 	if (ring_push(c->opt.relay, &m) != ERR_OK) {
@@ -279,6 +281,10 @@
 		c->regained_us = u->regained_us;
 		discovery_store_regained(c->discovery, u->regained_us);
 	}
+	if (!u->has_deletions)
+		c->needs_listing = 1;
+	else if (u->is_full && u->rev >= store_mirror_rev(c->mirror))
+		c->needs_listing = 0;
 	if (is_later_era)
 		gw_control_store_returns(c, now_us);
 	store_mirror_apply(c->mirror, u, gw_control_on_pair, &pc);
@@ -361,6 +367,7 @@
 {
 	struct store_update u = { .rev = r->rev,
 				  .is_full = r->is_full,
+				  .has_deletions = 1,
 				  .confirmed_us = r->has_more ? 0 : now_us,
 				  .pair_count = r->pair_count,
 				  .pairs = r->pairs };
@@ -460,6 +467,20 @@
 		arm_next_call(c, now_us + retry_us(c));
 		return;
 	}
+	if (!u->has_deletions) {
+		log_event(LOG_LEVEL_INFO, "host_unsound",
+			  "the state of host %s at revision %llu may lack "
+			  "deletions; it is %s",
+			  f->host, (unsigned long long)store_pos_rev(u->rev),
+			  c->is_store_lost ? "taken over until the store can "
+					     "be listed"
+					   : "ignored");
+		host_tree_peer_unsound(c->host_tree, f->host, now_us);
+		if (!c->is_store_lost) {
+			arm_next_call(c, now_us);
+			return;
+		}
+	}
 	if (u->confirmed_us < stale_us) {
 		log_event(LOG_LEVEL_INFO, "host_behind",
 			  "host %s is at revision %llu, %lld ms old", f->host,
--- a/src/model/store_update.h
+++ b/src/model/store_update.h
@@ -15,6 +15,12 @@
 	uint64_t rev;
 	/* 1: the pairs are all keys; a key not among them is deleted. */
 	uint32_t is_full;
+	/*
+	 * 1: each key that was deleted since the position that was asked for is
+	 * among the pairs, or the update is full and its source has missed no
+	 * deletion. Hosts of earlier builds do not state it.
+	 */
+	uint32_t has_deletions;
 	/* Monotonic time at which the store was last known to be at rev. */
 	int64_t confirmed_us;
 	/* Monotonic time of the store's return after an outage; 0: none. */
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -378,7 +378,8 @@
 			follow_request_free(f);
 			continue;
 		}
-		buf_addf(out, "answer %u, age %lld ms, ", (uint32_t)r->conn,
+		buf_addf(out, "answer %u%s, age %lld ms, ", (uint32_t)r->conn,
+			 r->update->has_deletions ? "" : " without deletions",
 			 (long long)(g->now_us - r->update->confirmed_us) /
 				 US_PER_MS);
 		show_update(out, r->update);
@@ -465,9 +466,10 @@
 
 /*
  * followed HOST down [after=MS] | followed HOST rev=N age=MS [full=1]
- * [returned=MS] PAIR@REV...: the result of the call to HOST, which was sent MS
+ * [returned=MS] [older=1] PAIR@REV...: the result of the call to HOST, which was sent MS
  * before, and whose state was the store's MS ago; returned=MS: the store came
- * back into its reach MS ago.
+ * back into its reach MS ago; older=1: the host is of a build that does not
+ * state whether it names all deletions.
  */
 static void cmd_followed(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
@@ -482,6 +484,7 @@
 		f->update = util_alloc(1, sizeof(*f->update));
 		f->update->rev = read_pos(script_arg(argc, argv, "rev", "0"));
 		f->update->is_full = script_u32(argc, argv, "full", 0);
+		f->update->has_deletions = !script_u32(argc, argv, "older", 0);
 		f->update->confirmed_us =
 			g->now_us -
 			script_int(argc, argv, "age", 0) * US_PER_MS;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -365,7 +365,9 @@
  */
 static void test_builds(void)
 {
-	struct peer_msg_state sent = { .state = { .rev = 7 }, .era = 3 };
+	struct peer_msg_state sent = { .state = { .rev = 7 },
+				       .era = 3,
+				       .has_deletions = 1 };
 	struct peer_msg_state received = { 0 };
 	struct buf newer CLEANUP_BUF = { 0 };
 	struct buf older CLEANUP_BUF = { 0 };
@@ -385,6 +387,14 @@
 					  &received));
 	g_assert_cmpuint(received.has_era, ==, 1);
 	g_assert_cmpuint(received.era, ==, 3);
+	g_assert_cmpuint(received.has_deletions, ==, 1);
+	/* The build before this one ends its reply with the era. */
+	g_assert_true(peer_rpc_read_reply(
+		newer.data + PEER_RPC_MARK_BYTES,
+		newer.len_bytes - PEER_RPC_MARK_BYTES - BYTES_PER_XDR_UNIT,
+		&xid, (xdrproc_t)xdr_peer_msg_state, &received));
+	g_assert_cmpuint(received.era, ==, 3);
+	g_assert_cmpuint(received.has_deletions, ==, 0);
 	g_assert_true(peer_rpc_add_reply(&older, 1, (xdrproc_t)xdr_peer_state,
 					 &sent.state));
 	g_assert_true(peer_rpc_read_reply(older.data + PEER_RPC_MARK_BYTES,
@@ -393,6 +403,7 @@
 					  &received));
 	g_assert_cmpuint(received.has_era, ==, 0);
 	g_assert_cmpuint(received.era, ==, 0);
+	g_assert_cmpuint(received.has_deletions, ==, 0);
 }
 
 /*
