--- a/tests/soak/testbed.c
+++ b/tests/soak/testbed.c
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "base/clock.h"
@@ -286,6 +287,18 @@
 	return is_ready;
 }
 
+static int64_t log_bytes(const struct testbed_host *h)
+{
+	struct stat st;
+
+	return stat(h->log_path, &st) == 0 ? (int64_t)st.st_size : 0;
+}
+
+int testbed_host_has_logged(const struct testbed_host *h)
+{
+	return log_bytes(h) > h->log_start_bytes;
+}
+
 int testbed_host_start(struct testbed *tb, uint32_t host)
 {
 	struct testbed_host *h = &tb->hosts[host];
@@ -294,6 +307,7 @@
 			       "gateway", "--settings", h->settings_path,
 			       NULL };
 
+	h->log_start_bytes = log_bytes(h);
 	if (proc_spawn(&h->proc, argv, h->log_path) != 0)
 		return 0;
 	h->incarnation++;
--- a/tests/soak/testbed.h
+++ b/tests/soak/testbed.h
@@ -54,6 +54,8 @@
 	_Atomic int is_running;
 	/* Monotonic time of the latest start. */
 	int64_t started_us;
+	/* Length of the log at that time. */
+	int64_t log_start_bytes;
 	/* SIGTERM was sent and the process has not been replaced yet. */
 	_Atomic int is_leaving;
 	/*
@@ -137,6 +139,8 @@
 /* Sends @json to the store stand-in's control port, which switches a fault. */
 void testbed_store_fault(struct testbed *tb, const char *json);
 
+/* 1 if the host has written to its log since its latest start. */
+int testbed_host_has_logged(const struct testbed_host *h);
 /* Starts of all hosts so far. */
 uint32_t testbed_starts(const struct testbed *tb);
 
