soak: Judge an order that is under way at the end at its own time

The end of the run took the order back 1 s after it was given, and the check then judged a rollout of 8 s.

Change: the end of the run ends all faults but rollouts; these end at their time while the run waits for the recovery, and are judged as any other. Nothing is passed over.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -774,8 +774,12 @@
 
 void faults_end_all(struct faults *f)
 {
-	while (f->active_count > 0)
-		end(f, 0);
+	uint32_t i;
+
+	for (i = f->active_count; i > 0; i--) {
+		if (f->active[i - 1].kind->end != rollout_end)
+			end(f, i - 1);
+	}
 }
 
 void faults_report(const struct faults *f)
