gw_control: Keep missing targets for two seconds after the store's return

When the store comes back from a copy, hosts kept what their listing lacked for 6 s, targets too.

Change: missing entries of targets are dropped 2.2 s after the host heard of the new era, if a state from after 2.0 s is known. The store is read for that. Other keys are kept as before.

Measured: gwcontrol-era-targets keeps three targets before, and two now; with the store out of reach again nothing is dropped.

--- a/src/controller/store_mirror.c
+++ b/src/controller/store_mirror.c
@@ -148,6 +148,7 @@
 }
 
 void store_mirror_drop_missing(struct store_mirror *m,
+			       store_mirror_choose_fn *choose,
 			       store_mirror_changed_fn *fn, void *ctx)
 {
 	GHashTableIter it;
@@ -157,10 +158,12 @@
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
 		struct kv_pair *p = g_hash_table_lookup(m->pairs, key);
 
+		if (choose && !choose(p->key))
+			continue;
+		g_hash_table_iter_remove(&it);
 		delete_pair(m, p, m->rev);
 		fn(ctx, p);
 	}
-	g_hash_table_remove_all(m->missing);
 }
 
 void store_mirror_apply(struct store_mirror *m, const struct store_update *u,
--- a/src/controller/store_mirror.h
+++ b/src/controller/store_mirror.h
@@ -42,8 +42,14 @@
 			store_mirror_changed_fn *fn, void *ctx);
 /* Keys that were missing when the store came back and are still kept. */
 uint32_t store_mirror_missing_count(const struct store_mirror *m);
-/* Deletes these keys and calls @fn for each of them. */
+/* 1 if the missing key @key is to be deleted now. */
+typedef int store_mirror_choose_fn(const char *key);
+/*
+ * Deletes the keys of these that @choose takes, all if it is NULL, and calls @fn
+ * for each of them.
+ */
 void store_mirror_drop_missing(struct store_mirror *m,
+			       store_mirror_choose_fn *choose,
 			       store_mirror_changed_fn *fn, void *ctx);
 /*
  * The changes after position @rev, or all keys when @rev is 0, of an earlier era,
--- a/src/duty/gw_control_era.c
+++ b/src/duty/gw_control_era.c
@@ -9,11 +9,19 @@
 #include "base/metric.h"
 #include "duty/gw_control_internal.h"
 #include "model/store_pos.h"
+#include "platform/platform_docs.h"
 
 /*
- * Time for which keys that are missing are kept: the longest in which a host of
- * the platform counts as in touch again (6 s), and more than three check-in
- * intervals of targets (3.6 s).
+ * Entries of targets are back within about two seconds of the store's return.
+ * The store is read once more at the first time, counted from when this host heard
+ * of the new era; what is missing at the second one has left. With the wait for
+ * the listing that is within drain_ms of a removal that follows the return.
+ */
+#define TARGETS_READ_US (2000 * US_PER_MS)
+#define TARGETS_KEPT_US (2200 * US_PER_MS)
+/*
+ * Time for which the other keys that are missing are kept, evacuations among them:
+ * the longest in which a host of the platform counts as in touch again (6 s).
  */
 #define MISSING_KEPT_US (6 * (int64_t)US_PER_S)
 /* Shortest time over which the hosts write their entries again. */
@@ -75,18 +83,61 @@
 	c->regained_us = util_max_i64(c->regained_us, now_us);
 }
 
-static void on_missing_due(void *ctx, int64_t now_us)
+static int is_target_key(const char *key)
+{
+	const char *name;
+
+	return platform_key_parse(key, &name) == PLATFORM_KEY_TARGET;
+}
+
+/* Drops the missing keys that @choose takes. */
+static void drop_missing(struct gw_control *c, store_mirror_choose_fn *choose,
+			 int64_t now_us)
 {
-	struct gw_control *c = ctx;
 	struct gw_control_pair_ctx pc = { c, now_us };
+	uint32_t before = store_mirror_missing_count(c->mirror);
 
+	store_mirror_drop_missing(c->mirror, choose, gw_control_on_pair, &pc);
 	log_event(LOG_LEVEL_INFO, "store_missing_dropped",
-		  "%u keys were not written again",
+		  "%u keys were not written again, %u more are kept",
+		  before - store_mirror_missing_count(c->mirror),
 		  store_mirror_missing_count(c->mirror));
-	store_mirror_drop_missing(c->mirror, gw_control_on_pair, &pc);
+}
+
+static void on_missing_due(void *ctx, int64_t now_us)
+{
+	struct gw_control *c = ctx;
+
+	drop_missing(c, NULL, now_us);
 	canary_take_held(c->rollouts, now_us);
 }
 
+/*
+ * Waits for a state that is later than the return of the entries: the store may
+ * be out of reach again, for their writers too.
+ */
+static void on_targets_due(void *ctx, int64_t now_us)
+{
+	struct gw_control *c = ctx;
+
+	if (c->confirmed_us < c->era_us + TARGETS_READ_US)
+		timer_queue_arm(duty_timers(c->duty), &c->missing_targets_timer,
+				now_us + TARGETS_KEPT_US - TARGETS_READ_US,
+				on_targets_due, c);
+	else
+		drop_missing(c, is_target_key, now_us);
+}
+
+static void on_targets_read(void *ctx, int64_t now_us)
+{
+	struct gw_control *c = ctx;
+
+	gw_control_read(c, now_us);
+	timer_queue_arm(duty_timers(c->duty), &c->missing_targets_timer,
+			util_max_i64(now_us, c->era_us + TARGETS_KEPT_US),
+			on_targets_due, c);
+}
+
 void gw_control_store_returned(struct gw_control *c, int64_t now_us)
 {
 	uint64_t pos = store_mirror_rev(c->mirror);
@@ -95,8 +146,9 @@
 	metric_add(METRIC_STORE_RETURNS, 1);
 	log_event(LOG_LEVEL_WARNING, "store_returned",
 		  "state of era %llu revision %llu is in force, %lld ms after "
-		  "the era was heard of; %u keys are missing and kept for %lld "
-		  "ms",
+		  "the era was heard of; %u keys are missing and kept for up "
+		  "to "
+		  "%lld ms",
 		  (unsigned long long)store_pos_era(pos),
 		  (unsigned long long)store_pos_rev(pos),
 		  (long long)(now_us - c->era_us) / US_PER_MS,
@@ -104,4 +156,7 @@
 		  (long long)MISSING_KEPT_US / US_PER_MS);
 	timer_queue_arm(duty_timers(c->duty), &c->missing_timer,
 			now_us + MISSING_KEPT_US, on_missing_due, c);
+	timer_queue_arm(duty_timers(c->duty), &c->missing_targets_timer,
+			util_max_i64(now_us, c->era_us + TARGETS_READ_US),
+			on_targets_read, c);
 }
--- a/src/duty/gw_control_internal.h
+++ b/src/duty/gw_control_internal.h
@@ -38,8 +38,12 @@
 	uint64_t era;
 	/* Time at which it heard of it. */
 	int64_t era_us;
-	/* Due when keys that are missing since then are taken for deleted. */
+	/*
+	 * Due when keys that are missing since then are taken for deleted; those
+	 * of targets earlier.
+	 */
 	struct timer_entry missing_timer;
+	struct timer_entry missing_targets_timer;
 	/* Copy of the store's keys. */
 	struct store_mirror *mirror;
 	/*
@@ -155,6 +159,8 @@
 /* Calls host @h, which may delay its answer for up to @hold_ms. */
 void gw_control_call_peer(struct gw_control *c, const struct host_entry *h,
 			  uint32_t hold_ms);
+/* Reads what has changed in the store, unless a read is in flight. */
+void gw_control_read(struct gw_control *c, int64_t now_us);
 /* The result of a watch or read cannot be used: lists the store. */
 void gw_control_relist(struct gw_control *c, enum store_call_kind kind,
 		       int64_t now_us);
--- a/src/duty/gw_control_source.c
+++ b/src/duty/gw_control_source.c
@@ -138,8 +138,7 @@
 		       : us;
 }
 
-/* Reads what has changed in the store, unless a read is in flight. */
-static void read_store(struct gw_control *c, int64_t now_us)
+void gw_control_read(struct gw_control *c, int64_t now_us)
 {
 	if (c->is_reading)
 		return;
@@ -157,7 +156,7 @@
 
 	/* The failure may have been that of one connection. */
 	if (h && c->needs_read)
-		read_store(c, now_us);
+		gw_control_read(c, now_us);
 	c->needs_read = 0;
 	if (h && !c->is_following) {
 		gw_control_call_peer(c, h, hold_ms(c));
@@ -173,7 +172,7 @@
 {
 	struct gw_control *c = ctx;
 
-	read_store(c, now_us);
+	gw_control_read(c, now_us);
 	arm_age_limit(c, now_us + apply_part_us(c, AGE_LIMIT_PERMILLE) / 2);
 }
 
@@ -393,7 +392,7 @@
 		return;
 	}
 	c->is_reading = 0;
-	read_store(c, now_us);
+	gw_control_read(c, now_us);
 }
 
 void gw_control_watch_done(struct gw_control *c, const struct kv_result *r,
@@ -424,7 +423,7 @@
 	}
 	apply_store_result(c, r, now_us);
 	if (r->has_more)
-		read_store(c, now_us);
+		gw_control_read(c, now_us);
 }
 
 /*
--- a/tests/prop_mirror.c
+++ b/tests/prop_mirror.c
@@ -273,7 +273,7 @@
 	else if (what < 95 && r->message_count)
 		deliver(r, below(r, r->message_count));
 	else if (what >= 97)
-		store_mirror_drop_missing(r->mirrors[below(r, HOSTS)],
+		store_mirror_drop_missing(r->mirrors[below(r, HOSTS)], NULL,
 					  ignore_pair, NULL);
 	else if (what >= 95)
 		restart(r);
@@ -297,7 +297,8 @@
 			store_update_free(u);
 			pos = store_pos(r->store.era, r->store.rev);
 		} while (store_mirror_rev(r->mirrors[i]) < pos);
-		store_mirror_drop_missing(r->mirrors[i], ignore_pair, NULL);
+		store_mirror_drop_missing(r->mirrors[i], NULL, ignore_pair,
+					  NULL);
 		check_equal(r, i);
 	}
 }
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -155,7 +155,7 @@
 static void cmd_drop(void *ctx, uint32_t argc, char **argv, struct buf *out)
 {
 	buf_addf(out, "%u missing:", store_mirror_missing_count(ctx));
-	store_mirror_drop_missing(ctx, show_pair, out);
+	store_mirror_drop_missing(ctx, NULL, show_pair, out);
 	buf_addf(out, "\n");
 }
 
