gw_control: Ask for a lease again when its answer is of another era

A host that starts while the store comes back from a copy could stay without an entry for as long as it runs: the answer to its call for a lease was one of the era before and was dropped, and only hosts with a state or a lease begin again in a new era. Others then neither follow it nor count it in the shared limits.

Change: a dropped answer begins the registration again after 2 s, unless that is due anyway.

--- a/src/duty/gw_control.c
+++ b/src/duty/gw_control.c
@@ -254,8 +254,10 @@
 	case STORE_CALL_REGISTER:
 	case STORE_CALL_RENEW:
 		/* The entry is written again in the new era. */
-		if (!is_current || (is_new_era && era_before))
+		if (!is_current || (is_new_era && era_before)) {
+			gw_control_registration_lost(c, now_us);
 			break;
+		}
 		if (kind == STORE_CALL_LEASE)
 			gw_control_lease_done(c, r, now_us);
 		else if (kind == STORE_CALL_REGISTER)
--- a/src/duty/gw_control_internal.h
+++ b/src/duty/gw_control_internal.h
@@ -206,6 +206,11 @@
 void gw_control_start_register(struct gw_control *c, int64_t now_us);
 /* The lease and the entry are gone: writes them again at @at_us. */
 void gw_control_register_again(struct gw_control *c, int64_t at_us);
+/*
+ * The result of a call for the lease or the entry is of another era than the one
+ * known: begins again, unless that is due anyway.
+ */
+void gw_control_registration_lost(struct gw_control *c, int64_t now_us);
 void gw_control_lease_done(struct gw_control *c, const struct kv_result *r,
 			   int64_t now_us);
 void gw_control_register_done(struct gw_control *c, const struct kv_result *r,
--- a/src/duty/gw_control_register.c
+++ b/src/duty/gw_control_register.c
@@ -35,6 +35,12 @@
 	arm_lease_timer(c, at_us);
 }
 
+void gw_control_registration_lost(struct gw_control *c, int64_t now_us)
+{
+	if (!c->lease_timer.armed_pos)
+		gw_control_register_again(c, now_us + LEASE_RETRY_US);
+}
+
 /* Requests a lease, or renews the one that this host holds. */
 static void on_lease_timer(void *ctx, int64_t now_us)
 {
