gw_control: Learn of the store's return sooner

After an outage or a cut, hosts took removals over up to 9 s late, by hosts in touch again: the store was read at a third of the bound only, reads that its backoff refused were not made up for, and the read at the age limit, which ends a little after it, was taken for the end of an outage that holds removals back for 2.2 s.

--- a/src/duty/gw_control_source.c
+++ b/src/duty/gw_control_source.c
@@ -268,14 +268,14 @@
 				   store_pos_era(store_mirror_rev(c->mirror));
 
 	/*
-	 * If this host's state was confirmed within the age limit before the
-	 * store came back, other hosts still reached the store: only one host
-	 * had lost it, and entries that are missing have been deleted.
-	 * Otherwise the store was out of reach, and entries may have lapsed
-	 * meanwhile.
+	 * If this host's state was confirmed within the age limit, and the time
+	 * that the read takes then, before the store came back, other hosts
+	 * still reached the store: only one host had lost it, and entries that
+	 * are missing have been deleted. Otherwise the store was out of reach,
+	 * and entries may have lapsed meanwhile.
 	 */
 	if (u->regained_us - c->confirmed_us >
-		    apply_part_us(c, AGE_LIMIT_PERMILLE) &&
+		    apply_part_us(c, AGE_LIMIT_PERMILLE + RETRY_PERMILLE) &&
 	    u->regained_us > c->regained_us) {
 		c->regained_us = u->regained_us;
 		discovery_store_regained(c->discovery, u->regained_us);
@@ -418,7 +418,12 @@
 {
 	c->is_reading = 0;
 	if (r->err.code != ERR_OK) {
-		on_store_failed(c, &r->err, c->read_sent_us, now_us);
+		/*
+		 * The next one goes out when the backoff of the store duty
+		 * allows it, so that its return is known soon.
+		 */
+		if (on_store_failed(c, &r->err, c->read_sent_us, now_us))
+			arm_age_limit(c, now_us + retry_us(c));
 		return;
 	}
 	apply_store_result(c, r, now_us);
