--- a/src/duty/gw_control_era.c
+++ b/src/duty/gw_control_era.c
@@ -14,8 +14,8 @@
 /*
  * Entries of targets are back within about two seconds of the store's return.
  * The store is read once more at the first time, counted from when this host heard
- * of the new era; what is missing at the second one has left. With the wait for
- * the listing that is within drain_ms of a removal that follows the return.
+ * of the new era; what is missing at the second one has left. So a removal that
+ * follows the return takes effect within drain_ms.
  */
 #define TARGETS_READ_US (2000 * US_PER_MS)
 #define TARGETS_KEPT_US (2200 * US_PER_MS)
@@ -146,8 +146,7 @@
 	metric_add(METRIC_STORE_RETURNS, 1);
 	log_event(LOG_LEVEL_WARNING, "store_returned",
 		  "state of era %llu revision %llu is in force, %lld ms after "
-		  "the era was heard of; %u keys are missing and kept for up "
-		  "to "
+		  "the era was heard of; %u keys are missing and kept up to "
 		  "%lld ms",
 		  (unsigned long long)store_pos_era(pos),
 		  (unsigned long long)store_pos_rev(pos),
