soak: Take back orders until the store acknowledges it

The store lost answers when an evacuation was taken back and when others were tried; the orders stayed in force until all data centres were out, and the hosts rightly served nothing.

Change: a withdrawal that is not acknowledged is repeated once the store has no fault, and an order that is not acknowledged is withdrawn. The same for rollouts.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -20,6 +20,7 @@
 #define LEAVING_CALLS_MAX 8
 /* Time in which a host that was just started writes to its log. */
 #define HUP_WAIT_US (500 * US_PER_MS)
+#define ROLLOUT_KEY "op/rollout/one"
 #define ROLLOUT_S 6
 #define ROLLOUT_SETTLE_US (2 * (int64_t)US_PER_S)
 
@@ -70,6 +71,8 @@
 	int is_order_active;
 	/* Faults begun, by index in kinds. */
 	uint32_t *counts;
+	/* Set of keys of orders that the store may still have. */
+	GHashTable *withdrawn;
 };
 
 static uint32_t draw(struct faults *f, uint32_t below)
@@ -513,6 +516,28 @@
 	snprintf(out, 2 * NAME_BYTES, "op/evacuate/%s", a->data_centre);
 }
 
+/*
+ * Takes back the order @key. The store may not acknowledge it, or may have taken
+ * an order that it did not acknowledge; then it is tried again once the store has
+ * no fault.
+ */
+static void withdraw(struct faults *f, const char *key)
+{
+	if (!testbed_put(f->testbed, key, NULL))
+		g_hash_table_add(f->withdrawn, g_strdup(key));
+}
+
+static gboolean is_withdrawn(gpointer key, gpointer value, gpointer f)
+{
+	return testbed_put(((struct faults *)f)->testbed, key, NULL);
+}
+
+static void withdraw_again(struct faults *f)
+{
+	if (!f->is_store_taken)
+		g_hash_table_foreach_remove(f->withdrawn, is_withdrawn, f);
+}
+
 static int64_t evacuate_begin(struct faults *f, struct active_fault *a)
 {
 	char key[2 * NAME_BYTES];
@@ -521,8 +546,11 @@
 		return 0;
 	a->data_centre[0] = (char)('a' + draw(f, TESTBED_DATA_CENTRES));
 	evacuation_key(a, key);
-	if (!testbed_put(f->testbed, key, "{}"))
+	g_hash_table_remove(f->withdrawn, key);
+	if (!testbed_put(f->testbed, key, "{}")) {
+		withdraw(f, key);
 		return 0;
+	}
 	f->is_order_active = 1;
 	a->began_us = clock_now_us();
 	return TESTBED_EVACUATE_MS * US_PER_MS +
@@ -550,7 +578,7 @@
 					US_PER_MS);
 	}
 	evacuation_key(a, key);
-	testbed_put(f->testbed, key, NULL);
+	withdraw(f, key);
 	f->is_order_active = 0;
 }
 
@@ -615,8 +643,11 @@
 	a->variant = (int)draw(f, 2);
 	a->runs_before = run_count_of(f, "v1");
 	/* The order is written first: hosts must not use v2 before it. */
-	if (!testbed_put(f->testbed, "op/rollout/one", order))
+	g_hash_table_remove(f->withdrawn, ROLLOUT_KEY);
+	if (!testbed_put(f->testbed, ROLLOUT_KEY, order)) {
+		withdraw(f, ROLLOUT_KEY);
 		return 0;
+	}
 	f->is_order_active = 1;
 	a->began_us = clock_now_us();
 	each_target_of_one(f, "v2", start_new_version, a);
@@ -648,7 +679,7 @@
 {
 	if (was_settled(f, a->began_us))
 		check_rollout(f, a);
-	testbed_put(f->testbed, "op/rollout/one", NULL);
+	withdraw(f, ROLLOUT_KEY);
 	each_target_of_one(f, "v2", stop_new_version, a);
 	f->is_order_active = 0;
 }
@@ -683,12 +714,15 @@
 	f->testbed = tb;
 	f->rng.state = seed;
 	f->counts = util_alloc(countof(kinds), sizeof(f->counts[0]));
+	f->withdrawn =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return f;
 }
 
 void faults_free(struct faults *f)
 {
 	free(f->counts);
+	g_hash_table_destroy(f->withdrawn);
 	free(f);
 }
 
@@ -768,6 +802,7 @@
 		else
 			i++;
 	}
+	withdraw_again(f);
 	if (may_begin && now_us >= f->next_us && f->active_count < ACTIVE_MAX)
 		begin(f, now_us);
 }
