--- a/src/decide/kv_limiter.c
+++ b/src/decide/kv_limiter.c
@@ -10,10 +10,11 @@
 /* Longest first backoff; each further failure doubles it. */
 #define BACKOFF_MIN_US (100 * US_PER_MS)
 /*
- * Longest backoff in a small fleet: a removal that is made when a host can reach
- * the store again must be in effect on the host 4 s later. A call that is under
- * way at that moment fails after up to 1 s, and removals are held back for 2.2 s
- * once the store answers.
+ * Longest backoff in a small fleet. When a host can reach the store again, a
+ * change that is made then must be in effect on it 3 s later, which includes
+ * connecting and reading, and a removal 4 s later: a call that is under way at that
+ * moment fails after up to 1 s, and removals are held back for 2.2 s once the store
+ * answers.
  */
 #define BACKOFF_MAX_US (500 * US_PER_MS)
 /* All hosts together try again with a quarter of the store's read rate. */
--- a/tests/prop_fleet.c
+++ b/tests/prop_fleet.c
@@ -75,14 +75,12 @@
 	uint64_t call_no;
 	struct kv_request *request;
 	struct kv_result result;
-	/* Calls between hosts. */
+	/* Calls between hosts: the call, and the host that sent it. */
 	struct follow_request *follow;
+	/* Also the target that writes, or the host that starts. */
 	uint32_t peer;
 	int64_t sent_us;
 	struct store_update *update;
-	/* Key of a write; value NULL: it is deleted. */
-	char key[KV_KEY_BYTES];
-	char *value;
 };
 
 struct host {
@@ -139,7 +137,6 @@
 	/* The copy from which it comes back. */
 	GHashTable *copy_items;
 	uint64_t copy_rev;
-	uint64_t calls;
 
 	/* What the operator and the targets have written, and since when. */
 	char *wanted[TARGETS];
@@ -216,7 +213,6 @@
 	kv_result_clear(&e->result);
 	follow_request_free(e->follow);
 	store_update_free(e->update);
-	free(e->value);
 	free(e);
 }
 
@@ -225,7 +221,6 @@
 	struct event *e = ctx;
 	struct fleet *f = e->fleet;
 	struct host *h = &f->hosts[e->host];
-
 	int is_late = e->is_for_host && e->incarnation != h->incarnation;
 
 	if (e->is_for_host && !is_late && now_us < h->paused_until_us) {
@@ -506,7 +501,6 @@
 	enum kv_op op = e->request->call.op;
 	struct kv_result r = { 0 };
 
-	f->calls++;
 	if (is_cut(f, h) || (is_down(f) && f->is_silent))
 		return;
 	if (is_down(f) || f->now_us < h->refused_until_us) {
